--- /dev/null
+++ b/balancer.go
@@ -0,0 +1,653 @@
+package grebefork
+
+// All decisions, in the order a request lives; vocabulary in types.go, state in state.go. The ordinary path
+// is He and Down's line variant; docs/design.md lists the exceptions and when each acts.
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	dedicated       = 0.1  // p: a little blind traffic keeps agents from moving as one
+	epsilonShare    = 0.5  // of the bound on epsilon: farthest from both ends, where a pair starves
+	agentsPerServer = 30   // agents that share a server: fewer spread unevenly, more know it worse
+	requestsEach    = 10   // requests in retrySpan for each server of the line: busier agents use more servers
+	localWeight     = 3.0  // chance of a server of the agent's own zone to be on its line, beside others
+	shortestLine    = 6    // servers on a line at least: two may be out and pairs still differ
+	draws           = 3    // draws before a request has nowhere to go
+	crowd           = 1.4  // waiting requests over the root of those served at once: beyond, servers jam
+	crowdShare      = 0.5  // of the aim left, and of the shortest, that a server's load may take, width unknown
+	speedStep       = 0.1  // change of speed that is worth a new line; less is noise
+	gain            = 0.15 // weight of a sample of one server: a dozen settle a mean
+	fleetGain       = gain / 4
+	kindDoubt       = 8.0  // answers after which a kind's learnt speed counts as much as the list's weights
+	maxSlow         = 8.0  // slower than this is the business of ejection
+	forget          = 40.0 // usual answers' time after which half of a learnt speed is forgotten
+	reportLife      = 6.0  // service times that half of a report's news lasts, as queues do
+	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
+	ejectShare      = 0.75 // of the servers at most: more looking bad at once is overload or our own blindness
+	ejectFor        = 8.0  // aims that a first ejection lasts
+	ejectDoubles    = 3    // times that this doubles while the server stays bad
+	patience        = 3.0  // usual answers' time until an attempt counts as hanging
+	deadShare       = 0.3  // of what is sent on connections idle for so long is silent: closed before use
+	deadDoubt       = 0.98 // what is left of that by each close, so that it is tried again
+	coldMargin      = 0.5  // of overloadFactor that a cold server is sent; the rest is for peaks
+	retryRatio      = 0.1  // retry budget where none is stated: further attempts for each request taken,
+	retryFloor      = 3.0  // and so many besides,
+	retrySpan       = 5.0  // in any so many seconds
+	aimShare        = 0.5  // of the aim that a usual answer may take before work is shed
+	mostPressure    = 2.0  // clients that repeat what is refused take more than one refusal to stop
+	slack           = 0.15 // pressure that noise alone builds: it sheds nothing
+	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
+	easeOver        = 16.0 // aims in which pressure halves by itself
+	trickle         = 0.03 // let through under any pressure, to learn when it is over
+	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
+	mixLife         = 200  // requests over which the tenants' mix is remembered
+)
+
+// --- The list ---
+
+func (b *Balancer) onList(ev *Event) {
+	if ev.ListMode == ListFailed {
+		// Danger: agents that fail together and ask again together fail again.
+		b.asks++
+		b.askIn((0.5 + b.rng.Float64()) * float64(min(b.set.MustAskIn, time.Second<<min(b.asks, 5))))
+		return
+	}
+	b.epoch, b.asks = b.epoch+1, 0
+	if ev.ListMode == ListCached && b.set.AskList {
+		// The list service has a fixed capacity: the agents' first calls are spread by rank.
+		b.askIn(0.6 * float64(b.set.MustAskIn) * (float64(b.set.Rank) + b.rng.Float64()) / float64(b.set.Agents))
+	}
+	if ev.ListMode != ListDelta {
+		for _, s := range b.ring { // who is absent from a whole list is gone
+			s.State = Gone
+		}
+	}
+	for i := range ev.Servers {
+		e := &ev.Servers[i]
+		if s := b.entry(e); s != nil {
+			if s.base == 0 || s.Start != e.Start {
+				s.restart(e) // a new process: nothing learnt of the old one holds
+			}
+			s.ServerEntry = *e
+		}
+	}
+	b.ring = slices.DeleteFunc(b.ring, func(s *server) bool {
+		gone := s.State == Gone && s.inFlight == 0
+		if gone {
+			delete(b.servers, s.ID)
+		}
+		return gone
+	})
+}
+
+// --- Speed ---
+
+// warmth is the least share of its capacity that a server has by now.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Start
+	if s.Start == 0 || age >= b.set.WarmAfter {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, age.Seconds()/b.set.WarmAfter.Seconds())
+}
+
+// observe learns from how long an answer took beside others of its class and of its kind of machine.
+func (b *Balancer) observe(c *class, s *server, took float64) {
+	ratio, k := took/c.usual.v, b.kind(s)
+	c.usual.add(min(took, 4*c.usual.v), fleetGain)
+	b.service.add(took, fleetGain)
+	b.learn(s, &k.ratio, min(ratio, 4))
+	if s.load.Recent <= 0 && s.load.Rate <= 0 { // else it says so itself; a queue of our own is no slowness
+		b.slower(s, ratio/k.ratio.v/(1+float64(s.inFlight)/b.width(s)), gain)
+	}
+}
+
+// learn takes in how long a kind takes; a cold server is no example. Danger: a kind with more, slower cores
+// takes longer and does as much; where queues are told, they show it.
+func (b *Balancer) learn(s *server, pace *mean, sample float64) {
+	if k := b.kind(s); (b.warmth(s) == 1 || !pace.known) && !s.tellsQueue() {
+		k.seen, b.seen = k.seen+1, b.seen+1
+		pace.add(sample, max(fleetGain, 1/(k.seen+kindDoubt/2)))
+	}
+}
+
+// slower takes in a sample of how many times slower than usual a server is.
+func (b *Balancer) slower(s *server, ratio, weight float64) {
+	s.slow = 1 + (s.slow-1)*math.Exp2(-(b.now-s.learntAt).Seconds()/(forget*b.classes[0].usual.v))
+	s.slow += weight * (min(max(ratio, 1/maxSlow), maxSlow) - s.slow)
+	s.learntAt = b.now
+	if math.Abs(b.speed(s)*b.warmth(s)-s.built) > speedStep*s.built {
+		b.epoch++
+	}
+}
+
+// speed is what a server can do when warm: by the list's weight, then by how long its kind takes. Danger:
+// weights without the cores' speed overload the slow kind; single servers are seen too seldom to mend that.
+func (b *Balancer) speed(s *server) float64 {
+	k, known := b.kind(s), b.seen/(b.seen+kindDoubt)
+	pace := k.ratio.v
+	if k.recent.known {
+		pace = k.recent.v / b.recent.v
+	}
+	return math.Pow(s.base, 1-known) * math.Pow(b.width(s)/max(pace, 1e-3), known) / s.slow
+}
+
+// report takes in a server's own figures.
+func (b *Balancer) report(s *server, l Load) {
+	if !l.Known {
+		return
+	}
+	if s.load, s.loadAt, s.since = l, b.now, 0; l.Recent > 0 {
+		k := b.kind(s) // one report of this is noise, their maximum is worse
+		b.learn(s, &k.recent, l.Recent.Seconds())
+		b.recent.add(l.Recent.Seconds(), fleetGain)
+		b.slower(s, l.Recent.Seconds()/k.recent.v, 2*gain)
+		if running := l.Rate * l.Recent.Seconds(); l.InFlight >= 2 && running > 0 {
+			k.running.add(min(running, l.InFlight, 4*k.running.v+4), fleetGain)
+		}
+	}
+	if width := b.width(s); l.Queue >= 0 {
+		over := max(0, l.InFlight-width)
+		b.queue.add(over/width, fleetGain)
+		b.press(min(1, over/(2*crowd*math.Sqrt(width))))
+	}
+}
+
+// width is how many requests a server has in work when it is just busy.
+func (b *Balancer) width(s *server) float64 { return max(1, math.Floor(b.kind(s).running.v+0.5)) }
+
+// --- The line ---
+
+// eligible is placement: whether a class may ever go to a server.
+func (c *class) eligible(s *server) bool {
+	return (c.Zones == nil || slices.Contains(c.Zones, s.Zone)) &&
+		(c.Kinds == nil || slices.Contains(c.Kinds, s.Kind))
+}
+
+// order places a server on this agent's ring by weighted rendezvous hashing: one that comes or goes moves no
+// other. The own zone comes first if crossing has a price; callers are uneven, so others carry some of it.
+func (b *Balancer) order(e *ServerEntry) float64 {
+	weight := 1.0
+	if e.Zone == b.set.Zone && b.set.CrossFee > 0 {
+		weight = localWeight
+	}
+	hash := rand.NewPCG(uint64(e.ID), uint64(b.set.Rank)).Uint64()
+	return -math.Log((float64(hash>>11)+0.5)/(1<<53)) / weight
+}
+
+// rebuild makes a class's line, the first open to it on this agent's ring, and the sums that its draws use.
+func (b *Balancer) rebuild(c *class) {
+	l := &c.line
+	l.epoch, l.next, l.servers = b.epoch, math.MaxInt64, l.servers[:0]
+	// Danger: agents x servers connections fill all tables; many teach little, few are overloaded.
+	size := max(shortestLine, agentsPerServer*len(b.ring)/b.set.Agents,
+		b.taken.since(b.now-seconds(retrySpan))/requestsEach)
+	for _, s := range b.ring {
+		until := s.health[c.index].until
+		switch {
+		case s.State != Ready || !c.eligible(s):
+		case until > b.now:
+			l.next = min(l.next, until)
+		case len(l.servers) < size:
+			l.servers = append(l.servers, s)
+		}
+	}
+	// Neighbours are of like size: ties are broken evenly and would blur unlike speeds.
+	slices.SortStableFunc(l.servers, func(x, y *server) int { return cmp.Compare(x.base, y.base) })
+	var full, cold float64
+	l.speeds, l.pass, l.mu = l.speeds[:0], l.pass[:0], l.mu[:0]
+	for _, s := range l.servers {
+		speed, w := b.speed(s), b.warmth(s)
+		s.built, full = speed*w, full+speed
+		l.mu, l.speeds = append(l.mu, s.built), l.speeds.add(s.built)
+		if w < 1 {
+			cold += s.built
+			l.next = min(l.next, b.now+b.set.WarmAfter/64)
+		}
+	}
+	sum := l.speeds.span(0, len(l.servers))
+	l.usualSum = max(full, l.usualSum*0.99)
+	l.pairs = pairSums(l.mu, l.pairs[:0])
+	for j, s := range l.servers {
+		pass := 1.0
+		if w := b.warmth(s); w < 1 {
+			// Danger: all agents together push it over. Even if it wins each of its pairs, and what it turns
+			// away comes again, it gets its present share of this agent's traffic.
+			inflow := (dedicated*s.built + (1-dedicated)*l.pairs.span(j-1, j+1)) / sum
+			again := 1 + (draws-1)*cold/sum
+			pass = min(1, coldMargin*b.set.OverloadFactor*w*b.speed(s)/l.usualSum/(inflow*again))
+		}
+		l.pass = append(l.pass, pass)
+	}
+}
+
+// pairSums appends the running sums of the pairs' weights, speed plus epsilon.
+func pairSums(mu []float64, sums sums) sums {
+	n := len(mu)
+	if n < 2 {
+		return sums
+	}
+	eps := 0.0
+	if n > 2 {
+		bound := (mu[n-1] + mu[n-2]) / float64(n-2)
+		for j := 1; j < n-1; j++ {
+			bound = min(bound, mu[j]/float64(j))
+		}
+		eps = epsilonShare * bound
+	}
+	for j, m := range mu[:n-1] {
+		if j == n-2 {
+			eps = mu[n-1] - float64(n-2)*eps
+		}
+		sums = sums.add(m + eps)
+	}
+	return sums
+}
+
+// --- Choosing ---
+
+// draw picks a dedicated server (c is nil), or a pair. Both are nil when no server is ready.
+func (b *Balancer) draw(of *class) (a, c *server) {
+	l := &of.line
+	if l.epoch != b.epoch || b.now >= l.next {
+		b.rebuild(of)
+	}
+	switch n := len(l.servers); {
+	case n == 0:
+		return nil, nil
+	case n == 1 || b.rng.Float64() < dedicated:
+		return l.servers[l.speeds.pick(b.rng.Float64())], nil
+	}
+	j := l.pairs.pick(b.rng.Float64())
+	return l.servers[j], l.servers[j+1]
+}
+
+// shorter puts the shorter expected wait of a pair, in flight over speed, first; ties at random.
+func (b *Balancer) shorter(a, c *server) (first, second *server) {
+	if c == nil {
+		return a, nil
+	}
+	x, y := b.held(a)*c.built, b.held(c)*a.built
+	if x < y || x == y && b.rng.IntN(2) == 0 {
+		return a, c
+	}
+	return c, a
+}
+
+// held is what a server has in hand: our own attempts, or its report as far as that holds, or the usual.
+func (b *Balancer) held(s *server) float64 {
+	held := b.kind(s).running.v
+	if s.load.Known && s.load.InFlight >= 0 {
+		age := (b.now - s.loadAt).Seconds() / (reportLife * b.each(s))
+		held += (s.load.InFlight-held)*math.Exp2(-age) + float64(s.since)
+	}
+	return max(held, float64(s.inFlight))
+}
+
+// each is how long a request of the usual size takes on a server, in seconds.
+func (b *Balancer) each(s *server) float64 {
+	if s.load.Recent > 0 {
+		return b.kind(s).recent.v * s.slow
+	}
+	return b.service.v / (1 + b.queue.v) * s.slow
+}
+
+// crowded says that a request would be late behind what the server holds, or help to jam it. Who had room is
+// not crowded: where nobody sends, old figures stay for good.
+func (b *Balancer) crowded(r *request, s *server) bool {
+	held, width := b.held(s), b.width(s)
+	switch {
+	case s.probing || b.now < s.full: // it does not even answer a probe, or had no room
+		return true
+	case !s.load.Known || held < width:
+		return false
+	}
+	wait, left := (held+1)/width*b.each(s), (r.aim - b.now).Seconds()
+	if b.kind(s).running.known || s.tellsQueue() {
+		return held >= width+crowd*math.Sqrt(width) || wait > left
+	}
+	// Danger: some wait on others and are no crowd; but who has a long aim piles up until a server chokes.
+	return wait > crowdShare*min(left, b.leastAim.Seconds())
+}
+
+// place sends the request to a server, or lets it wait for probes of a pair, or says that there is no room.
+func (b *Balancer) place(r *request) bool {
+	for ; r.draws < draws; r.draws++ {
+		if a, c := b.draw(r.class); a == nil || b.probe(r, a, c) || b.settle(r, a, c) {
+			return a != nil
+		}
+	}
+	return false
+}
+
+// settle decides between a pair and sends. A crowded or cold server is passed by for the other.
+func (b *Balancer) settle(r *request, a, c *server) bool {
+	a, c = b.shorter(a, c)
+	aFull, cFull := b.crowded(r, a), c == nil || b.crowded(r, c)
+	if aFull && cFull {
+		b.press(1)
+	}
+	return !aFull && b.send(r, a) || !cFull && b.send(r, c)
+}
+
+// probe asks what was drawn for its figures where probes bring any; the request waits for the answers.
+func (b *Balancer) probe(r *request, a, c *server) bool {
+	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline {
+		return false // danger: a request that waits for probes past its deadline is lost
+	}
+	asked := false
+	for _, s := range [2]*server{a, c} {
+		if s == nil || s.load.Known && s.loadAt+2*b.set.Tick >= b.now {
+			continue
+		}
+		asked = true
+		if !s.probing {
+			s.probing = true
+			b.act(Action{Kind: ActProbe, Server: s.ID})
+		}
+	}
+	if asked {
+		r.a, r.c = a, c
+		b.waiting = append(b.waiting, r)
+		b.act(Action{Kind: ActTimer, Token: tokenWait | uint64(r.id),
+			Wait: min(6*b.set.Tick, r.deadline-b.now)})
+	}
+	return asked
+}
+
+func (b *Balancer) onProbed(ev *Event) {
+	s := b.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	if s.probing = false; ev.Outcome == OK {
+		b.report(s, ev.Load)
+	}
+	b.resume(func(r *request) bool {
+		return (r.a == s || r.c == s) && !r.a.probing && (r.c == nil || !r.c.probing)
+	})
+}
+
+// resume goes on with the waiting requests whose probes are back or overdue.
+func (b *Balancer) resume(ready func(*request) bool) {
+	for i := 0; i < len(b.waiting); i++ {
+		r := b.waiting[i]
+		if !ready(r) {
+			continue
+		}
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		i--
+		r.draws++
+		if r.a.probing && (r.c == nil || r.c.probing) {
+			r.a.probing = false // danger: where no probe is answered, each would be refused
+		}
+		if !r.ended && !b.settle(r, r.a, r.c) && !b.place(r) {
+			b.end(r, true)
+		}
+	}
+}
+
+func (b *Balancer) onRequest(ev *Event) {
+	if ev.Class < 0 || ev.Class >= len(b.classes) || b.open[ev.Request] != nil {
+		return
+	}
+	c := &b.classes[ev.Class]
+	r := &request{id: ev.Request, class: c, tenant: ev.Tenant}
+	r.deadline, r.aim = b.now+ev.Left, b.now+c.Aim
+	if first := c.first.vote(ev.Left, 2*b.set.Tick); ev.Retry || !first {
+		// Danger: first tries have a like share of the deadline, a last one all that remains, perhaps more.
+		r.aim -= max(0, c.Deadline-ev.Left)
+	}
+	if c.LateWorth > 0 {
+		r.aim = r.deadline
+	}
+	b.open[r.id] = r
+	b.taken.add(b.now)
+	if b.now >= r.aim || b.shed(r) || !b.place(r) {
+		b.end(r, true)
+	}
+}
+
+// shed says whether there is no room for the request: tenants over their share and low worth go first.
+func (b *Balancer) shed(r *request) bool {
+	over := b.over(r.tenant)
+	// Danger: under pressure little is let through to tell that servers are idle again, so it eases by itself.
+	ease := (b.eased - b.now).Seconds() / (easeOver * b.classes[0].Aim.Seconds())
+	b.pressure, b.eased = b.pressure*math.Exp2(ease), b.now
+	chance := max(0, b.pressure-slack) * over * over * b.worth / r.class.Worth
+	return b.rng.Float64() < min(chance, 1-trickle)
+}
+
+// over counts a request and returns its tenant's part of the recent ones over its share.
+func (b *Balancer) over(tenant int) float64 {
+	if tenant < 0 || tenant >= len(b.set.Tenants) || !(b.set.Tenants[tenant].Portion > 0) {
+		return 1
+	}
+	portion := b.set.Tenants[tenant].Portion
+	seen, sum := b.mix.count(tenant, mixLife)
+	return (seen + mixPrior*portion) / (sum + mixPrior) / portion
+}
+
+// press moves the shed share by how full servers are or how long answers take, 1 being what no aim allows.
+func (b *Balancer) press(part float64) {
+	b.pressure = min(max(0, b.pressure+pressureGain*(min(part, 2)-aimShare)), mostPressure)
+}
+
+// may is the right to send: the one place that knows placement, effects, groups, windows and drains.
+func (b *Balancer) may(r *request, s *server) bool {
+	if r.ended || b.now >= r.deadline || s.State != Ready || !r.class.eligible(s) ||
+		len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.SecondCopies {
+		return false
+	}
+	if len(r.attempts) > 0 && !b.withinBudget() {
+		return false
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		switch {
+		case !a.ran:
+		case r.class.Effect == SideEffect:
+			return false // danger: the effect would happen twice
+		case r.class.Effect == Token && (b.now >= a.sent+r.class.Window ||
+			r.class.Scope == ScopeZone && a.server.Zone != s.Zone ||
+			r.class.Scope == ScopeCell && a.server.Cell != s.Cell):
+			return false // danger: this server does not, or no longer, know the key
+		}
+	}
+	return true
+}
+
+// withinBudget says whether one more attempt beyond a request's first keeps the retry budget, a window that
+// slides over this agent's requests and further attempts. Danger: retries feed the overload that causes them.
+func (b *Balancer) withinBudget() bool {
+	from := b.now - b.set.ExtraWindow
+	taken, extra := b.taken.since(from+1), b.extra.since(from) // an edge counts against us
+	return float64(extra+1) <= min(b.set.ExtraFloor+b.set.ExtraRatio*float64(taken), longestHistory/2)
+}
+
+// mayRefuse answers whether the client may be told that a further try is harmless.
+func (b *Balancer) mayRefuse(r *request) bool {
+	return r.class.Effect == Pure || !slices.ContainsFunc(r.attempts, func(a attempt) bool {
+		known := r.class.Effect == Token && r.class.Scope == ScopeAll && b.now < a.sent+r.class.Window
+		return a.ran && !known // danger: past the window nobody drops the client's repeat
+	})
+}
+
+// send is the only way to a server.
+func (b *Balancer) send(r *request, s *server) bool {
+	if !b.may(r, s) {
+		return false
+	}
+	if l := &r.class.line; b.warmth(s) < 1 {
+		if i := slices.Index(l.servers, s); i >= 0 && b.rng.Float64() >= l.pass[i] {
+			return false
+		}
+	}
+	n := uint64(len(r.attempts))
+	if n > 0 {
+		b.extra.add(b.now)
+	}
+	// Danger: idle connections are dropped unseen, and what is sent on one gets no answer.
+	idle := idleStep(s, b.now, b.set.IdleClose)
+	if worst := b.dead.worst(idle); b.dead[worst] > deadShare+2*b.dead[0] {
+		b.act(Action{Kind: ActClose, Server: s.ID})
+		b.dead[worst], idle = b.dead[worst]*deadDoubt, 0
+	}
+	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, out: true, ran: true, idle: idle})
+	r.out++
+	s.inFlight++
+	s.since++
+	b.act(Action{Kind: ActSend, Request: r.id, Server: s.ID, Wait: r.deadline - b.now})
+	token := tokenCheck | n<<32 | uint64(r.id)
+	b.act(Action{Kind: ActTimer, Token: token, Wait: seconds(patience * r.class.usual.v)})
+	return true
+}
+
+func (b *Balancer) onOutcome(ev *Event) {
+	r := b.open[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].out {
+		return
+	}
+	a := &r.attempts[ev.Attempt]
+	s := a.server
+	a.out, a.ran = false, ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot
+	r.out--
+	s.inFlight--
+	b.report(s, ev.Load)
+	took := (b.now - a.sent).Seconds()
+	b.judge(r.class, a, ev.Outcome, took/r.class.Aim.Seconds())
+	if ev.Outcome == OK {
+		b.observe(r.class, s, took)
+	}
+	r.draws = 0
+	switch {
+	case ev.Closed || ev.Outcome == OK || r.ended:
+		b.end(r, false)
+	case r.out > 0:
+	case ev.Outcome == Timeout || b.now >= r.aim || !b.place(r): // a further attempt, if it is worth one
+		b.end(r, true)
+	}
+}
+
+// judge draws the conclusions from an outcome.
+func (b *Balancer) judge(c *class, a *attempt, how Outcome, part float64) {
+	s := a.server
+	switch how {
+	case OK:
+		s.used = b.now
+		b.dead[a.idle] -= 2 * gain * b.dead[a.idle]
+		h := &s.health[c.index]
+		h.bad, h.times = h.bad/2, 0
+		b.late.add(min(part, 1), gain)
+		if !s.tellsQueue() {
+			b.press(part) // where queues are reported those have said it: one costly request is no crowd
+		}
+	case Timeout:
+		b.slower(s, maxSlow/2, gain)
+		b.silent(c, a, 1)
+	case Full:
+		// Danger: a server that turns requests away has few in flight and would win every pair.
+		s.full = b.now + seconds(fullFor*b.service.v)
+		b.press(2)
+	case Error:
+		// Danger: a quick error looks like a quick answer. It teaches no speed and counts against the server.
+		b.blame(c, s, 1, "errors")
+	case Reset, ConnectFailed: // no class is served over a connection that breaks
+		for i := range b.classes {
+			b.blame(&b.classes[i], s, 1, "connections")
+		}
+	}
+}
+
+// end is the only place where a request ends: by the answer of ours that promises most, or as it has one or
+// is gone. A request with attempts out stays known until they are back.
+func (b *Balancer) end(r *request, ours bool) {
+	if ours && r.out > 0 {
+		return // an attempt is still out and may yet serve it
+	}
+	if !r.ended {
+		r.ended = true
+		if ours && b.mayRefuse(r) {
+			b.act(Action{Kind: ActRefuse, Request: r.id})
+		} else if ours {
+			b.act(Action{Kind: ActFail, Request: r.id})
+		}
+		for i := range r.attempts {
+			if b.set.Cancel && r.attempts[i].out {
+				b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
+			}
+		}
+	}
+	if r.out == 0 {
+		delete(b.open, r.id)
+	}
+}
+
+// silent counts an attempt's silence against its server, up to so much. Danger: servers fall silent before
+// they choke: where other answers are late too, the silence of one that was well is crowding.
+func (b *Balancer) silent(c *class, a *attempt, much float64) {
+	if a.server.health[c.index].bad < 0.25 && !a.server.tellsQueue() {
+		b.press(4 * b.late.v)
+	}
+	if much >= 1 && a.blamed < 1 && !a.server.tellsQueue() {
+		b.dead[a.idle] += 2 * gain * (1 - b.dead[a.idle])
+	}
+	b.blame(c, a.server, much-a.blamed, "silence")
+	a.blamed = much
+}
+
+// blame counts failures of a class against a server and ejects it from the class's line when there are too
+// many; once two classes have, all do. Danger: a server may fail one class and serve the others well.
+func (b *Balancer) blame(c *class, s *server, much float64, why string) {
+	h := &s.health[c.index]
+	if h.bad += much; h.bad < 1 || h.until > b.now || s.State != Ready {
+		return
+	}
+	out, of := 1, 0
+	for _, o := range b.ring {
+		if o.State == Ready && c.eligible(o) {
+			of++
+			if o.health[c.index].until > b.now {
+				out++
+			}
+		}
+	}
+	if float64(out) > ejectShare*float64(of) {
+		return
+	}
+	wait := ejectFor * c.Aim.Seconds() * float64(int(1)<<min(h.times, ejectDoubles))
+	h.until = b.now + seconds(wait*(0.75+b.rng.Float64()/2))
+	h.times, h.bad, b.epoch = h.times+1, 0.5, b.epoch+1 // half bad: it will be readmitted on trial
+	b.log("server %d ejected for class %d for %.1f s: %s", s.ID, c.index, wait, why)
+	for i := range s.health {
+		if o := &s.health[i]; o.until > b.now && i != c.index {
+			for i := range b.classes {
+				b.blame(&b.classes[i], s, 1, "several classes")
+			}
+			return
+		}
+	}
+}
+
+func (b *Balancer) onTimer(token uint64) {
+	switch token >> 56 << 56 {
+	case tokenAsk:
+		b.act(Action{Kind: ActFollow})
+	case tokenWait:
+		b.resume(func(r *request) bool { return r.id == RequestID(token) })
+	case tokenCheck:
+		n := int(token >> 32 & 0xff)
+		if r := b.open[RequestID(token)]; r != nil && n < len(r.attempts) && r.attempts[n].out {
+			b.silent(r.class, &r.attempts[n], min(r.attempts[n].blamed+0.5, 1))
+			if r.attempts[n].blamed < 1 {
+				b.act(Action{Kind: ActTimer, Token: token, Wait: seconds(patience * r.class.usual.v)})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,1181 @@
+package grebefork
+
+import (
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings are those of a small site: pure, keyed by cell, keyed everywhere, and unsafe classes.
+func settings() Settings {
+	class := func(e Effect, s Scope, w time.Duration) Class {
+		return Class{Aim: 400 * ms, Deadline: 1000 * ms, Worth: 1, Effect: e, Scope: s, Window: w}
+	}
+	return Settings{
+		Agents: 1, MaxAttempts: 6, Tick: ms, ColdFrom: 0.2, WarmAfter: 10 * time.Second, OverloadFactor: 2.5,
+		Cancel: true,
+		Classes: []Class{class(Pure, 0, 0), class(Token, ScopeCell, 300*ms), class(Token, ScopeAll, 300*ms),
+			class(SideEffect, 0, 0), class(Token, ScopeZone, 300*ms)},
+	}
+}
+
+const (
+	pure = iota
+	byCell
+	byAll
+	unsafe
+	byZone
+)
+
+// bench drives one Balancer with literal events.
+type bench struct {
+	t   *testing.T
+	b   *Balancer
+	now time.Duration
+}
+
+func start(t *testing.T, s Settings, servers ...ServerEntry) *bench {
+	t.Helper()
+	b, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &bench{t: t, b: b, now: time.Hour}
+	x.on(Event{Kind: EventList, ListMode: ListFull, Servers: servers})
+	return x
+}
+
+func (x *bench) on(ev Event) []Action { return x.b.Handle(x.now, ev, nil) }
+
+func (x *bench) ask(id RequestID, class int) []Action {
+	return x.on(Event{Kind: EventRequest, Request: id, Class: class, Left: 1000 * ms})
+}
+
+func (x *bench) ends(id RequestID, attempt int, how Outcome) []Action {
+	return x.on(Event{Kind: EventOutcome, Request: id, Attempt: attempt, Outcome: how, Closed: how == OK})
+}
+
+// draw and line are those of the first class.
+func (x *bench) draw() (a, c *server) { return x.b.draw(&x.b.classes[0]) }
+func (x *bench) line() *line          { return &x.b.classes[0].line }
+
+func ready(id ServerID, weight float64) ServerEntry {
+	return ServerEntry{ID: id, Cell: int(id), Zone: int(id), State: Ready, Weight: weight}
+}
+
+func fleet(n int) (list []ServerEntry) {
+	for i := range n {
+		list = append(list, ready(ServerID(i+1), 1))
+	}
+	return list
+}
+
+// one returns the only action of a kind.
+func one(t *testing.T, acts []Action, kind ActionKind) Action {
+	t.Helper()
+	var found []Action
+	for _, a := range acts {
+		if a.Kind == kind {
+			found = append(found, a)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d actions of kind %d in %+v, want 1", len(found), kind, acts)
+	}
+	return found[0]
+}
+
+func none(t *testing.T, acts []Action, kinds ...ActionKind) {
+	t.Helper()
+	for _, a := range acts {
+		if slices.Contains(kinds, a.Kind) {
+			t.Fatalf("unwanted action %+v", a)
+		}
+	}
+}
+
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if len([]rune(line)) > 110 {
+			t.Errorf("line %d is %d characters long", i+1, len([]rune(line)))
+		}
+	}
+	if lines > 610 {
+		t.Errorf("%d lines that are not blank, 610 is the limit", lines)
+	}
+}
+
+func TestPairWeightsByHand(t *testing.T) {
+	for _, c := range []struct {
+		speeds, want []float64
+	}{
+		{[]float64{3}, nil},
+		{[]float64{1, 2}, []float64{3}},                     // one pair gets all
+		{[]float64{1, 2, 3}, []float64{2, 4}},               // bound min(2/1, 5/1) = 2, eps 1
+		{[]float64{2, 2, 1, 4}, []float64{2.25, 2.25, 4.5}}, // bound min(2/1, 1/2, 5/2) = 0.5, eps 0.25
+		{[]float64{4, 4, 4, 0.1}, []float64{5, 5, 2.1}},     // bound min(4, 2, 4.1/2) = 2, eps 1: the last is negative
+	} {
+		got := pairSums(c.speeds, nil)
+		sum := 0.0
+		if len(got) != len(c.want) {
+			t.Fatalf("speeds %v: %d pairs", c.speeds, len(got))
+		}
+		for j, w := range c.want {
+			sum += w
+			if math.Abs(got[j]-sum) > 1e-12 {
+				t.Errorf("speeds %v: pair %d weighs %v, want %v", c.speeds, j, got.span(j, j+1), w)
+			}
+		}
+	}
+}
+
+// Draws follow the weights: chi-square against the design's own, far under what a uniform draw gives.
+func TestDrawFrequencies(t *testing.T) {
+	x := start(t, settings(), ready(1, 1), ready(2, 2), ready(3, 3), ready(4, 6))
+	const n = 40000
+	var single, pair [4]float64
+	alone := 0.0
+	for range n {
+		a, c := x.draw()
+		i := slices.Index(x.line().servers, a)
+		if c == nil {
+			alone++
+			single[i]++
+		} else {
+			pair[i]++
+			if x.line().servers[i+1] != c {
+				t.Fatal("a pair that is not adjacent")
+			}
+		}
+	}
+	if math.Abs(alone/n-dedicated) > 0.01 {
+		t.Errorf("dedicated share %v, want %v", alone/n, dedicated)
+	}
+	eps := epsilonShare * min(2.0, 3.0/2, 9.0/2)
+	chi := func(seen []float64, total float64, weights ...float64) (sum float64) {
+		for i, w := range weights {
+			want := total * w / 12
+			sum += (seen[i] - want) * (seen[i] - want) / want
+		}
+		return sum
+	}
+	if v := chi(single[:], alone, 1, 2, 3, 6); v > 16.3 { // 3 degrees of freedom, one in a thousand
+		t.Errorf("dedicated draws %v: chi-square %v", single, v)
+	}
+	if v := chi(pair[:], n-alone, 1+eps, 2+eps, 3+6-2*eps); v > 13.8 { // 2 degrees of freedom
+		t.Errorf("pair draws %v: chi-square %v", pair, v)
+	}
+	if v := chi([]float64{n / 3, n / 3, n / 3}, n, 1+eps, 2+eps, 9-2*eps); v < 1000 {
+		t.Errorf("a uniform draw would pass: chi-square %v", v)
+	}
+}
+
+func TestShorterQueueOverSpeed(t *testing.T) {
+	x := start(t, settings(), ready(1, 1), ready(2, 3))
+	x.draw()
+	slow, fast := x.line().servers[0], x.line().servers[1]
+	for _, c := range []struct {
+		slow, fast int
+		want       *server
+	}{{1, 2, fast}, {1, 4, slow}, {0, 1, slow}, {2, 5, fast}} {
+		slow.inFlight, fast.inFlight = c.slow, c.fast
+		if got, _ := x.b.shorter(slow, fast); got != c.want {
+			t.Errorf("%d and %d in flight: joined server %d", c.slow, c.fast, got.ID)
+		}
+	}
+	slow.inFlight, fast.inFlight = 1, 3
+	first := 0
+	for range 1000 {
+		if got, _ := x.b.shorter(slow, fast); got == slow {
+			first++
+		}
+	}
+	if first < 400 || first > 600 {
+		t.Errorf("a tie went to the first %d times of 1000", first)
+	}
+}
+
+func TestFewServers(t *testing.T) {
+	x := start(t, settings())
+	if a := one(t, x.ask(1, unsafe), ActRefuse); a.Request != 1 {
+		t.Errorf("refused %+v", a)
+	}
+	x.on(Event{Kind: EventList, Servers: fleet(1)})
+	if a := one(t, x.ask(2, unsafe), ActSend); a.Server != 1 {
+		t.Errorf("sent %+v", a)
+	}
+	x.on(Event{Kind: EventList, Servers: fleet(2)})
+	one(t, x.ask(3, pure), ActSend)
+}
+
+// The order of those who stay does not change when a server joins or leaves.
+func TestOrderStays(t *testing.T) {
+	x := start(t, settings(), fleet(9)...)
+	x.draw()
+	order := func() (ids []ServerID) {
+		for _, s := range x.line().servers {
+			if s.ID != 5 && s.ID != 50 {
+				ids = append(ids, s.ID)
+			}
+		}
+		return ids
+	}
+	before := order()
+	x.on(Event{Kind: EventList, Servers: []ServerEntry{{ID: 5, State: Gone}, ready(50, 1)}})
+	x.draw()
+	if after := order(); !slices.Equal(before, after) || len(after) != 8 {
+		t.Errorf("order %v became %v", before, after)
+	}
+}
+
+// Danger: a drain learnt in any of the list's ways must stop sends at once.
+func TestDrains(t *testing.T) {
+	for name, list := range map[string]Event{
+		"delta":  {Kind: EventList, ListMode: ListDelta, Servers: []ServerEntry{{ID: 1, State: Draining, Weight: 1}}},
+		"gone":   {Kind: EventList, ListMode: ListDelta, Servers: []ServerEntry{{ID: 1, State: Gone}}},
+		"full":   {Kind: EventList, ListMode: ListFull, Servers: []ServerEntry{{ID: 1, State: Draining}, ready(2, 1)}},
+		"absent": {Kind: EventList, ListMode: ListFull, Servers: []ServerEntry{ready(2, 1)}},
+		"cached": {Kind: EventList, ListMode: ListCached, Servers: []ServerEntry{ready(2, 1)}},
+	} {
+		x := start(t, settings(), fleet(2)...)
+		met := map[ServerID]bool{}
+		for id := range RequestID(40) {
+			met[one(t, x.ask(id, pure), ActSend).Server] = true
+		}
+		if !met[1] || !met[2] {
+			t.Fatalf("%s: before the drain only %v were used", name, met)
+		}
+		x.on(list)
+		for id := range RequestID(40) {
+			if a := one(t, x.ask(100+id, pure), ActSend); a.Server != 2 {
+				t.Fatalf("%s: sent to server %d", name, a.Server)
+			}
+		}
+	}
+}
+
+func TestFailedListKeepsServersAndBacksOff(t *testing.T) {
+	s := settings()
+	s.AskList, s.MustAskIn, s.Agents, s.Rank = true, 10*time.Second, 4, 2
+	x := start(t, s)
+	first := one(t, x.on(Event{Kind: EventList, ListMode: ListCached, Servers: fleet(2)}), ActTimer)
+	if first.Wait < 3*time.Second || first.Wait > 4500*ms {
+		t.Errorf("rank 2 of 4 asks after %v, want its slot of the first 6 s", first.Wait)
+	}
+	one(t, x.on(Event{Kind: EventTimer, Token: first.Token}), ActFollow)
+	last := time.Duration(0)
+	for range 4 {
+		a := one(t, x.on(Event{Kind: EventList, ListMode: ListFailed}), ActTimer)
+		if a.Wait > 15*time.Second {
+			t.Errorf("waits %v", a.Wait)
+		}
+		last = a.Wait
+	}
+	if last < 4*time.Second {
+		t.Errorf("the fourth failure in a row waits only %v", last)
+	}
+	one(t, x.ask(1, pure), ActSend)
+}
+
+// What may be sent again, and how a request ends, by class and outcome.
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		how   Outcome
+		after time.Duration
+		want  ActionKind
+	}{
+		{"pure error", pure, Error, 10 * ms, ActSend},
+		{"pure time-out", pure, Timeout, 1000 * ms, ActRefuse},
+		{"unsafe error", unsafe, Error, 10 * ms, ActFail},
+		{"unsafe reset", unsafe, Reset, 10 * ms, ActFail},
+		{"unsafe cancelled", unsafe, Cancelled, 10 * ms, ActFail},
+		{"unsafe time-out", unsafe, Timeout, 1000 * ms, ActFail},
+		{"unsafe full", unsafe, Full, 10 * ms, ActSend},
+		{"unsafe not connected", unsafe, ConnectFailed, 10 * ms, ActSend},
+		{"keyed everywhere, inside the window", byAll, Error, 299 * ms, ActSend},
+		{"keyed everywhere, past it", byAll, Error, 300 * ms, ActFail},
+		{"keyed by cell, no other server in it", byCell, Error, 10 * ms, ActFail},
+		{"keyed by cell, never ran", byCell, Full, 10 * ms, ActSend},
+		{"keyed by zone, no other server in it", byZone, Error, 10 * ms, ActFail},
+		{"keyed by cell, time-out", byCell, Timeout, 1000 * ms, ActFail},
+	} {
+		x := start(t, settings(), fleet(6)...)
+		first := one(t, x.ask(1, c.class), ActSend)
+		x.now += c.after
+		acts := x.ends(1, 0, c.how)
+		a := one(t, acts, c.want)
+		if a.Request != 1 {
+			t.Errorf("%s: %+v", c.name, a)
+		}
+		if c.want == ActSend && c.how == Error && c.class >= byCell && c.class != byAll && a.Server != first.Server {
+			t.Errorf("%s: sent to another group", c.name)
+		}
+		none(t, x.ends(1, 0, OK), ActSend, ActRefuse, ActFail)
+	}
+}
+
+// Danger: a keyed retry outside its cell runs twice. In a fleet of one cell it may go anywhere.
+func TestKeyedRetryStaysInCell(t *testing.T) {
+	list := fleet(8)
+	for i := range list {
+		list[i].Cell = i % 2
+	}
+	sent := 0
+	for seed := range 60 {
+		x := start(t, settings(), list...)
+		for range seed {
+			x.b.rng.Float64()
+		}
+		first := one(t, x.ask(1, byCell), ActSend)
+		for _, a := range x.ends(1, 0, Reset) {
+			if a.Kind == ActSend {
+				sent++
+				if (a.Server-first.Server)%2 != 0 {
+					t.Fatalf("from server %d to %d", first.Server, a.Server)
+				}
+			}
+		}
+	}
+	if sent < 10 {
+		t.Errorf("only %d of 60 were sent again", sent)
+	}
+}
+
+func TestAttemptsAndRetriesAreLimited(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 2
+	x := start(t, s, fleet(20)...)
+	one(t, x.ask(1, pure), ActSend)
+	one(t, x.ends(1, 0, Error), ActSend)
+	one(t, x.ends(1, 1, Error), ActRefuse)
+	x = start(t, settings(), fleet(200)...)
+	again := 0
+	for id := range RequestID(100) {
+		x.ask(id, pure)
+		for _, a := range x.ends(id, 0, ConnectFailed) {
+			if a.Kind == ActSend {
+				again++
+			}
+		}
+	}
+	if again < 5 || again > 14 { // danger: a retry storm; a tenth of the requests and the burst
+		t.Errorf("%d retries for 100 requests", again)
+	}
+}
+
+func TestHangupEndsOnceAndCancels(t *testing.T) {
+	x := start(t, settings(), fleet(3)...)
+	one(t, x.ask(1, unsafe), ActSend)
+	if a := one(t, x.on(Event{Kind: EventHangup, Request: 1}), ActCancel); a.Attempt != 0 {
+		t.Errorf("cancelled %+v", a)
+	}
+	none(t, x.ends(1, 0, Cancelled), ActSend, ActRefuse, ActFail)
+	if len(x.b.open) != 0 {
+		t.Error("the request is still known")
+	}
+	for _, s := range x.b.ring {
+		if s.inFlight != 0 {
+			t.Errorf("server %d still has %d in flight", s.ID, s.inFlight)
+		}
+	}
+}
+
+// Danger: quick errors look like quick, idle servers. One that errs leaves the line; it learns no speed.
+func TestErrorsEjectAndTeachNothing(t *testing.T) {
+	x := start(t, settings(), fleet(6)...)
+	x.b.extra = slices.Repeat(history{x.now}, 9) // none left in the retry budget
+	bad := one(t, x.ask(1, unsafe), ActSend).Server
+	x.now += ms
+	one(t, x.ends(1, 0, Error), ActLog)
+	if s := x.b.servers[bad]; s.slow != 1 {
+		t.Errorf("an error taught that the server is %v times slower", s.slow)
+	}
+	for id := range RequestID(60) {
+		if a := one(t, x.ask(10+id, unsafe), ActSend); a.Server == bad {
+			t.Fatal("sent to the ejected server")
+		}
+	}
+	x.now += 6 * time.Second
+	back := false
+	for id := range RequestID(60) {
+		back = back || one(t, x.ask(100+id, unsafe), ActSend).Server == bad
+	}
+	if !back {
+		t.Error("never readmitted")
+	}
+}
+
+// Danger: when all servers look bad it is overload or our own blindness; a quarter must stay in use.
+func TestEjectionIsCapped(t *testing.T) {
+	x := start(t, settings(), fleet(9)...)
+	for _, s := range slices.Clone(x.b.ring) {
+		x.draw()
+		x.b.blame(&x.b.classes[pure], s, 5, "test")
+	}
+	x.draw()
+	if n := len(x.line().servers); n != 3 {
+		t.Errorf("%d of 9 servers left on the line, want 3", n)
+	}
+}
+
+// Incident i4fd1b4: a server that turns requests away at once has few in flight and won every pair.
+func TestFullServerIsPassedBy(t *testing.T) {
+	x := start(t, settings(), fleet(2)...)
+	for id := range RequestID(10) { // teach the usual time
+		x.ask(id, pure)
+		x.now += 100 * ms
+		x.ends(id, 0, OK)
+	}
+	full := one(t, x.ask(100, pure), ActSend).Server
+	x.ends(100, 0, Full)
+	for id := range RequestID(20) {
+		for _, a := range x.ask(200+id, pure) {
+			if a.Kind == ActSend && a.Server == full {
+				t.Fatal("sent to the server that was full")
+			}
+		}
+	}
+	x.now += time.Second
+	x.b.pressure = 0
+	for id := range RequestID(20) { // the other has all the rest in flight
+		if a := one(t, x.ask(300+id, pure), ActSend); a.Server == full {
+			return
+		}
+	}
+	t.Error("never used again")
+}
+
+// A server that is cold gets no more than its present share even if it wins every pair.
+func TestColdServerBudget(t *testing.T) {
+	list := fleet(4)
+	list[3].Start = time.Hour
+	x := start(t, settings(), list...)
+	count := func(n int) (cold float64) {
+		for id := range RequestID(n) {
+			x.b.pressure = 0
+			for _, a := range x.ask(id, pure) {
+				if a.Kind == ActSend {
+					if a.Server == 4 {
+						cold++
+					}
+					x.ends(id, 0, OK)
+				}
+			}
+		}
+		return cold / float64(n)
+	}
+	if got := count(4000); got < 0.01 || got > 1.25*0.2/4*1.2 {
+		t.Errorf("a server at a fifth of its capacity got %v of the traffic of 4", got)
+	}
+	x.now += 10 * time.Second
+	if got := count(4000); got < 0.15 {
+		t.Errorf("once warm it got %v", got)
+	}
+	for i := range list {
+		list[i].Start = x.now
+	}
+	x.on(Event{Kind: EventList, ListMode: ListFull, Servers: list})
+	sent := 0
+	for id := range RequestID(4000) {
+		x.b.pressure = 0
+		for _, a := range x.ask(id, pure) {
+			if a.Kind == ActSend {
+				sent++
+				x.ends(id, 0, OK)
+			}
+		}
+	}
+	if share := float64(sent) / 4000; share > 1.25*0.2 || share < 0.1 {
+		t.Errorf("a fleet that is all cold got %v of the traffic", share)
+	}
+}
+
+// A crowded fleet turns requests away early, and tenants over their share go first.
+func TestShedsTenantsOverTheirShare(t *testing.T) {
+	s := settings()
+	s.Tenants = []Tenant{{Portion: 0.5}, {Portion: 0.5}}
+	x := start(t, s, fleet(6)...)
+	var refused [2]int
+	for id := range RequestID(2000) {
+		x.b.pressure = 0.5
+		tenant := 0
+		if id%10 == 0 {
+			tenant = 1
+		}
+		for _, a := range x.on(Event{Kind: EventRequest, Request: id, Tenant: tenant, Left: 1000 * ms}) {
+			if a.Kind == ActRefuse {
+				refused[tenant]++
+			}
+			if a.Kind == ActSend {
+				x.ends(id, 0, OK)
+			}
+		}
+	}
+	if over, under := float64(refused[0])/1800, float64(refused[1])/200; over < 0.9 || under > 0.1 {
+		t.Errorf("refused %v of the tenant over its share, %v of the other", over, under)
+	}
+}
+
+// Idle servers whose last report was bad must be used: nobody would ever hear better of them.
+func TestIdleServerIsNeverCrowded(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports = true, ReportsOnProbe
+	x := start(t, s, fleet(2)...)
+	acts := x.ask(1, pure)
+	for _, a := range acts {
+		if a.Kind == ActProbe {
+			acts = x.on(Event{Kind: EventProbed, Server: a.Server, Outcome: OK,
+				Load: Load{Known: true, InFlight: 0, Queue: -1, Recent: 5 * time.Second, Rate: 1}})
+		}
+	}
+	one(t, acts, ActSend)
+}
+
+func TestProbedPairJoinsTheShorter(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports = true, ReportsOnProbe
+	load := map[ServerID]float64{1: 1, 2: 0}
+	for id := range RequestID(20) {
+		x := start(t, s, fleet(2)...)
+		for range id {
+			x.b.rng.Float64()
+		}
+		var probes []Action
+		for _, a := range x.ask(id, pure) {
+			if a.Kind == ActProbe {
+				probes = append(probes, a)
+			}
+		}
+		if len(probes) != 2 {
+			continue // a dedicated request
+		}
+		x.now += ms
+		none(t, x.probed(probes[0].Server, load), ActSend)
+		if a := one(t, x.probed(probes[1].Server, load), ActSend); a.Server != 2 {
+			t.Fatalf("joined server %d", a.Server)
+		}
+	}
+}
+
+func (x *bench) probed(id ServerID, load map[ServerID]float64) []Action {
+	return x.on(Event{Kind: EventProbed, Server: id, Outcome: OK,
+		Load: Load{Known: true, InFlight: load[id], Queue: -1, Recent: 50 * ms, Rate: 10}})
+}
+
+func TestUnansweredProbesDoNotHold(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports = true, ReportsOnProbe
+	x := start(t, s, fleet(2)...)
+	acts := x.ask(1, pure)
+	none(t, acts, ActSend)
+	timer := one(t, acts, ActTimer)
+	x.now += timer.Wait
+	one(t, x.on(Event{Kind: EventTimer, Token: timer.Token}), ActSend)
+}
+
+func TestNewNamesTheField(t *testing.T) {
+	for field, spoil := range map[string]func(*Settings){
+		"Agents":              func(s *Settings) { s.Agents = 0 },
+		"Rank":                func(s *Settings) { s.Rank = 1 },
+		"MaxAttempts":         func(s *Settings) { s.MaxAttempts = 0 },
+		"ColdFrom":            func(s *Settings) { s.ColdFrom = math.NaN() },
+		"WarmAfter":           func(s *Settings) { s.WarmAfter = -1 },
+		"OverloadFactor":      func(s *Settings) { s.OverloadFactor = 0 },
+		"MustAskIn":           func(s *Settings) { s.AskList = true },
+		"Classes ":            func(s *Settings) { s.Classes = nil },
+		"Classes[1].Aim":      func(s *Settings) { s.Classes[1].Aim = 0 },
+		"Classes[0].Deadline": func(s *Settings) { s.Classes[0].Deadline = ms },
+		"Classes[2].Worth":    func(s *Settings) { s.Classes[2].Worth = math.NaN() },
+		"Classes[0].Zones":    func(s *Settings) { s.Classes[0].Zones = []int{0, -1} },
+		"Classes[0].Kinds":    func(s *Settings) { s.Classes[0].Kinds = []int{-1} },
+		"Classes[3].Effect":   func(s *Settings) { s.Classes[3].Effect = SideEffect + 1 },
+		"Classes[3].Scope":    func(s *Settings) { s.Classes[3].Scope = ScopeCell + 1 },
+		"Classes[1].Window":   func(s *Settings) { s.Classes[1].Window = -1 },
+		"Zone":                func(s *Settings) { s.Zone = -1 },
+		"IdleClose":           func(s *Settings) { s.IdleClose = -1 },
+		"ExtraWindow":         func(s *Settings) { s.ExtraWindow = -1 },
+		"ExtraFloor":          func(s *Settings) { s.ExtraFloor = math.NaN() },
+		"ExtraRatio":          func(s *Settings) { s.ExtraRatio = -0.1 },
+		"Tenants[0].Portion":  func(s *Settings) { s.Tenants = []Tenant{{Portion: -1}} },
+	} {
+		s := settings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+}
+
+// Events with ids never seen, and figures that are none, do nothing.
+func TestStrayEvents(t *testing.T) {
+	x := start(t, settings(), fleet(3)...)
+	for kind := EventList; kind <= EventProbed+1; kind++ {
+		if kind == EventRequest || kind == EventList {
+			continue
+		}
+		acts := x.on(Event{Kind: kind, Request: 99, Server: 99, Attempt: 200, Token: math.MaxUint64,
+			Class: -1, Latency: -ms})
+		if len(acts) != 0 {
+			t.Errorf("event kind %d: %+v", kind, acts)
+		}
+	}
+	none(t, x.on(Event{Kind: EventRequest, Request: 1, Class: 77, Left: ms}), ActSend)
+	x.on(Event{Kind: EventList, Servers: []ServerEntry{ready(9, math.NaN()), ready(10, -3), ready(11, math.Inf(1))}})
+	x.draw()
+	if sum := x.line().speeds.span(0, 99); math.Abs(sum-6) > 1e-9 {
+		t.Errorf("six servers of weight 1 sum to %v", sum)
+	}
+}
+
+// A long day leaves nothing behind.
+func TestTablesAreBounded(t *testing.T) {
+	x := start(t, settings(), fleet(5)...)
+	for id := range RequestID(5000) {
+		x.now += ms
+		x.ask(id, int(id)%5)
+		x.ends(id, 0, OK)
+		x.on(Event{Kind: EventList, Servers: []ServerEntry{
+			ready(ServerID(id+10), 1), {ID: ServerID(id + 9), State: Gone}}})
+	}
+	if len(x.b.open) != 0 || len(x.b.waiting) != 0 || len(x.b.servers) > 7 || len(x.b.ring) > 7 {
+		t.Errorf("%d requests, %d waiting, %d servers left", len(x.b.open), len(x.b.waiting), len(x.b.servers))
+	}
+}
+
+func cycle(x *bench, id RequestID, out []Action) []Action {
+	x.now += ms
+	out = x.b.Handle(x.now, Event{Kind: EventRequest, Request: id, Left: 1000 * ms}, out[:0])
+	return x.b.Handle(x.now, Event{Kind: EventOutcome, Request: id, Outcome: OK, Closed: true}, out[:0])
+}
+
+func TestOrdinaryPathAllocations(t *testing.T) {
+	x := start(t, settings(), fleet(50)...)
+	out, id := make([]Action, 0, 16), RequestID(0)
+	n := testing.AllocsPerRun(2000, func() { id++; out = cycle(x, id, out) })
+	if n > 2 { // the request and its first attempt
+		t.Errorf("%v allocations a request", n)
+	}
+}
+
+func BenchmarkHandle(b *testing.B) {
+	for name, n := range map[string]int{"small": 12, "large": 500} {
+		b.Run(name, func(b *testing.B) {
+			bal, err := New(settings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			x := &bench{b: bal, now: time.Hour}
+			x.on(Event{Kind: EventList, ListMode: ListFull, Servers: fleet(n)})
+			out := make([]Action, 0, 16)
+			b.ReportAllocs()
+			id := RequestID(0)
+			for b.Loop() {
+				id++
+				out = cycle(x, id, out)
+			}
+		})
+	}
+}
+
+// Danger: a server drains while a request waits for its probe.
+func TestDrainWhileProbing(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports = true, ReportsOnProbe
+	x := start(t, s, fleet(3)...)
+	var probes []Action
+	for _, a := range x.ask(1, pure) {
+		if a.Kind == ActProbe {
+			probes = append(probes, a)
+		}
+	}
+	for _, p := range probes {
+		x.on(Event{Kind: EventList, Servers: []ServerEntry{{ID: p.Server, State: Draining, Weight: 1}}})
+	}
+	for _, p := range probes {
+		for _, a := range x.probed(p.Server, map[ServerID]float64{}) {
+			for _, q := range probes {
+				if a.Kind == ActSend && a.Server == q.Server {
+					t.Fatalf("sent to draining server %d", a.Server)
+				}
+			}
+		}
+	}
+}
+
+func TestMayKeepsToOneAttemptAtATime(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		s := settings()
+		s.SecondCopies = second
+		x := start(t, s, fleet(2)...)
+		one(t, x.ask(1, pure), ActSend)
+		if got := x.b.may(x.b.open[1], x.b.ring[0]); got != second {
+			t.Errorf("second copies %v: may send again %v while one is out", second, got)
+		}
+	}
+}
+
+// Danger: weights that leave out how fast a kind's cores are overload the slow kind.
+func TestKindsSpeedsAreLearnt(t *testing.T) {
+	list := fleet(8)
+	for i := range list {
+		list[i].Kind = i % 2
+	}
+	for name, learn := range map[string]func(x *bench, s *server){
+		"answers": func(x *bench, s *server) {
+			x.b.observe(&x.b.classes[pure], s, []float64{0.1, 0.2}[s.Kind])
+		},
+		"reports": func(x *bench, s *server) {
+			x.b.report(s, Load{Known: true, InFlight: 1, Queue: -1, Recent: time.Duration(s.Kind+1) * 50 * ms, Rate: -1})
+		},
+	} {
+		x := start(t, settings(), list...)
+		for i := range 80 {
+			x.b.now += 50 * ms
+			learn(x, x.b.ring[i%8])
+		}
+		x.b.epoch++
+		x.draw()
+		var speeds [2]float64
+		for _, s := range x.b.ring {
+			speeds[s.Kind] = s.built
+		}
+		if r := speeds[0] / speeds[1]; r < 1.7 || r > 2.2 {
+			t.Errorf("%s: a kind that takes half as long is %v times as fast", name, r)
+		}
+	}
+}
+
+// Where no report tells a server's width, the number it holds says nothing: requests may wait on others.
+func TestCrowdNeedsAWidth(t *testing.T) {
+	x := start(t, settings(), fleet(2)...)
+	load := Load{Known: true, InFlight: 8, Queue: -1, Recent: 10 * ms, Rate: -1}
+	s := x.b.ring[0]
+	for range 3 {
+		x.b.report(s, load)
+	}
+	r := &request{class: &x.b.classes[pure], aim: x.now + 400*ms}
+	if x.b.crowded(r, s) {
+		t.Error("8 in hand at 10 ms each are no crowd for 400 ms")
+	}
+	load.Recent = 30 * ms
+	x.b.report(s, load)
+	r.aim = x.now + time.Minute
+	if x.b.kind(s).recent.add(0.03, 1); !x.b.crowded(r, s) {
+		t.Error("9 at 30 ms each are a crowd where the shortest aim is 400 ms, however long this request may wait")
+	}
+	load.Queue = 0
+	x.b.report(s, load)
+	if s.load.InFlight = 2; x.b.crowded(r, s) {
+		t.Error("where the queue is told, the aim of the request itself is what counts")
+	}
+	load.Recent, load.Queue = 10*ms, 7
+	x.b.report(s, load)
+	if !x.b.crowded(r, s) {
+		t.Error("a queue of 7 at a width of 1 is a crowd")
+	}
+}
+
+// Where answers carry reports they are as old as an agent's traffic is thin: the pair drawn is probed.
+func TestPairIsProbedWhereReportsComeInline(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports = true, ReportsInline
+	x := start(t, s, fleet(2)...)
+	var probed []ServerID
+	for id := RequestID(1); len(probed) < 2; id++ { // until a pair is drawn
+		probed = nil
+		for _, a := range x.ask(id, pure) {
+			if a.Kind == ActProbe {
+				probed = append(probed, a.Server)
+			}
+		}
+	}
+	held := map[ServerID]float64{probed[0]: 9, probed[1]: 2}
+	x.probed(probed[0], held)
+	if a := one(t, x.probed(probed[1], held), ActSend); a.Server != probed[1] {
+		t.Errorf("sent to server %d, which holds 9", a.Server)
+	}
+}
+
+// Incident i4d2661: under high pressure only 4% was let through, too little to tell that servers were idle again.
+func TestPressureEasesWithoutNews(t *testing.T) {
+	x := start(t, settings(), fleet(4)...)
+	x.b.eased = x.now
+	x.b.pressure = mostPressure
+	x.now += seconds(4 * easeOver * 0.4) // four half-lives
+	x.ask(1, pure)
+	if got := x.b.pressure; got > mostPressure/15 || got <= 0 {
+		t.Errorf("pressure %v after four half-lives", got)
+	}
+}
+
+// A class that takes ten times as long is no slow server, even where one server happens to get all of it.
+func TestLongClassIsNoSlowServer(t *testing.T) {
+	x := start(t, settings(), fleet(2)...)
+	long, short := x.b.ring[0], x.b.ring[1]
+	for range 200 {
+		x.b.now += 50 * ms
+		x.b.observe(&x.b.classes[byAll], long, 0.5)
+		x.b.observe(&x.b.classes[pure], short, 0.05)
+	}
+	if long.slow > 1.2 || short.slow < 0.8 {
+		t.Errorf("slowness %v and %v", long.slow, short.slow)
+	}
+	for range 200 {
+		x.b.now += 50 * ms
+		x.b.observe(&x.b.classes[pure], long, 0.15)
+		x.b.observe(&x.b.classes[pure], short, 0.05)
+	}
+	if long.slow < 1.4*short.slow {
+		t.Errorf("a server three times slower: slowness %v and %v", long.slow, short.slow)
+	}
+	now := long.slow
+	x.b.now += time.Hour
+	x.b.slower(long, 1, 0)
+	if long.slow > 1.01 || now < 1.2 {
+		t.Errorf("slowness %v became %v in an hour without news", now, long.slow)
+	}
+}
+
+// Our own queue at a server is not its slowness.
+func TestOwnQueueIsNoSlowness(t *testing.T) {
+	x := start(t, settings(), fleet(2)...)
+	busy, idle := x.b.ring[0], x.b.ring[1]
+	busy.inFlight = 3
+	for range 300 {
+		x.b.now += 50 * ms
+		x.b.observe(&x.b.classes[pure], busy, 0.4)
+		x.b.observe(&x.b.classes[pure], idle, 0.1)
+	}
+	if busy.slow > 1.2*idle.slow {
+		t.Errorf("slowness %v with four times the wait for three of our own, %v with none", busy.slow, idle.slow)
+	}
+}
+
+// Rule 5: a bound class goes to the servers open to it and to no other, at every attempt, whatever their state.
+func TestPlacement(t *testing.T) {
+	list := fleet(40)
+	for i := range list {
+		list[i].Zone, list[i].Kind = i%4, i/4%2
+	}
+	for name, c := range map[string]struct {
+		zones, kinds []int
+		open         func(ServerEntry) bool
+	}{
+		"zones":     {[]int{1, 3}, nil, func(e ServerEntry) bool { return e.Zone%2 == 1 }},
+		"kinds":     {nil, []int{1}, func(e ServerEntry) bool { return e.Kind == 1 }},
+		"both":      {[]int{2}, []int{0}, func(e ServerEntry) bool { return e.Zone == 2 && e.Kind == 0 }},
+		"unmatched": {[]int{9}, nil, func(ServerEntry) bool { return false }},
+		"empty":     {nil, []int{}, func(ServerEntry) bool { return false }},
+	} {
+		s := settings()
+		s.Agents, s.Rank = 50, 7 // a small window
+		s.Classes[pure].Zones, s.Classes[pure].Kinds = c.zones, c.kinds
+		x := start(t, s, list...)
+		any := slices.ContainsFunc(list, c.open)
+		sent := 0
+		check := func(acts []Action) {
+			for _, a := range acts {
+				if a.Kind == ActSend {
+					if sent++; !c.open(list[a.Server-1]) {
+						t.Fatalf("%s: sent to %+v", name, list[a.Server-1])
+					}
+				}
+			}
+		}
+		for id := range RequestID(60) {
+			x.b.pressure, x.b.extra = 0, nil
+			acts := x.ask(id, pure)
+			if check(acts); any && id == 0 {
+				one(t, acts, ActSend)
+			} else if !any {
+				one(t, acts, ActRefuse)
+			}
+			for n, how := range []Outcome{ConnectFailed, Full, Error, Reset} {
+				check(x.ends(id, n, how))
+			}
+			x.now += time.Minute // whoever was ejected is back
+		}
+		for _, e := range list { // all that are open to it are gone: hold or end
+			if c.open(e) {
+				e.State = Draining
+				x.on(Event{Kind: EventList, Servers: []ServerEntry{e}})
+			}
+		}
+		before := sent
+		check(x.ask(1000, pure))
+		if sent != before || any && before < 60 {
+			t.Errorf("%s: %d sent, then %d", name, before, sent)
+		}
+	}
+}
+
+// Whatever else is on the list, a window holds servers for a bound class as long as there are any.
+func TestSmallWindowHoldsBoundServers(t *testing.T) {
+	for rank := range 50 {
+		list := fleet(100)
+		for i := range list {
+			list[i].Zone = min(i, 1)
+		}
+		s := settings()
+		s.Agents, s.Rank = 50, rank
+		s.Classes[unsafe].Zones = []int{0}
+		x := start(t, s, list...)
+		if a := one(t, x.ask(1, unsafe), ActSend); a.Server != 1 {
+			t.Fatalf("rank %d: sent to %d", rank, a.Server)
+		}
+	}
+}
+
+// Rule 6: in any window, edges included, further attempts stay within floor plus ratio times the requests taken.
+func TestRetryBudget(t *testing.T) {
+	s := settings()
+	s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = time.Second, 2, 0.5
+	x := start(t, s, fleet(20)...)
+	again := func(id RequestID) bool {
+		x.b.pressure = 0
+		one(t, x.ask(id, pure), ActSend)
+		acts := x.ends(id, 0, Full)
+		return len(acts) > 0 && acts[0].Kind == ActSend
+	}
+	begin := x.now
+	for i, c := range []struct {
+		at   time.Duration
+		want bool
+	}{
+		{0, true},          // 1 of 2 + 0.5
+		{0, true},          // 2 of 2 + 1
+		{0, true},          // 3 of 2 + 1.5
+		{0, true},          // 4 of 2 + 2
+		{0, false},         // 5 of 2 + 2.5
+		{500 * ms, true},   // 5 of 2 + 3
+		{1000 * ms, false}, // the four first attempts still count, the requests beside them do not: 6 of 2 + 1
+		{1001 * ms, true},  // 2 of 2 + 1.5
+	} {
+		x.now = begin + c.at
+		if got := again(RequestID(i)); got != c.want {
+			t.Errorf("step %d at %v: sent again %v, want %v", i, c.at, got, c.want)
+		}
+	}
+}
+
+// Danger: a client's last try has all the rest of its deadline, longer than a first one. First tries must not
+// look late for that, or they are refused without hope.
+func TestFirstTriesAreNotTakenForLaterOnes(t *testing.T) {
+	x := start(t, settings(), fleet(4)...)
+	late := 0
+	for id := range RequestID(60) {
+		x.now += 10 * ms
+		x.b.pressure = 0
+		left := 550 * ms // a first try: a share of the deadline of a second
+		if id%3 == 2 {
+			left = 850 * ms // a last try
+		}
+		for _, a := range x.on(Event{Kind: EventRequest, Request: id, Class: pure, Left: left}) {
+			if a.Kind == ActRefuse {
+				late++
+			} else if r := x.b.open[id]; a.Kind == ActSend && id%3 == 2 && r.aim != x.now+250*ms {
+				t.Fatalf("a last try's aim is in %v, want 250ms", r.aim-x.now)
+			}
+		}
+		x.ends(id, 0, OK)
+	}
+	if late > 0 {
+		t.Errorf("%d tries refused as hopeless", late)
+	}
+}
+
+// Danger: a server that fails one class and serves the others well is out for that class alone, and their good
+// answers do not bring it back. Once it fails two, or its connections break, it is out for all.
+func TestHealthIsByClass(t *testing.T) {
+	x := start(t, settings(), fleet(6)...)
+	on := func(class int, id ServerID) bool {
+		c := &x.b.classes[class]
+		x.b.draw(c)
+		return slices.Contains(c.line.servers, x.b.servers[id])
+	}
+	bad := one(t, x.ask(1, unsafe), ActSend).Server
+	x.now += 900 * ms
+	x.ends(1, 0, Timeout)
+	if on(unsafe, bad) || !on(pure, bad) {
+		t.Fatalf("after a silent unsafe request: out for unsafe %v, for pure %v", !on(unsafe, bad), !on(pure, bad))
+	}
+	for range 20 {
+		x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[bad]}, OK, 0.1)
+	}
+	if on(unsafe, bad) {
+		t.Error("good answers of another class brought it back")
+	}
+	x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[bad]}, Error, 0.1)
+	for class := range x.b.classes {
+		if on(class, bad) {
+			t.Errorf("failed two classes, but serves class %d", class)
+		}
+	}
+	other := x.b.ring[0].ID
+	if other == bad {
+		other = x.b.ring[1].ID
+	}
+	x.b.judge(&x.b.classes[pure], &attempt{server: x.b.servers[other]}, Reset, 0.1)
+	if on(unsafe, other) {
+		t.Error("its connections break, but it is still sent unsafe requests")
+	}
+}
+
+// A silent attempt counts half at three usual times and whole at six, and its time-out adds nothing.
+func TestSilenceIsCountedOnce(t *testing.T) {
+	x := start(t, settings(), fleet(6)...)
+	acts := x.ask(1, unsafe)
+	s := x.b.servers[one(t, acts, ActSend).Server]
+	h := &s.health[unsafe]
+	for _, want := range []float64{0.5, 1} {
+		a := one(t, acts, ActTimer)
+		x.now += a.Wait
+		before := h.until
+		acts = x.on(Event{Kind: EventTimer, Token: a.Token})
+		if ejected := h.until > before; ejected != (want == 1) {
+			t.Fatalf("after silence worth %v: ejected %v", want, ejected)
+		}
+	}
+	h.until, h.bad = 0, 0
+	x.ends(1, 0, Timeout)
+	if h.bad != 0 {
+		t.Errorf("the time-out counted %v again", h.bad)
+	}
+}
+
+// Lines are this agent's own: a server that comes or goes changes one place on them.
+func TestLinesAreStable(t *testing.T) {
+	for rank := range 20 {
+		s := settings()
+		s.Agents, s.Rank = 100, rank
+		x := start(t, s, fleet(40)...)
+		x.draw()
+		before := slices.Clone(x.line().servers)
+		x.on(Event{Kind: EventList, Servers: []ServerEntry{ready(99, 1), {ID: before[0].ID, State: Gone}}})
+		x.draw()
+		kept := 0
+		for _, s := range x.line().servers {
+			if slices.Contains(before, s) {
+				kept++
+			}
+		}
+		if kept < len(before)-2 {
+			t.Errorf("rank %d: %d of %d servers kept", rank, kept, len(before))
+		}
+	}
+}
+
+// Found by hunt --rules: a request that waits for probes at its deadline must still end in time.
+func TestWaitingForProbesEndsAtTheDeadline(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports, s.Tick = true, ReportsInline, 5*ms
+	x := start(t, s, fleet(4)...)
+	acts := x.on(Event{Kind: EventRequest, Request: 1, Class: pure, Left: 12 * ms})
+	for ended := false; !ended; {
+		timer := one(t, acts, ActTimer)
+		if x.now += timer.Wait; x.now > time.Hour+12*ms {
+			t.Fatal("waits past its deadline")
+		}
+		acts = x.on(Event{Kind: EventTimer, Token: timer.Token})
+		none(t, acts, ActFail)
+		ended = x.now == time.Hour+12*ms
+	}
+	one(t, acts, ActRefuse)
+}
+
+// Lines lean to the agent's own zone where crossing has a price, and only there; the others keep a part.
+func TestLinesLeanToTheOwnZone(t *testing.T) {
+	list := fleet(40)
+	for i := range list {
+		list[i].Zone = i % 2
+	}
+	for _, fee := range []float64{0, 0.03} {
+		own := 0
+		for rank := range 100 {
+			s := settings()
+			s.Agents, s.Rank, s.Zone, s.CrossFee = 100, rank, 1, fee
+			x := start(t, s, list...)
+			x.draw()
+			for _, s := range x.line().servers {
+				own += s.Zone
+			}
+		}
+		share, want := float64(own)/1200, 0.5 // lines of 12
+		if fee > 0 {
+			want = 0.7
+		}
+		if share < want-0.08 || share > want+0.08 {
+			t.Errorf("price %v: %v of the lines' servers are in the own zone, want about %v", fee, share, want)
+		}
+	}
+}
+
+// Incidents i6871ee, ie92136: silence of servers that were well is crowding where other answers are late too, and
+// none where they are quick: then the silent ones are ill.
+func TestSilenceIsCrowdingWhereAnswersAreLate(t *testing.T) {
+	for part, want := range map[float64]bool{0.1: false, 0.9: true} {
+		x := start(t, settings(), fleet(9)...)
+		for range 20 {
+			x.b.late.add(part, gain)
+		}
+		for i := range 4 {
+			x.b.silent(&x.b.classes[pure], &attempt{server: x.b.ring[i]}, 0.5)
+		}
+		if got := x.b.pressure > slack; got != want {
+			t.Errorf("answers take %v of their aims: pressure %v after four servers fell silent", part, x.b.pressure)
+		}
+	}
+}
+
+// Danger: idle connections are dropped unseen. Where those idle for long are silent and busy ones are not, they
+// are closed before use, and tried again in time; silence that does not depend on idleness closes nothing.
+func TestDeadIdleConnectionsAreClosed(t *testing.T) {
+	for _, fresh := range []Outcome{OK, Timeout} {
+		s := settings()
+		s.IdleClose = 15 * time.Second
+		x := start(t, s, fleet(1)...)
+		id, closed := RequestID(0), 0
+		try := func(wait time.Duration, how Outcome) {
+			x.now += wait
+			x.b.pressure = 0
+			id++
+			acts := x.ask(id, unsafe)
+			if len(acts) > 0 && acts[0].Kind == ActClose {
+				how, closed = OK, closed+1 // the new connection serves
+			}
+			x.now += 10 * ms
+			x.ends(id, 0, how)
+			x.b.servers[1].health[unsafe] = health{}
+			x.b.servers[1].used = x.now
+		}
+		for range 12 {
+			try(50*ms, fresh)
+			try(4*time.Second, Timeout)
+		}
+		if (closed > 3) != (fresh == OK) {
+			t.Errorf("busy connections end with %v: %d idle ones closed", fresh, closed)
+		}
+		before := closed
+		for range 80 {
+			try(4*time.Second, OK)
+		}
+		if fresh == OK && closed-before > 75 {
+			t.Error("idle connections were never tried again")
+		}
+	}
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,391 @@
+package grebefork
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The state of a Balancer and its construction. What is done with it is in balancer.go.
+
+type server struct {
+	ServerEntry
+	rank     float64 // place on the ring of all servers
+	base     float64 // speed by the list's first weight
+	slow     float64 // times slower than its kind, learnt
+	learntAt time.Duration
+	built    float64       // speed in the present line
+	used     time.Duration // when it last answered over a connection, 0 if never
+	inFlight int           // own attempts out
+	since    int           // sends since the last report
+	load     Load          // its last report
+	loadAt   time.Duration
+	probing  bool
+	full     time.Duration // passed by until then: it had no room
+	health   []health      // by class
+}
+
+// health is what a server's answers to one class say.
+type health struct {
+	bad   float64       // failures of late, halved by each success
+	until time.Duration // ejected until then
+	times int           // ejections in a row
+}
+
+func (s *server) tellsQueue() bool { return s.load.Known && s.load.Queue >= 0 }
+
+func (s *server) restart(e *ServerEntry) {
+	s.slow, s.full, s.used, s.load.Known = 1, 0, 0, false
+	clear(s.health)
+	if s.base = e.Weight; !(e.Weight > 0 && e.Weight < math.MaxFloat32) {
+		s.base = 1
+	}
+}
+
+// idleRecord is the part of the attempts that were silent, by how long their connection had been idle: step 0
+// for busy or new ones, then doubling up to the time at which idle ones are closed.
+type idleRecord [6]float64
+
+// worst is the step up to one that has been silent most, step 0 left out if there is another.
+func (d *idleRecord) worst(step int) (worst int) {
+	for k := 1; k <= step; k++ {
+		if worst == 0 || d[k] > d[worst] {
+			worst = k
+		}
+	}
+	return worst
+}
+
+// idleStep says how long the connections to a server have been idle.
+func idleStep(s *server, now, limit time.Duration) int {
+	if s.used == 0 || s.inFlight > 0 || limit == 0 {
+		return 0
+	}
+	last := len(idleRecord{}) - 1
+	return min(max(0, int(math.Log2(max((now-s.used).Seconds()/limit.Seconds(), 1e-9)))+last), last)
+}
+
+type attempt struct {
+	server *server
+	sent   time.Duration
+	idle   int     // how long its connection had been, in steps
+	blamed float64 // for its silence
+	out    bool
+	ran    bool // may have run
+}
+
+type request struct {
+	id            RequestID
+	class         *class
+	tenant        int
+	deadline, aim time.Duration
+	attempts      []attempt
+	out           int // attempts out
+	ended         bool
+	draws         int
+	a, c          *server // the pair whose probes it waits for
+}
+
+type class struct {
+	Class
+	index int
+	first majority // how long a client's first try waits
+	usual mean     // time of an answer, seconds
+	line  line
+}
+
+// line is what the requests of one class are drawn from: only servers that are open to it.
+type line struct {
+	servers  []*server     // in the design's order
+	mu       []float64     // their present speeds
+	speeds   sums          // of these
+	pairs    sums          // of the pairs' weights
+	pass     []float64     // chance that a send to a server is let through while it is cold
+	usualSum float64       // speed of the line when all of it is warm, its highest of late
+	epoch    int           // of the Balancer when it was built
+	next     time.Duration // when time alone changes it
+}
+
+// kind is what servers of one kind of machine have in common.
+type kind struct {
+	ratio   mean    // time of an answer over its class's
+	recent  mean    // reported service time, seconds
+	running mean    // requests in work
+	seen    float64 // answers and reports that its pace was learnt from
+}
+
+// majority keeps the value that most votes were for, within a tolerance.
+type majority struct {
+	value time.Duration
+	votes int
+}
+
+const mostVotes = 64 // so that a new majority is noticed
+
+func (m *majority) vote(v, within time.Duration) bool {
+	if m.votes == 0 {
+		m.value = v
+	}
+	if (v - m.value).Abs() <= within {
+		m.votes = min(m.votes+1, mostVotes)
+		return true
+	}
+	m.votes--
+	return false
+}
+
+// history keeps when things happened, oldest first, as far back as anyone asks.
+type history []time.Duration
+
+const longestHistory = 4096
+
+func (h *history) add(at time.Duration) {
+	if len(*h) >= longestHistory {
+		*h = append((*h)[:0], (*h)[longestHistory/2:]...)
+	}
+	*h = append(*h, at)
+}
+
+// since counts what happened at a time or later.
+func (h history) since(from time.Duration) int {
+	i, _ := slices.BinarySearch(h, from)
+	return len(h) - i
+}
+
+// mean is a moving mean; its first sample is taken whole.
+type mean struct {
+	v     float64
+	known bool
+}
+
+func (m *mean) add(x, weight float64) {
+	if !m.known {
+		m.v, m.known = x, true
+	}
+	m.v += weight * (x - m.v)
+}
+
+// Balancer decides for one agent. It is not safe for concurrent use.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	classes  []class
+	servers  map[ServerID]*server
+	ring     []*server // all servers, by rank
+	epoch    int       // counts the changes that are worth new lines
+	seen     float64   // answers and reports that kinds' paces were learnt from
+	recent   mean      // reported service time of all servers, seconds
+	open     map[RequestID]*request
+	waiting  []*request // for probes
+	kinds    map[int]*kind
+	service  mean          // time of an answer, seconds
+	queue    mean          // reported queue for each request served at once
+	leastAim time.Duration // of the classes
+	late     mean          // time of an answer over its aim
+	dead     idleRecord
+	pressure float64 // share of the usual requests to shed
+	mix      tenantMix
+	worth    float64 // mean worth of the classes
+	taken    history // requests, for the retry budget and the size of the line
+	extra    history // attempts beyond a request's first
+	asks     int     // failed calls for the list in a row
+	logs     int
+	eased    time.Duration // when pressure last went down by itself
+}
+
+// New returns a Balancer that knows no server yet. Its error names the setting that cannot be right.
+func New(s Settings, seed uint64) (*Balancer, error) {
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("grebefork: %w", err)
+	}
+	if s.ExtraWindow == 0 {
+		s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = seconds(retrySpan), retryFloor, retryRatio
+	}
+	b := &Balancer{
+		set: s, rng: rand.New(rand.NewPCG(seed, 0)), epoch: 1, servers: map[ServerID]*server{},
+		open: map[RequestID]*request{}, kinds: map[int]*kind{},
+		mix: tenantMix{seen: make([]float64, len(s.Tenants))},
+	}
+	for _, c := range s.Classes {
+		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
+		if b.leastAim == 0 || c.Aim < b.leastAim {
+			b.leastAim = c.Aim
+		}
+		b.worth += c.Worth / float64(len(s.Classes))
+	}
+	return b, nil
+}
+
+func (s *Settings) check() error {
+	bad := func(name string, v any) error { return fmt.Errorf("setting %s cannot be %v", name, v) }
+	switch {
+	case s.Agents < 1:
+		return bad("Agents", s.Agents)
+	case s.Rank < 0 || s.Rank >= s.Agents:
+		return bad("Rank", s.Rank)
+	case s.MaxAttempts < 1:
+		return bad("MaxAttempts", s.MaxAttempts)
+	case !(s.ColdFrom > 0 && s.ColdFrom <= 1):
+		return bad("ColdFrom", s.ColdFrom)
+	case s.WarmAfter < 0:
+		return bad("WarmAfter", s.WarmAfter)
+	case !(s.OverloadFactor > 0):
+		return bad("OverloadFactor", s.OverloadFactor)
+	case s.Zone < 0:
+		return bad("Zone", s.Zone)
+	case s.IdleClose < 0:
+		return bad("IdleClose", s.IdleClose)
+	case s.ExtraWindow < 0:
+		return bad("ExtraWindow", s.ExtraWindow)
+	case !(s.ExtraFloor >= 0):
+		return bad("ExtraFloor", s.ExtraFloor)
+	case !(s.ExtraRatio >= 0):
+		return bad("ExtraRatio", s.ExtraRatio)
+	case s.Tick < 0:
+		return bad("Tick", s.Tick)
+	case s.AskList && s.MustAskIn <= 0:
+		return bad("MustAskIn", s.MustAskIn)
+	case len(s.Classes) == 0:
+		return bad("Classes", "empty")
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Aim <= 0:
+			return bad(fmt.Sprintf("Classes[%d].Aim", i), c.Aim)
+		case c.Deadline < c.Aim:
+			return bad(fmt.Sprintf("Classes[%d].Deadline", i), c.Deadline)
+		case !(c.Worth >= 0):
+			return bad(fmt.Sprintf("Classes[%d].Worth", i), c.Worth)
+		case c.Effect > SideEffect:
+			return bad(fmt.Sprintf("Classes[%d].Effect", i), c.Effect)
+		case c.Scope > ScopeCell:
+			return bad(fmt.Sprintf("Classes[%d].Scope", i), c.Scope)
+		case c.Window < 0:
+			return bad(fmt.Sprintf("Classes[%d].Window", i), c.Window)
+		case slices.ContainsFunc(c.Zones, negative):
+			return bad(fmt.Sprintf("Classes[%d].Zones", i), c.Zones)
+		case slices.ContainsFunc(c.Kinds, negative):
+			return bad(fmt.Sprintf("Classes[%d].Kinds", i), c.Kinds)
+		}
+	}
+	for i, t := range s.Tenants {
+		if !(t.Portion >= 0) {
+			return bad(fmt.Sprintf("Tenants[%d].Portion", i), t.Portion)
+		}
+	}
+	return nil
+}
+
+func negative(i int) bool { return i < 0 }
+
+func (b *Balancer) act(a Action) { b.out = append(b.out, a) }
+
+// log writes a line for the operators. It is bounded: one agent must not drown the others' lines.
+func (b *Balancer) log(format string, args ...any) {
+	if b.logs++; b.logs <= 20 {
+		b.act(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (b *Balancer) kind(s *server) *kind {
+	k := b.kinds[s.Kind]
+	if k == nil {
+		k = &kind{ratio: mean{1, true}}
+		b.kinds[s.Kind] = k
+	}
+	return k
+}
+
+// sums are running sums of weights, for draws by weight in logarithmic time.
+type sums []float64
+
+func (s sums) add(weight float64) sums { return append(s, s.span(0, len(s))+weight) }
+
+// span is the sum of the weights i to j-1, those that exist.
+func (s sums) span(i, j int) float64 {
+	upTo := func(k int) float64 {
+		if k = min(k, len(s)); k <= 0 {
+			return 0
+		}
+		return s[k-1]
+	}
+	return upTo(j) - upTo(i)
+}
+
+// pick draws an index by weight, u being uniform in [0, 1).
+func (s sums) pick(u float64) int {
+	i, _ := slices.BinarySearch(s, u*s[len(s)-1])
+	return min(i, len(s)-1)
+}
+
+// tenantMix counts who has asked of late.
+type tenantMix struct {
+	seen []float64
+	sum  float64
+}
+
+// count adds a request and returns its tenant's and all; both are halved after so many.
+func (m *tenantMix) count(tenant int, life float64) (seen, sum float64) {
+	m.seen[tenant]++
+	if m.sum++; m.sum > life {
+		m.sum /= 2
+		for i := range m.seen {
+			m.seen[i] /= 2
+		}
+	}
+	return m.seen[tenant], m.sum
+}
+
+// entry finds the server of a line of the list, or makes it; a server not known that is gone stays unknown.
+func (b *Balancer) entry(e *ServerEntry) *server {
+	s := b.servers[e.ID]
+	if s == nil && e.State != Gone {
+		s = &server{rank: b.order(e), health: make([]health, len(b.classes))}
+		b.servers[e.ID] = s
+		byRank := func(o *server, rank float64) int { return cmp.Compare(o.rank, rank) }
+		i, _ := slices.BinarySearchFunc(b.ring, s.rank, byRank)
+		b.ring = slices.Insert(b.ring, i, s)
+	}
+	return s
+}
+
+// Handle takes one event and appends what must be done to out.
+func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
+	b.now, b.out = max(now, b.now), out
+	switch ev.Kind {
+	case EventList:
+		b.onList(&ev)
+	case EventRequest:
+		b.onRequest(&ev)
+	case EventOutcome:
+		b.onOutcome(&ev)
+	case EventHangup:
+		if r := b.open[ev.Request]; r != nil {
+			b.end(r, false)
+		}
+	case EventTimer:
+		b.onTimer(ev.Token)
+	case EventProbed:
+		b.onProbed(&ev)
+	}
+	out, b.out = b.out, nil
+	return out
+}
+
+// What a timer is for; a request and its attempt stand in the lower bits.
+const (
+	tokenAsk   = 1 << 56
+	tokenWait  = 2 << 56
+	tokenCheck = 3 << 56
+)
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (b *Balancer) askIn(wait float64) {
+	b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: time.Duration(wait)})
+}
