Real agent: one program on real sockets around the module

Logging what was turned away showed one cause, the check that wanted a third path segment: requests without a key have the path /CLASS alone. Ruled out: budget, tenant and class headers, which were well formed.

--- /dev/null
+++ b/cmd/micaline/main.go
@@ -0,0 +1,45 @@
+// Command micaline is the agent that spreads an application's requests over its backends.
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"example.org/grebefork/internal/agent"
+)
+
+// memoryShare of the limit is the collector's; the rest is for what it does not count, stacks of the kernel's
+// and the program's own text among it.
+const memoryShare = 0.7
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := run(ctx, log)
+	stop()
+	if err != nil {
+		log.Error("micaline ends", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, log *slog.Logger) error {
+	path := os.Getenv("GW_CONFIG")
+	if path == "" {
+		return errors.New("GW_CONFIG is not set: it names the configuration file")
+	}
+	cfg, err := agent.LoadConfig(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	return agent.Run(ctx, cfg, log.With("agent", cfg.Name))
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,86 @@
+// Package agent is the real agent: it carries what happens on sockets to the decision module as events, and
+// carries out the module's actions.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"example.org/grebefork"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	// reservedSockets is for the descriptors that are neither clients' nor backends': the standard streams, the
+	// listener, the runtime's poller, discovery, and connections that are just being closed.
+	reservedSockets = 32
+	headerTimeout   = 30 * time.Second
+	idleClients     = 10 * time.Minute
+	// leaveAfter is how long an agent that is to stop goes on accepting: its client goes on connecting.
+	leaveAfter = 550 * time.Millisecond
+	leaveSlack = 100 * time.Millisecond
+)
+
+// Run serves until the context ends, then finishes what it has taken and returns nil.
+func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	return serve(ctx, cfg, listener, log)
+}
+
+func serve(ctx context.Context, cfg *Config, listener net.Listener, log *slog.Logger) error {
+	// Clients and backends get half of the sockets each: a client's request takes one of both.
+	half := (cfg.Sockets - reservedSockets) / 2
+	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half), log)
+	if err != nil {
+		return err
+	}
+	// What the agent has taken it finishes, so its workers outlive the context.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tell := func(mode grebefork.ListMode, members []member) {
+		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
+	}
+	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
+	l.follow = d.asked
+	go l.run(work)
+	tell(grebefork.ListCached, cfg.known.Members)
+	go d.run(work)
+
+	handler := &server{loop: l, most: int64(half - half/8)}
+	srv := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(netutil.LimitListener(listener, half)) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+	}
+	handler.leaving.Store(true)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-time.After(leaveAfter):
+	}
+	longest := leaveSlack
+	for _, c := range cfg.Settings.Module.Classes {
+		longest = max(longest, c.Deadline+leaveSlack)
+	}
+	last, cancel := context.WithTimeout(work, longest)
+	defer cancel()
+	// A connection that was opened and never used would keep Shutdown from returning.
+	if err := srv.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shutting down: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
+)
+
+// minSockets is what an agent needs to hold a few clients and backends beside its own descriptors.
+const minSockets = 2*reservedSockets + 32
+
+// Config is what the platform tells an agent at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Settings  settings.Settings
+
+	known list
+}
+
+// LoadConfig reads and checks the configuration file. Its errors name the field that cannot be used.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+func parseConfig(text []byte) (*Config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+
+		Limits struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	cfg := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets,
+	}
+	var err error
+	if _, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if _, err = netip.ParseAddrPort(f.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	switch {
+	case !(cfg.Cores > 0 && cfg.Cores <= 1024):
+		return nil, fmt.Errorf("limits.cores cannot be %v", cfg.Cores)
+	case cfg.MemoryMB < 16:
+		return nil, fmt.Errorf("limits.memory_mb cannot be %v", f.Limits.MemoryMB)
+	case cfg.Sockets < minSockets:
+		return nil, fmt.Errorf("limits.sockets cannot be %d: at least %d are needed", cfg.Sockets, minSockets)
+	}
+	if len(f.Known) > 0 {
+		if cfg.known, err = parseList(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if cfg.Settings, err = settings.Parse(f.Settings); err != nil {
+		return nil, err
+	}
+	return cfg, checkSettings(&cfg.Settings)
+}
+
+// checkSettings checks what the agent needs beside the module, whose own check is grebefork.New.
+func checkSettings(s *settings.Settings) error {
+	if s.ConnectTimeout <= 0 {
+		return errors.New("settings: limits.connectTimeout must be above 0")
+	}
+	for what, names := range map[string][]string{"categories": s.Classes, "accounts": s.Tenants} {
+		for i, name := range names {
+			if name == "" || slices.Contains(names[:i], name) {
+				return fmt.Errorf("settings: %s[%d].name %q is empty or taken", what, i, name)
+			}
+		}
+	}
+	if _, err := grebefork.New(s.Module, 0); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/loop.go
@@ -0,0 +1,355 @@
+package agent
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
+)
+
+const (
+	inputQueue = 256 // inputs that may wait for the loop; whoever has one more waits with it
+	sweepEvery = time.Second
+)
+
+// clock tells the time since 1970 and never runs backwards: the wall's time at the start, and what has passed.
+type clock struct{ start time.Time }
+
+func (c clock) now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
+
+// input is what has happened, on its way to the loop: an event for the module and what it has no use for.
+type input struct {
+	event   grebefork.Event
+	call    *call    // of EventRequest and EventHangup
+	answer  answer   // of EventOutcome, if it is OK
+	members []member // of EventList
+}
+
+// call is a client's request, which the client's handler shares with the loop.
+type call struct {
+	class, tenant int
+	retry         bool
+	deadline      time.Duration // of the clock
+	message       message
+	answered      chan answer // holds one, so that the loop never waits for a handler
+
+	id grebefork.RequestID // the loop's
+}
+
+// answer is what a client gets.
+type answer struct {
+	status      int
+	retryAfter  time.Duration // 0: no advice
+	contentType string
+	body        []byte
+}
+
+// request is what the loop knows of a call until it is answered and its attempts are back.
+type request struct {
+	*call
+	attempts []context.CancelFunc // to give each up
+	out      int                  // attempts out
+	ended    bool                 // answered, or its client is gone
+}
+
+// loop owns the module and the state of all requests. It alone decides how a request ends: handlers, attempts
+// and discovery send it inputs and share nothing else with it.
+type loop struct {
+	set      *settings.Settings
+	clock    clock
+	balancer *grebefork.Balancer
+	pool     *pool
+	follow   func() // asks discovery for the list
+	log      *slog.Logger
+	inputs   chan input
+	done     chan struct{} // closed when run returns
+	ready    atomic.Bool   // a list has come
+
+	servers  serverIDs
+	addrs    map[grebefork.ServerID]string
+	requests map[grebefork.RequestID]*request
+	lastID   grebefork.RequestID
+	timers   timers
+	events   []grebefork.Event // to be handed to the module
+	actions  []grebefork.Action
+}
+
+func newLoop(set *settings.Settings, seed uint64, pool *pool, log *slog.Logger) (*loop, error) {
+	balancer, err := grebefork.New(set.Module, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &loop{
+		set: set, clock: clock{time.Now()}, balancer: balancer, pool: pool, log: log,
+		inputs:   make(chan input, inputQueue),
+		done:     make(chan struct{}),
+		servers:  serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}},
+		addrs:    map[grebefork.ServerID]string{},
+		requests: map[grebefork.RequestID]*request{},
+	}, nil
+}
+
+// send hands an input to the loop, unless that has ended.
+func (l *loop) send(in input) {
+	select {
+	case l.inputs <- in:
+	case <-l.done:
+	}
+}
+
+// run handles inputs and timers until the context ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.done)
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		if len(l.timers) > 0 {
+			wake.Reset(l.timers[0].due - l.clock.now())
+		} else {
+			wake.Stop()
+		}
+		select {
+		case in := <-l.inputs:
+			l.take(ctx, in)
+		case <-wake.C:
+		case <-sweep.C:
+			l.pool.sweep()
+		case <-ctx.Done():
+			return
+		}
+		for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
+			t := heap.Pop(&l.timers).(timer)
+			l.handle(ctx, grebefork.Event{Kind: grebefork.EventTimer, Token: t.token})
+		}
+	}
+}
+
+// take brings an input's facts up to date and hands its event to the module.
+func (l *loop) take(ctx context.Context, in input) {
+	ev := in.event
+	switch ev.Kind {
+	case grebefork.EventList:
+		ev.Servers = l.entries(in.members)
+		l.handle(ctx, ev)
+		if ev.ListMode != grebefork.ListFailed {
+			l.forgetGone(ev.ListMode, ev.Servers)
+			l.ready.Store(len(l.addrs) > 0 || l.ready.Load())
+		}
+	case grebefork.EventRequest:
+		in.call.id = l.newID()
+		l.requests[in.call.id] = &request{call: in.call}
+		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
+		ev.Left = in.call.deadline - l.clock.now()
+		l.handle(ctx, ev)
+	case grebefork.EventHangup:
+		r := l.requests[in.call.id]
+		if r == nil || r.ended {
+			return // it crossed the answer
+		}
+		r.ended = true
+		ev.Request = r.id
+		l.handle(ctx, ev)
+		l.forget(r)
+	case grebefork.EventOutcome:
+		r := l.requests[ev.Request]
+		r.attempts[ev.Attempt]()
+		r.out--
+		if ev.Outcome == grebefork.OK {
+			r.end(in.answer)
+		}
+		ev.Closed = r.ended
+		l.handle(ctx, ev)
+		l.forget(r)
+	default:
+		l.handle(ctx, ev)
+	}
+}
+
+func (l *loop) newID() grebefork.RequestID {
+	for {
+		l.lastID++
+		if l.requests[l.lastID] == nil {
+			return l.lastID
+		}
+	}
+}
+
+// end gives the client its answer if it has none yet.
+func (r *request) end(a answer) {
+	if !r.ended {
+		r.ended = true
+		r.answered <- a
+	}
+}
+
+// forget drops a request of which nothing more is to be heard.
+func (l *loop) forget(r *request) {
+	if r.ended && r.out == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+// entries notes where the members of a list are and turns them into the module's terms.
+func (l *loop) entries(members []member) []grebefork.ServerEntry {
+	entries := make([]grebefork.ServerEntry, 0, len(members))
+	for _, m := range members {
+		e := grebefork.ServerEntry{
+			ID:     l.servers.of(m.ID),
+			Zone:   slices.Index(l.set.Zones, m.Locality),
+			Kind:   slices.Index(l.set.Kinds, m.Flavor),
+			Cell:   m.Cell,
+			State:  phases[m.Phase],
+			Weight: m.Size,
+			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
+		}
+		entries = append(entries, e)
+		if e.State == grebefork.Gone {
+			continue // forgotten once the module has heard of it
+		}
+		if old := l.addrs[e.ID]; old != "" && old != m.HostPort {
+			l.pool.closeIdle(old)
+		}
+		l.addrs[e.ID] = m.HostPort
+	}
+	return entries
+}
+
+// forgetGone drops the addresses and idle connections of the backends that a list has shown to be gone.
+func (l *loop) forgetGone(mode grebefork.ListMode, entries []grebefork.ServerEntry) {
+	stays := make(map[grebefork.ServerID]bool, len(entries))
+	for _, e := range entries {
+		stays[e.ID] = e.State != grebefork.Gone
+	}
+	for id := range l.servers.names {
+		if here, listed := stays[id]; here || !listed && mode == grebefork.ListDelta {
+			continue
+		}
+		l.pool.closeIdle(l.addrs[id])
+		delete(l.addrs, id)
+		l.servers.free(id)
+	}
+}
+
+// handle hands an event to the module and carries out what it answers, and so on with the events that come of it.
+func (l *loop) handle(ctx context.Context, ev grebefork.Event) {
+	l.events = append(l.events, ev)
+	for len(l.events) > 0 {
+		ev := l.events[0]
+		l.events = l.events[1:]
+		l.actions = l.balancer.Handle(l.clock.now(), ev, l.actions[:0])
+		for i := range l.actions {
+			l.act(ctx, &l.actions[i])
+		}
+	}
+}
+
+// act carries out one action.
+func (l *loop) act(ctx context.Context, a *grebefork.Action) {
+	r := l.requests[a.Request]
+	switch a.Kind {
+	case grebefork.ActSend:
+		if r != nil {
+			l.attempt(ctx, r, a)
+		}
+	case grebefork.ActRefuse:
+		if r != nil {
+			r.end(answer{status: statusRefused, retryAfter: a.Wait})
+			l.forget(r)
+		}
+	case grebefork.ActFail:
+		if r != nil {
+			r.end(answer{status: statusFailed})
+			l.forget(r)
+		}
+	case grebefork.ActCancel:
+		if r != nil && a.Attempt < len(r.attempts) {
+			r.attempts[a.Attempt]()
+		}
+	case grebefork.ActTimer:
+		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token})
+	case grebefork.ActClose:
+		l.pool.closeIdle(l.addrs[a.Server])
+	case grebefork.ActProbe:
+		l.probe(ctx, a.Server)
+	case grebefork.ActFollow:
+		l.follow()
+	case grebefork.ActLog:
+		l.log.Info(a.Text)
+	}
+}
+
+// attempt sends a request to a backend. What cannot be sent any more ends as moot.
+func (l *loop) attempt(ctx context.Context, r *request, a *grebefork.Action) {
+	n := len(r.attempts)
+	left := r.deadline - l.clock.now()
+	if a.Wait != 0 {
+		left = min(left, a.Wait)
+	}
+	addr := l.addrs[a.Server]
+	if r.ended || left <= 0 || addr == "" || n >= l.set.Module.MaxAttempts {
+		r.attempts = append(r.attempts, func() {})
+		l.events = append(l.events, grebefork.Event{
+			Kind: grebefork.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
+			Outcome: grebefork.Moot, Closed: r.ended, Load: settings.NoLoad(),
+		})
+		return
+	}
+	attemptCtx, cancel := context.WithTimeout(ctx, left)
+	r.attempts = append(r.attempts, cancel)
+	r.out++
+	id, server, msg := r.id, a.Server, &r.message
+	go func() {
+		res := l.pool.exchange(attemptCtx, addr, msg, l.set.ReportFields)
+		l.send(input{answer: res.answer, event: grebefork.Event{
+			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
+			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+		}})
+	}()
+}
+
+func (l *loop) probe(ctx context.Context, server grebefork.ServerID) {
+	addr := l.addrs[server]
+	if addr == "" {
+		l.events = append(l.events, grebefork.Event{
+			Kind: grebefork.EventProbed, Server: server, Outcome: grebefork.Moot, Load: settings.NoLoad(),
+		})
+		return
+	}
+	go func() {
+		res := l.pool.probe(ctx, addr, l.set)
+		l.send(input{event: grebefork.Event{
+			Kind: grebefork.EventProbed, Server: server,
+			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+		}})
+	}()
+}
+
+// timer is an ActTimer that is to fall due.
+type timer struct {
+	due   time.Duration
+	token uint64
+}
+
+// timers is a heap, the next one first.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/agent/server.go
@@ -0,0 +1,205 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"example.org/grebefork"
+)
+
+const (
+	callIDHeader   = "X-Call-Id"
+	classHeader    = "X-Call-Class"
+	tenantHeader   = "X-Caller"
+	budgetHeader   = "X-Budget"
+	retryHeader    = "X-Again"
+	keyHeader      = "Idempotency-Key"
+	loadHeader     = "X-Load-Report"
+	rejectedHeader = "X-Rejected"
+
+	readyPath = "/up"
+	alivePath = "/alive"
+	loadPath  = "/metrics/load"
+
+	statusRefused = http.StatusServiceUnavailable
+	statusFailed  = http.StatusBadGateway
+
+	maxBudget   = time.Hour
+	maxCallID   = 256              // bytes
+	bodyTimeout = 10 * time.Second // for a client to send a request, once begun
+	fullAdvice  = time.Second      // when to come back to an agent that holds all the requests it can
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Expect", "Content-Length"}
+
+// server is the client's side: it turns requests into calls for the loop, and its answers into responses.
+type server struct {
+	loop *loop
+	most int64 // requests held at once
+
+	held    atomic.Int64
+	leaving atomic.Bool // connections are closed after their answers
+}
+
+// badRequest is what a client did wrong, and the status that tells it so.
+type badRequest struct {
+	status int
+	what   string
+}
+
+func (e *badRequest) Error() string { return e.what }
+
+func bad(format string, args ...any) error {
+	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == readyPath {
+		if !s.loop.ready.Load() {
+			http.Error(w, "no list of backends yet", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	defer s.held.Add(-1)
+	if s.held.Add(1) > s.most {
+		respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
+		return
+	}
+	c, err := s.read(w, r)
+	var b *badRequest
+	switch {
+	case errors.As(err, &b):
+		http.Error(w, b.what, b.status)
+		return
+	case err != nil: // the client is gone, or too slow
+		panic(http.ErrAbortHandler)
+	}
+	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	select {
+	case a := <-c.answered:
+		respond(w, a)
+	case <-r.Context().Done():
+		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
+	}
+}
+
+// respond writes an answer.
+func respond(w http.ResponseWriter, a answer) {
+	h := w.Header()
+	if a.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	h["Content-Type"] = nil // or net/http guesses one
+	if a.contentType != "" {
+		h.Set("Content-Type", a.contentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body) // a client that does not take it is gone
+}
+
+// read reads a request to its last byte, from which its budget counts, and checks it.
+func (s *server) read(w http.ResponseWriter, r *http.Request) (*call, error) {
+	set := s.loop.set
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	arrived := s.loop.clock.now()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, err.Error()}
+	case err != nil:
+		return nil, err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	c := &call{
+		class: slices.Index(set.Classes, r.Header.Get(classHeader)),
+		retry: r.Header.Get(retryHeader) == "1",
+		message: message{
+			method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body,
+		},
+		answered: make(chan answer, 1),
+	}
+	if c.class < 0 {
+		return nil, bad("%s is unknown", classHeader)
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != set.Classes[c.class] ||
+		!strings.HasPrefix(r.RequestURI, "/") {
+		return nil, bad("the path does not begin with the class")
+	}
+	if err := checkEffect(set.Module.Classes[c.class].Effect, r); err != nil {
+		return nil, err
+	}
+	if len(set.Tenants) > 0 {
+		if c.tenant = slices.Index(set.Tenants, r.Header.Get(tenantHeader)); c.tenant < 0 {
+			return nil, bad("%s is unknown", tenantHeader)
+		}
+	}
+	budget, err := parseBudget(r.Header.Get(budgetHeader))
+	if err != nil {
+		return nil, err
+	}
+	c.deadline = arrived + budget
+	if id := r.Header.Get(callIDHeader); id == "" || len(id) > maxCallID {
+		return nil, bad("%s is missing or too long", callIDHeader)
+	}
+	for _, name := range r.Header["Connection"] {
+		for field := range strings.SplitSeq(name, ",") {
+			r.Header.Del(textproto.TrimString(field))
+		}
+	}
+	for _, name := range hopHeaders {
+		r.Header.Del(name)
+	}
+	return c, nil
+}
+
+// checkEffect checks that a request is sent as its class's effect asks. Danger: a keyed request without its
+// key would be repeated as if backends could tell.
+func checkEffect(effect grebefork.Effect, r *http.Request) error {
+	method, keyed := http.MethodPost, effect == grebefork.Token
+	if effect == grebefork.Pure {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return &badRequest{http.StatusMethodNotAllowed, "the class wants " + method}
+	}
+	if keyed && r.Header.Get(keyHeader) == "" {
+		return bad("the class wants %s", keyHeader)
+	}
+	return nil
+}
+
+// parseBudget reads a time such as 480m or 350000u: milliseconds or microseconds.
+func parseBudget(text string) (time.Duration, error) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		unit = time.Microsecond
+		number, ok = strings.CutSuffix(text, "u")
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	if budget := v * float64(unit); ok && err == nil && budget > 0 && budget <= float64(maxBudget) {
+		return time.Duration(math.Round(budget)), nil
+	}
+	return 0, bad("%s is no time", budgetHeader)
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package settings reads the settings that the operators give an agent and places the figures of load reports.
+// Both programs use it, so that the simulator and the service mean the same by a name.
+package settings
 
 import (
 	"encoding/json"
@@ -12,13 +14,14 @@
 // facts mirrors the keys of the settings text that the module has a use for. Others are passed over.
 type facts struct {
 	Accounts []struct {
+		Name    string
 		Portion float64
 	}
 	Categories []struct {
 		Aim, Deadline, Credit, LateWorth, RepeatWindow float64
 
-		Effect, DedupScope string
-		Stream             bool
+		Name, Effect, DedupScope string
+		Stream                   bool
 
 		LocalitiesOnly, BoundTo []float64 // absent: any; empty: none
 	}
@@ -26,6 +29,7 @@
 	Limits    struct {
 		Cancel, Probes, SecondCopies bool
 		MaxAttempts, IdleClose       float64
+		ConnectTimeout               float64
 	}
 	Fees               struct{ CrossZone float64 }
 	Localities, Skus   []string
@@ -56,65 +60,83 @@
 	"inline": grebefork.ReportsInline, "on_probe": grebefork.ReportsOnProbe,
 }
 
-// parseSettings reads the settings text. It also returns the names of the values in a load report.
-func parseSettings(text []byte) (grebefork.Settings, []string, error) {
+// Settings is what one text of settings says: the module's part, and the names and limits around it.
+type Settings struct {
+	Module         grebefork.Settings
+	Classes        []string // the names behind the module's positions
+	Tenants        []string
+	Zones, Kinds   []string
+	ReportFields   []string      // names of the values in a load report
+	ConnectTimeout time.Duration // a connection that is not up by then has failed
+}
+
+// Parse reads the settings text.
+func Parse(text []byte) (Settings, error) {
 	var f facts
 	if err := json.Unmarshal(text, &f); err != nil {
-		return grebefork.Settings{}, nil, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	all := Settings{
+		Zones: f.Localities, Kinds: f.Skus,
+		ReportFields:   f.Report.Fields,
+		ConnectTimeout: Millis(f.Limits.ConnectTimeout),
 	}
-	s := grebefork.Settings{
+	s := &all.Module
+	*s = grebefork.Settings{
 		Rank: int(f.Rank), Agents: int(f.ReplicasOfMe),
 		Zone: int(f.Zone), CrossFee: f.Fees.CrossZone,
 		AskList:        f.Discovery == "subscribe",
-		MustAskIn:      millis(f.Rules.MustAskIn),
-		Tick:           millis(f.Tick),
-		IdleClose:      millis(f.Limits.IdleClose),
+		MustAskIn:      Millis(f.Rules.MustAskIn),
+		Tick:           Millis(f.Tick),
+		IdleClose:      Millis(f.Limits.IdleClose),
 		MaxAttempts:    int(f.Limits.MaxAttempts),
 		Probes:         f.Limits.Probes,
 		Cancel:         f.Limits.Cancel,
 		SecondCopies:   f.Limits.SecondCopies,
 		ColdFrom:       f.Rules.ColdFrom,
-		WarmAfter:      millis(f.Rules.WarmAfter),
+		WarmAfter:      Millis(f.Rules.WarmAfter),
 		OverloadFactor: f.Rules.OverloadFactor,
-		ExtraWindow:    millis(f.Rules.ExtraWindow),
+		ExtraWindow:    Millis(f.Rules.ExtraWindow),
 		ExtraFloor:     f.Rules.ExtraFloor,
 		ExtraRatio:     f.Rules.ResendRatio,
 	}
 	var ok bool
 	if s.Reports, ok = reportModes[f.Report.How]; !ok {
-		return s, nil, fmt.Errorf("settings: report.how %q is unknown", f.Report.How)
+		return all, fmt.Errorf("settings: report.how %q is unknown", f.Report.How)
 	}
 	for i, c := range f.Categories {
+		all.Classes = append(all.Classes, c.Name)
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return s, nil, fmt.Errorf("settings: categories[%d].effect %q is unknown", i, c.Effect)
+			return all, fmt.Errorf("settings: categories[%d].effect %q is unknown", i, c.Effect)
 		}
 		scope, ok := scopes[c.DedupScope]
 		if !ok {
-			return s, nil, fmt.Errorf("settings: categories[%d].dedupScope %q is unknown", i, c.DedupScope)
+			return all, fmt.Errorf("settings: categories[%d].dedupScope %q is unknown", i, c.DedupScope)
 		}
 		zones, err := indices(c.LocalitiesOnly, len(f.Localities))
 		if err != nil {
-			return s, nil, fmt.Errorf("settings: categories[%d].localitiesOnly: %w", i, err)
+			return all, fmt.Errorf("settings: categories[%d].localitiesOnly: %w", i, err)
 		}
 		kinds, err := indices(c.BoundTo, len(f.Skus))
 		if err != nil {
-			return s, nil, fmt.Errorf("settings: categories[%d].boundTo: %w", i, err)
+			return all, fmt.Errorf("settings: categories[%d].boundTo: %w", i, err)
 		}
 		s.Classes = append(s.Classes, grebefork.Class{
-			Aim: millis(c.Aim), Deadline: millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
-			Effect: effect, Scope: scope, Window: millis(c.RepeatWindow), Stream: c.Stream,
+			Aim: Millis(c.Aim), Deadline: Millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
+			Effect: effect, Scope: scope, Window: Millis(c.RepeatWindow), Stream: c.Stream,
 			Zones: zones, Kinds: kinds,
 		})
 	}
 	for _, a := range f.Accounts {
+		all.Tenants = append(all.Tenants, a.Name)
 		s.Tenants = append(s.Tenants, grebefork.Tenant{Portion: a.Portion})
 	}
-	return s, f.Report.Fields, nil
+	return all, nil
 }
 
-// millis turns milliseconds into a duration; what no duration can hold becomes 0, the absent value.
-func millis(ms float64) time.Duration {
+// Millis turns milliseconds into a duration; what no duration can hold becomes 0, the absent value.
+func Millis(ms float64) time.Duration {
 	if math.IsNaN(ms) || math.Abs(ms) > 1e12 {
 		return 0
 	}
@@ -135,3 +157,28 @@
 	}
 	return out, nil
 }
+
+// NoLoad is a load report without any figure.
+func NoLoad() grebefork.Load {
+	return grebefork.Load{InFlight: -1, Queue: -1, Recent: -1, Rate: -1, Errors: -1}
+}
+
+// AddLoad puts the figure with a name of the settings into a report; what cannot be a figure stays absent.
+func AddLoad(l *grebefork.Load, name string, v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return
+	}
+	l.Known = true
+	switch name {
+	case "outstanding":
+		l.InFlight = v
+	case "backlog":
+		l.Queue = v
+	case "recent_ms":
+		l.Recent = Millis(v)
+	case "throughput":
+		l.Rate = v
+	case "errors_per_s":
+		l.Errors = v
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
 )
 
 // The codes of events.
@@ -113,10 +114,10 @@
 	if length < clockSize {
 		return 0, 0, d.fail("length is shorter than the header")
 	}
-	if math.IsNaN(clock) || math.Abs(clock) > 1e12 || millis(clock) < d.now {
+	if math.IsNaN(clock) || math.Abs(clock) > 1e12 || settings.Millis(clock) < d.now {
 		return 0, 0, d.fail("clock is no time or runs backwards")
 	}
-	d.now = millis(clock)
+	d.now = settings.Millis(clock)
 	d.body.Reset()
 	// The buffer grows with what arrives, never by the length that the frame claims.
 	if _, err := io.CopyN(&d.body, d.in, int64(length-clockSize)); err != nil {
@@ -160,12 +161,11 @@
 		if d.err != nil {
 			return rec, false
 		}
-		var err error
-		var fields []string
-		if rec.Settings, fields, err = parseSettings(text); err != nil {
+		parsed, err := settings.Parse(text)
+		if err != nil {
 			d.fail(err.Error())
 		}
-		d.fields[rec.Instance] = fields
+		rec.Settings, d.fields[rec.Instance] = parsed.Module, parsed.ReportFields
 	case evDetach:
 		rec.Kind = Detach
 	case evView:
@@ -243,25 +243,11 @@
 
 func (d *Decoder) load(instance uint32) (l grebefork.Load) {
 	n := int(d.u8())
-	l = grebefork.Load{InFlight: -1, Queue: -1, Recent: -1, Rate: -1, Errors: -1}
+	l = settings.NoLoad()
 	fields := d.fields[instance]
 	for i := range n {
-		v := d.f32()
-		if i >= len(fields) || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-			continue
-		}
-		l.Known = true
-		switch fields[i] {
-		case "outstanding":
-			l.InFlight = v
-		case "backlog":
-			l.Queue = v
-		case "recent_ms":
-			l.Recent = millis(v)
-		case "throughput":
-			l.Rate = v
-		case "errors_per_s":
-			l.Errors = v
+		if v := d.f32(); i < len(fields) {
+			settings.AddLoad(&l, fields[i], v)
 		}
 	}
 	return l
@@ -324,7 +310,7 @@
 }
 
 func (d *Decoder) f32() float64        { return float64(math.Float32frombits(d.u32())) }
-func (d *Decoder) time() time.Duration { return millis(math.Float64frombits(d.u64())) }
+func (d *Decoder) time() time.Duration { return settings.Millis(math.Float64frombits(d.u64())) }
 
 // Encoder builds one reply frame.
 type Encoder struct{ buf []byte }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"example.org/grebefork"
+	"example.org/grebefork/internal/settings"
 )
 
 const clock = "40c06e2000000000"
@@ -171,11 +172,11 @@
 
 func TestNumbersThatAreNone(t *testing.T) {
 	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e300} {
-		if d := millis(v); d != 0 {
+		if d := settings.Millis(v); d != 0 {
 			t.Errorf("%v became %v", v, d)
 		}
 	}
-	if d := millis(1.2345); d != 1235*time.Microsecond && d != 1234*time.Microsecond {
+	if d := settings.Millis(1.2345); d != 1235*time.Microsecond && d != 1234*time.Microsecond {
 		t.Errorf("1.2345 ms became %v", d)
 	}
 }
