Loopback tests of the agent, README and design page

Found by TestStop: a request taken before SIGTERM was answered without Connection: close, because the header was decided when the request came. It is now decided when the answer is written.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,594 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+)
+
+// The classes: a keyed one dropped by all, a keyed one dropped by its cell, an unsafe one and a safe one.
+const testSettings = `{
+ "categories":[
+  {"name":"keyed","aim":20000,"deadline":30000,"credit":1,"effect":"token","dedupScope":"all","repeatWindow":30000},
+  {"name":"celled","aim":20000,"deadline":30000,"credit":1,"effect":"token","dedupScope":"cell","repeatWindow":30000},
+  {"name":"unsafe","aim":20000,"deadline":30000,"credit":1,"effect":"side_effect"},
+  {"name":"safe","aim":20000,"deadline":30000,"credit":1,"effect":"pure"}],
+ "accounts":[{"name":"acme","portion":1}],
+ "localities":["a"],"skus":["m1"],"replicasOfMe":1,"rank":0,"discovery":"automatic","tick":5,
+ "report":{"fields":["outstanding","recent_ms"],"how":"off"},
+ "limits":{"maxAttempts":3,"cancel":true,"secondCopies":true,"connectTimeout":2000,"idleClose":30000},
+ "rules":{"coldFrom":0.5,"warmAfter":1000,"overloadFactor":2,"extraFloor":100,"extraWindow":1000}}`
+
+// wait bounds what a test waits for; nothing passes by it.
+const wait = 20 * time.Second
+
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(wait):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// lists is a discovery service: it answers the whole list at once and each watch with the next that is told.
+type lists struct {
+	*httptest.Server
+	calls chan string   // the queries
+	next  chan []byte   // for watches
+	whole func() []byte // nil: discovery is down
+	mu    sync.Mutex
+}
+
+func newLists(t *testing.T, whole []byte) *lists {
+	l := &lists{calls: make(chan string, 1000), next: make(chan []byte), whole: func() []byte { return whole }}
+	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.calls <- r.URL.RawQuery
+		l.mu.Lock()
+		whole := l.whole
+		l.mu.Unlock()
+		if whole == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.RawQuery == "" {
+			w.Write(whole())
+			return
+		}
+		select {
+		case text := <-l.next:
+			w.Write(text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { l.CloseClientConnections(); l.Close() })
+	return l
+}
+
+func (l *lists) set(whole func() []byte) {
+	l.mu.Lock()
+	l.whole = whole
+	l.mu.Unlock()
+}
+
+func hosts(revision int, complete bool, members ...string) []byte {
+	return fmt.Appendf(nil, `{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+func host(id, addr, phase string, cell int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"m1","cell":%d,"phase":%q,"size":1,"up_since_ms":0}`,
+		id, addr, cell, phase)
+}
+
+// running is an agent under test.
+type running struct {
+	url    string
+	stop   context.CancelFunc
+	ended  chan error
+	client *http.Client
+}
+
+func config(t *testing.T, discovery, settings string) *Config {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, discovery, settings)
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// start runs an agent and waits until it is up, which it is once it has a list that names a backend.
+func start(t *testing.T, cfg *Config) *running {
+	t.Helper()
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{url: "http://" + listener.Addr().String(), stop: stop, ended: make(chan error, 1), client: &http.Client{
+		Transport: &http.Transport{}, Timeout: wait,
+	}}
+	go func() { r.ended <- serve(ctx, cfg, listener, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		stop()
+		r.client.CloseIdleConnections()
+	})
+	for begun := time.Now(); time.Since(begun) < wait; time.Sleep(time.Millisecond) {
+		resp, err := r.client.Get(r.url + readyPath)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return r
+		}
+	}
+	t.Fatal("the agent does not come up")
+	return nil
+}
+
+// request makes a client's request of a class.
+func (r *running) request(class string, budget string) *http.Request {
+	method, body := http.MethodPost, "body of "+class
+	if class == "safe" {
+		method, body = http.MethodGet, ""
+	}
+	req, _ := http.NewRequest(method, r.url+"/"+class+"/7f%2F3a?x=1&y", strings.NewReader(body))
+	req.Header.Set(callIDHeader, "call-1")
+	req.Header.Set(classHeader, class)
+	req.Header.Set(tenantHeader, "acme")
+	req.Header.Set(budgetHeader, budget)
+	if class == "keyed" || class == "celled" {
+		req.Header.Set(keyHeader, "key-1")
+	}
+	return req
+}
+
+func (r *running) do(t *testing.T, req *http.Request) (int, string) {
+	t.Helper()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// backend is a TCP server that hands each request to a script, on whichever connection it comes.
+type backend struct {
+	addr     string
+	accepted chan net.Conn
+	got      chan *http.Request
+	ended    chan error // the agent has closed a connection
+}
+
+// play answers a request on its connection: the text is written as it is, and closes says whether the
+// connection ends then. No text and not closing is silence.
+type play func(n int, req *http.Request) (text string, closes bool)
+
+const okText = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nContent-Type: text/x-made\r\n\r\nserved"
+
+func serves(int, *http.Request) (string, bool) { return okText, false }
+
+func newBackend(t *testing.T, script play) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{
+		addr: listener.Addr().String(), accepted: make(chan net.Conn, 100), got: make(chan *http.Request, 100),
+		ended: make(chan error, 100),
+	}
+	t.Cleanup(func() { listener.Close() })
+	var mu sync.Mutex
+	n := 0
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			b.accepted <- c
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						c.Close()
+						b.ended <- err
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					req.Body = io.NopCloser(bytes.NewReader(body))
+					mu.Lock()
+					k := n
+					n++
+					mu.Unlock()
+					b.got <- req
+					text, closes := script(k, req)
+					io.WriteString(c, text)
+					if closes {
+						c.Close()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+// agentFor starts an agent that knows the backends, each in a cell of its own number.
+func agentFor(t *testing.T, settings string, backends ...*backend) *running {
+	t.Helper()
+	var members []string
+	for i, b := range backends {
+		members = append(members, host(fmt.Sprintf("s-%d", i), b.addr, "Ready", i))
+	}
+	l := newLists(t, hosts(1, true, members...))
+	return start(t, config(t, l.Listener.Addr().String(), settings))
+}
+
+func TestPassesOnUnchanged(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	req := a.request("keyed", "1500m")
+	req.Header.Set("Traceparent", "00-1-2-01")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != 200 || string(body) != "served" || resp.Header.Get("Content-Type") != "text/x-made" {
+		t.Errorf("answer %d %q %v", resp.StatusCode, body, resp.Header)
+	}
+	got := receive(t, "request", b.got)
+	sent, _ := io.ReadAll(got.Body)
+	if got.Method != "POST" || got.RequestURI != "/keyed/7f%2F3a?x=1&y" || string(sent) != "body of keyed" ||
+		got.Header.Get(callIDHeader) != "call-1" || got.Header.Get(keyHeader) != "key-1" ||
+		got.Header.Get("Traceparent") != "00-1-2-01" {
+		t.Errorf("the backend got %s %s %q %v", got.Method, got.RequestURI, sent, got.Header)
+	}
+	if left, err := parseBudget(got.Header.Get(budgetHeader)); err != nil || left > 1500*time.Millisecond {
+		t.Errorf("budget %v, error %v", left, err)
+	}
+}
+
+// Each row of the protocol's table of outcomes, first at one backend that then serves: a keyed request may go
+// again whatever happened, an unsafe one only if it cannot have run.
+func TestOutcomes(t *testing.T) {
+	rejected := "HTTP/1.1 %d No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, row := range []struct {
+		name   string
+		text   string
+		closes bool
+		ran    bool // it may have
+	}{
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false, true},
+		{"turned away with 503", fmt.Sprintf(rejected, 503), false, false},
+		{"turned away with 504", fmt.Sprintf(rejected, 504), false, false},
+		{"503 of its own", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, true},
+		{"reset", "", true, true},
+		{"broken answer", "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\nhalf", true, true},
+		{"answer without an end", "HTTP/1.1 200 OK\r\n\r\nhalf", true, true},
+		{"nonsense", "SSH-2.0-x\r\n\r\n", true, true},
+		{"endless header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10), true, true},
+		{"oversized answer", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), true, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			script := func(n int, _ *http.Request) (string, bool) {
+				if n == 0 {
+					return row.text, row.closes
+				}
+				return okText, false
+			}
+			for _, class := range []string{"keyed", "unsafe"} {
+				// The other attempt goes to the second backend, so one script serves for both.
+				both := newBackend(t, script)
+				other := newBackend(t, serves)
+				a := agentFor(t, testSettings, both, other)
+				for len(both.got) == 0 { // until the draw falls on the first
+					status, body := a.do(t, a.request(class, "15000m"))
+					again := class == "keyed" || !row.ran
+					switch {
+					case len(both.got) == 0 && status == 200:
+						<-other.got
+					case again && (status != 200 || body != "served"):
+						t.Errorf("%s: answered %d %q", class, status, body)
+					case !again && status != statusFailed:
+						t.Errorf("%s: answered %d", class, status)
+					case again && len(both.got)+len(other.got) != 2, !again && len(both.got)+len(other.got) != 1:
+						t.Errorf("%s: sent %d times", class, len(both.got)+len(other.got))
+					}
+				}
+			}
+		})
+	}
+}
+
+// A keyed request that may have run is not sent to a backend that does not know its key.
+func TestKeyedStaysInItsCell(t *testing.T) {
+	breaks := func(int, *http.Request) (string, bool) { return "", true }
+	x, y := newBackend(t, breaks), newBackend(t, breaks)
+	a := agentFor(t, testSettings, x, y)
+	a.do(t, a.request("celled", "15000m"))
+	if len(x.got) > 0 && len(y.got) > 0 {
+		t.Error("sent to both cells")
+	}
+}
+
+func TestConnectFailed(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	gone := &backend{addr: closed.Addr().String()}
+	a := agentFor(t, testSettings, gone)
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != statusRefused {
+		t.Errorf("answered %d: what never ran can be refused", status)
+	}
+}
+
+func TestTimeout(t *testing.T) {
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	status, _ := a.do(t, a.request("unsafe", "150m"))
+	if status != statusFailed {
+		t.Errorf("answered %d: it may have run", status)
+	}
+	receive(t, "close of the connection", b.ended)
+	if len(b.got) != 1 {
+		t.Errorf("sent %d times", len(b.got))
+	}
+}
+
+// A client that hangs up cancels its attempts, which closes their connections.
+func TestHangup(t *testing.T) {
+	released := make(chan struct{})
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	ctx, hangUp := context.WithCancel(context.Background())
+	go func() {
+		defer close(released)
+		if resp, err := a.client.Do(a.request("unsafe", "15000m").WithContext(ctx)); err == nil {
+			resp.Body.Close()
+			t.Errorf("answered %s", resp.Status)
+		}
+	}()
+	receive(t, "request", b.got)
+	hangUp()
+	receive(t, "hangup", released)
+	receive(t, "close of the connection", b.ended)
+}
+
+// An idle connection that the backend has closed is not written to: it would end as a reset, which an unsafe
+// request does not survive.
+func TestStaleConnection(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	for i := range 3 {
+		status, _ := a.do(t, a.request("unsafe", "15000m"))
+		if status != 200 {
+			t.Fatalf("request %d: answered %d", i, status)
+		}
+		receive(t, "connection", b.accepted).Close()
+	}
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	for range 5 {
+		a.do(t, a.request("unsafe", "15000m"))
+	}
+	if n := len(b.accepted); n != 1 {
+		t.Errorf("%d connections for one request at a time", n)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	for what, change := range map[string]func(*http.Request){
+		"class":    func(r *http.Request) { r.Header.Set(classHeader, "nobody") },
+		"path":     func(r *http.Request) { r.URL.Path = "/safe/1"; r.URL.RawPath = "" },
+		"tenant":   func(r *http.Request) { r.Header.Set(tenantHeader, "nobody") },
+		"budget":   func(r *http.Request) { r.Header.Set(budgetHeader, "480") },
+		"NaN":      func(r *http.Request) { r.Header.Set(budgetHeader, "NaNm") },
+		"infinite": func(r *http.Request) { r.Header.Set(budgetHeader, "Infm") },
+		"negative": func(r *http.Request) { r.Header.Set(budgetHeader, "-3m") },
+		"id":       func(r *http.Request) { r.Header.Del(callIDHeader) },
+		"long id":  func(r *http.Request) { r.Header.Set(callIDHeader, strings.Repeat("x", maxCallID+1)) },
+		"key":      func(r *http.Request) { r.Header.Del(keyHeader) },
+		"method":   func(r *http.Request) { r.Method = http.MethodPut },
+		"body": func(r *http.Request) {
+			r.Body = io.NopCloser(bytes.NewReader(make([]byte, maxBody+1)))
+			r.ContentLength = maxBody + 1
+		},
+	} {
+		req := a.request("keyed", "15000m")
+		change(req)
+		if status, _ := a.do(t, req); status < 400 || status >= 500 {
+			t.Errorf("%s: answered %d", what, status)
+		}
+	}
+	if len(b.got) > 0 {
+		t.Errorf("%d reached the backend", len(b.got))
+	}
+}
+
+// A backend that drains gets nothing new once a watch has told so, and its list is followed without a gap.
+func TestDrain(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	l := newLists(t, hosts(1, true, host("x", x.addr, "Ready", 0), host("y", y.addr, "Ready", 0)))
+	a := start(t, config(t, l.Listener.Addr().String(), testSettings))
+	if q := receive(t, "first call", l.calls); q != "" {
+		t.Errorf("the first call asks %q", q)
+	}
+	if q := receive(t, "watch", l.calls); !strings.HasPrefix(q, "after=1&wait_ms=") {
+		t.Errorf("the second call asks %q", q)
+	}
+	l.next <- hosts(2, false, host("x", x.addr, "Terminating", 0))
+	if q := receive(t, "watch", l.calls); !strings.HasPrefix(q, "after=2&") {
+		t.Errorf("the third call asks %q", q)
+	}
+	for range 40 {
+		if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if len(x.got) > 0 || len(y.got) != 40 {
+		t.Errorf("%d sent to the draining one, %d to the other", len(x.got), len(y.got))
+	}
+}
+
+// Without discovery, and with lists that cannot be read, the agent goes on with what it has; then it asks for
+// the whole list.
+func TestDiscoveryLoss(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	l := newLists(t, hosts(1, true, host("x", x.addr, "Ready", 0)))
+	a := start(t, config(t, l.Listener.Addr().String(), testSettings))
+	receive(t, "first call", l.calls)
+	for i, text := range []string{"no list", `{"revision":7,"complete":true,"members":[{"id":"x","phase":"Odd"}]}`, `{"complete":true}`} {
+		receive(t, "watch", l.calls)
+		if i == 2 {
+			l.set(nil)
+		}
+		l.next <- []byte(text)
+		if q := receive(t, "call", l.calls); q != "" {
+			t.Errorf("after %s: asked %q", text, q)
+		}
+	}
+	receive(t, "call again", l.calls)
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+		t.Errorf("without discovery: answered %d", status)
+	}
+	l.set(func() []byte { return hosts(9, true, host("y", y.addr, "Ready", 0)) })
+	for {
+		if q := receive(t, "call", l.calls); strings.HasPrefix(q, "after=9&") {
+			break
+		}
+	}
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 || len(y.got) != 1 {
+		t.Errorf("with discovery back: answered %d, %d at the new backend", status, len(y.got))
+	}
+}
+
+// An agent that is to stop answers what it has taken and what still comes, closes its connections behind the
+// answers, and ends well.
+func TestStop(t *testing.T) {
+	goOn := make(chan struct{})
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a := agentFor(t, testSettings, b)
+	answers := make(chan *http.Response, 2)
+	ask := func() {
+		resp, err := (&http.Client{Transport: &http.Transport{}}).Do(a.request("unsafe", "15000m"))
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- resp
+	}
+	go ask()
+	receive(t, "request", b.got)
+	a.stop()
+	go ask() // the listener is still open
+	receive(t, "request after the signal", b.got)
+	close(goOn)
+	for range 2 {
+		resp := receive(t, "answer", answers)
+		if resp == nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("answered %v", resp)
+		}
+	}
+	if err := receive(t, "end", a.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	b := newBackend(t, func(_ int, r *http.Request) (string, bool) {
+		if r.URL.Path != loadPath {
+			return "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", false
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=7,recent_ms=12", false
+	})
+	cfg := config(t, "127.0.0.1:1", strings.Replace(testSettings, `"off"`, `"on_probe"`, 1))
+	r := newPool(&cfg.Settings, 4).probe(context.Background(), b.addr, &cfg.Settings)
+	if r.outcome != grebefork.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
+		t.Errorf("got %+v", r)
+	}
+}
+
+func TestBadReportsAreAbsent(t *testing.T) {
+	for _, text := range []string{"", "=", "outstanding", "outstanding=x", "outstanding=NaN", "outstanding=-1", "other=3", ",,,"} {
+		if l := parseLoad(text, []string{"outstanding"}); l.Known {
+			t.Errorf("%q is taken for %+v", text, l)
+		}
+	}
+}
+
+func TestServerIDsStayApart(t *testing.T) {
+	ids := serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}}
+	x, y := ids.of("costarring"), ids.of("liquid") // one hash
+	if x+1 != y || ids.of("costarring") != x {
+		t.Errorf("got %d and %d", x, y)
+	}
+	if ids.free(x); ids.of("liquid") != y {
+		t.Error("the second name's number has changed with the first gone")
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	good := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, testSettings)
+	if _, err := parseConfig([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ field, old, new string }{
+		{"listen", `"127.0.0.1:0"`, `"here"`},
+		{"discovery", `"127.0.0.1:1"`, `""`},
+		{"seed", `"1f"`, `"xyz"`},
+		{"limits.cores", `"cores":1`, `"cores":0`},
+		{"limits.memory_mb", `:192`, `:1`},
+		{"limits.sockets", `:1024`, `:10`},
+		{"known", `"revision":1,`, ``},
+		{"limits.connectTimeout", `"connectTimeout":2000`, `"connectTimeout":0`},
+		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":0`},
+		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
+		{"report.how", `"off"`, `"odd"`},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		_, err := parseConfig([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", c.field, err)
+		}
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -65,9 +65,6 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == readyPath {
 		if !s.loop.ready.Load() {
 			http.Error(w, "no list of backends yet", http.StatusServiceUnavailable)
@@ -76,14 +73,14 @@
 	}
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.most {
-		respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
+		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
 		return
 	}
 	c, err := s.read(w, r)
 	var b *badRequest
 	switch {
 	case errors.As(err, &b):
-		http.Error(w, b.what, b.status)
+		s.respond(w, answer{status: b.status, contentType: "text/plain", body: []byte(b.what + "\n")})
 		return
 	case err != nil: // the client is gone, or too slow
 		panic(http.ErrAbortHandler)
@@ -91,15 +88,19 @@
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
-		respond(w, a)
+		s.respond(w, a)
 	case <-r.Context().Done():
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
 	}
 }
 
-// respond writes an answer.
-func respond(w http.ResponseWriter, a answer) {
+// respond writes an answer. Whether the connection is to close is asked only now: a request that was taken before
+// the agent was told to stop must not leave a connection on which the next one crosses the close.
+func (s *server) respond(w http.ResponseWriter, a answer) {
 	h := w.Header()
+	if s.leaving.Load() {
+		h.Set("Connection", "close")
+	}
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
