--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -50,7 +50,7 @@
 	*httptest.Server
 	calls chan string   // the queries
 	next  chan []byte   // for watches
-	whole func() []byte // nil: discovery is down
+	whole func() []byte // returns nil while discovery is down
 	mu    sync.Mutex
 }
 
@@ -59,14 +59,14 @@
 	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		l.calls <- r.URL.RawQuery
 		l.mu.Lock()
-		whole := l.whole
+		whole := l.whole()
 		l.mu.Unlock()
 		if whole == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		if r.URL.RawQuery == "" {
-			w.Write(whole())
+			w.Write(whole)
 			return
 		}
 		select {
@@ -477,7 +477,7 @@
 	for i, text := range []string{"no list", `{"revision":7,"complete":true,"members":[{"id":"x","phase":"Odd"}]}`, `{"complete":true}`} {
 		receive(t, "watch", l.calls)
 		if i == 2 {
-			l.set(nil)
+			l.set(func() []byte { return nil })
 		}
 		l.next <- []byte(text)
 		if q := receive(t, "call", l.calls); q != "" {
@@ -650,3 +650,125 @@
 		t.Errorf("answered %s with Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
 	}
 }
+
+// What may be closed by the backend before a request has crossed is not used, and is swept away; ActClose closes
+// what is idle.
+func TestIdleConnectionsEnd(t *testing.T) {
+	b := newBackend(t, serves)
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	p := newPool(&cfg.Settings, 4)
+	m := &message{method: "GET", uri: "/", host: "x", header: http.Header{}}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	for i, end := range []func(c *conn){
+		func(c *conn) { // no sweep has come
+			c.since = c.since.Add(-p.idleClose + idleMargin/2)
+		},
+		func(c *conn) {
+			c.since = c.since.Add(-p.idleClose + idleMargin/2)
+			p.sweep()
+			receive(t, "close by the sweep", b.ended)
+		},
+		func(*conn) {
+			p.closeIdle(b.addr)
+			receive(t, "close of the idle connection", b.ended)
+		},
+		func(*conn) {},
+	} {
+		if r := p.exchange(ctx, b.addr, m, time.Time{}, nil); r.outcome != grebefork.OK {
+			t.Fatalf("exchange %d: outcome %d", i, r.outcome)
+		}
+		if n := len(b.accepted); n != i+1 {
+			t.Errorf("exchange %d: %d connections", i, n)
+		}
+		end(p.idle[b.addr][0])
+	}
+	if p.open != 1 {
+		t.Errorf("%d connections are counted as open", p.open)
+	}
+}
+
+// A request that waits for a connection when its client gives up never ran, and one that is cancelled is told so.
+func TestConnectionThatNeverComesUp(t *testing.T) {
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	p := newPool(&cfg.Settings, 4)
+	m := &message{method: "GET", uri: "/", host: "x", header: http.Header{}}
+	over, cancel := context.WithDeadline(context.Background(), time.Now())
+	defer cancel()
+	if r := p.exchange(over, "127.0.0.1:1", m, time.Time{}, nil); r.outcome != grebefork.ConnectFailed {
+		t.Errorf("out of time: outcome %d", r.outcome)
+	}
+	given, giveUp := context.WithCancel(context.Background())
+	giveUp()
+	if r := p.exchange(given, "127.0.0.1:1", m, time.Time{}, nil); r.outcome != grebefork.Cancelled {
+		t.Errorf("given up: outcome %d", r.outcome)
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections are counted as open", p.open)
+	}
+}
+
+// Changes that do not follow the list held, as after a restart of discovery, lead to the whole list; so does a
+// discovery that is silent when a watch is over.
+func TestDiscoveryGapAndSilence(t *testing.T) {
+	b := newBackend(t, serves)
+	l := newLists(t, hosts(8, true, host("x", b.addr, "Ready", 0)))
+	start(t, config(t, l.Listener.Addr().String(), testSettings))
+	receive(t, "first call", l.calls)
+	receive(t, "watch", l.calls)
+	l.next <- hosts(3, false)
+	if q := receive(t, "call after the gap", l.calls); q != "" {
+		t.Errorf("after a gap: asked %q", q)
+	}
+	for range 2 { // the watch that gets no answer, and the one after it
+		if q := receive(t, "watch", l.calls); !strings.HasPrefix(q, "after=8&") {
+			t.Errorf("asked %q", q)
+		}
+	}
+}
+
+// Where the list must be asked for, the module hears of a failure and decides when to ask again.
+func TestAskedDiscovery(t *testing.T) {
+	b := newBackend(t, serves)
+	set := strings.Replace(testSettings, `"automatic"`, `"subscribe"`, 1)
+	set = strings.Replace(set, `"extraFloor"`, `"mustAskIn":50,"extraFloor"`, 1)
+	l := newLists(t, hosts(1, true, host("x", b.addr, "Ready", 0)))
+	whole, calls := l.whole(), 0
+	l.set(func() []byte {
+		if calls++; calls <= 2 {
+			return nil
+		}
+		return whole
+	})
+	a := start(t, config(t, l.Listener.Addr().String(), set)) // which returns when the list has come
+	if n := len(l.calls); n < 3 {
+		t.Errorf("up after %d calls, of which two failed", n)
+	}
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+}
+
+// A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
+func TestLateOutcomeIsDropped(t *testing.T) {
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
+		members: []member{{ID: "x", HostPort: "127.0.0.1:1", Phase: "Ready"}}})
+	c := &call{class: 2, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: message{header: http.Header{}}}
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	if len(l.requests) != 1 || l.requests[c.id].out != 1 {
+		t.Fatalf("after the request: %+v", l.requests)
+	}
+	hangup := input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c}
+	l.take(ctx, hangup)
+	l.take(ctx, input{answer: answer{status: 200}, event: grebefork.Event{Kind: grebefork.EventOutcome, Request: c.id}})
+	l.take(ctx, hangup)
+	if len(c.answered) != 0 || len(l.requests) != 0 {
+		t.Errorf("%d answers, %d requests left", len(c.answered), len(l.requests))
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -98,7 +98,13 @@
 func newDiscovery(addr string, ask bool, tell func(grebefork.ListMode, []member), log *slog.Logger) *discovery {
 	return &discovery{
 		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, log: log,
-		client: http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}},
+		client: http.Client{
+			Transport: &http.Transport{
+				MaxConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
+			},
+			// Discovery is at the address that the platform gives and nowhere else.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -243,14 +243,13 @@
 // handle hands an event to the module and carries out what it answers, and so on with the events that come of it.
 func (l *loop) handle(ctx context.Context, ev grebefork.Event) {
 	l.events = append(l.events, ev)
-	for len(l.events) > 0 {
-		ev := l.events[0]
-		l.events = l.events[1:]
-		l.actions = l.balancer.Handle(l.clock.now(), ev, l.actions[:0])
-		for i := range l.actions {
-			l.act(ctx, &l.actions[i])
+	for i := 0; i < len(l.events); i++ { // act may add to them
+		l.actions = l.balancer.Handle(l.clock.now(), l.events[i], l.actions[:0])
+		for j := range l.actions {
+			l.act(ctx, &l.actions[j])
 		}
 	}
+	l.events = l.events[:0]
 }
 
 // act carries out one action.
