--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -749,6 +749,59 @@
 	}
 }
 
+// The connection that was used last is the least likely to be closed by the backend.
+func TestNewestConnectionFirst(t *testing.T) {
+	p := newPool(&config(t, "127.0.0.1:1", testSettings).Settings, 4)
+	older, newer := &conn{addr: "x"}, &conn{addr: "x"}
+	p.put(older)
+	p.put(newer)
+	if p.takeIdle("x") != newer || p.takeIdle("x") != older || p.takeIdle("x") != nil {
+		t.Error("not the one used last first")
+	}
+}
+
+// The loop carries out ActClose, keeps a repeat from being sent too late, and forgets backends that are gone.
+func TestLoopCarriesOut(t *testing.T) {
+	b := newBackend(t, serves)
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	list := func(mode grebefork.ListMode, phase string) {
+		l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode},
+			members: []member{{ID: "x", HostPort: b.addr, Phase: phase}}})
+	}
+	list(grebefork.ListFull, "Ready")
+	x := l.servers.of("x")
+	r := &request{call: &call{id: 7, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: message{
+		method: "POST", uri: "/keyed/1", host: "x", header: http.Header{},
+	}}}
+	l.requests[r.id] = r
+	send := grebefork.Action{Kind: grebefork.ActSend, Request: r.id, Server: x, Wait: wait}
+	l.act(ctx, &send)
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.OK {
+		t.Fatalf("outcome %d", in.event.Outcome)
+	}
+	send.Within = 1 // a nanosecond, which is over before a connection can be had
+	l.act(ctx, &send)
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.ConnectFailed {
+		t.Errorf("sent too late: outcome %d", in.event.Outcome)
+	}
+	l.act(ctx, &grebefork.Action{Kind: grebefork.ActClose, Server: x})
+	receive(t, "close of the idle connection", b.ended)
+	list(grebefork.ListDelta, "Gone")
+	if len(l.addrs) > 0 || len(l.servers.ids) > 0 || len(l.servers.names) > 0 {
+		t.Errorf("still known: %v %v", l.addrs, l.servers)
+	}
+	send.Within = 0
+	l.act(ctx, &send)
+	if n := len(l.events); n != 1 || l.events[0].Outcome != grebefork.Moot {
+		t.Errorf("to a backend that is gone: %+v", l.events)
+	}
+}
+
 // A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
 func TestLateOutcomeIsDropped(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
