A client that has gone is never answered 200

Cause, by reading and then a loopback test: on a hangup the handler returned without a word, for which net/http writes an empty 200. A client that closed only its own side read it as served with what no backend made. The handler now aborts the connection. TestHalfCloseIsNotServed fails without that. A body that cannot be read is answered 400.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -386,6 +386,26 @@
 	receive(t, "close of the connection", b.ended)
 }
 
+// A client that closes its own side only has gone as well, and must not be told that it was served.
+func TestHalfCloseIsNotServed(t *testing.T) {
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := a.request("unsafe", "15000m").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "request", b.got)
+	c.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(wait))
+	if text, _ := io.ReadAll(c); len(text) > 0 {
+		t.Errorf("answered %q", text)
+	}
+}
+
 // An idle connection that the backend has closed is not written to: it would end as a reset, which an unsafe
 // request does not survive.
 func TestStaleConnection(t *testing.T) {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -82,7 +82,7 @@
 	case errors.As(err, &b):
 		s.respond(w, answer{status: b.status, contentType: "text/plain", body: []byte(b.what + "\n")})
 		return
-	case err != nil: // the client is gone, or too slow
+	case err != nil: // the connection is gone
 		panic(http.ErrAbortHandler)
 	}
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
@@ -91,6 +91,9 @@
 		s.respond(w, a)
 	case <-r.Context().Done():
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
+		// Danger: a handler that returns without a word answers 200, and a client that has closed only its own
+		// side would take that for what a backend made.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -127,7 +130,7 @@
 	case errors.As(err, &tooLarge):
 		return nil, &badRequest{http.StatusRequestEntityTooLarge, err.Error()}
 	case err != nil:
-		return nil, err
+		return nil, bad("the body cannot be read: %v", err)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return nil, err
