Clients' connections make room for one another; ambiguous requests are turned away

LimitListener (agent.go) accepted no more once half of the sockets were held, and idle clients stayed for 10 minutes.

Now an accepted connection takes the place of the one that has been without a whole request longest; requests must be sent within 2.5 s and connections without one close after as long.

Any Transfer-Encoding now gets 411 and a close; headers of the protocol that stand there twice, or that Connection names, get 400; large bodies 413 before they are read; each 4xx closes its connection.

--- /dev/null
+++ b/internal/agent/admission.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// admission holds the connections of clients. There is room for so many; when it is short, the one that has been
+// without a request longest goes. Danger: a listener that merely stops accepting lets clients that keep silent
+// connections shut out all others.
+type admission struct {
+	*net.TCPListener
+	most int
+
+	mu     sync.Mutex
+	open   int
+	silent list.List // of *clientConn: those without a request, the longest first
+}
+
+// clientConn is one of them. Its fields are guarded by the admission's mutex.
+type clientConn struct {
+	*net.TCPConn
+	place  *list.Element // among the silent; nil while a request is open
+	closed bool          // to make room, or by its server
+}
+
+// Accept returns the next connection, for which there is room. Serve calls it from one goroutine.
+func (a *admission) Accept() (net.Conn, error) {
+	for {
+		tcp, err := a.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &clientConn{TCPConn: tcp}
+		if a.admit(c) {
+			return c, nil
+		}
+		tcp.Close() // requests are open on all others
+	}
+}
+
+func (a *admission) admit(c *clientConn) bool {
+	a.mu.Lock()
+	var victim *clientConn
+	if a.open >= a.most {
+		if a.silent.Len() == 0 {
+			a.mu.Unlock()
+			return false
+		}
+		victim = a.silent.Front().Value.(*clientConn)
+		a.release(victim)
+	}
+	a.open++
+	c.place = a.silent.PushBack(c)
+	a.mu.Unlock()
+	if victim != nil {
+		victim.Close()
+	}
+	return true
+}
+
+// release takes a connection out of the count. The mutex is held.
+func (a *admission) release(c *clientConn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	a.open--
+	if c.place != nil {
+		a.silent.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// take notes that a whole request has come on a connection, which is closed to make room no more. It is false if
+// the connection has been: what nobody can be told of must not be sent on.
+func (a *admission) take(c *clientConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.place != nil {
+		a.silent.Remove(c.place)
+		c.place = nil
+	}
+	return !c.closed
+}
+
+// noteState follows what net/http makes of a connection.
+func (a *admission) noteState(conn net.Conn, state http.ConnState) {
+	c := conn.(*clientConn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		if c.place != nil {
+			a.silent.MoveToBack(c.place)
+		} else if !c.closed {
+			c.place = a.silent.PushBack(c)
+		}
+	case http.StateClosed:
+		a.release(c)
+	}
+}
+
+// connKey is the context's key of a request's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(r *http.Request) *clientConn { return r.Context().Value(connKey{}).(*clientConn) }
--- /dev/null
+++ b/internal/agent/admission_test.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dial opens a client's connection to an agent.
+func (r *running) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(wait))
+	return c
+}
+
+// talk writes what a client sends as it is, and returns all that comes back until the agent closes.
+func (r *running) talk(t *testing.T, text string) string {
+	t.Helper()
+	c := r.dial(t)
+	go io.WriteString(c, text)
+	got, err := io.ReadAll(c)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Errorf("the connection stays open after %.60q", text)
+	}
+	return string(got)
+}
+
+// Clients that keep connections without a request do not shut out others, and a request that is open is not
+// disturbed by them.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	goOn := make(chan struct{})
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a := agentFor(t, testSettings, b)
+	first := make(chan int, 1)
+	go func() {
+		status, _ := a.do(t, a.request("unsafe", "15000m"))
+		first <- status
+	}()
+	receive(t, "request", b.got)
+	silent := make([]net.Conn, 1024)
+	for i := range silent {
+		silent[i] = a.dial(t)
+	}
+	silent[0].Read(make([]byte, 1)) // returns when it has been closed to make room
+	second := make(chan int, 1)
+	go func() {
+		req := a.request("unsafe", "15000m")
+		req.Header.Set(callIDHeader, "call-2")
+		resp, err := (&http.Client{Transport: &http.Transport{}}).Do(req)
+		if err != nil {
+			t.Error(err)
+			second <- 0
+			return
+		}
+		resp.Body.Close()
+		second <- resp.StatusCode
+	}()
+	receive(t, "request of a newcomer", b.got)
+	close(goOn)
+	for _, answered := range []chan int{first, second} {
+		if status := receive(t, "answer", answered); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+	}
+}
+
+// What has been closed to make room is not sent on, though its request has been read meanwhile.
+func TestTakeAfterMakingRoom(t *testing.T) {
+	listener, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	a := &admission{TCPListener: listener, most: 1}
+	accept := func() *clientConn {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		conn, err := a.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn.(*clientConn)
+	}
+	x := accept()
+	y := accept()
+	if a.take(x) || !a.take(y) {
+		t.Error("the longest silent has not made room for the newcomer")
+	}
+	if z := (&clientConn{}); a.admit(z) {
+		t.Error("a connection with an open request made room")
+	}
+	a.noteState(x, http.StateClosed)
+	a.noteState(y, http.StateIdle)
+	a.noteState(y, http.StateClosed)
+	if a.open != 0 || a.silent.Len() != 0 {
+		t.Errorf("%d open and %d silent are counted", a.open, a.silent.Len())
+	}
+}
+
+// Clients that say nothing, or never end what they say, are closed; so are those with nothing more to say.
+func TestSlowClientsAreClosed(t *testing.T) {
+	a := agentFor(t, testSettings, newBackend(t, serves))
+	whole := "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\nX-Budget: 9000m\r\n"
+	for what, c := range map[string]struct{ text, answer string }{
+		"silence":     {"", ""},
+		"half a head": {"POST /unsafe/1 HT", "HTTP/1.1 400 "},
+		"half a body": {whole + "Content-Length: 10\r\n\r\nhalf", "HTTP/1.1 408 "},
+		"idle":        {whole + "Content-Length: 4\r\n\r\nbody", "HTTP/1.1 200 "},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			if got := a.talk(t, c.text); !strings.HasPrefix(got, c.answer) || c.answer == "" && got != "" {
+				t.Errorf("answered %q", got)
+			}
+		})
+	}
+}
+
+// A body that says where it ends in two ways can hide a second request, and headers that stand there twice mean
+// two things: neither goes on to a backend.
+func TestAmbiguousRequests(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	head := func(extra string) string {
+		return "POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\nX-Budget: 9000m\r\n" + extra + "\r\n"
+	}
+	hidden := head("Content-Length: 0\r\n")
+	for what, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"both framings": {head(fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", 5+len(hidden))) + "0\r\n\r\n" + hidden, 411},
+		"chunks":        {head("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n", 411},
+		"two ids":       {head("X-Call-Id: d\r\nContent-Length: 0\r\n") + hidden, 400},
+		"two budgets":   {head("X-Budget: 3m\r\nContent-Length: 0\r\n") + hidden, 400},
+		"id for a hop":  {head("Connection: x-call-id\r\nContent-Length: 0\r\n") + hidden, 400},
+		"large body":    {head("Content-Length: 60000000\r\n"), 413},
+		"negative body": {head("Content-Length: -1\r\n") + hidden, 400},
+		"huge body":     {head("Content-Length: 99999999999999999999\r\n") + hidden, 400},
+		"endless head":  {"POST /unsafe/1 HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), 431},
+		"unreadable":    {"\x00\x01\x02\r\n\r\n" + hidden, 400},
+	} {
+		got := a.talk(t, c.text)
+		if !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", c.status)) || strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%s: answered %q", what, got)
+		}
+	}
+	if n := len(b.got); n != 0 {
+		t.Errorf("%d requests went on", n)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,15 +12,17 @@
 	"time"
 
 	"example.org/grebefork"
-	"golang.org/x/net/netutil"
 )
 
 const (
 	// reservedSockets is for the descriptors that are neither clients' nor backends': the standard streams, the
 	// listener, the runtime's poller, discovery, and connections that are just being closed.
 	reservedSockets = 32
-	headerTimeout   = 30 * time.Second
-	idleClients     = 10 * time.Minute
+	// requestTimeout is how long a client may take to send a request, from its first byte, or from when it connected.
+	requestTimeout = 2500 * time.Millisecond
+	// idleClients is how long a client's connection may be without a request. Danger: clients that ask once and keep
+	// their connection would use up the sockets.
+	idleClients = 2500 * time.Millisecond
 	// leaveAfter is how long an agent that is to stop goes on accepting: its client goes on connecting.
 	leaveAfter = 550 * time.Millisecond
 	leaveSlack = 100 * time.Millisecond
@@ -28,14 +30,22 @@
 
 // Run serves until the context ends, then finishes what it has taken and returns nil.
 func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
 	return serve(ctx, cfg, listener, log)
 }
 
-func serve(ctx context.Context, cfg *Config, listener net.Listener, log *slog.Logger) error {
+func listen(addr string) (*net.TCPListener, error) {
+	at, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", at)
+}
+
+func serve(ctx context.Context, cfg *Config, listener *net.TCPListener, log *slog.Logger) error {
 	// Clients and backends get half of the sockets each: a client's request takes one of both.
 	half := (cfg.Sockets - reservedSockets) / 2
 	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half), log)
@@ -54,13 +64,15 @@
 	tell(grebefork.ListCached, cfg.known.Members)
 	go d.run(work)
 
-	handler := &server{loop: l, most: int64(half - half/8)}
+	clients := &admission{TCPListener: listener, most: half}
+	handler := &server{loop: l, clients: clients, most: int64(half - half/8)}
 	srv := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
+		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
+		ConnContext: withConn, ConnState: clients.noteState,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(netutil.LimitListener(listener, half)) }()
+	go func() { failed <- srv.Serve(clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -117,7 +117,7 @@
 // start runs an agent and waits until it is up, which it is once it has a list that names a backend.
 func start(t *testing.T, cfg *Config) *running {
 	t.Helper()
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -27,7 +27,7 @@
 	Sockets   int
 	Settings  settings.Settings
 
-	known list
+	known memberList
 }
 
 // LoadConfig reads and checks the configuration file. Its errors name the field that cannot be used.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -44,8 +44,8 @@
 	UpSince  float64 `json:"up_since_ms"` // Unix time, milliseconds
 }
 
-// list is an answer of discovery.
-type list struct {
+// memberList is an answer of discovery.
+type memberList struct {
 	Revision *uint64
 	Complete bool
 	Members  []member
@@ -56,27 +56,27 @@
 }
 
 // parseList takes a list whole or not at all: half of one would take backends for gone that are not.
-func parseList(text []byte) (list, error) {
-	var l list
+func parseList(text []byte) (memberList, error) {
+	var l memberList
 	if err := json.Unmarshal(text, &l); err != nil {
-		return list{}, fmt.Errorf("%w: %w", errBadList, err)
+		return memberList{}, fmt.Errorf("%w: %w", errBadList, err)
 	}
 	if l.Revision == nil {
-		return list{}, fmt.Errorf("%w: no revision", errBadList)
+		return memberList{}, fmt.Errorf("%w: no revision", errBadList)
 	}
 	seen := make(map[string]bool, len(l.Members))
 	for i, m := range l.Members {
 		state, known := phases[m.Phase]
 		switch {
 		case m.ID == "" || len(m.ID) > maxServerID || seen[m.ID]:
-			return list{}, fmt.Errorf("%w: members[%d].id %.40q", errBadList, i, m.ID)
+			return memberList{}, fmt.Errorf("%w: members[%d].id %.40q", errBadList, i, m.ID)
 		case !known:
-			return list{}, fmt.Errorf("%w: members[%d].phase %.40q", errBadList, i, m.Phase)
+			return memberList{}, fmt.Errorf("%w: members[%d].phase %.40q", errBadList, i, m.Phase)
 		case !(m.UpSince >= 0 && m.UpSince < 9e12): // what a time.Duration can hold
-			return list{}, fmt.Errorf("%w: members[%d].up_since_ms %v", errBadList, i, m.UpSince)
+			return memberList{}, fmt.Errorf("%w: members[%d].up_since_ms %v", errBadList, i, m.UpSince)
 		}
 		if _, err := netip.ParseAddrPort(m.HostPort); err != nil && state != grebefork.Gone {
-			return list{}, fmt.Errorf("%w: members[%d].host_port: %w", errBadList, i, err)
+			return memberList{}, fmt.Errorf("%w: members[%d].host_port: %w", errBadList, i, err)
 		}
 		seen[m.ID] = true
 	}
@@ -176,7 +176,7 @@
 }
 
 // get makes one call: for the whole list if no revision is held, else a watch.
-func (d *discovery) get(ctx context.Context, wait time.Duration) (list, error) {
+func (d *discovery) get(ctx context.Context, wait time.Duration) (memberList, error) {
 	url, timeout := "http://"+d.addr+listPath, listTimeout
 	if d.ask {
 		timeout = askWatch // calls are worked through in turn
@@ -189,23 +189,23 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list{}, err
+		return memberList{}, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list{}, err
+		return memberList{}, err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	switch {
 	case err != nil:
-		return list{}, fmt.Errorf("reading the list: %w", err)
+		return memberList{}, fmt.Errorf("reading the list: %w", err)
 	case resp.StatusCode >= 400 && resp.StatusCode < 500: // as for a revision that it does not know
-		return list{}, fmt.Errorf("%w: status %s", errBadList, resp.Status)
+		return memberList{}, fmt.Errorf("%w: status %s", errBadList, resp.Status)
 	case resp.StatusCode != http.StatusOK:
-		return list{}, fmt.Errorf("the list: status %s", resp.Status)
+		return memberList{}, fmt.Errorf("the list: status %s", resp.Status)
 	case len(text) > maxList:
-		return list{}, fmt.Errorf("%w: over %d bytes", errBadList, maxList)
+		return memberList{}, fmt.Errorf("%w: over %d bytes", errBadList, maxList)
 	}
 	return parseList(text)
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -33,10 +33,9 @@
 	statusRefused = http.StatusServiceUnavailable
 	statusFailed  = http.StatusBadGateway
 
-	maxBudget   = time.Hour
-	maxCallID   = 256              // bytes
-	bodyTimeout = 10 * time.Second // for a client to send a request, once begun
-	fullAdvice  = time.Second      // when to come back to an agent that holds all the requests it can
+	maxBudget  = time.Hour
+	maxCallID  = 256         // bytes
+	fullAdvice = time.Second // when to come back to an agent that holds all the requests it can
 )
 
 // hopHeaders concern one connection only and are not passed on.
@@ -45,8 +44,9 @@
 
 // server is the client's side: it turns requests into calls for the loop, and its answers into responses.
 type server struct {
-	loop *loop
-	most int64 // requests held at once
+	loop    *loop
+	clients *admission
+	most    int64 // requests held at once
 
 	held    atomic.Int64
 	leaving atomic.Bool // connections are closed after their answers
@@ -71,20 +71,22 @@
 		}
 		return
 	}
-	defer s.held.Add(-1)
-	if s.held.Add(1) > s.most {
-		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
-		return
-	}
 	c, err := s.read(w, r)
 	var b *badRequest
 	switch {
 	case errors.As(err, &b):
+		// What else the client sends on this connection is not to be trusted either.
+		w.Header().Set("Connection", "close")
 		s.respond(w, answer{status: b.status, contentType: "text/plain", body: []byte(b.what + "\n")})
 		return
-	case err != nil: // the connection is gone
+	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
 		panic(http.ErrAbortHandler)
 	}
+	defer s.held.Add(-1)
+	if s.held.Add(1) > s.most {
+		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
+		return
+	}
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
@@ -116,31 +118,37 @@
 	w.Write(a.body) // a client that does not take it is gone
 }
 
-// read reads a request to its last byte, from which its budget counts, and checks it.
+// onceHeaders say what a request is; two of one would leave open which counts.
+var onceHeaders = []string{callIDHeader, classHeader, tenantHeader, budgetHeader, retryHeader, keyHeader}
+
+// read checks a request's head, and then reads it to its last byte, from which its budget counts.
 func (s *server) read(w http.ResponseWriter, r *http.Request) (*call, error) {
 	set := s.loop.set
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	arrived := s.loop.clock.now()
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, err.Error()}
-	case err != nil:
-		return nil, bad("the body cannot be read: %v", err)
+	case len(r.TransferEncoding) > 0:
+		// Danger: net/http drops the length that stands beside it, and one of both hides a request in the body
+		// from whoever goes by the other. Clients of the protocol send lengths.
+		return nil, &badRequest{http.StatusLengthRequired, "Transfer-Encoding is not accepted"}
+	case r.ContentLength > maxBody:
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of over %d bytes", maxBody)}
+	}
+	// What concerns this connection only goes before anything is checked: it may name what is needed.
+	for _, name := range r.Header["Connection"] {
+		for field := range strings.SplitSeq(name, ",") {
+			r.Header.Del(textproto.TrimString(field))
+		}
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, err
+	for _, name := range hopHeaders {
+		r.Header.Del(name)
+	}
+	for _, name := range onceHeaders {
+		if len(r.Header[name]) > 1 {
+			return nil, bad("%s stands there twice", name)
+		}
 	}
 	c := &call{
-		class: slices.Index(set.Classes, r.Header.Get(classHeader)),
-		retry: r.Header.Get(retryHeader) == "1",
-		message: message{
-			method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body,
-		},
+		class:    slices.Index(set.Classes, r.Header.Get(classHeader)),
+		retry:    r.Header.Get(retryHeader) == "1",
 		answered: make(chan answer, 1),
 	}
 	if c.class < 0 {
@@ -162,18 +170,19 @@
 	if err != nil {
 		return nil, err
 	}
-	c.deadline = arrived + budget
 	if id := r.Header.Get(callIDHeader); id == "" || len(id) > maxCallID {
 		return nil, bad("%s is missing or too long", callIDHeader)
 	}
-	for _, name := range r.Header["Connection"] {
-		for field := range strings.SplitSeq(name, ",") {
-			r.Header.Del(textproto.TrimString(field))
-		}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, &badRequest{http.StatusRequestTimeout, fmt.Sprintf("the body does not come: %v", err)}
 	}
-	for _, name := range hopHeaders {
-		r.Header.Del(name)
+	c.deadline = s.loop.clock.now() + budget
+	// From here on the connection is watched for a client that goes, for as long as the answer takes.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
 	}
+	c.message = message{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body}
 	return c, nil
 }
 
