SIGHUP reloads the configuration and moves to the discovery that it names

At fault: nobody waited for the signal (cmd/micaline/main.go). The new discovery is asked for its whole list at once, since it counts revisions of its own; the old watch is given up and its late answers dropped; a bad file keeps the old configuration and logs a line.

--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -21,8 +21,11 @@
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	// Danger: a signal that nobody waits for ends the program.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := run(ctx, log)
+	err := run(ctx, hangups, log)
 	stop()
 	if err != nil {
 		log.Error("micaline ends", "error", err)
@@ -30,7 +33,7 @@
 	}
 }
 
-func run(ctx context.Context, log *slog.Logger) error {
+func run(ctx context.Context, hangups <-chan os.Signal, log *slog.Logger) error {
 	path := os.Getenv("GW_CONFIG")
 	if path == "" {
 		return errors.New("GW_CONFIG is not set: it names the configuration file")
@@ -39,7 +42,19 @@
 	if err != nil {
 		return err
 	}
+	log = log.With("agent", cfg.Name)
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
-	return agent.Run(ctx, cfg, log.With("agent", cfg.Name))
+	reloads := make(chan *agent.Config)
+	go func() {
+		for range hangups {
+			next, err := agent.LoadConfig(path)
+			if err != nil {
+				log.Error("not reloaded, the old configuration stays", "error", err)
+				continue
+			}
+			reloads <- next
+		}
+	}()
+	return agent.Run(ctx, cfg, reloads, log)
 }
--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -31,74 +33,149 @@
  "settings":{"categories":[{"name":"c","aim":100,"deadline":200,"credit":1,"effect":"pure"}],"replicasOfMe":1,
   "limits":{"maxAttempts":%d,"connectTimeout":100},"rules":{"coldFrom":0.5,"overloadFactor":2}}}`
 
-func program(t *testing.T, configuration string) (*exec.Cmd, *bytes.Buffer) {
+// program prepares the program and returns the path of its configuration file too.
+func program(t *testing.T, configuration string) (cmd *exec.Cmd, stderr io.ReadCloser, path string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
+	path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(configuration), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	var stderr bytes.Buffer
-	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd = exec.CommandContext(t.Context(), os.Args[0])
 	cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
-	cmd.Stderr = &stderr
-	return cmd, &stderr
-}
-
-func TestBadConfigurationEndsTheStart(t *testing.T) {
-	cmd, stderr := program(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1", 0))
-	err := cmd.Run()
-	if text := stderr.String(); err == nil || strings.Count(text, "\n") != 1 || !strings.Contains(text, "MaxAttempts") {
-		t.Errorf("error %v, output %q", err, text)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
 	}
+	return cmd, stderr, path
 }
 
-// SIGTERM ends the program with 0, also while a client holds a connection that it has never used.
-func TestTermination(t *testing.T) {
-	asked := make(chan struct{}, 100)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked <- struct{}{}
+// discovery is a service with one list; each call's query goes into the channel.
+func discovery(t *testing.T) (addr string, asked chan string) {
+	asked = make(chan string, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
 		if r.URL.RawQuery != "" {
 			<-r.Context().Done()
 			return
 		}
 		fmt.Fprint(w, `{"revision":1,"complete":true,"members":[{"id":"x","host_port":"127.0.0.1:1","phase":"Ready"}]}`)
 	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
-	// The program must be told its address: take one that was free just now.
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String(), asked
+}
+
+// freeAddr is an address that was free just now: the program must be told one.
+func freeAddr(t *testing.T) string {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := free.Addr().String()
-	free.Close()
-	cmd, stderr := program(t, fmt.Sprintf(config, listen, discovery.Listener.Addr(), 1))
-	if err := cmd.Start(); err != nil {
+	defer free.Close()
+	return free.Addr().String()
+}
+
+const wait = 20 * time.Second
+
+// follows waits until the list has been asked for and is watched.
+func follows(t *testing.T, asked chan string) {
+	t.Helper()
+	for {
+		select {
+		case q := <-asked:
+			if q != "" {
+				return
+			}
+		case <-time.After(wait):
+			t.Fatal("the program does not follow the list")
+		}
+	}
+}
+
+func notify(t *testing.T, cmd *exec.Cmd, s syscall.Signal) {
+	t.Helper()
+	if err := cmd.Process.Signal(s); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// ends waits until the program has ended, and well.
+func ends(t *testing.T, cmd *exec.Cmd, stderr io.Reader) {
+	t.Helper()
 	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	for range 2 { // the list and the watch, so it listens
-		select {
-		case <-asked:
-		case <-time.After(20 * time.Second):
-			t.Fatal("the program does not ask for the list")
+	go func() {
+		io.Copy(io.Discard, stderr)
+		ended <- cmd.Wait()
+	}()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
 		}
+	case <-time.After(wait):
+		t.Fatal("the program goes on")
 	}
+}
+
+func TestBadConfigurationEndsTheStart(t *testing.T) {
+	cmd, stderr, _ := program(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1", 0))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(stderr)
+	err := cmd.Wait()
+	if err == nil || bytes.Count(text, []byte("\n")) != 1 || !bytes.Contains(text, []byte("MaxAttempts")) {
+		t.Errorf("error %v, output %q", err, text)
+	}
+}
+
+// SIGTERM ends the program with 0, also while a client holds a connection that it has never used.
+func TestTermination(t *testing.T) {
+	addr, asked := discovery(t)
+	listen := freeAddr(t)
+	cmd, stderr, _ := program(t, fmt.Sprintf(config, listen, addr, 1))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	follows(t, asked) // so it listens
 	unused, err := net.Dial("tcp", listen)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer unused.Close()
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	notify(t, cmd, syscall.SIGTERM)
+	ends(t, cmd, stderr)
+}
+
+// SIGHUP brings a new configuration; one that cannot be used leaves the old one and says so in one line.
+func TestHangupReloads(t *testing.T) {
+	first, asked := discovery(t)
+	second, askedSecond := discovery(t)
+	listen := freeAddr(t)
+	cmd, stderr, path := program(t, fmt.Sprintf(config, listen, first, 1))
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Errorf("ended with %v: %s", err, stderr)
-		}
-	case <-time.After(20 * time.Second):
-		t.Fatal("the program goes on")
+	lines := bufio.NewScanner(stderr)
+	follows(t, asked)
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	notify(t, cmd, syscall.SIGHUP)
+	if !lines.Scan() || !strings.Contains(lines.Text(), "not reloaded") {
+		t.Fatalf("a bad file is told as %q", lines.Text())
+	}
+	next := path + ".new"
+	if err := os.WriteFile(next, fmt.Appendf(nil, config, listen, second, 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		t.Fatal(err)
+	}
+	notify(t, cmd, syscall.SIGHUP)
+	follows(t, askedSecond)
+	if !lines.Scan() || !strings.Contains(lines.Text(), "reloaded") || !strings.Contains(lines.Text(), second) {
+		t.Errorf("a good file is told as %q", lines.Text())
 	}
+	notify(t, cmd, syscall.SIGTERM)
+	ends(t, cmd, stderr)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,13 +28,14 @@
 	leaveSlack = 100 * time.Millisecond
 )
 
-// Run serves until the context ends, then finishes what it has taken and returns nil.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
+// reloaded it takes discovery's address.
+func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
 	listener, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return serve(ctx, cfg, listener, log)
+	return serve(ctx, cfg, reloads, listener, log)
 }
 
 func listen(addr string) (*net.TCPListener, error) {
@@ -45,7 +46,7 @@
 	return net.ListenTCP("tcp", at)
 }
 
-func serve(ctx context.Context, cfg *Config, listener *net.TCPListener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener *net.TCPListener, log *slog.Logger) error {
 	// Clients and backends get half of the sockets each: a client's request takes one of both.
 	half := (cfg.Sockets - reservedSockets) / 2
 	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half), log)
@@ -62,7 +63,7 @@
 	l.follow = d.asked
 	go l.run(work)
 	tell(grebefork.ListCached, cfg.known.Members)
-	go d.run(work)
+	go d.run(work, reloads)
 
 	clients := &admission{TCPListener: listener, most: half}
 	handler := &server{loop: l, clients: clients, most: int64(half - half/8)}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -100,6 +100,8 @@
 	stop   context.CancelFunc
 	ended  chan error
 	client *http.Client
+
+	reloads chan *Config
 }
 
 func config(t *testing.T, discovery, settings string) *Config {
@@ -122,10 +124,12 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{url: "http://" + listener.Addr().String(), stop: stop, ended: make(chan error, 1), client: &http.Client{
-		Transport: &http.Transport{}, Timeout: wait,
-	}}
-	go func() { r.ended <- serve(ctx, cfg, listener, slog.New(slog.DiscardHandler)) }()
+	r := &running{
+		url: "http://" + listener.Addr().String(), stop: stop, ended: make(chan error, 1),
+		client:  &http.Client{Transport: &http.Transport{}, Timeout: wait},
+		reloads: make(chan *Config),
+	}
+	go func() { r.ended <- serve(ctx, cfg, r.reloads, listener, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
 		r.client.CloseIdleConnections()
@@ -487,6 +491,38 @@
 	}
 }
 
+// A reload moves to another discovery, which is asked for its whole list although its revisions are lower; the old
+// one's watch is given up.
+func TestReload(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	old := newLists(t, hosts(7, true, host("x", x.addr, "Ready", 0)))
+	next := newLists(t, hosts(2, true, host("y", y.addr, "Ready", 0)))
+	cfg := config(t, old.Listener.Addr().String(), testSettings)
+	a := start(t, cfg)
+	receive(t, "first call", old.calls)
+	receive(t, "watch", old.calls)
+	moved := *cfg
+	moved.Discovery = next.Listener.Addr().String()
+	a.reloads <- &moved
+	if q := receive(t, "call to the new discovery", next.calls); q != "" {
+		t.Errorf("the first call asks %q", q)
+	}
+	if q := receive(t, "watch", next.calls); !strings.HasPrefix(q, "after=2&") {
+		t.Errorf("the second call asks %q", q)
+	}
+	for range 5 {
+		if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if len(x.got) > 0 || len(y.got) != 5 {
+		t.Errorf("%d sent to the old list's backend, %d to the new one's", len(x.got), len(y.got))
+	}
+	if n := len(old.calls); n > 0 {
+		t.Errorf("the old discovery was asked %d more times", n)
+	}
+}
+
 // Without discovery, and with lists that cannot be read, the agent goes on with what it has; then it asks for
 // the whole list.
 func TestDiscoveryLoss(t *testing.T) {
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -108,8 +108,32 @@
 	}
 }
 
-// run follows the list until the context ends.
-func (d *discovery) run(ctx context.Context) {
+// run follows the list until the context ends, from each reload on at the address that it brings.
+func (d *discovery) run(ctx context.Context, reloads <-chan *Config) {
+	for {
+		here, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			d.followList(here)
+			close(left)
+		}()
+		select {
+		case cfg := <-reloads:
+			leave()
+			<-left
+			d.log.Info("reloaded", "discovery", cfg.Discovery)
+			// The new service counts revisions of its own, so its whole list comes first.
+			d.addr, d.revision = cfg.Discovery, nil
+			d.asked()
+		case <-ctx.Done():
+			leave()
+			return
+		}
+	}
+}
+
+// followList follows the list at one address until the context ends.
+func (d *discovery) followList(ctx context.Context) {
 	failures := 0
 	for {
 		if d.ask {
@@ -159,6 +183,9 @@
 	}
 	for {
 		l, err := d.get(ctx, wait)
+		if err == nil {
+			err = ctx.Err() // an answer that crossed a reload is another service's
+		}
 		if err != nil {
 			return heard, err
 		}
