A failure soon after an answer counts a third

Traces of 340 spoilt answers: each was told within its service time; all 123 answers with more behind them were good (89 copies, 34 times 52 bytes of noise) and came in one piece, so none was mistaken, and none came after its connection was idle again. So the sockets were right and the module was not: a server answers 28 requests a second, with 35 ms between answers, and 45 ms after the last a failure still put it out for all classes (balancer.go, doubt).

A failure now counts 0.34 within an aim of the server's last answer, and so does silence.

--- a/balancer.go
+++ b/balancer.go
@@ -33,6 +33,7 @@
 	ejectFor        = 8.0  // aims that a first ejection lasts
 	ejectDoubles    = 3    // times that this doubles while the server stays bad
 	patience        = 3.0  // usual answers' time until an attempt counts as hanging
+	single          = 0.34 // of one that a failure counts soon after an answer: three in a row eject
 	deadShare       = 0.3  // of what is sent on connections idle for so long is silent: closed before use
 	deadDoubt       = 0.98 // what is left of that by each close, so that it is tried again
 	coldMargin      = 0.5  // of overloadFactor that a cold server is sent; the rest is for peaks
@@ -589,8 +590,8 @@
 // doubt is what a failure says against a server. Danger: a busy agent meets single failures all the time; if
 // one were enough though answers come in between, half of the healthy would be out and the rest crowded.
 func (b *Balancer) doubt(c *class, s *server) float64 {
-	if s.used > 0 && b.now-s.used < seconds(patience*c.usual.v) {
-		return 0.5
+	if s.used > 0 && b.now-s.used < c.Aim {
+		return single
 	}
 	return 1
 }
@@ -683,7 +684,7 @@
 			if quiet := b.now - max(a.sent, a.server.used); quiet < wait {
 				wait -= quiet
 			} else {
-				b.silent(r.class, a, min(a.blamed+0.5, 1))
+				b.silent(r.class, a, min(a.blamed+0.5*b.doubt(r.class, a.server), 1))
 			}
 			if a.blamed < 1 {
 				b.act(Action{Kind: ActTimer, Token: token, Wait: wait})
