--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 const (
 	inputQueue = 256 // inputs that may wait for the loop; whoever has one more waits with it
 	sweepEvery = time.Second
+	mostRecent = 4096 // ids of ended requests that are known, twice
 )
 
 // clock tells the time since 1970 and never runs backwards: the wall's time at the start, and what has passed.
@@ -35,6 +37,7 @@
 
 // call is a client's request, which the client's handler shares with the loop.
 type call struct {
+	callID        string // the client's
 	class, tenant int
 	retry         bool
 	deadline      time.Duration // of the clock
@@ -74,8 +77,9 @@
 	ready    atomic.Bool   // a list has come
 
 	servers  serverIDs
-	addrs    map[grebefork.ServerID]string
+	targets  map[grebefork.ServerID]*target
 	requests map[grebefork.RequestID]*request
+	callIDs  callIDs
 	lastID   grebefork.RequestID
 	timers   timers
 	events   []grebefork.Event // to be handed to the module
@@ -92,8 +96,9 @@
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}},
-		addrs:    map[grebefork.ServerID]string{},
+		targets:  map[grebefork.ServerID]*target{},
 		requests: map[grebefork.RequestID]*request{},
+		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}, nil
 }
 
@@ -124,6 +129,7 @@
 		case <-wake.C:
 		case <-sweep.C:
 			l.pool.sweep()
+			l.callIDs.age()
 		case <-ctx.Done():
 			return
 		}
@@ -143,9 +149,13 @@
 		l.handle(ctx, ev)
 		if ev.ListMode != grebefork.ListFailed {
 			l.forgetGone(ev.ListMode, ev.Servers)
-			l.ready.Store(len(l.addrs) > 0 || l.ready.Load())
+			l.ready.Store(len(l.targets) > 0 || l.ready.Load())
 		}
 	case grebefork.EventRequest:
+		if !l.callIDs.take(in.call.callID) {
+			in.call.answered <- answer{status: http.StatusConflict, contentType: "text/plain", body: []byte(callIDHeader + " is in use\n")}
+			return
+		}
 		in.call.id = l.newID()
 		l.requests[in.call.id] = &request{call: in.call}
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
@@ -196,9 +206,39 @@
 func (l *loop) forget(r *request) {
 	if r.ended && r.out == 0 {
 		delete(l.requests, r.id)
+		l.callIDs.release(r.callID)
+	}
+}
+
+// callIDs knows the clients' ids of the open requests and of those that ended a short while ago. Danger: backends
+// and clients tell requests apart by them, so a second request under an id would be served with the first one's
+// answer, or run as its repeat.
+type callIDs struct {
+	open, recent, older map[string]struct{}
+}
+
+// take notes an id, unless it is known.
+func (c *callIDs) take(id string) bool {
+	for _, known := range []map[string]struct{}{c.open, c.recent, c.older} {
+		if _, taken := known[id]; taken {
+			return false
+		}
 	}
+	c.open[id] = struct{}{}
+	return true
 }
 
+// release notes that the request with an id has ended.
+func (c *callIDs) release(id string) {
+	delete(c.open, id)
+	if c.recent[id] = struct{}{}; len(c.recent) >= mostRecent {
+		c.age()
+	}
+}
+
+// age forgets what was known at the last call but one.
+func (c *callIDs) age() { c.recent, c.older = map[string]struct{}{}, c.recent }
+
 // entries notes where the members of a list are and turns them into the module's terms.
 func (l *loop) entries(members []member) []grebefork.ServerEntry {
 	entries := make([]grebefork.ServerEntry, 0, len(members))
@@ -216,10 +256,14 @@
 		if e.State == grebefork.Gone {
 			continue // forgotten once the module has heard of it
 		}
-		if old := l.addrs[e.ID]; old != "" && old != m.HostPort {
-			l.pool.closeIdle(old)
+		old := l.targets[e.ID]
+		if old != nil && old.addr == m.HostPort && old.start == e.Start {
+			continue
+		}
+		if old != nil {
+			l.pool.retire(old)
 		}
-		l.addrs[e.ID] = m.HostPort
+		l.targets[e.ID] = l.pool.target(m.HostPort, e.Start)
 	}
 	return entries
 }
@@ -234,8 +278,10 @@
 		if here, listed := stays[id]; here || !listed && mode == grebefork.ListDelta {
 			continue
 		}
-		l.pool.closeIdle(l.addrs[id])
-		delete(l.addrs, id)
+		if t := l.targets[id]; t != nil {
+			l.pool.retire(t)
+			delete(l.targets, id)
+		}
 		l.servers.free(id)
 	}
 }
@@ -277,7 +323,9 @@
 	case grebefork.ActTimer:
 		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token})
 	case grebefork.ActClose:
-		l.pool.closeIdle(l.addrs[a.Server])
+		if t := l.targets[a.Server]; t != nil {
+			l.pool.closeIdle(t)
+		}
 	case grebefork.ActProbe:
 		l.probe(ctx, a.Server)
 	case grebefork.ActFollow:
@@ -294,8 +342,8 @@
 	if a.Wait != 0 {
 		left = min(left, a.Wait)
 	}
-	addr := l.addrs[a.Server]
-	if r.ended || left <= 0 || addr == "" || n >= l.set.Module.MaxAttempts {
+	t := l.targets[a.Server]
+	if r.ended || left <= 0 || t == nil || n >= l.set.Module.MaxAttempts {
 		r.attempts = append(r.attempts, func() {})
 		l.events = append(l.events, grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
@@ -312,7 +360,7 @@
 	r.out++
 	id, server, msg := r.id, a.Server, &r.message
 	go func() {
-		res := l.pool.exchange(attemptCtx, addr, msg, sendBy, l.set.ReportFields)
+		res := l.pool.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
 		l.send(input{answer: res.answer, event: grebefork.Event{
 			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
@@ -321,15 +369,15 @@
 }
 
 func (l *loop) probe(ctx context.Context, server grebefork.ServerID) {
-	addr := l.addrs[server]
-	if addr == "" {
+	t := l.targets[server]
+	if t == nil {
 		l.events = append(l.events, grebefork.Event{
 			Kind: grebefork.EventProbed, Server: server, Outcome: grebefork.Moot, Load: settings.NoLoad(),
 		})
 		return
 	}
 	go func() {
-		res := l.pool.probe(ctx, addr, l.set)
+		res := l.pool.probe(ctx, t, l.set)
 		l.send(input{event: grebefork.Event{
 			Kind: grebefork.EventProbed, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -75,8 +75,6 @@
 	var b *badRequest
 	switch {
 	case errors.As(err, &b):
-		// What else the client sends on this connection is not to be trusted either.
-		w.Header().Set("Connection", "close")
 		s.respond(w, answer{status: b.status, contentType: "text/plain", body: []byte(b.what + "\n")})
 		return
 	case err != nil, !s.clients.take(connOf(r)): // the connection is gone
@@ -103,7 +101,8 @@
 // the agent was told to stop must not leave a connection on which the next one crosses the close.
 func (s *server) respond(w http.ResponseWriter, a answer) {
 	h := w.Header()
-	if s.leaving.Load() {
+	// What else a client sends that has sent nonsense is not to be trusted either.
+	if s.leaving.Load() || a.status/100 == 4 {
 		h.Set("Connection", "close")
 	}
 	if a.retryAfter > 0 {
@@ -170,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if id := r.Header.Get(callIDHeader); id == "" || len(id) > maxCallID {
+	if c.callID = r.Header.Get(callIDHeader); c.callID == "" || len(c.callID) > maxCallID {
 		return nil, bad("%s is missing or too long", callIDHeader)
 	}
 	body := make([]byte, r.ContentLength)
@@ -182,7 +181,7 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
-	c.message = message{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body}
+	c.message = newMessage(r.Method, r.RequestURI, r.Host, r.Header, body)
 	return c, nil
 }
 
