Early repeats keep half of their aim; few agents call a server crowded later

And a fast server of two cores was taken for crowded at three requests, a measure that many agents need, which see each other's requests late; here are two.

--- a/balancer.go
+++ b/balancer.go
@@ -19,7 +19,8 @@
 	localWeight     = 3.0  // chance of a server of the agent's own zone to be on its line, beside others
 	shortestLine    = 6    // servers on a line at least: two may be out and pairs still differ
 	draws           = 3    // draws before a request has nowhere to go
-	crowd           = 1.4  // waiting requests over the root of those served at once: beyond, servers jam
+	crowd           = 1.4  // waiting requests over the root of those served at once: beyond, servers jam,
+	crowdAlone      = 3.0  // where this agent is the only one and knows all that is sent
 	crowdShare      = 0.5  // of the aim left, and of the shortest, that a server's load may take, width unknown
 	speedStep       = 0.1  // change of speed that is worth a new line; less is noise
 	gain            = 0.15 // weight of a sample of one server: a dozen settle a mean
@@ -156,7 +157,7 @@
 	if width := b.width(s); l.Queue >= 0 {
 		over := max(0, l.InFlight-width)
 		b.queue.add(over/width, fleetGain)
-		b.press(min(1, over/(2*crowd*math.Sqrt(width))))
+		b.press(min(1, over/(2*b.crowd*math.Sqrt(width))))
 	}
 }
 
@@ -311,7 +312,7 @@
 	}
 	wait, left := (held+1)/width*b.each(s), (r.aim - b.now).Seconds()
 	if b.kind(s).running.known || s.tellsQueue() {
-		return held >= width+crowd*math.Sqrt(width) || wait > left
+		return held >= width+b.crowd*math.Sqrt(width) || wait > left
 	}
 	// Danger: some wait on others and are no crowd; but who has a long aim piles up until a server chokes.
 	return wait > crowdShare*min(left, b.leastAim.Seconds())
@@ -401,9 +402,14 @@
 	c := &b.classes[ev.Class]
 	r := &request{id: ev.Request, class: c, tenant: ev.Tenant}
 	r.deadline, r.aim = b.now+ev.Left, b.now+c.Aim
-	if first := c.first.vote(ev.Left, 2*b.set.Tick); ev.Retry || !first {
+	switch first := c.first.vote(ev.Left, 2*b.set.Tick); {
+	case !first:
 		// Danger: first tries have a like share of the deadline, a last one all that remains, perhaps more.
 		r.aim -= max(0, c.Deadline-ev.Left)
+	case ev.Retry:
+		// Danger: a repeat with a first try's share came soon, after a refusal. Were all that may have passed taken
+		// off its aim, a short refusal would be a lasting one. Half of it is the mean.
+		r.aim -= max(0, c.Deadline-ev.Left) / 2
 	}
 	if c.LateWorth > 0 {
 		r.aim = r.deadline
