--- a/balancer.go
+++ b/balancer.go
@@ -333,7 +333,11 @@
 	a, c = b.shorter(a, c)
 	aFull, cFull := b.crowded(r, a), c == nil || b.crowded(r, c)
 	if aFull && cFull {
-		b.press(1)
+		part := 1.0
+		if r.draws < draws-1 { // another pair may have room, which an agent alone will see and others take
+			part = aimShare + (1-aimShare)*b.herd
+		}
+		b.press(part)
 	}
 	return !aFull && b.send(r, a) || !cFull && b.send(r, c)
 }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1043,6 +1043,40 @@
 	}
 }
 
+// A repeat with a first try's share of the deadline came soon and keeps half of what may have passed; one with less
+// has been long, and is late by all of it.
+func TestEarlyRepeatsKeepHalf(t *testing.T) {
+	x := start(t, settings(), fleet(3)...)
+	for id := range RequestID(10) {
+		x.on(Event{Kind: EventRequest, Request: id + 1, Class: pure, Left: 600 * ms})
+	}
+	for id, left := range map[RequestID]time.Duration{20: 600 * ms, 21: 700 * ms} {
+		x.on(Event{Kind: EventRequest, Request: id, Class: pure, Left: left, Retry: true})
+	}
+	if early, late := x.b.open[20].aim-x.now, x.b.open[21].aim-x.now; early != 200*ms || late != 100*ms {
+		t.Errorf("aims in %v and %v, want 200ms and 100ms", early, late)
+	}
+}
+
+// An agent among few knows most of what a server is sent, and calls it crowded later than one among many.
+func TestFewAgentsCrowdLater(t *testing.T) {
+	crowdedAt := func(agents int) int {
+		set := settings()
+		set.Agents = agents
+		x := start(t, set, fleet(1)...)
+		x.b.report(x.b.servers[1], Load{Known: true, InFlight: 2, Queue: -1, Recent: 10 * ms, Rate: 200})
+		for held := 1; ; held++ {
+			x.b.servers[1].load.InFlight = float64(held)
+			if x.b.crowded(&request{aim: x.now + time.Second}, x.b.servers[1]) {
+				return held
+			}
+		}
+	}
+	if few, many := crowdedAt(1), crowdedAt(1000); few != 7 || many != 5 {
+		t.Errorf("crowded at %d and %d, want 7 and 5", few, many)
+	}
+}
+
 // Danger: a server that fails one class and serves the others well is out for that class alone, and their good
 // answers do not bring it back. Once it fails two, or its connections break, it is out for all.
 func TestHealthIsByClass(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -186,6 +186,7 @@
 	service  mean          // time of an answer, seconds
 	queue    mean          // reported queue for each request served at once
 	leastAim time.Duration // of the classes
+	herd     float64       // from 0, this agent is alone, to 1, others send nearly all
 	crowd    float64       // between crowdAlone and crowd
 	late     mean          // time of an answer over its aim
 	dead     idleRecord
@@ -213,7 +214,8 @@
 		mix: tenantMix{seen: make([]float64, len(s.Tenants))},
 	}
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
-	b.crowd = crowd + (crowdAlone-crowd)/math.Sqrt(float64(s.Agents))
+	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
+	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
 	for _, c := range s.Classes {
 		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
 		if b.leastAim == 0 || c.Aim < b.leastAim {
