--- /dev/null
+++ b/internal/agent/config_test.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func config(t *testing.T, discovery, settings string) *Config {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, discovery, settings)
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func TestBadConfig(t *testing.T) {
+	good := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, testSettings)
+	if _, err := parseConfig([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ field, old, new string }{
+		{"listen", `"127.0.0.1:0"`, `"here"`},
+		{"discovery", `"127.0.0.1:1"`, `""`},
+		{"seed", `"1f"`, `"xyz"`},
+		{"limits.cores", `"cores":1`, `"cores":0`},
+		{"limits.memory_mb", `:192`, `:1`},
+		{"limits.sockets", `:1024`, `:10`},
+		{"known", `"revision":1,`, ``},
+		{"limits.connectTimeout", `"connectTimeout":2000`, `"connectTimeout":0`},
+		{"MaxAttempts", `"maxAttempts":3`, `"maxAttempts":0`},
+		{"categories[1].name", `"name":"celled"`, `"name":"keyed"`},
+		{"report.how", `"off"`, `"odd"`},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		_, err := parseConfig([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", c.field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/discovery_test.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// lists is a discovery service: it answers the whole list at once and each watch with the next that is told.
+type lists struct {
+	*httptest.Server
+	calls chan string   // the queries
+	next  chan []byte   // for watches
+	whole func() []byte // returns nil while discovery is down
+	mu    sync.Mutex
+}
+
+func newLists(t *testing.T, whole []byte) *lists {
+	l := &lists{calls: make(chan string, 1000), next: make(chan []byte), whole: func() []byte { return whole }}
+	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.calls <- r.URL.RawQuery
+		l.mu.Lock()
+		whole := l.whole()
+		l.mu.Unlock()
+		if whole == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.RawQuery == "" {
+			w.Write(whole)
+			return
+		}
+		select {
+		case text := <-l.next:
+			w.Write(text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { l.CloseClientConnections(); l.Close() })
+	return l
+}
+
+func (l *lists) set(whole func() []byte) {
+	l.mu.Lock()
+	l.whole = whole
+	l.mu.Unlock()
+}
+
+func hosts(revision int, complete bool, members ...string) []byte {
+	return fmt.Appendf(nil, `{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+func host(id, addr, phase string, cell int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"m1","cell":%d,"phase":%q,"size":1,"up_since_ms":0}`,
+		id, addr, cell, phase)
+}
+
+// A reload moves to another discovery, which is asked for its whole list although its revisions are lower; the old
+// one's watch is given up.
+func TestReload(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	old := newLists(t, hosts(7, true, host("x", x.addr, "Ready", 0)))
+	next := newLists(t, hosts(2, true, host("y", y.addr, "Ready", 0)))
+	cfg := config(t, old.Listener.Addr().String(), testSettings)
+	a := start(t, cfg)
+	receive(t, "first call", old.calls)
+	receive(t, "watch", old.calls)
+	moved := *cfg
+	moved.Discovery = next.Listener.Addr().String()
+	a.reloads <- &moved
+	if q := receive(t, "call to the new discovery", next.calls); q != "" {
+		t.Errorf("the first call asks %q", q)
+	}
+	if q := receive(t, "watch", next.calls); !strings.HasPrefix(q, "after=2&") {
+		t.Errorf("the second call asks %q", q)
+	}
+	for range 5 {
+		if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if len(x.got) > 0 || len(y.got) != 5 {
+		t.Errorf("%d sent to the old list's backend, %d to the new one's", len(x.got), len(y.got))
+	}
+	if n := len(old.calls); n > 0 {
+		t.Errorf("the old discovery was asked %d more times", n)
+	}
+}
+
+// Without discovery, and with lists that cannot be read, the agent goes on with what it has; then it asks for
+// the whole list.
+func TestDiscoveryLoss(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	l := newLists(t, hosts(1, true, host("x", x.addr, "Ready", 0)))
+	a := start(t, config(t, l.Listener.Addr().String(), testSettings))
+	receive(t, "first call", l.calls)
+	for i, text := range []string{"no list", `{"revision":7,"complete":true,"members":[{"id":"x","phase":"Odd"}]}`, `{"complete":true}`} {
+		receive(t, "watch", l.calls)
+		if i == 2 {
+			l.set(func() []byte { return nil })
+		}
+		l.next <- []byte(text)
+		if q := receive(t, "call", l.calls); q != "" {
+			t.Errorf("after %s: asked %q", text, q)
+		}
+	}
+	receive(t, "call again", l.calls)
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+		t.Errorf("without discovery: answered %d", status)
+	}
+	l.set(func() []byte { return hosts(9, true, host("y", y.addr, "Ready", 0)) })
+	for {
+		if q := receive(t, "call", l.calls); strings.HasPrefix(q, "after=9&") {
+			break
+		}
+	}
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 || len(y.got) != 1 {
+		t.Errorf("with discovery back: answered %d, %d at the new backend", status, len(y.got))
+	}
+}
+
+// Changes that do not follow the list held, as after a restart of discovery, lead to the whole list; so does a
+// discovery that is silent when a watch is over.
+func TestDiscoveryGapAndSilence(t *testing.T) {
+	b := newBackend(t, serves)
+	l := newLists(t, hosts(8, true, host("x", b.addr, "Ready", 0)))
+	start(t, config(t, l.Listener.Addr().String(), testSettings))
+	receive(t, "first call", l.calls)
+	receive(t, "watch", l.calls)
+	l.next <- hosts(3, false)
+	if q := receive(t, "call after the gap", l.calls); q != "" {
+		t.Errorf("after a gap: asked %q", q)
+	}
+	for range 2 { // the watch that gets no answer, and the one after it
+		if q := receive(t, "watch", l.calls); !strings.HasPrefix(q, "after=8&") {
+			t.Errorf("asked %q", q)
+		}
+	}
+}
+
+// Where the list must be asked for, the module hears of a failure and decides when to ask again.
+func TestAskedDiscovery(t *testing.T) {
+	b := newBackend(t, serves)
+	set := strings.Replace(testSettings, `"automatic"`, `"subscribe"`, 1)
+	set = strings.Replace(set, `"extraFloor"`, `"mustAskIn":50,"extraFloor"`, 1)
+	l := newLists(t, hosts(1, true, host("x", b.addr, "Ready", 0)))
+	whole, calls := l.whole(), 0
+	l.set(func() []byte {
+		if calls++; calls <= 2 {
+			return nil
+		}
+		return whole
+	})
+	a := start(t, config(t, l.Listener.Addr().String(), set)) // which returns when the list has come
+	if n := len(l.calls); n < 3 {
+		t.Errorf("up after %d calls, of which two failed", n)
+	}
+	if status, _ := a.do(t, a.request("unsafe", "15000m")); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+}
--- /dev/null
+++ b/internal/agent/loop_test.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"testing"
+
+	"example.org/grebefork"
+)
+
+// The id of a request that is open, or was a moment ago, is no other's: the second is refused and the first served.
+func TestCallIDsAreUsedOnce(t *testing.T) {
+	goOn := make(chan struct{})
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a := agentFor(t, testSettings, b)
+	first := make(chan int, 1)
+	go func() {
+		status, _ := a.do(t, a.request("unsafe", "15000m"))
+		first <- status
+	}()
+	id := receive(t, "request", b.got).Header.Get(callIDHeader)
+	again := func() int {
+		req := a.request("unsafe", "15000m")
+		req.Header.Set(callIDHeader, id)
+		status, _ := a.do(t, req)
+		return status
+	}
+	if status := again(); status != http.StatusConflict {
+		t.Errorf("while the first is open: answered %d", status)
+	}
+	close(goOn)
+	if status := receive(t, "answer", first); status != 200 {
+		t.Errorf("the first is answered %d", status)
+	}
+	if status := again(); status != http.StatusConflict {
+		t.Errorf("when the first has ended: answered %d", status)
+	}
+	if n := len(b.got); n > 0 {
+		t.Errorf("%d more went on", n)
+	}
+	ids := callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}}
+	for i := range 10 * mostRecent {
+		id := fmt.Sprint(i)
+		ids.take(id)
+		ids.release(id)
+	}
+	if n := len(ids.open) + len(ids.recent) + len(ids.older); n > 2*mostRecent {
+		t.Errorf("%d ids are kept", n)
+	}
+	if ids.age(); !ids.take(fmt.Sprint(8*mostRecent - 1)) {
+		t.Error("an id is kept for good")
+	}
+}
+
+// A client that hangs up cancels its attempts, which closes their connections.
+func TestHangup(t *testing.T) {
+	released := make(chan struct{})
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	ctx, hangUp := context.WithCancel(context.Background())
+	go func() {
+		defer close(released)
+		if resp, err := a.client.Do(a.request("unsafe", "15000m").WithContext(ctx)); err == nil {
+			resp.Body.Close()
+			t.Errorf("answered %s", resp.Status)
+		}
+	}()
+	receive(t, "request", b.got)
+	hangUp()
+	receive(t, "hangup", released)
+	receive(t, "close of the connection", b.ended)
+}
+
+// The loop carries out ActClose, keeps a repeat from being sent too late, and forgets backends that are gone.
+func TestLoopCarriesOut(t *testing.T) {
+	b := newBackend(t, serves)
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	list := func(mode grebefork.ListMode, phase string) {
+		l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode},
+			members: []member{{ID: "x", HostPort: b.addr, Phase: phase}}})
+	}
+	list(grebefork.ListFull, "Ready")
+	x := l.servers.of("x")
+	r := &request{call: &call{id: 7, deadline: l.clock.now() + wait, answered: make(chan answer, 1),
+		message: newMessage("POST", "/keyed/1", "x", nil, nil)}}
+	l.requests[r.id] = r
+	send := grebefork.Action{Kind: grebefork.ActSend, Request: r.id, Server: x, Wait: wait}
+	l.act(ctx, &send)
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.OK {
+		t.Fatalf("outcome %d", in.event.Outcome)
+	}
+	send.Within = 1 // a nanosecond, which is over before a connection can be had
+	l.act(ctx, &send)
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.Moot {
+		t.Errorf("sent too late: outcome %d", in.event.Outcome)
+	}
+	l.act(ctx, &grebefork.Action{Kind: grebefork.ActClose, Server: x})
+	receive(t, "close of the idle connection", b.ended)
+	list(grebefork.ListDelta, "Gone")
+	if len(l.targets) > 0 || len(l.pool.targets) > 0 || len(l.servers.ids) > 0 || len(l.servers.names) > 0 {
+		t.Errorf("still known: %v %v", l.targets, l.servers)
+	}
+	send.Within = 0
+	l.act(ctx, &send)
+	if n := len(l.events); n != 1 || l.events[0].Outcome != grebefork.Moot {
+		t.Errorf("to a backend that is gone: %+v", l.events)
+	}
+}
+
+// A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
+func TestLateOutcomeIsDropped(t *testing.T) {
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
+		members: []member{{ID: "x", HostPort: "127.0.0.1:1", Phase: "Ready"}}})
+	c := &call{class: 2, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/", "x", nil, nil)}
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	if len(l.requests) != 1 || l.requests[c.id].out != 1 {
+		t.Fatalf("after the request: %+v", l.requests)
+	}
+	hangup := input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c}
+	l.take(ctx, hangup)
+	l.take(ctx, input{answer: answer{status: 200}, event: grebefork.Event{Kind: grebefork.EventOutcome, Request: c.id}})
+	l.take(ctx, hangup)
+	if len(c.answered) != 0 || len(l.requests) != 0 {
+		t.Errorf("%d answers, %d requests left", len(c.answered), len(l.requests))
+	}
+}
--- /dev/null
+++ b/internal/agent/pool_test.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"example.org/grebefork"
+)
+
+// A backend at the address of one that has gone has connections of its own: those of the old one close, the one in
+// use when it is back, and the new one's stay when the old one is forgotten.
+func TestNewBackendAtAnOldAddress(t *testing.T) {
+	goOn := make(chan struct{}, 1)
+	b := newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := func(mode grebefork.ListMode, members ...member) {
+		l.take(t.Context(), input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
+	}
+	old, next := member{ID: "old", HostPort: b.addr, Phase: "Ready"}, member{ID: "next", HostPort: b.addr, Phase: "Ready"}
+	list(grebefork.ListFull, old)
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	m := newMessage("GET", "/", "x", nil, nil)
+	inUse := make(chan result, 1)
+	first := l.targets[l.servers.of("old")]
+	go func() { inUse <- l.pool.exchange(ctx, first, &m, time.Time{}, nil) }()
+	receive(t, "request", b.got)
+	list(grebefork.ListDelta, next)
+	goOn <- struct{}{}
+	second := l.targets[l.servers.of("next")]
+	inUse2 := make(chan result, 1)
+	receive(t, "answer of the old one", inUse)
+	go func() { inUse2 <- l.pool.exchange(ctx, second, &m, time.Time{}, nil) }()
+	receive(t, "request", b.got)
+	if n := len(b.accepted); n != 2 {
+		t.Errorf("%d connections to two backends", n)
+	}
+	goOn <- struct{}{}
+	receive(t, "answer of the new one", inUse2)
+	old.Phase = "Gone"
+	list(grebefork.ListDelta, old)
+	if len(first.idle) != 0 || len(second.idle) != 1 || l.pool.open != 1 {
+		t.Errorf("%d idle to the old one, %d to the new one, %d open", len(first.idle), len(second.idle), l.pool.open)
+	}
+	// A restart of the process at the same address is another target as well, and what comes back late closes.
+	go func() { inUse2 <- l.pool.exchange(ctx, second, &m, time.Time{}, nil) }()
+	receive(t, "request", b.got)
+	next.UpSince = 5
+	list(grebefork.ListDelta, next)
+	goOn <- struct{}{}
+	receive(t, "late answer", inUse2)
+	if len(second.idle) != 0 || l.pool.open != 0 {
+		t.Errorf("after a restart %d are idle, %d open", len(second.idle), l.pool.open)
+	}
+}
+
+// An idle connection that the backend has closed is not written to: it would end as a reset, which an unsafe
+// request does not survive.
+func TestStaleConnection(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	for i := range 3 {
+		status, _ := a.do(t, a.request("unsafe", "15000m"))
+		if status != 200 {
+			t.Fatalf("request %d: answered %d", i, status)
+		}
+		receive(t, "connection", b.accepted).Close()
+	}
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	b := newBackend(t, serves)
+	a := agentFor(t, testSettings, b)
+	for range 5 {
+		a.do(t, a.request("unsafe", "15000m"))
+	}
+	if n := len(b.accepted); n != 1 {
+		t.Errorf("%d connections for one request at a time", n)
+	}
+}
+
+// The pool keeps to its sockets: an idle connection makes room, one in use does not.
+func TestPoolIsBounded(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	p := newPool(&cfg.Settings, 1)
+	toX, toY := p.target(x.addr, 0), p.target(y.addr, 0)
+	m := newMessage("GET", "/", "x", nil, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+		t.Fatalf("outcome %d", r.outcome)
+	}
+	silent := make(chan result, 1)
+	held, giveUp := context.WithCancel(ctx)
+	go func() { silent <- p.exchange(held, toY, &m, time.Time{}, nil) }()
+	receive(t, "close of the idle connection", x.ended)
+	receive(t, "request", y.got)
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.Moot {
+		t.Errorf("with the only socket in use: outcome %d", r.outcome)
+	}
+	giveUp()
+	if r := receive(t, "cancelled attempt", silent); r.outcome != grebefork.Cancelled {
+		t.Errorf("given up: outcome %d", r.outcome)
+	}
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+		t.Errorf("with the socket free again: outcome %d", r.outcome)
+	}
+}
+
+// What may be closed by the backend before a request has crossed is not used, and is swept away; ActClose closes
+// what is idle.
+func TestIdleConnectionsEnd(t *testing.T) {
+	b := newBackend(t, serves)
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	p := newPool(&cfg.Settings, 4)
+	to := p.target(b.addr, 0)
+	m := newMessage("GET", "/", "x", nil, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	for i, end := range []func(c *conn){
+		func(c *conn) { // no sweep has come
+			c.since = c.since.Add(-p.idleClose + idleMargin/2)
+		},
+		func(c *conn) {
+			c.since = c.since.Add(-p.idleClose + idleMargin/2)
+			p.sweep()
+			receive(t, "close by the sweep", b.ended)
+		},
+		func(*conn) {
+			p.closeIdle(to)
+			receive(t, "close of the idle connection", b.ended)
+		},
+		func(*conn) {},
+	} {
+		if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+			t.Fatalf("exchange %d: outcome %d", i, r.outcome)
+		}
+		if n := len(b.accepted); n != i+1 {
+			t.Errorf("exchange %d: %d connections", i, n)
+		}
+		end(to.idle[0])
+	}
+	if p.open != 1 {
+		t.Errorf("%d connections are counted as open", p.open)
+	}
+}
+
+// The connection that was used last is the least likely to be closed by the backend.
+func TestNewestConnectionFirst(t *testing.T) {
+	p := newPool(&config(t, "127.0.0.1:1", testSettings).Settings, 4)
+	x := p.target("x", 0)
+	older, newer := &conn{to: x}, &conn{to: x}
+	p.put(older)
+	p.put(newer)
+	if p.takeIdle(x) != newer || p.takeIdle(x) != older || p.takeIdle(x) != nil {
+		t.Error("not the one used last first")
+	}
+}
