--- a/balancer.go
+++ b/balancer.go
@@ -707,15 +707,16 @@
 	case tokenCheck:
 		n := int(token >> 32 & 0xff)
 		if r := b.open[RequestID(token)]; r != nil && n < len(r.attempts) && r.attempts[n].out {
-			a, wait := &r.attempts[n], r.class.patient()
-			// Danger: a costly request is no silence of its server, which answers others meanwhile.
-			if quiet := b.now - max(a.sent, a.server.used); quiet < wait {
-				wait -= quiet
-			} else {
-				b.silent(r.class, a, min(a.blamed+0.5*b.doubt(r.class, a.server), 1))
+			// Danger: a costly request, or one on a connection that has gone dead, is no silence of its server,
+			// which answers others meanwhile.
+			a, answers := &r.attempts[n], r.attempts[n].server.used > r.attempts[n].sent
+			much := a.blamed
+			if !answers {
+				much = min(much+0.5*b.doubt(r.class, a.server), 1)
 			}
-			if a.blamed < 1 {
-				b.act(Action{Kind: ActTimer, Token: token, Wait: wait})
+			b.silent(r.class, a, much)
+			if a.checks++; a.blamed < 1 && (!answers || a.checks < 2) {
+				b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
 			}
 		}
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,8 @@
 	// idleClients is how long a client's connection may be without a request. Danger: clients that ask once and keep
 	// their connection would use up the sockets.
 	idleClients = 2500 * time.Millisecond
+	// answerShare is the part of the memory that large answers may hold while they are on their way.
+	answerShare = 8
 	// leaveAfter is how long an agent that is to stop goes on accepting: its client goes on connecting.
 	leaveAfter = 550 * time.Millisecond
 	leaveSlack = 100 * time.Millisecond
@@ -49,7 +51,7 @@
 func serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener *net.TCPListener, log *slog.Logger) error {
 	// Clients and backends get half of the sockets each: a client's request takes one of both.
 	half := (cfg.Sockets - reservedSockets) / 2
-	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half), log)
+	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	maxBody      = 64 << 10 // bytes, of a request and of an answer
+	maxBody      = 64 << 10  // bytes of a request's body, and of an answer's that needs no room kept for it
+	maxAnswer    = 512 << 10 // bytes of an answer's body that says its length
 	maxHeader    = 32 << 10
 	probeTimeout = 300 * time.Millisecond
 	// answerTimeout is how long a head or a body of an answer may take from its first byte to its last.
@@ -73,6 +74,8 @@
 		r.outcome = outcomeOf(resp)
 		if r.outcome == grebefork.OK {
 			r.answer = answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), body: body}
+		} else {
+			p.free(int64(len(body)))
 		}
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.outcome = grebefork.Cancelled
@@ -126,7 +129,7 @@
 	if _, err := c.Write(m.encode(time.Until(deadline))); err != nil {
 		return nil, nil, false, err
 	}
-	if resp, body, err = c.read(); err != nil {
+	if resp, body, err = p.read(c); err != nil {
 		return nil, nil, true, err
 	}
 	// Danger: what stands behind an answer, a copy of it or noise, would be taken for the next one's.
@@ -136,8 +139,8 @@
 
 // read reads one answer to its end. An answer whose end only the closing of the connection would show cannot be
 // known to be whole, and counts as broken.
-func (c *conn) read() (*http.Response, []byte, error) {
-	c.limit.N = maxHeader + maxBody
+func (p *pool) read(c *conn) (*http.Response, []byte, error) {
+	c.limit.N = maxHeader + maxAnswer
 	for {
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, nil, err
@@ -158,12 +161,18 @@
 			return nil, nil, errors.New("an answer in another protocol")
 		case resp.StatusCode/100 == 1:
 			continue // the answer is still to come
-		case resp.ContentLength > maxBody:
+		case resp.ContentLength > maxAnswer:
 			return nil, nil, fmt.Errorf("an answer of %d bytes", resp.ContentLength)
 		case resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked"):
 			return nil, nil, errors.New("an answer without an end")
 		}
+		if !p.reserve(resp.ContentLength) {
+			return nil, nil, fmt.Errorf("no room for an answer of %d bytes", resp.ContentLength)
+		}
 		body, err := c.readBody(resp)
+		if err != nil {
+			p.free(resp.ContentLength)
+		}
 		return resp, body, err
 	}
 }
@@ -172,6 +181,13 @@
 	if err := c.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return nil, err
 	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, err
+		}
+		return body, c.SetReadDeadline(time.Time{})
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
@@ -192,6 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r := p.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
+	p.free(int64(len(r.answer.body)))
 	if r.outcome == grebefork.OK && reports {
 		r.load = parseLoad(string(r.answer.body), s.ReportFields)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -163,8 +163,13 @@
 		l.handle(ctx, ev)
 	case grebefork.EventHangup:
 		r := l.requests[in.call.id]
-		if r == nil || r.ended {
-			return // it crossed the answer
+		if r == nil || r.ended { // it crossed the answer, if there was one
+			select {
+			case a := <-in.call.answered:
+				l.pool.free(int64(len(a.body)))
+			default:
+			}
+			return
 		}
 		r.ended = true
 		ev.Request = r.id
@@ -174,8 +179,8 @@
 		r := l.requests[ev.Request]
 		r.attempts[ev.Attempt]()
 		r.out--
-		if ev.Outcome == grebefork.OK {
-			r.end(in.answer)
+		if ev.Outcome == grebefork.OK && !r.end(in.answer) {
+			l.pool.free(int64(len(in.answer.body)))
 		}
 		ev.Closed = r.ended
 		l.handle(ctx, ev)
@@ -194,12 +199,14 @@
 	}
 }
 
-// end gives the client its answer if it has none yet.
-func (r *request) end(a answer) {
-	if !r.ended {
-		r.ended = true
-		r.answered <- a
+// end gives the client its answer, unless it has one or is gone.
+func (r *request) end(a answer) bool {
+	if r.ended {
+		return false
 	}
+	r.ended = true
+	r.answered <- a
+	return true
 }
 
 // forget drops a request of which nothing more is to be heard.
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +64,7 @@
 	connectTimeout time.Duration
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
+	room           atomic.Int64  // bytes left for large answers
 
 	mu      sync.Mutex
 	targets map[*target]struct{} // those not retired
@@ -79,11 +81,31 @@
 	retired bool          // no connection is put back
 }
 
-func newPool(s *settings.Settings, most int) *pool {
-	return &pool{
+// newPool returns a pool of so many connections at most, with room for so many bytes of large answers.
+func newPool(s *settings.Settings, most int, room int64) *pool {
+	p := &pool{
 		connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
 		targets: map[*target]struct{}{},
 	}
+	p.room.Store(room)
+	return p
+}
+
+// reserve takes room for an answer's body; small ones need none. Danger: as many large ones as there are connections
+// would not fit into the memory.
+func (p *pool) reserve(body int64) bool {
+	if body <= maxBody || p.room.Add(-body) >= 0 {
+		return true
+	}
+	p.room.Add(body)
+	return false
+}
+
+// free gives the room of a body back, once nobody holds it any more.
+func (p *pool) free(body int64) {
+	if body > maxBody {
+		p.room.Add(body)
+	}
 }
 
 // target returns a new target.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -33,9 +33,10 @@
 	statusRefused = http.StatusServiceUnavailable
 	statusFailed  = http.StatusBadGateway
 
-	maxBudget  = time.Hour
-	maxCallID  = 256         // bytes
-	fullAdvice = time.Second // when to come back to an agent that holds all the requests it can
+	maxBudget    = time.Hour
+	writeTimeout = 5 * time.Second // for a client to take its answer
+	maxCallID    = 256             // bytes
+	fullAdvice   = time.Second     // when to come back to an agent that holds all the requests it can
 )
 
 // hopHeaders concern one connection only and are not passed on.
@@ -96,6 +97,7 @@
 	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
+		defer s.loop.pool.free(int64(len(a.body)))
 		s.respond(w, a)
 	case <-r.Context().Done():
 		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
@@ -121,6 +123,9 @@
 		h.Set("Content-Type", a.contentType)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	// Danger: a client that reads nothing would hold its answer for good. Where there is no deadline to set the
+	// connection is gone, and writing tells.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(a.status)
 	w.Write(a.body) // a client that does not take it is gone
 }
--- a/state.go
+++ b/state.go
@@ -74,6 +74,7 @@
 	sent   time.Duration
 	idle   int     // how long its connection had been, in steps
 	blamed float64 // for its silence
+	checks int     // for it
 	out    bool
 	ran    bool // may have run
 }
