A second copy for silent requests that may be repeated

At the second look (twice the patience), or the first if the server's report since then holds less than this agent has out there, a keyed or pure request goes to another server, never twice to one; the first copy is cancelled when the second answers.

--- a/balancer.go
+++ b/balancer.go
@@ -41,7 +41,7 @@
 	deadShare       = 0.3   // of what is sent on connections idle for so long is silent: closed before use
 	deadDoubt       = 0.98  // what is left of that by each close, so that it is tried again
 	coldMargin      = 0.5   // of overloadFactor that a cold server is sent; the rest is for peaks
-	retryRatio      = 0.1   // retry budget where none is stated: further attempts for each request taken,
+	retryRatio      = 0.2   // retry budget where none is stated: further attempts for each request, as usual
 	retryFloor      = 3.0   // and so many besides,
 	retrySpan       = 5.0   // in any so many seconds
 	aimShare        = 0.5   // of the aim that a usual answer may take before work is shed
@@ -471,6 +471,8 @@
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		switch {
+		case a.out && a.server == s:
+			return false // danger: what swallows one copy swallows the other
 		case !a.ran:
 		case r.class.Effect == SideEffect:
 			return false // danger: the effect would happen twice
@@ -706,6 +708,17 @@
 	}
 }
 
+// again sends a second copy of a request whose attempt is silent, while one may still be in time. Danger:
+// servers may swallow some requests and answer others, and only silence tells; dead connections are covered too.
+// Where many are late copies would add to it: then patience outlasts the aim, pairs are crowded and the retry
+// budget ends. It hurts where answers vary widely though nothing is lost.
+func (b *Balancer) again(r *request) {
+	if r.class.Effect != SideEffect && r.out == 1 && b.now+seconds(r.class.usual.v) < r.aim {
+		r.draws = 0
+		b.place(r)
+	}
+}
+
 func (b *Balancer) onTimer(token uint64) {
 	switch token >> 56 << 56 {
 	case tokenAsk:
@@ -726,6 +739,9 @@
 			if a.checks++; a.blamed < 1 && (!answers || a.checks < 2) {
 				b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
 			}
+			if a.checks > 1 || a.lost() {
+				b.again(r)
+			}
 		}
 	}
 }
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -1,11 +1,13 @@
 package agent
 
 import (
+	"container/heap"
 	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +219,48 @@
 		}
 	}
 }
+
+// A backend that swallows a request while it lives is not waited for: another gets a copy, whose answer is served, and
+// the first is given up.
+func TestSwallowedRequestIsServed(t *testing.T) {
+	var got atomic.Int64
+	script := func(int, *http.Request) (string, bool) {
+		if got.Add(1) == 1 {
+			return "", false
+		}
+		return okText, false
+	}
+	x, y := newBackend(t, script), newBackend(t, script)
+	cfg := config(t, "127.0.0.1:1", testSettings)
+	l, err := newLoop(&cfg.Settings, 1, newPool(&cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
+		members: []member{{ID: "x", HostPort: x.addr, Phase: "Ready"}, {ID: "y", HostPort: y.addr, Phase: "Ready"}}})
+	c := &call{deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/keyed/1", "x", nil, nil)}
+	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	swallower := x
+	select {
+	case <-x.got:
+	case <-y.got:
+		swallower = y
+	case <-time.After(wait):
+		t.Fatal("no request")
+	}
+	for range 2 { // the module's looks at the silent attempt, due or not
+		look := heap.Pop(&l.timers).(timer)
+		l.handle(ctx, grebefork.Event{Kind: grebefork.EventTimer, Token: look.token})
+	}
+	for range 2 { // the copy's answer, and the end of the first attempt
+		l.take(ctx, receive(t, "outcome", l.inputs))
+	}
+	if a := receive(t, "answer", c.answered); a.status != http.StatusOK {
+		t.Errorf("answered %d", a.status)
+	}
+	receive(t, "close of the silent connection", swallower.ended)
+	if n := got.Load(); n != 2 || len(l.requests) > 0 {
+		t.Errorf("%d attempts, %d requests left", n, len(l.requests))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -79,6 +79,12 @@
 	ran    bool // may have run
 }
 
+// lost says that its server, which has reported since, holds less than this agent alone has sent it.
+func (a *attempt) lost() bool {
+	s := a.server
+	return s.load.Known && s.loadAt > a.sent && s.load.InFlight >= 0 && s.load.InFlight < float64(s.inFlight)
+}
+
 type request struct {
 	id            RequestID
 	class         *class
