Pressure follows reports; rejections of attempts that were out together count once

They now count once. - settle pressed at each draw of a pair that was only passed by: +10 to +13 in half a second, which held pressure up while every report told of room. Such a pair presses no more, and reports that tell how many a server holds press as those that tell a queue do, down as well as up: few answers come while most is shed. - Up to 9 attempts were on their way when a report, a millisecond old, said 1: held had left all own attempts to the report. Only those that are silent for longer than the patience are now taken for lost.

Tried and taken out: no pressure from crowded pairs at all.

--- a/balancer.go
+++ b/balancer.go
@@ -159,13 +159,21 @@
 				max(widthGain, 1/(b.seen+1)))
 		}
 	}
-	if width := b.width(); l.Queue >= 0 {
+	// Danger: where most is shed few answers come, and only reports of idle servers can end that.
+	if width := b.width(); b.tellsCrowd(s) {
 		over := max(0, l.InFlight-width)
-		b.queue.add(over/width, fleetGain)
+		if l.Queue >= 0 {
+			b.queue.add(over/width, fleetGain)
+		}
 		b.press(min(1, over/(2*b.crowd*math.Sqrt(width))))
 	}
 }
 
+// tellsCrowd says whether a server's reports say how crowded it is.
+func (b *Balancer) tellsCrowd(s *server) bool {
+	return s.tellsQueue() || s.load.Known && s.load.InFlight >= 0 && b.running.known
+}
+
 // width is how many requests a server has in work when it is just busy. Danger: were it learnt for each kind,
 // one that is sent little would look narrow, so crowded, and be sent less.
 func (b *Balancer) width() float64 { return max(1, math.Floor(b.running.v+0.5)) }
@@ -292,11 +300,11 @@
 func (b *Balancer) held(s *server) float64 {
 	held, own := b.running.v, float64(s.inFlight)
 	if s.load.Known && s.load.InFlight >= 0 {
-		// Danger: attempts that are lost on their way stay out until they time out, and their server would look
-		// busy all the while; a fresh report knows better.
+		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
+		// while. Of those that are silent a fresh report knows better, but not of those on their way.
 		news := math.Exp2(-(b.now - s.loadAt).Seconds() / (reportLife * b.each(s)))
 		held += (s.load.InFlight-held)*news + float64(s.since)
-		own *= 1 - news
+		own -= news * float64(s.silent)
 	}
 	return max(held, own)
 }
@@ -320,7 +328,7 @@
 		return false
 	}
 	wait, left := (held+1)/width*b.each(s), (r.aim - b.now).Seconds()
-	if b.running.known || s.tellsQueue() {
+	if b.tellsCrowd(s) {
 		return held >= width+b.crowd*math.Sqrt(width) || wait > left
 	}
 	// Danger: some wait on others and are no crowd; but who has a long aim piles up until a server chokes.
@@ -341,7 +349,9 @@
 func (b *Balancer) settle(r *request, a, c *server) bool {
 	a, c = b.shorter(a, c)
 	aFull, cFull := b.crowded(r, a), c == nil || b.crowded(r, c)
-	if aFull && cFull {
+	// Danger: a pair that has rejected something a moment ago is no crowd. It would press at every draw, and the
+	// refusals make themselves lasting.
+	if aFull && cFull && b.now >= a.full {
 		part := 1.0
 		if r.draws < draws-1 { // another pair may have room, which an agent alone will see and others take
 			part = aimShare + (1-aimShare)*b.herd
@@ -556,6 +566,9 @@
 	a.out, a.ran = false, ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot
 	r.out--
 	s.inFlight--
+	if a.checks > 0 {
+		s.silent--
+	}
 	b.report(s, ev.Load)
 	took := (b.now - a.sent).Seconds()
 	b.judge(r.class, a, ev.Outcome, took/r.class.Aim.Seconds())
@@ -594,7 +607,7 @@
 		// Danger: a server that turns requests away has few in flight and would win every pair. One that tells
 		// its load may have reasons of its own to; were that taken for a crowd, its rejections alone would have
 		// all requests shed from idle servers. What such a server holds is judged whenever it is drawn.
-		b.passBy(s)
+		b.passBy(a)
 		if !s.load.Known {
 			b.press(2)
 		}
@@ -606,7 +619,7 @@
 			if how == Reset {
 				b.blame(c, s, doubt, "connections")
 			} else { // danger: it takes no more connections, and those out for it would make others take more
-				b.passBy(s)
+				b.passBy(a)
 			}
 			return
 		}
@@ -616,8 +629,13 @@
 	}
 }
 
-// passBy leaves a server without room alone for a while, longer each time until it answers.
-func (b *Balancer) passBy(s *server) {
+// passBy leaves a server without room alone for a while, longer each time until it answers. Danger: attempts
+// that were out together fail together, and say no more than the first of them.
+func (b *Balancer) passBy(a *attempt) {
+	s := a.server
+	if s.fulls > 0 && a.sent < s.full {
+		return
+	}
 	s.full = b.now + seconds(fullFor*b.service.v*float64(int(1)<<min(s.fulls, fullDoubles)))
 	s.fulls++
 }
@@ -709,9 +727,9 @@
 }
 
 // again sends a second copy of a request whose attempt is silent, while one may still be in time. Danger:
-// servers may swallow some requests and answer others, and only silence tells; dead connections are covered too.
-// Where many are late copies would add to it: then patience outlasts the aim, pairs are crowded and the retry
-// budget ends. It hurts where answers vary widely though nothing is lost.
+// servers may swallow some requests and answer others, and only silence tells; dead connections are covered
+// too. Where many are late copies would add to it: then patience outlasts the aim, pairs are crowded and the
+// retry budget ends. It hurts where answers vary widely though nothing is lost.
 func (b *Balancer) again(r *request) {
 	if r.class.Effect != SideEffect && r.out == 1 && b.now+seconds(r.class.usual.v) < r.aim {
 		r.draws = 0
@@ -736,6 +754,9 @@
 				much = min(much+0.5*b.doubt(r.class, a.server), 1)
 			}
 			b.silent(r.class, a, much)
+			if a.checks == 0 {
+				a.server.silent++
+			}
 			if a.checks++; a.blamed < 1 && (!answers || a.checks < 2) {
 				b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
 			}
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	built    float64       // speed in the present line
 	used     time.Duration // when it last answered over a connection, 0 if never
 	inFlight int           // own attempts out
+	silent   int           // of these, those that have been silent for longer than the patience
 	since    int           // sends since the last report
 	load     Load          // its last report
 	loadAt   time.Duration
