A jam is not taken for a greater width

Width is learnt from what busy servers have in work. At 300 reports a second a gain of 0.005 took in a jam within a second, and the limit of held in crowded grew with it, so that jammed servers were sent more.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1196,6 +1196,22 @@
 	}
 }
 
+// Incident r0c59d3: in a jam more is in work at once. Were that soon taken for the width, jammed servers would not
+// look crowded.
+func TestJamIsNoWidth(t *testing.T) {
+	x := start(t, settings(), fleet(2)...)
+	report := func(n int, held float64) {
+		for range n {
+			x.b.report(x.b.ring[0], Load{Known: true, InFlight: held, Queue: -1, Recent: 20 * ms, Rate: 50 * held})
+		}
+	}
+	report(2500, 2)
+	before := x.b.width()
+	if report(300, 8); x.b.width() > before+1 {
+		t.Errorf("300 reports of a jam made a width of %v one of %v", before, x.b.width())
+	}
+}
+
 // A silent request is sent again once, elsewhere and in time, if its class may be and second copies are allowed: at
 // the second look, or at the first if its server has reported since and no longer holds it.
 func TestSilentRequestsGetASecondCopy(t *testing.T) {
