--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/wire"
+	"example.org/micaline/internal/wire"
+	"example.org/micaline/policy"
 )
 
 func main() {
@@ -23,7 +23,7 @@
 // run answers batches until the input ends. A reply is written whole or not at all.
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(bufio.NewReaderSize(in, 1<<20))
-	h := host{instances: map[uint32]*grebefork.Balancer{}}
+	h := host{instances: map[uint32]*policy.Balancer{}}
 	for {
 		batch, now, err := dec.Batch()
 		if errors.Is(err, io.EOF) {
@@ -53,15 +53,15 @@
 
 // host keeps the instances of this process apart: each has its own Balancer and nothing else.
 type host struct {
-	instances map[uint32]*grebefork.Balancer
+	instances map[uint32]*policy.Balancer
 	enc       wire.Encoder
-	actions   []grebefork.Action
+	actions   []policy.Action
 }
 
 func (h *host) handle(now time.Duration, rec *wire.Record) error {
 	switch rec.Kind {
 	case wire.Create:
-		b, err := grebefork.New(rec.Settings, rec.Seed)
+		b, err := policy.New(rec.Settings, rec.Seed)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", rec.Instance, err)
 		}
@@ -81,7 +81,7 @@
 }
 
 // deliver hands one event to the module. A panic comes back as text, so that it ends as the wire's own fault.
-func (h *host) deliver(b *grebefork.Balancer, now time.Duration, rec *wire.Record) (fault string) {
+func (h *host) deliver(b *policy.Balancer, now time.Duration, rec *wire.Record) (fault string) {
 	defer func() {
 		if p := recover(); p != nil {
 			fault = fmt.Sprint("panic: ", p)
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/wire"
+	"example.org/micaline/internal/wire"
+	"example.org/micaline/policy"
 )
 
 func frame(batch uint32, count int, records ...byte) []byte {
@@ -62,7 +62,7 @@
 // A panic in the module becomes text for the wire's fault action.
 func TestPanicBecomesAFault(t *testing.T) {
 	var h host
-	rec := wire.Record{Kind: wire.Deliver, Event: grebefork.Event{Kind: grebefork.EventHangup}}
+	rec := wire.Record{Kind: wire.Deliver, Event: policy.Event{Kind: policy.EventHangup}}
 	if fault := h.deliver(nil, time.Second, &rec); !strings.HasPrefix(fault, "panic: ") {
 		t.Errorf("fault %q", fault)
 	}
--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"example.org/grebefork/internal/agent"
+	"example.org/micaline/internal/agent"
 )
 
 // memoryShare of the limit is the collector's; the rest is for what it does not count, stacks of the kernel's
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,7 +11,7 @@
 	"net/http"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 const (
@@ -58,13 +58,13 @@
 	// What the agent has taken it finishes, so its workers outlive the context.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	tell := func(mode grebefork.ListMode, members []member) {
-		l.send(input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
+	tell := func(mode policy.ListMode, members []member) {
+		l.send(input{event: policy.Event{Kind: policy.EventList, ListMode: mode}, members: members})
 	}
 	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	l.follow = d.asked
 	go l.run(work)
-	tell(grebefork.ListCached, cfg.known.Members)
+	tell(policy.ListCached, cfg.known.Members)
 	go d.run(work, reloads)
 
 	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
 )
 
 const (
@@ -55,9 +55,9 @@
 
 // result is how an attempt or a probe ended.
 type result struct {
-	outcome grebefork.Outcome
+	outcome policy.Outcome
 	latency time.Duration
-	load    grebefork.Load
+	load    policy.Load
 	answer  answer // a whole one, if the outcome is OK
 }
 
@@ -72,36 +72,36 @@
 	case err == nil:
 		r.load = parseLoad(resp.Header.Get(loadHeader), fields)
 		r.outcome = outcomeOf(resp)
-		if r.outcome == grebefork.OK {
+		if r.outcome == policy.OK {
 			r.answer = answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), body: body}
 		} else {
 			p.free(int64(len(body)))
 		}
 	case errors.Is(ctx.Err(), context.Canceled):
-		r.outcome = grebefork.Cancelled
+		r.outcome = policy.Cancelled
 	case errors.Is(err, errTooLate), ownShortage(err):
-		r.outcome = grebefork.Moot // it never ran, and the backend is not to blame
+		r.outcome = policy.Moot // it never ran, and the backend is not to blame
 	case !written: // its last byte never went out: it cannot have run
-		r.outcome = grebefork.ConnectFailed
+		r.outcome = policy.ConnectFailed
 	case ctx.Err() != nil:
-		r.outcome = grebefork.Timeout
+		r.outcome = policy.Timeout
 	default:
-		r.outcome = grebefork.Reset
+		r.outcome = policy.Reset
 	}
 	return r
 }
 
 // outcomeOf reads a whole answer's meaning. What the protocol does not name may have run.
-func outcomeOf(resp *http.Response) grebefork.Outcome {
+func outcomeOf(resp *http.Response) policy.Outcome {
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return grebefork.OK
+		return policy.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get(rejectedHeader) == "1" {
-			return grebefork.Full
+			return policy.Full
 		}
 	}
-	return grebefork.Error
+	return policy.Error
 }
 
 // roundTrip returns a whole answer, or an error and whether the request's last byte was written before it.
@@ -200,7 +200,7 @@
 
 // probe asks a backend how it does: for its load where probes bring reports, else whether it is alive.
 func (p *pool) probe(ctx context.Context, t *target, s *settings.Settings) result {
-	path, reports := alivePath, s.Module.Reports != grebefork.ReportsOff
+	path, reports := alivePath, s.Module.Reports != policy.ReportsOff
 	if reports {
 		path = loadPath
 	}
@@ -209,7 +209,7 @@
 	defer cancel()
 	r := p.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
 	p.free(int64(len(r.answer.body)))
-	if r.outcome == grebefork.OK && reports {
+	if r.outcome == policy.OK && reports {
 		r.load = parseLoad(string(r.answer.body), s.ReportFields)
 	}
 	return r
@@ -217,7 +217,7 @@
 
 // parseLoad reads a report such as inflight=7,queue=2. Names that the settings do not list, and what is no
 // number, are left out: a bad report is an absent one.
-func parseLoad(text string, fields []string) grebefork.Load {
+func parseLoad(text string, fields []string) policy.Load {
 	load := settings.NoLoad()
 	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, _ := strings.Cut(pair, "=")
@@ -232,19 +232,19 @@
 
 // serverIDs derives numbers from the backends' names, the same in every life of the agent.
 type serverIDs struct {
-	ids   map[string]grebefork.ServerID
-	names map[grebefork.ServerID]string
+	ids   map[string]policy.ServerID
+	names map[policy.ServerID]string
 }
 
 // of returns the number of a name, and takes one for it if it is new. Names that would share a number are kept
 // apart: the later one gets the next that is free.
-func (s *serverIDs) of(name string) grebefork.ServerID {
+func (s *serverIDs) of(name string) policy.ServerID {
 	if id, ok := s.ids[name]; ok {
 		return id
 	}
 	hash := fnv.New32a()
 	hash.Write([]byte(name))
-	id := grebefork.ServerID(hash.Sum32())
+	id := policy.ServerID(hash.Sum32())
 	for {
 		if _, taken := s.names[id]; !taken {
 			break
@@ -256,7 +256,7 @@
 }
 
 // free forgets a name that has left the list.
-func (s *serverIDs) free(id grebefork.ServerID) {
+func (s *serverIDs) free(id policy.ServerID) {
 	delete(s.ids, s.names[id])
 	delete(s.names, id)
 }
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 // Each row of the protocol's table of outcomes, first at one backend that then serves: a keyed request may go
@@ -101,10 +101,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	held := p.exchange(ctx, to, &m, time.Time{}, nil)
-	if held.outcome != grebefork.OK || string(held.answer.body) != large {
+	if held.outcome != policy.OK || string(held.answer.body) != large {
 		t.Fatalf("outcome %d, %d bytes", held.outcome, len(held.answer.body))
 	}
-	if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != grebefork.Reset {
+	if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != policy.Reset {
 		t.Errorf("without room: outcome %d", r.outcome)
 	}
 	p.free(int64(len(held.answer.body)))
@@ -114,7 +114,7 @@
 			t.Fatalf("answered %d, %d bytes", status, len(body))
 		}
 	}
-	if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+	if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != policy.OK {
 		t.Errorf("with room again: outcome %d", r.outcome)
 	}
 }
@@ -165,7 +165,7 @@
 	})
 	cfg := config(t, "127.0.0.1:1", strings.Replace(testSettings, `"off"`, `"on_probe"`, 1))
 	r := newPool(&cfg.Settings, 4, maxAnswer).probe(context.Background(), &target{addr: b.addr}, &cfg.Settings)
-	if r.outcome != grebefork.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
+	if r.outcome != policy.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
 		t.Errorf("got %+v", r)
 	}
 }
@@ -179,7 +179,7 @@
 }
 
 func TestServerIDsStayApart(t *testing.T) {
-	ids := serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}}
+	ids := serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}}
 	x, y := ids.of("costarring"), ids.of("liquid") // one hash
 	if x+1 != y || ids.of("costarring") != x {
 		t.Errorf("got %d and %d", x, y)
@@ -198,10 +198,10 @@
 	m := newMessage("POST", "/keyed/1", "x", nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	if r := p.exchange(ctx, to, &m, time.Now(), nil); r.outcome != grebefork.Moot || len(b.got) > 0 {
+	if r := p.exchange(ctx, to, &m, time.Now(), nil); r.outcome != policy.Moot || len(b.got) > 0 {
 		t.Errorf("outcome %d, %d sent", r.outcome, len(b.got))
 	}
-	if r := p.exchange(ctx, to, &m, time.Now().Add(wait), nil); r.outcome != grebefork.OK {
+	if r := p.exchange(ctx, to, &m, time.Now().Add(wait), nil); r.outcome != policy.OK {
 		t.Errorf("in time: outcome %d", r.outcome)
 	}
 }
@@ -214,12 +214,12 @@
 	m := newMessage("GET", "/", "x", nil, nil)
 	over, cancel := context.WithDeadline(context.Background(), time.Now())
 	defer cancel()
-	if r := p.exchange(over, to, &m, time.Time{}, nil); r.outcome != grebefork.ConnectFailed {
+	if r := p.exchange(over, to, &m, time.Time{}, nil); r.outcome != policy.ConnectFailed {
 		t.Errorf("out of time: outcome %d", r.outcome)
 	}
 	given, giveUp := context.WithCancel(context.Background())
 	giveUp()
-	if r := p.exchange(given, to, &m, time.Time{}, nil); r.outcome != grebefork.Cancelled {
+	if r := p.exchange(given, to, &m, time.Time{}, nil); r.outcome != policy.Cancelled {
 		t.Errorf("given up: outcome %d", r.outcome)
 	}
 	if p.open != 0 {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,8 +9,8 @@
 	"slices"
 	"strconv"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
 )
 
 // minSockets is what an agent needs to hold a few clients and backends beside its own descriptors.
@@ -94,7 +94,7 @@
 	return cfg, checkSettings(&cfg.Settings)
 }
 
-// checkSettings checks what the agent needs beside the module, whose own check is grebefork.New.
+// checkSettings checks what the agent needs beside the module, whose own check is policy.New.
 func checkSettings(s *settings.Settings) error {
 	if s.ConnectTimeout <= 0 {
 		return errors.New("settings: limits.connectTimeout must be above 0")
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	if _, err := grebefork.New(s.Module, 0); err != nil {
+	if _, err := policy.New(s.Module, 0); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	return nil
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -12,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 const (
@@ -51,8 +51,8 @@
 	Members  []member
 }
 
-var phases = map[string]grebefork.ServerState{
-	"Ready": grebefork.Ready, "Terminating": grebefork.Draining, "Gone": grebefork.Gone,
+var phases = map[string]policy.ServerState{
+	"Ready": policy.Ready, "Terminating": policy.Draining, "Gone": policy.Gone,
 }
 
 // parseList takes a list whole or not at all: half of one would take backends for gone that are not.
@@ -75,7 +75,7 @@
 		case !(m.UpSince >= 0 && m.UpSince < 9e12): // what a time.Duration can hold
 			return memberList{}, fmt.Errorf("%w: members[%d].up_since_ms %v", errBadList, i, m.UpSince)
 		}
-		if _, err := netip.ParseAddrPort(m.HostPort); err != nil && state != grebefork.Gone {
+		if _, err := netip.ParseAddrPort(m.HostPort); err != nil && state != policy.Gone {
 			return memberList{}, fmt.Errorf("%w: members[%d].host_port: %w", errBadList, i, err)
 		}
 		seen[m.ID] = true
@@ -88,14 +88,14 @@
 	addr   string
 	ask    bool          // only when the module asks, and it hears of failures
 	follow chan struct{} // the module asks; holds one
-	tell   func(grebefork.ListMode, []member)
+	tell   func(policy.ListMode, []member)
 	client http.Client
 	log    *slog.Logger
 
 	revision *uint64 // of the list held; nil when the whole list is wanted
 }
 
-func newDiscovery(addr string, ask bool, tell func(grebefork.ListMode, []member), log *slog.Logger) *discovery {
+func newDiscovery(addr string, ask bool, tell func(policy.ListMode, []member), log *slog.Logger) *discovery {
 	return &discovery{
 		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, log: log,
 		client: http.Client{
@@ -161,7 +161,7 @@
 			case <-d.follow:
 			default:
 			}
-			d.tell(grebefork.ListFailed, nil) // the module decides when to ask again
+			d.tell(policy.ListFailed, nil) // the module decides when to ask again
 			continue
 		}
 		// Agents that lost discovery together must not come back together.
@@ -192,11 +192,11 @@
 		heard = true
 		switch {
 		case l.Complete:
-			d.tell(grebefork.ListFull, l.Members)
+			d.tell(policy.ListFull, l.Members)
 		case d.revision == nil || *l.Revision < *d.revision:
 			return heard, fmt.Errorf("%w: changes up to %d do not follow the list held", errBadList, *l.Revision)
 		case len(l.Members) > 0:
-			d.tell(grebefork.ListDelta, l.Members)
+			d.tell(policy.ListDelta, l.Members)
 		}
 		d.revision = l.Revision
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // input is what has happened, on its way to the loop: an event for the module and what it has no use for.
 type input struct {
-	event   grebefork.Event
+	event   policy.Event
 	call    *call    // of EventRequest and EventHangup
 	answer  answer   // of EventOutcome, if it is OK
 	members []member // of EventList
@@ -44,7 +44,7 @@
 	message       message
 	answered      chan answer // holds one, so that the loop never waits for a handler
 
-	id grebefork.RequestID // the loop's
+	id policy.RequestID // the loop's
 }
 
 // answer is what a client gets.
@@ -68,7 +68,7 @@
 type loop struct {
 	set      *settings.Settings
 	clock    clock
-	balancer *grebefork.Balancer
+	balancer *policy.Balancer
 	pool     *pool
 	follow   func() // asks discovery for the list
 	log      *slog.Logger
@@ -77,17 +77,17 @@
 	ready    atomic.Bool   // a list has come
 
 	servers  serverIDs
-	targets  map[grebefork.ServerID]*target
-	requests map[grebefork.RequestID]*request
+	targets  map[policy.ServerID]*target
+	requests map[policy.RequestID]*request
 	callIDs  callIDs
-	lastID   grebefork.RequestID
+	lastID   policy.RequestID
 	timers   timers
-	events   []grebefork.Event // to be handed to the module
-	actions  []grebefork.Action
+	events   []policy.Event // to be handed to the module
+	actions  []policy.Action
 }
 
 func newLoop(set *settings.Settings, seed uint64, pool *pool, log *slog.Logger) (*loop, error) {
-	balancer, err := grebefork.New(set.Module, seed)
+	balancer, err := policy.New(set.Module, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -95,9 +95,9 @@
 		set: set, clock: clock{time.Now()}, balancer: balancer, pool: pool, log: log,
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
-		servers:  serverIDs{ids: map[string]grebefork.ServerID{}, names: map[grebefork.ServerID]string{}},
-		targets:  map[grebefork.ServerID]*target{},
-		requests: map[grebefork.RequestID]*request{},
+		servers:  serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}},
+		targets:  map[policy.ServerID]*target{},
+		requests: map[policy.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}, nil
 }
@@ -135,7 +135,7 @@
 		}
 		for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 			t := heap.Pop(&l.timers).(timer)
-			l.handle(ctx, grebefork.Event{Kind: grebefork.EventTimer, Token: t.token})
+			l.handle(ctx, policy.Event{Kind: policy.EventTimer, Token: t.token})
 		}
 	}
 }
@@ -144,14 +144,14 @@
 func (l *loop) take(ctx context.Context, in input) {
 	ev := in.event
 	switch ev.Kind {
-	case grebefork.EventList:
+	case policy.EventList:
 		ev.Servers = l.entries(in.members)
 		l.handle(ctx, ev)
-		if ev.ListMode != grebefork.ListFailed {
+		if ev.ListMode != policy.ListFailed {
 			l.forgetGone(ev.ListMode, ev.Servers)
 			l.ready.Store(len(l.targets) > 0 || l.ready.Load())
 		}
-	case grebefork.EventRequest:
+	case policy.EventRequest:
 		if !l.callIDs.take(in.call.callID) {
 			in.call.answered <- answer{status: http.StatusConflict, contentType: "text/plain", body: []byte(callIDHeader + " is in use\n")}
 			return
@@ -161,7 +161,7 @@
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
 		ev.Left = in.call.deadline - l.clock.now()
 		l.handle(ctx, ev)
-	case grebefork.EventHangup:
+	case policy.EventHangup:
 		r := l.requests[in.call.id]
 		if r == nil || r.ended { // it crossed the answer, if there was one
 			select {
@@ -175,11 +175,11 @@
 		ev.Request = r.id
 		l.handle(ctx, ev)
 		l.forget(r)
-	case grebefork.EventOutcome:
+	case policy.EventOutcome:
 		r := l.requests[ev.Request]
 		r.attempts[ev.Attempt]()
 		r.out--
-		if ev.Outcome == grebefork.OK && !r.end(in.answer) {
+		if ev.Outcome == policy.OK && !r.end(in.answer) {
 			l.pool.free(int64(len(in.answer.body)))
 		}
 		ev.Closed = r.ended
@@ -190,7 +190,7 @@
 	}
 }
 
-func (l *loop) newID() grebefork.RequestID {
+func (l *loop) newID() policy.RequestID {
 	for {
 		l.lastID++
 		if l.requests[l.lastID] == nil {
@@ -247,10 +247,10 @@
 func (c *callIDs) age() { c.recent, c.older = map[string]struct{}{}, c.recent }
 
 // entries notes where the members of a list are and turns them into the module's terms.
-func (l *loop) entries(members []member) []grebefork.ServerEntry {
-	entries := make([]grebefork.ServerEntry, 0, len(members))
+func (l *loop) entries(members []member) []policy.ServerEntry {
+	entries := make([]policy.ServerEntry, 0, len(members))
 	for _, m := range members {
-		e := grebefork.ServerEntry{
+		e := policy.ServerEntry{
 			ID:     l.servers.of(m.ID),
 			Zone:   slices.Index(l.set.Zones, m.Locality),
 			Kind:   slices.Index(l.set.Kinds, m.Flavor),
@@ -260,7 +260,7 @@
 			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
 		}
 		entries = append(entries, e)
-		if e.State == grebefork.Gone {
+		if e.State == policy.Gone {
 			continue // forgotten once the module has heard of it
 		}
 		old := l.targets[e.ID]
@@ -276,13 +276,13 @@
 }
 
 // forgetGone drops the addresses and idle connections of the backends that a list has shown to be gone.
-func (l *loop) forgetGone(mode grebefork.ListMode, entries []grebefork.ServerEntry) {
-	stays := make(map[grebefork.ServerID]bool, len(entries))
+func (l *loop) forgetGone(mode policy.ListMode, entries []policy.ServerEntry) {
+	stays := make(map[policy.ServerID]bool, len(entries))
 	for _, e := range entries {
-		stays[e.ID] = e.State != grebefork.Gone
+		stays[e.ID] = e.State != policy.Gone
 	}
 	for id := range l.servers.names {
-		if here, listed := stays[id]; here || !listed && mode == grebefork.ListDelta {
+		if here, listed := stays[id]; here || !listed && mode == policy.ListDelta {
 			continue
 		}
 		if t := l.targets[id]; t != nil {
@@ -294,7 +294,7 @@
 }
 
 // handle hands an event to the module and carries out what it answers, and so on with the events that come of it.
-func (l *loop) handle(ctx context.Context, ev grebefork.Event) {
+func (l *loop) handle(ctx context.Context, ev policy.Event) {
 	l.events = append(l.events, ev)
 	for i := 0; i < len(l.events); i++ { // act may add to them
 		l.actions = l.balancer.Handle(l.clock.now(), l.events[i], l.actions[:0])
@@ -306,40 +306,40 @@
 }
 
 // act carries out one action.
-func (l *loop) act(ctx context.Context, a *grebefork.Action) {
+func (l *loop) act(ctx context.Context, a *policy.Action) {
 	r := l.requests[a.Request]
 	switch a.Kind {
-	case grebefork.ActSend:
+	case policy.ActSend:
 		if r != nil {
 			l.attempt(ctx, r, a)
 		}
-	case grebefork.ActRefuse:
+	case policy.ActRefuse:
 		if r != nil {
 			r.end(answer{status: statusRefused, retryAfter: a.Wait})
 			l.forget(r)
 		}
-	case grebefork.ActFail:
+	case policy.ActFail:
 		if r != nil {
 			r.end(answer{status: statusFailed})
 			l.forget(r)
 		}
-	case grebefork.ActCancel:
+	case policy.ActCancel:
 		if r != nil && a.Attempt < len(r.attempts) {
 			r.attempts[a.Attempt]()
 		}
-	case grebefork.ActTimer:
+	case policy.ActTimer:
 		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token})
-	case grebefork.ActProbe:
+	case policy.ActProbe:
 		l.probe(ctx, a.Server)
-	case grebefork.ActFollow:
+	case policy.ActFollow:
 		l.follow()
-	case grebefork.ActLog:
+	case policy.ActLog:
 		l.log.Info(a.Text)
 	}
 }
 
 // attempt sends a request to a backend. What cannot be sent any more ends as moot.
-func (l *loop) attempt(ctx context.Context, r *request, a *grebefork.Action) {
+func (l *loop) attempt(ctx context.Context, r *request, a *policy.Action) {
 	n := len(r.attempts)
 	left := r.deadline - l.clock.now()
 	if a.Wait != 0 {
@@ -348,9 +348,9 @@
 	t := l.targets[a.Server]
 	if r.ended || left <= 0 || t == nil || n >= l.set.Module.MaxAttempts {
 		r.attempts = append(r.attempts, func() {})
-		l.events = append(l.events, grebefork.Event{
-			Kind: grebefork.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
-			Outcome: grebefork.Moot, Closed: r.ended, Load: settings.NoLoad(),
+		l.events = append(l.events, policy.Event{
+			Kind: policy.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
+			Outcome: policy.Moot, Closed: r.ended, Load: settings.NoLoad(),
 		})
 		return
 	}
@@ -364,25 +364,25 @@
 	id, server, msg := r.id, a.Server, &r.message
 	go func() {
 		res := l.pool.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
-		l.send(input{answer: res.answer, event: grebefork.Event{
-			Kind: grebefork.EventOutcome, Request: id, Attempt: n, Server: server,
+		l.send(input{answer: res.answer, event: policy.Event{
+			Kind: policy.EventOutcome, Request: id, Attempt: n, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
 		}})
 	}()
 }
 
-func (l *loop) probe(ctx context.Context, server grebefork.ServerID) {
+func (l *loop) probe(ctx context.Context, server policy.ServerID) {
 	t := l.targets[server]
 	if t == nil {
-		l.events = append(l.events, grebefork.Event{
-			Kind: grebefork.EventProbed, Server: server, Outcome: grebefork.Moot, Load: settings.NoLoad(),
+		l.events = append(l.events, policy.Event{
+			Kind: policy.EventProbed, Server: server, Outcome: policy.Moot, Load: settings.NoLoad(),
 		})
 		return
 	}
 	go func() {
 		res := l.pool.probe(ctx, t, l.set)
-		l.send(input{event: grebefork.Event{
-			Kind: grebefork.EventProbed, Server: server,
+		l.send(input{event: policy.Event{
+			Kind: policy.EventProbed, Server: server,
 			Outcome: res.outcome, Latency: res.latency, Load: res.load,
 		}})
 	}()
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 // The id of a request that is open, or was a moment ago, is no other's: the second is refused and the first served.
@@ -89,33 +89,33 @@
 		t.Fatal(err)
 	}
 	ctx := t.Context()
-	list := func(mode grebefork.ListMode, phase string) {
-		l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode},
+	list := func(mode policy.ListMode, phase string) {
+		l.take(ctx, input{event: policy.Event{Kind: policy.EventList, ListMode: mode},
 			members: []member{{ID: "x", HostPort: b.addr, Phase: phase}}})
 	}
-	list(grebefork.ListFull, "Ready")
+	list(policy.ListFull, "Ready")
 	x := l.servers.of("x")
 	r := &request{call: &call{id: 7, deadline: l.clock.now() + wait, answered: make(chan answer, 1),
 		message: newMessage("POST", "/keyed/1", "x", nil, nil)}}
 	l.requests[r.id] = r
-	send := grebefork.Action{Kind: grebefork.ActSend, Request: r.id, Server: x, Wait: wait}
+	send := policy.Action{Kind: policy.ActSend, Request: r.id, Server: x, Wait: wait}
 	l.act(ctx, &send)
-	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.OK {
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != policy.OK {
 		t.Fatalf("outcome %d", in.event.Outcome)
 	}
 	send.Within = 1 // a nanosecond, which is over before a connection can be had
 	l.act(ctx, &send)
-	if in := receive(t, "outcome", l.inputs); in.event.Outcome != grebefork.Moot {
+	if in := receive(t, "outcome", l.inputs); in.event.Outcome != policy.Moot {
 		t.Errorf("sent too late: outcome %d", in.event.Outcome)
 	}
-	list(grebefork.ListDelta, "Gone")
+	list(policy.ListDelta, "Gone")
 	receive(t, "close of the idle connection", b.ended)
 	if len(l.targets) > 0 || len(l.pool.targets) > 0 || len(l.servers.ids) > 0 || len(l.servers.names) > 0 {
 		t.Errorf("still known: %v %v", l.targets, l.servers)
 	}
 	send.Within = 0
 	l.act(ctx, &send)
-	if n := len(l.events); n != 1 || l.events[0].Outcome != grebefork.Moot {
+	if n := len(l.events); n != 1 || l.events[0].Outcome != policy.Moot {
 		t.Errorf("to a backend that is gone: %+v", l.events)
 	}
 }
@@ -128,16 +128,16 @@
 		t.Fatal(err)
 	}
 	ctx := t.Context()
-	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
+	l.take(ctx, input{event: policy.Event{Kind: policy.EventList, ListMode: policy.ListFull},
 		members: []member{{ID: "x", HostPort: "127.0.0.1:1", Phase: "Ready"}}})
 	c := &call{class: 2, deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/", "x", nil, nil)}
-	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	l.take(ctx, input{event: policy.Event{Kind: policy.EventRequest}, call: c})
 	if len(l.requests) != 1 || l.requests[c.id].out != 1 {
 		t.Fatalf("after the request: %+v", l.requests)
 	}
-	hangup := input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c}
+	hangup := input{event: policy.Event{Kind: policy.EventHangup}, call: c}
 	l.take(ctx, hangup)
-	l.take(ctx, input{answer: answer{status: 200}, event: grebefork.Event{Kind: grebefork.EventOutcome, Request: c.id}})
+	l.take(ctx, input{answer: answer{status: 200}, event: policy.Event{Kind: policy.EventOutcome, Request: c.id}})
 	l.take(ctx, hangup)
 	if len(c.answered) != 0 || len(l.requests) != 0 {
 		t.Errorf("%d answers, %d requests left", len(c.answered), len(l.requests))
@@ -236,10 +236,10 @@
 		t.Fatal(err)
 	}
 	ctx := t.Context()
-	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: grebefork.ListFull},
+	l.take(ctx, input{event: policy.Event{Kind: policy.EventList, ListMode: policy.ListFull},
 		members: []member{{ID: "x", HostPort: x.addr, Phase: "Ready"}, {ID: "y", HostPort: y.addr, Phase: "Ready"}}})
 	c := &call{deadline: l.clock.now() + wait, answered: make(chan answer, 1), message: newMessage("POST", "/keyed/1", "x", nil, nil)}
-	l.take(ctx, input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	l.take(ctx, input{event: policy.Event{Kind: policy.EventRequest}, call: c})
 	swallower := x
 	select {
 	case <-x.got:
@@ -250,7 +250,7 @@
 	}
 	for range 2 { // the module's looks at the silent attempt, due or not
 		look := heap.Pop(&l.timers).(timer)
-		l.handle(ctx, grebefork.Event{Kind: grebefork.EventTimer, Token: look.token})
+		l.handle(ctx, policy.Event{Kind: policy.EventTimer, Token: look.token})
 	}
 	for range 2 { // the copy's answer, and the end of the first attempt
 		l.take(ctx, receive(t, "outcome", l.inputs))
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
 )
 
 // idleMargin is how long before a backend may close an idle connection it is no longer used: a request that
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 // A backend at the address of one that has gone has connections of its own: those of the old one close, the one in
@@ -23,11 +23,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := func(mode grebefork.ListMode, members ...member) {
-		l.take(t.Context(), input{event: grebefork.Event{Kind: grebefork.EventList, ListMode: mode}, members: members})
+	list := func(mode policy.ListMode, members ...member) {
+		l.take(t.Context(), input{event: policy.Event{Kind: policy.EventList, ListMode: mode}, members: members})
 	}
 	old, next := member{ID: "old", HostPort: b.addr, Phase: "Ready"}, member{ID: "next", HostPort: b.addr, Phase: "Ready"}
-	list(grebefork.ListFull, old)
+	list(policy.ListFull, old)
 	ctx, cancel := context.WithTimeout(t.Context(), wait)
 	defer cancel()
 	m := newMessage("GET", "/", "x", nil, nil)
@@ -35,7 +35,7 @@
 	first := l.targets[l.servers.of("old")]
 	go func() { inUse <- l.pool.exchange(ctx, first, &m, time.Time{}, nil) }()
 	receive(t, "request", b.got)
-	list(grebefork.ListDelta, next)
+	list(policy.ListDelta, next)
 	goOn <- struct{}{}
 	second := l.targets[l.servers.of("next")]
 	inUse2 := make(chan result, 1)
@@ -48,7 +48,7 @@
 	goOn <- struct{}{}
 	receive(t, "answer of the new one", inUse2)
 	old.Phase = "Gone"
-	list(grebefork.ListDelta, old)
+	list(policy.ListDelta, old)
 	if len(first.idle) != 0 || len(second.idle) != 1 || l.pool.open != 1 {
 		t.Errorf("%d idle to the old one, %d to the new one, %d open", len(first.idle), len(second.idle), l.pool.open)
 	}
@@ -56,7 +56,7 @@
 	go func() { inUse2 <- l.pool.exchange(ctx, second, &m, time.Time{}, nil) }()
 	receive(t, "request", b.got)
 	next.UpSince = 5
-	list(grebefork.ListDelta, next)
+	list(policy.ListDelta, next)
 	goOn <- struct{}{}
 	receive(t, "late answer", inUse2)
 	if len(second.idle) != 0 || l.pool.open != 0 {
@@ -98,7 +98,7 @@
 	m := newMessage("GET", "/", "x", nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != policy.OK {
 		t.Fatalf("outcome %d", r.outcome)
 	}
 	silent := make(chan result, 1)
@@ -106,14 +106,14 @@
 	go func() { silent <- p.exchange(held, toY, &m, time.Time{}, nil) }()
 	receive(t, "close of the idle connection", x.ended)
 	receive(t, "request", y.got)
-	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.Moot {
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != policy.Moot {
 		t.Errorf("with the only socket in use: outcome %d", r.outcome)
 	}
 	giveUp()
-	if r := receive(t, "cancelled attempt", silent); r.outcome != grebefork.Cancelled {
+	if r := receive(t, "cancelled attempt", silent); r.outcome != policy.Cancelled {
 		t.Errorf("given up: outcome %d", r.outcome)
 	}
-	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+	if r := p.exchange(ctx, toX, &m, time.Time{}, nil); r.outcome != policy.OK {
 		t.Errorf("with the socket free again: outcome %d", r.outcome)
 	}
 }
@@ -143,7 +143,7 @@
 		},
 		func(*conn) {},
 	} {
-		if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != grebefork.OK {
+		if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != policy.OK {
 			t.Fatalf("exchange %d: outcome %d", i, r.outcome)
 		}
 		if n := len(b.accepted); n != i+1 {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 const (
@@ -94,13 +94,13 @@
 		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
 		return
 	}
-	s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventRequest}, call: c})
+	s.loop.send(input{event: policy.Event{Kind: policy.EventRequest}, call: c})
 	select {
 	case a := <-c.answered:
 		defer s.loop.pool.free(int64(len(a.body)))
 		s.respond(w, a)
 	case <-r.Context().Done():
-		s.loop.send(input{event: grebefork.Event{Kind: grebefork.EventHangup}, call: c})
+		s.loop.send(input{event: policy.Event{Kind: policy.EventHangup}, call: c})
 		// Danger: a handler that returns without a word answers 200, and a client that has closed only its own
 		// side would take that for what a backend made.
 		panic(http.ErrAbortHandler)
@@ -205,9 +205,9 @@
 
 // checkEffect checks that a request is sent as its class's effect asks. Danger: a keyed request without its
 // key would be repeated as if backends could tell.
-func checkEffect(effect grebefork.Effect, r *http.Request) error {
-	method, keyed := http.MethodPost, effect == grebefork.Token
-	if effect == grebefork.Pure {
+func checkEffect(effect policy.Effect, r *http.Request) error {
+	method, keyed := http.MethodPost, effect == policy.Token
+	if effect == policy.Pure {
 		method = http.MethodGet
 	}
 	if r.Method != method {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"example.org/grebefork"
+	"example.org/micaline/policy"
 )
 
 // facts mirrors the keys of the settings text that the module has a use for. Others are passed over.
@@ -44,23 +44,23 @@
 	Tick float64
 }
 
-var effects = map[string]grebefork.Effect{
-	"pure": grebefork.Pure, "token": grebefork.Token, "side_effect": grebefork.SideEffect,
+var effects = map[string]policy.Effect{
+	"pure": policy.Pure, "token": policy.Token, "side_effect": policy.SideEffect,
 }
 
-var scopes = map[string]grebefork.Scope{
-	"": grebefork.ScopeAll, "all": grebefork.ScopeAll,
-	"zone": grebefork.ScopeZone, "cell": grebefork.ScopeCell,
+var scopes = map[string]policy.Scope{
+	"": policy.ScopeAll, "all": policy.ScopeAll,
+	"zone": policy.ScopeZone, "cell": policy.ScopeCell,
 }
 
-var reportModes = map[string]grebefork.ReportMode{
-	"": grebefork.ReportsOff, "off": grebefork.ReportsOff,
-	"inline": grebefork.ReportsInline, "on_probe": grebefork.ReportsOnProbe,
+var reportModes = map[string]policy.ReportMode{
+	"": policy.ReportsOff, "off": policy.ReportsOff,
+	"inline": policy.ReportsInline, "on_probe": policy.ReportsOnProbe,
 }
 
 // Settings is what one text of settings says: the module's part, and the names and limits around it.
 type Settings struct {
-	Module         grebefork.Settings
+	Module         policy.Settings
 	Classes        []string // the names behind the module's positions
 	Tenants        []string
 	Zones, Kinds   []string
@@ -80,7 +80,7 @@
 		ConnectTimeout: Millis(f.Limits.ConnectTimeout),
 	}
 	s := &all.Module
-	*s = grebefork.Settings{
+	*s = policy.Settings{
 		Rank: int(f.Rank), Agents: int(f.ReplicasOfMe),
 		AskList:        f.Discovery == "subscribe",
 		MustAskIn:      Millis(f.Rules.MustAskIn),
@@ -119,7 +119,7 @@
 		if err != nil {
 			return all, fmt.Errorf("settings: categories[%d].boundTo: %w", i, err)
 		}
-		s.Classes = append(s.Classes, grebefork.Class{
+		s.Classes = append(s.Classes, policy.Class{
 			Aim: Millis(c.Aim), Deadline: Millis(c.Deadline), Worth: c.Credit, LateWorth: c.LateWorth,
 			Effect: effect, Scope: scope, Window: Millis(c.RepeatWindow), Stream: c.Stream,
 			Zones: zones, Kinds: kinds,
@@ -127,7 +127,7 @@
 	}
 	for _, a := range f.Accounts {
 		all.Tenants = append(all.Tenants, a.Name)
-		s.Tenants = append(s.Tenants, grebefork.Tenant{Portion: a.Portion})
+		s.Tenants = append(s.Tenants, policy.Tenant{Portion: a.Portion})
 	}
 	return all, nil
 }
@@ -156,12 +156,12 @@
 }
 
 // NoLoad is a load report without any figure.
-func NoLoad() grebefork.Load {
-	return grebefork.Load{InFlight: -1, Queue: -1, Recent: -1, Rate: -1, Errors: -1}
+func NoLoad() policy.Load {
+	return policy.Load{InFlight: -1, Queue: -1, Recent: -1, Rate: -1, Errors: -1}
 }
 
 // AddLoad puts the figure with a name of the settings into a report; what cannot be a figure stays absent.
-func AddLoad(l *grebefork.Load, name string, v float64) {
+func AddLoad(l *policy.Load, name string, v float64) {
 	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 		return
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,8 +10,8 @@
 	"math"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
 )
 
 // The codes of events.
@@ -49,9 +49,9 @@
 	acProbe    = 110
 )
 
-var outcomes = map[uint8]grebefork.Outcome{
-	10: grebefork.OK, 20: grebefork.Error, 30: grebefork.Full, 40: grebefork.Timeout,
-	50: grebefork.ConnectFailed, 60: grebefork.Reset, 70: grebefork.Cancelled, 80: grebefork.Moot,
+var outcomes = map[uint8]policy.Outcome{
+	10: policy.OK, 20: policy.Error, 30: policy.Full, 40: policy.Timeout,
+	50: policy.ConnectFailed, 60: policy.Reset, 70: policy.Cancelled, 80: policy.Moot,
 }
 
 // Kind tells what a Record asks of the adapter.
@@ -69,8 +69,8 @@
 	Kind     Kind
 	Instance uint32
 	Seed     uint64
-	Settings grebefork.Settings
-	Event    grebefork.Event
+	Settings policy.Settings
+	Event    policy.Event
 }
 
 // Decoder reads batches from a stream.
@@ -83,7 +83,7 @@
 	size   int    // of the body as read
 	left   uint32 // records still to come
 	err    error
-	lists  [manifests][]grebefork.ServerEntry
+	lists  [manifests][]policy.ServerEntry
 	fields map[uint32][]string // instance -> names in its load reports
 }
 
@@ -168,13 +168,13 @@
 	case evDetach:
 		rec.Kind = Detach
 	case evView:
-		ev.Kind = grebefork.EventList
+		ev.Kind = policy.EventList
 		d.u64()
 		mode, list := d.u8(), d.u8()
-		ev.ListMode = grebefork.ListMode(mode)
-		if mode > uint8(grebefork.ListFailed) {
+		ev.ListMode = policy.ListMode(mode)
+		if mode > uint8(policy.ListFailed) {
 			d.fail("unknown list mode")
-		} else if ev.ListMode != grebefork.ListFailed {
+		} else if ev.ListMode != policy.ListFailed {
 			if list >= manifests {
 				d.fail("no such list number")
 			} else {
@@ -182,7 +182,7 @@
 			}
 		}
 	case evAsk:
-		ev.Kind, ev.Request, ev.Tenant = grebefork.EventRequest, grebefork.RequestID(d.u32()), int(d.u16())
+		ev.Kind, ev.Request, ev.Tenant = policy.EventRequest, policy.RequestID(d.u32()), int(d.u16())
 		ev.Left = d.time()
 		bits := d.u8()
 		d.u64()
@@ -190,19 +190,19 @@
 		ev.Retry = bits&retryBit != 0
 		ev.Class = int(d.u16())
 	case evBegun:
-		ev.Kind, ev.Request = grebefork.EventBegun, grebefork.RequestID(d.u32())
-		ev.Latency, ev.Attempt, ev.Server = d.time(), int(d.u8()), grebefork.ServerID(d.u32())
+		ev.Kind, ev.Request = policy.EventBegun, policy.RequestID(d.u32())
+		ev.Latency, ev.Attempt, ev.Server = d.time(), int(d.u8()), policy.ServerID(d.u32())
 	case evReply:
-		ev.Kind, ev.Request = grebefork.EventOutcome, grebefork.RequestID(d.u32())
-		ev.Attempt, ev.Server, ev.Outcome = int(d.u8()), grebefork.ServerID(d.u32()), d.outcome()
+		ev.Kind, ev.Request = policy.EventOutcome, policy.RequestID(d.u32())
+		ev.Attempt, ev.Server, ev.Outcome = int(d.u8()), policy.ServerID(d.u32()), d.outcome()
 		ev.Latency, ev.Closed = d.time(), d.u8() != 0
 		ev.Load = d.load(rec.Instance)
 	case evHangup:
-		ev.Kind, ev.Request = grebefork.EventHangup, grebefork.RequestID(d.u32())
+		ev.Kind, ev.Request = policy.EventHangup, policy.RequestID(d.u32())
 	case evTimer:
-		ev.Kind, ev.Token = grebefork.EventTimer, d.u64()
+		ev.Kind, ev.Token = policy.EventTimer, d.u64()
 	case evCheck:
-		ev.Kind, ev.Server = grebefork.EventProbed, grebefork.ServerID(d.u32())
+		ev.Kind, ev.Server = policy.EventProbed, policy.ServerID(d.u32())
 		ev.Outcome, ev.Latency = d.outcome(), d.time()
 		ev.Load = d.load(rec.Instance)
 	case evDatagram:
@@ -226,21 +226,21 @@
 	if d.err != nil {
 		return
 	}
-	list := make([]grebefork.ServerEntry, n)
+	list := make([]policy.ServerEntry, n)
 	for i := range list {
 		e := &list[i]
-		e.ID, e.Zone, e.Kind, e.Cell = grebefork.ServerID(d.u32()), int(d.u8()), int(d.u8()), int(d.u16())
+		e.ID, e.Zone, e.Kind, e.Cell = policy.ServerID(d.u32()), int(d.u8()), int(d.u8()), int(d.u16())
 		state := d.u8()
-		if state > uint8(grebefork.Draining) {
+		if state > uint8(policy.Draining) {
 			d.fail("unknown server state")
 		}
-		e.State = grebefork.ServerState(state)
+		e.State = policy.ServerState(state)
 		e.Weight, e.Start = d.f32(), d.time()
 	}
 	d.lists[ref] = list
 }
 
-func (d *Decoder) load(instance uint32) (l grebefork.Load) {
+func (d *Decoder) load(instance uint32) (l policy.Load) {
 	n := int(d.u8())
 	l = settings.NoLoad()
 	fields := d.fields[instance]
@@ -252,7 +252,7 @@
 	return l
 }
 
-func (d *Decoder) outcome() grebefork.Outcome {
+func (d *Decoder) outcome() policy.Outcome {
 	code := d.u8()
 	o, ok := outcomes[code]
 	if !ok {
@@ -333,35 +333,35 @@
 }
 
 // Action writes one action of an instance.
-func (e *Encoder) Action(instance uint32, a *grebefork.Action) {
+func (e *Encoder) Action(instance uint32, a *policy.Action) {
 	switch a.Kind {
-	case grebefork.ActSend:
+	case policy.ActSend:
 		e.head(acPassOn, instance)
 		e.u32(uint32(a.Request))
 		e.u32(uint32(a.Server))
 		e.time(a.Wait)
-	case grebefork.ActRefuse:
+	case policy.ActRefuse:
 		e.head(acRefuse, instance)
 		e.u32(uint32(a.Request))
 		e.time(a.Wait)
-	case grebefork.ActFail:
+	case policy.ActFail:
 		e.head(acFail, instance)
 		e.u32(uint32(a.Request))
-	case grebefork.ActCancel:
+	case policy.ActCancel:
 		e.head(acUndoSend, instance)
 		e.u32(uint32(a.Request))
 		e.buf = append(e.buf, uint8(a.Attempt))
-	case grebefork.ActTimer:
+	case policy.ActTimer:
 		e.head(acAlarm, instance)
 		e.time(a.Wait)
 		e.buf = binary.BigEndian.AppendUint64(e.buf, a.Token)
-	case grebefork.ActProbe:
+	case policy.ActProbe:
 		e.head(acProbe, instance)
 		e.u32(uint32(a.Server))
-	case grebefork.ActFollow:
+	case policy.ActFollow:
 		e.head(acFollow, instance)
 		e.buf = append(e.buf, 1)
-	case grebefork.ActLog:
+	case policy.ActLog:
 		e.head(acLog, instance)
 		e.text([]byte(a.Text), maxText)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"example.org/grebefork"
-	"example.org/grebefork/internal/settings"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
 )
 
 const clock = "40c06e2000000000"
@@ -73,17 +73,17 @@
 		t.Fatalf("%d records, error %v", len(recs), err)
 	}
 	s := recs[0].Settings
-	want := grebefork.Class{Aim: 380 * time.Millisecond, Deadline: 949 * time.Millisecond, Worth: 8,
-		Effect: grebefork.Token, Scope: grebefork.ScopeCell, Window: 600 * time.Millisecond,
+	want := policy.Class{Aim: 380 * time.Millisecond, Deadline: 949 * time.Millisecond, Worth: 8,
+		Effect: policy.Token, Scope: policy.ScopeCell, Window: 600 * time.Millisecond,
 		Zones: []int{1}, Kinds: []int{}}
 	if recs[0].Kind != Create || recs[0].Seed != 7 || !reflect.DeepEqual(s.Classes[0], want) || s.Rank != 2 || s.Agents != 3 ||
 		s.IdleClose != 15*time.Second || s.ExtraWindow != 5*time.Second || s.ExtraFloor != 3 || s.ExtraRatio != 0.2 || !s.AskList || s.MustAskIn != 10*time.Second || s.ColdFrom != 0.12 ||
-		s.Tick != 1500*time.Microsecond || s.Tenants[0].Portion != 0.34 || s.Reports != grebefork.ReportsInline {
+		s.Tick != 1500*time.Microsecond || s.Tenants[0].Portion != 0.34 || s.Reports != policy.ReportsInline {
 		t.Errorf("settings %+v", s)
 	}
 	l := recs[1].Event
-	if l.ListMode != grebefork.ListCached || len(l.Servers) != 2 || l.Servers[1] != (grebefork.ServerEntry{
-		ID: 0x2c9011f2, Zone: 1, Kind: 2, Cell: 5, State: grebefork.Draining, Weight: 1.5, Start: 6100 * time.Millisecond}) {
+	if l.ListMode != policy.ListCached || len(l.Servers) != 2 || l.Servers[1] != (policy.ServerEntry{
+		ID: 0x2c9011f2, Zone: 1, Kind: 2, Cell: 5, State: policy.Draining, Weight: 1.5, Start: 6100 * time.Millisecond}) {
 		t.Errorf("list %+v", l)
 	}
 	r := recs[2].Event
@@ -91,11 +91,11 @@
 		t.Errorf("request %+v", r)
 	}
 	o := recs[5].Event
-	if o.Attempt != 1 || o.Server != 0x03124a07 || o.Outcome != grebefork.Full || !o.Closed || !o.Load.Known ||
+	if o.Attempt != 1 || o.Server != 0x03124a07 || o.Outcome != policy.Full || !o.Closed || !o.Load.Known ||
 		o.Load.InFlight != 7 || o.Load.Queue != 3 || o.Load.Recent >= 0 {
 		t.Errorf("outcome %+v", o)
 	}
-	if p := recs[6].Event; p.Kind != grebefork.EventProbed || p.Load.Known {
+	if p := recs[6].Event; p.Kind != policy.EventProbed || p.Load.Known {
 		t.Errorf("probe %+v", p)
 	}
 }
@@ -103,14 +103,14 @@
 func TestActions(t *testing.T) {
 	var e Encoder
 	e.Begin(12)
-	for _, a := range []grebefork.Action{
-		{Kind: grebefork.ActSend, Request: 0x5d3a91c4, Server: 0x03124a07, Wait: 80 * time.Millisecond},
-		{Kind: grebefork.ActTimer, Wait: 500 * time.Millisecond, Token: 77},
-		{Kind: grebefork.ActRefuse, Request: 0x0e6f2b19, Wait: 250 * time.Millisecond},
-		{Kind: grebefork.ActFollow},
-		{Kind: grebefork.ActCancel, Request: 0x5d3a91c4},
-		{Kind: grebefork.ActFail, Request: 0x0e6f2b19},
-		{Kind: grebefork.ActProbe, Server: 0x2c9011f2},
+	for _, a := range []policy.Action{
+		{Kind: policy.ActSend, Request: 0x5d3a91c4, Server: 0x03124a07, Wait: 80 * time.Millisecond},
+		{Kind: policy.ActTimer, Wait: 500 * time.Millisecond, Token: 77},
+		{Kind: policy.ActRefuse, Request: 0x0e6f2b19, Wait: 250 * time.Millisecond},
+		{Kind: policy.ActFollow},
+		{Kind: policy.ActCancel, Request: 0x5d3a91c4},
+		{Kind: policy.ActFail, Request: 0x0e6f2b19},
+		{Kind: policy.ActProbe, Server: 0x2c9011f2},
 	} {
 		e.Action(3, &a)
 	}
--- a/balancer.go
+++ b/policy/balancer.go
@@ -1,4 +1,4 @@
-package grebefork
+package policy
 
 // All decisions, in the order a request lives; vocabulary in types.go, state in state.go. The ordinary path
 // is He and Down's line variant; docs/design.md lists the exceptions and when each acts.
--- a/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1,4 +1,4 @@
-package grebefork
+package policy
 
 import (
 	"math"
--- a/state.go
+++ b/policy/state.go
@@ -1,4 +1,4 @@
-package grebefork
+package policy
 
 import (
 	"cmp"
@@ -167,7 +167,7 @@
 // New returns a Balancer that knows no server yet. Its error names the setting that cannot be right.
 func New(s Settings, seed uint64) (*Balancer, error) {
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("grebefork: %w", err)
+		return nil, fmt.Errorf("policy: %w", err)
 	}
 	if s.ExtraWindow == 0 {
 		s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = seconds(retrySpan), retryFloor, retryRatio
--- a/types.go
+++ b/policy/types.go
@@ -1,11 +1,11 @@
-// Package grebefork decides, for one agent of a service mesh, where each request goes: which server,
+// Package policy decides, for one agent of a service mesh, where each request goes: which server,
 // with what time-out, whether to try again, refuse or fail.
 //
 // A Balancer is a deterministic state machine. It has no clock, no goroutines and does no I/O: the caller
 // hands it events with the time they happened and carries out the actions it returns, in order. Use one
 // Balancer for each agent and never call it from two goroutines at once. Times are durations since any fixed
 // start and must not run backwards; timers are the caller's to keep.
-package grebefork
+package policy
 
 import "time"
 
