--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -12,7 +12,7 @@
 // without a request longest goes. Danger: a listener that merely stops accepting lets clients that keep silent
 // connections shut out all others.
 type admission struct {
-	*net.TCPListener
+	net.Listener
 	most int
 
 	mu     sync.Mutex
@@ -22,7 +22,7 @@
 
 // clientConn is one of them. Its fields are guarded by the admission's mutex.
 type clientConn struct {
-	*net.TCPConn
+	net.Conn
 	place  *list.Element // among the silent; nil while a request is open
 	closed bool          // to make room, or by its server
 }
@@ -30,15 +30,15 @@
 // Accept returns the next connection, for which there is room. Serve calls it from one goroutine.
 func (a *admission) Accept() (net.Conn, error) {
 	for {
-		tcp, err := a.AcceptTCP()
+		conn, err := a.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &clientConn{TCPConn: tcp}
+		c := &clientConn{Conn: conn}
 		if a.admit(c) {
 			return c, nil
 		}
-		tcp.Close() // requests are open on all others
+		conn.Close() // requests are open on all others
 	}
 }
 
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -96,12 +96,12 @@
 
 // What has been closed to make room is not sent on, though its request has been read meanwhile.
 func TestTakeAfterMakingRoom(t *testing.T) {
-	listener, err := listen("127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	a := &admission{TCPListener: listener, most: 1}
+	a := &admission{Listener: listener, most: 1}
 	accept := func() *clientConn {
 		c, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"example.org/micaline/policy"
@@ -33,25 +34,19 @@
 // Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
 // reloaded it takes discovery's address.
 func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
-	listener, err := listen(cfg.Listen)
+	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return serve(ctx, cfg, reloads, listener, log)
+	return Serve(ctx, cfg, reloads, listener, TCP{}, log)
 }
 
-func listen(addr string) (*net.TCPListener, error) {
-	at, err := net.ResolveTCPAddr("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return net.ListenTCP("tcp", at)
-}
-
-func serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener *net.TCPListener, log *slog.Logger) error {
+// Serve is Run on a listener and a network of the caller's. It closes the listener.
+func Serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener net.Listener, network Network, log *slog.Logger) error {
+	defer listener.Close()
 	// Half of the sockets is for backends.
 	half := (cfg.Sockets - reservedSockets) / 2
-	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(&cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
+	l, err := newLoop(&cfg.Settings, cfg.Seed, newPool(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
 	if err != nil {
 		return err
 	}
@@ -61,22 +56,29 @@
 	tell := func(mode policy.ListMode, members []member) {
 		l.send(input{event: policy.Event{Kind: policy.EventList, ListMode: mode}, members: members})
 	}
-	d := newDiscovery(cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
+	d := newDiscovery(network, cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	l.follow = d.asked
-	go l.run(work)
+	var workers sync.WaitGroup
+	workers.Go(func() { l.run(work) })
 	tell(policy.ListCached, cfg.known.Members)
-	go d.run(work, reloads)
+	workers.Go(func() { d.run(work, reloads) })
+	defer func() {
+		stop()
+		workers.Wait()
+		l.pool.close()
+	}()
 
 	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
 	// that it has used once and keeps would leave it none for the next request.
 	room := min(half, cfg.Sockets*3/10)
-	clients := &admission{TCPListener: listener, most: room}
+	clients := &admission{Listener: listener, most: room}
 	handler := &server{loop: l, clients: clients, most: int64(room - room/8)}
 	srv := &http.Server{
 		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
 		ConnContext: withConn, ConnState: clients.noteState,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
+	defer srv.Close() // what outlasts Shutdown
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
 	select {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -57,7 +57,7 @@
 // start runs an agent and waits until it is up, which it is once it has a list that names a backend.
 func start(t *testing.T, cfg *Config) *running {
 	t.Helper()
-	listener, err := listen(cfg.Listen)
+	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 		client:  &http.Client{Transport: &http.Transport{}, Timeout: wait},
 		reloads: make(chan *Config),
 	}
-	go func() { r.ended <- serve(ctx, cfg, r.reloads, listener, slog.New(slog.DiscardHandler)) }()
+	go func() { r.ended <- Serve(ctx, cfg, r.reloads, listener, TCP{}, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
 		r.client.CloseIdleConnections()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -36,14 +36,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	cfg, err := parseConfig(text)
+	cfg, err := ParseConfig(text)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return cfg, nil
 }
 
-func parseConfig(text []byte) (*Config, error) {
+// ParseConfig reads and checks the text of a configuration.
+func ParseConfig(text []byte) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
 
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -11,7 +11,7 @@
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, discovery, settings)
-	cfg, err := parseConfig([]byte(text))
+	cfg, err := ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -21,7 +21,7 @@
 func TestBadConfig(t *testing.T) {
 	good := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},"settings":%s}`, testSettings)
-	if _, err := parseConfig([]byte(good)); err != nil {
+	if _, err := ParseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
 	for _, c := range []struct{ field, old, new string }{
@@ -38,7 +38,7 @@
 		{"report.how", `"off"`, `"odd"`},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
-		_, err := parseConfig([]byte(text))
+		_, err := ParseConfig([]byte(text))
 		if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v", c.field, err)
 		}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -95,11 +96,14 @@
 	revision *uint64 // of the list held; nil when the whole list is wanted
 }
 
-func newDiscovery(addr string, ask bool, tell func(policy.ListMode, []member), log *slog.Logger) *discovery {
+func newDiscovery(network Network, addr string, ask bool, tell func(policy.ListMode, []member), log *slog.Logger) *discovery {
 	return &discovery{
 		addr: addr, ask: ask, follow: make(chan struct{}, 1), tell: tell, log: log,
 		client: http.Client{
 			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+					return network.Dial(ctx, addr)
+				},
 				MaxConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 			},
 			// Discovery is at the address that the platform gives and nowhere else.
@@ -110,6 +114,7 @@
 
 // run follows the list until the context ends, from each reload on at the address that it brings.
 func (d *discovery) run(ctx context.Context, reloads <-chan *Config) {
+	defer d.client.CloseIdleConnections()
 	for {
 		here, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
@@ -127,6 +132,7 @@
 			d.asked()
 		case <-ctx.Done():
 			leave()
+			<-left
 			return
 		}
 	}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -36,31 +37,11 @@
 	since time.Time // idle since then
 }
 
-// stale says that the backend has closed the connection, or sent what nobody asked for. A look into the socket
-// is cheaper than a reset: a request written to a closed connection may have run.
-func (c *conn) stale() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-		return true
-	})
-	return err != nil || !quiet
-}
-
 // pool keeps the connections to all backends. net/http's own transport is no match for it: that sends again by
 // itself on a stale connection and does not tell whether a request's last byte went out, on which it hangs
 // whether the request may have run.
 type pool struct {
+	net            Network
 	connectTimeout time.Duration
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
@@ -82,9 +63,9 @@
 }
 
 // newPool returns a pool of so many connections at most, with room for so many bytes of large answers.
-func newPool(s *settings.Settings, most int, room int64) *pool {
+func newPool(net Network, s *settings.Settings, most int, room int64) *pool {
 	p := &pool{
-		connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
+		net: net, connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
 		targets: map[*target]struct{}{},
 	}
 	p.room.Store(room)
@@ -133,7 +114,7 @@
 		if c == nil {
 			return p.dial(ctx, t)
 		}
-		if !p.expired(c) && !c.stale() {
+		if !p.expired(c) && p.net.Quiet(c.Conn) {
 			return c, nil
 		}
 		p.discard(c)
@@ -176,8 +157,9 @@
 	if victim != nil {
 		victim.Close()
 	}
-	dialer := net.Dialer{Timeout: p.connectTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", t.addr)
+	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	defer cancel()
+	raw, err := p.net.Dial(ctx, t.addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -232,6 +214,16 @@
 	}
 }
 
+// close retires all targets: what is idle closes now, what is in use once it is back.
+func (p *pool) close() {
+	p.mu.Lock()
+	targets := slices.Collect(maps.Keys(p.targets))
+	p.mu.Unlock()
+	for _, t := range targets {
+		p.retire(t)
+	}
+}
+
 // sweep closes what has been idle for too long to be used again.
 func (p *pool) sweep() {
 	var dropped []*conn
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,426 @@
+// Package fleet plays a scenario: it sets up backends, discovery, agents and clients on a network, has them go on
+// until the day is over, makes go wrong what the scenario says, and reports what came of it.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/micaline/internal/agent"
+	"example.org/micaline/internal/rules"
+	"example.org/micaline/internal/scenario"
+	"example.org/micaline/internal/standin"
+	"example.org/micaline/internal/standin/network"
+)
+
+// Front is what stands between clients and backends: the agent, or what it is compared with. It serves until the
+// context ends, then finishes what it has taken and returns.
+type Front func(ctx context.Context, cfg *agent.Config, reloads <-chan *agent.Config, listener net.Listener, network agent.Network, log *slog.Logger) error
+
+// Options say what to play.
+type Options struct {
+	Scenario *scenario.Scenario
+	Seed     uint64
+	Network  *network.Network
+	Front    Front
+	Lag      time.Duration       // by which the machine may see things late, beside what the scenario's network adds
+	Log      *slog.Logger        // of the agents
+	Tap      func(*rules.Record) // sees all records, if set
+	Watch    func(*Snapshot)     // is called each second, if set
+}
+
+// fleet is one play.
+type fleet struct {
+	Options
+	rng       *rand.Rand // taken only while faults are set up
+	log       *standin.Log
+	discovery *standin.Discovery
+	keys      map[string]*standin.Keys // by zone and cell
+
+	mu       sync.Mutex
+	backends []*backend
+	agents   []*proc
+	late     time.Duration // beside the usual notice
+	names    int           // of backends that were ever there
+	active   []string      // faults, by what they do
+	failure  error
+	took     []time.Duration // of all that were served
+	dying    sync.WaitGroup  // processes that are killed and have not noticed
+}
+
+// backend is a place in the fleet, with the backend that is there now.
+type backend struct {
+	now      *standin.Backend
+	started  time.Time
+	listedAt time.Time // when the last change of it is listed: changes keep their order
+	past     []*standin.Backend
+}
+
+// proc is an agent's place, with its present process.
+type proc struct {
+	name    string
+	addr    string
+	clients *standin.Clients
+	rank    int
+
+	stop    context.CancelFunc
+	ended   chan struct{}
+	dialer  *network.Dialer
+	door    *door
+	reloads chan *agent.Config
+	config  *agent.Config
+}
+
+// door is an agent's listener, which knows the connections that came through it.
+type door struct {
+	net.Listener
+	mu    sync.Mutex
+	shut  bool
+	conns map[net.Conn]struct{}
+}
+
+// guest is a connection that came through a door.
+type guest struct {
+	net.Conn
+	door *door
+}
+
+func (d *door) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	g := &guest{c, d}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shut {
+		network.Reset(c)
+	} else {
+		d.conns[c] = struct{}{}
+	}
+	return g, nil
+}
+
+func (g *guest) Close() error {
+	g.door.mu.Lock()
+	delete(g.door.conns, g.Conn)
+	g.door.mu.Unlock()
+	return g.Conn.Close()
+}
+
+// slam resets all connections, as the death of the process does.
+func (d *door) slam() {
+	d.Listener.Close()
+	d.mu.Lock()
+	d.shut = true
+	conns := d.conns
+	d.conns = map[net.Conn]struct{}{}
+	d.mu.Unlock()
+	for c := range conns {
+		network.Reset(c)
+	}
+}
+
+// Play plays a scenario to its end, or until the context ends.
+func Play(ctx context.Context, o Options) (*Report, error) {
+	s := o.Scenario
+	f := &fleet{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), keys: map[string]*standin.Keys{}}
+	f.log = standin.NewLog(terms(s, o.Lag), o.Tap)
+	f.discovery = standin.NewDiscovery(o.Network, f.log)
+	defer f.discovery.Close()
+	if s.Net.Delay > 0 || s.Net.Jitter > 0 {
+		defer o.Network.Apply(network.Rule{
+			Match: func(string, string) bool { return true },
+			Change: func(c *network.Conditions) {
+				c.Delay, c.Jitter = c.Delay+s.Net.Delay.D(), c.Jitter+s.Net.Jitter.D()
+			},
+		})()
+	}
+	defer func() {
+		for _, b := range f.backends {
+			b.now.Stop()
+		}
+	}()
+	if err := f.startBackends(); err != nil {
+		return nil, err
+	}
+	if err := f.startAgents(); err != nil {
+		return nil, err
+	}
+
+	// The day.
+	day, over := context.WithTimeout(ctx, s.For.D())
+	defer over()
+	began := time.Now()
+	var asking, failing sync.WaitGroup
+	for _, a := range f.agents {
+		a.clients.SetRate(s.Rate(0) / float64(s.Agents))
+		asking.Go(func() { a.clients.Run(day) })
+	}
+	faults := slices.Clone(s.Faults)
+	for i := range faults {
+		rng := rand.New(rand.NewPCG(o.Seed, uint64(1000+i)))
+		failing.Go(func() { f.fail(day, &faults[i], rng) })
+	}
+	f.watch(day, began)
+	asking.Wait()
+	failing.Wait()
+
+	for _, a := range f.agents {
+		a.stop()
+	}
+	for _, a := range f.agents {
+		<-a.ended
+	}
+	f.dying.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failure != nil {
+		return nil, f.failure
+	}
+	return f.report(time.Since(began)), ctx.Err()
+}
+
+// terms are the rules' figures for a scenario.
+func terms(s *scenario.Scenario, lag time.Duration) rules.Terms {
+	t := rules.Terms{
+		Classes: map[string]rules.Class{}, Slack: s.Rules.Slack.D(), DrainGrace: s.Rules.DrainGrace.D(),
+		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: s.Rules.OverloadFor.D(),
+		Lag: 2*(s.Net.Delay+s.Net.Jitter).D() + lag, Longest: 30 * time.Second,
+	}
+	for _, c := range s.Classes {
+		t.Classes[c.Name] = classRules(c)
+		t.Longest = max(t.Longest, 4*c.Deadline.D())
+	}
+	return t
+}
+
+func classRules(c scenario.Class) rules.Class {
+	return rules.Class{
+		Effect: map[string]rules.Effect{"safe": rules.Safe, "keyed": rules.Keyed, "unsafe": rules.Unsafe}[c.Effect],
+		Scope:  map[string]rules.Scope{"all": rules.All, "zone": rules.Zone, "cell": rules.Cell}[c.Scope],
+		Window: c.Window.D(),
+	}
+}
+
+var reportFields = []string{"errors_per_s", "recent_ms", "throughput", "outstanding"}
+
+func (f *fleet) startBackends() error {
+	s := f.Scenario
+	cell := 0
+	for _, bs := range s.Backends {
+		for i := range bs.Count {
+			if i%bs.CellSize == 0 {
+				cell++
+			}
+			addr, err := f.Network.FreeAddr()
+			if err != nil {
+				return err
+			}
+			cfg := standin.BackendConfig{
+				Zone: bs.Zone, Kind: bs.Kind, Cell: cell, Cores: bs.Cores, Speed: bs.Speed, Slots: bs.Slots, Room: bs.Room,
+				Connections: bs.Connections, Handshake: bs.Handshake.D(), ProbeWork: bs.Probe.D(), IdleClose: bs.IdleClose.D(),
+				ErrorRate: bs.ErrorRate, ColdFrom: s.Rules.ColdFrom, WarmAfter: s.Rules.WarmAfter.D(),
+				OverloadFactor: s.Rules.OverloadFactor, OverloadFor: s.Rules.OverloadFor.D(), Window: f.window,
+			}
+			if s.Limits.Reports != "none" {
+				cfg.Reports = reportFields
+			}
+			b := &backend{}
+			f.backends = append(f.backends, b)
+			if err := f.occupy(b, cfg, addr, false); err != nil {
+				return err
+			}
+			f.discovery.Set(f.member(b, "Ready"))
+		}
+	}
+	return nil
+}
+
+func (f *fleet) window(class string) time.Duration {
+	for _, c := range f.Scenario.Classes {
+		if c.Name == class {
+			return c.Window.D()
+		}
+	}
+	return 0
+}
+
+// occupy puts a new backend at a place and starts it.
+func (f *fleet) occupy(b *backend, cfg standin.BackendConfig, addr string, cold bool) error {
+	f.mu.Lock()
+	f.names++
+	cfg.Name = fmt.Sprintf("b%02d-%s", f.names, cfg.Kind)
+	group := fmt.Sprintf("%s/%d", cfg.Zone, cfg.Cell)
+	keys := f.keys[group]
+	if keys == nil {
+		keys = standin.NewKeys()
+		f.keys[group] = keys
+	}
+	if b.now != nil {
+		b.past = append(b.past, b.now)
+	}
+	b.now = standin.NewBackend(cfg, addr, keys, f.Network, f.log, f.Seed+uint64(f.names))
+	f.mu.Unlock()
+	return f.start(b, cold)
+}
+
+func (f *fleet) start(b *backend, cold bool) error {
+	started := time.Time{}
+	if cold {
+		started = time.Now()
+	}
+	f.mu.Lock()
+	b.started = started
+	f.mu.Unlock()
+	return b.now.Start(cold)
+}
+
+// member is what discovery is to list of a place.
+func (f *fleet) member(b *backend, phase string) standin.Member {
+	cfg := b.now.Config()
+	m := standin.Member{
+		ID: cfg.Name, Addr: b.now.Addr(), Zone: cfg.Zone, Kind: cfg.Kind, Cell: cfg.Cell, Phase: phase, Size: float64(cfg.Cores),
+		Process: b.now.Process(),
+	}
+	if !b.started.IsZero() {
+		m.UpSince = float64(b.started.UnixMicro()) / 1000
+	}
+	return m
+}
+
+// list has discovery tell of a place, as late as it does.
+func (f *fleet) list(b *backend, phase string, rng *rand.Rand) {
+	m := f.member(b, phase)
+	f.mu.Lock()
+	notice := f.Scenario.Discovery.Notice.D() + f.late
+	at := time.Now().Add(time.Duration(float64(notice) * (0.75 + rng.Float64()/2)))
+	if !at.After(b.listedAt) {
+		at = b.listedAt.Add(time.Millisecond)
+	}
+	b.listedAt = at
+	f.mu.Unlock()
+	time.AfterFunc(time.Until(at), func() { f.discovery.Set(m) })
+}
+
+func (f *fleet) startAgents() error {
+	s := f.Scenario
+	for i := range s.Agents {
+		addr, err := f.Network.FreeAddr()
+		if err != nil {
+			return err
+		}
+		a := &proc{name: fmt.Sprintf("a%d", i+1), addr: addr, rank: i}
+		f.agents = append(f.agents, a)
+		if err := f.startAgent(a); err != nil {
+			return err
+		}
+		cfg := standin.ClientConfig{
+			Name: fmt.Sprintf("c%d", i+1), Agent: a.name, Addr: addr, Retries: s.Clients.Retries, Backoff: s.Clients.Backoff.D(),
+			TryShare: s.Clients.TryShare, Honour: s.Clients.Honour, HangUp: s.Clients.HangUp, Rude: s.Clients.Rude,
+			Slack: s.Rules.Slack.D() + f.Lag + 2*(s.Net.Delay+s.Net.Jitter).D(), Most: s.Limits.Sockets / 4,
+		}
+		for _, c := range s.Classes {
+			cfg.Classes = append(cfg.Classes, standin.Class{
+				Name: c.Name, Share: c.Share, Aim: c.Aim.D(), Deadline: c.Deadline.D(), Work: c.Work.D(), Spread: c.Spread,
+				Class: classRules(c),
+			})
+		}
+		for _, c := range s.Accounts {
+			cfg.Accounts = append(cfg.Accounts, standin.Account{Name: c.Name, Share: c.Share})
+		}
+		a.clients = standin.NewClients(cfg, f.Network, f.log, f.Seed*1000+uint64(i))
+	}
+	return nil
+}
+
+// startAgent starts a process at an agent's place.
+func (f *fleet) startAgent(a *proc) error {
+	discovery, err := f.discovery.Serve(a.name)
+	if err != nil {
+		return err
+	}
+	cfg, err := agent.ParseConfig(configuration(f.Scenario, a, discovery, f.Seed, f.discovery.Known(a.name)))
+	if err != nil {
+		return err
+	}
+	listener, err := f.Network.ListenAt(a.addr)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	f.mu.Lock()
+	a.stop, a.ended, a.config = stop, ended, cfg
+	a.dialer, a.door = f.Network.From(a.name), &door{Listener: listener, conns: map[net.Conn]struct{}{}}
+	a.reloads = make(chan *agent.Config)
+	reloads, door, dialer := a.reloads, a.door, a.dialer
+	f.mu.Unlock()
+	go func() {
+		defer close(ended)
+		if err := f.Front(ctx, cfg, reloads, door, dialer, f.Log.With("agent", a.name)); err != nil && ctx.Err() == nil {
+			f.mu.Lock()
+			f.failure = fmt.Errorf("agent %s: %w", a.name, err)
+			f.mu.Unlock()
+		}
+	}()
+	return nil
+}
+
+// configuration is the text that the platform would write for an agent.
+func configuration(s *scenario.Scenario, a *proc, discovery string, seed uint64, known []byte) []byte {
+	type object = map[string]any
+	ms := func(d scenario.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	var categories, accounts []object
+	var zones, kinds []string
+	for _, c := range s.Classes {
+		category := object{
+			"name": c.Name, "aim": ms(c.Aim), "deadline": ms(c.Deadline), "credit": c.Worth, "lateWorth": 0, "stream": false,
+			"effect":     map[string]string{"safe": "pure", "keyed": "token", "unsafe": "side_effect"}[c.Effect],
+			"dedupScope": c.Scope, "repeatWindow": ms(c.Window),
+		}
+		categories = append(categories, category)
+	}
+	for _, c := range s.Accounts {
+		accounts = append(accounts, object{"name": c.Name, "portion": c.Share})
+	}
+	idle := s.Backends[0].IdleClose
+	for _, b := range s.Backends {
+		idle = min(idle, b.IdleClose)
+		if !slices.Contains(zones, b.Zone) {
+			zones = append(zones, b.Zone)
+		}
+		if !slices.Contains(kinds, b.Kind) {
+			kinds = append(kinds, b.Kind)
+		}
+	}
+	text, _ := json.Marshal(object{ // of values that all have a JSON form
+		"name": a.name, "listen": a.addr, "discovery": discovery, "seed": fmt.Sprintf("%x", seed*1000+uint64(a.rank)),
+		"limits": object{"cores": 1, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
+		"known":  json.RawMessage(known),
+		"settings": object{
+			"categories": categories, "accounts": accounts, "localities": zones, "skus": kinds,
+			"replicasOfMe": s.Agents, "rank": a.rank, "tick": 5,
+			"discovery": map[string]string{"push": "automatic", "ask": "subscribe"}[s.Discovery.Mode],
+			"report": object{
+				"fields": reportFields, "how": map[string]string{"probe": "on_probe", "answers": "inline", "none": "off"}[s.Limits.Reports],
+			},
+			"limits": object{
+				"maxAttempts": s.Limits.MaxAttempts, "cancel": true, "probes": s.Limits.Probes, "secondCopies": s.Limits.SecondCopies,
+				"connectTimeout": ms(s.Limits.ConnectTimeout), "idleClose": ms(idle),
+			},
+			"rules": object{
+				"coldFrom": s.Rules.ColdFrom, "warmAfter": ms(s.Rules.WarmAfter), "overloadFactor": s.Rules.OverloadFactor,
+				"drainGrace": ms(s.Rules.DrainGrace), "mustAskIn": 10000,
+			},
+		},
+	})
+	return text
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/micaline/internal/agent"
+	"example.org/micaline/internal/scenario"
+	"example.org/micaline/internal/standin/network"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 0, "play this seed alone")
+	seedsFlag = flag.Int("seeds", 3, "play so many seeds of each scenario")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	debug.SetGCPercent(400) // thousands of short days: memory is cheaper here than time
+	os.Exit(m.Run())
+}
+
+// virtual plays a scenario in memory, in a time of its own.
+func virtual(t *testing.T, s *scenario.Scenario, seed uint64, front Front) (r *Report) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		r, err = Play(context.Background(), Options{
+			Scenario: s, Seed: seed, Network: network.NewMemory(seed), Front: front, Log: slog.New(slog.DiscardHandler),
+			Lag: 5 * time.Millisecond,
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// findings are the reasons of a report's verdicts, for a person.
+func findings(r *Report) string {
+	var b strings.Builder
+	for _, rule := range r.Rules {
+		for _, f := range rule.Findings {
+			if !f.CantTell {
+				fmt.Fprintf(&b, "%s: %s\n\t%s\n", rule.Rule, f.What, strings.Join(f.Evidence, "\n\t"))
+			}
+		}
+	}
+	return b.String()
+}
+
+// The agent keeps the four rules on every day that ships with it.
+func TestShippedScenarios(t *testing.T) {
+	for _, s := range scenario.Shipped() {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			first, last := uint64(1), uint64(*seedsFlag)
+			if *seedFlag > 0 {
+				first, last = *seedFlag, *seedFlag
+			}
+			for seed := first; seed <= last; seed++ {
+				r := virtual(t, s, seed, agent.Serve)
+				if r == nil || t.Failed() {
+					return
+				}
+				if testing.Verbose() && seed == first {
+					t.Logf("%+v", *r)
+				}
+				if !r.Kept() || r.Served == 0 {
+					t.Fatalf("seed %d: %d served, lost %d, twice %d, drains %d, cold %d; to play it again:\n\tgo test ./internal/fleet -run 'TestShippedScenarios/%s$' -seed %d\n%s",
+						seed, r.Served, r.Lost, r.EffectsTwice, r.DrainsBroken, r.ColdPushed, s.Name, seed, findings(r))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,535 @@
+// Package scenario reads the files that describe a day: a fleet, what is asked of it over time, and what fails when.
+package scenario
+
+import (
+	"bytes"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is a time in Go's notation, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no duration such as \"250ms\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// D is the duration as the standard library knows it.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Scenario is one day.
+type Scenario struct {
+	Name      string
+	About     string
+	For       Duration
+	Agents    int
+	Net       Net
+	Backends  []Backends
+	Classes   []Class
+	Accounts  []Account
+	Load      []Load
+	Clients   Clients
+	Discovery Discovery
+	Limits    Limits
+	Rules     Rules
+	Faults    []Fault `toml:"fault"`
+}
+
+// Net is the network when nothing is wrong.
+type Net struct {
+	Delay  Duration // one way
+	Jitter Duration // on top, up to so much
+}
+
+// Backends are some that are alike.
+type Backends struct {
+	Kind        string
+	Count       int
+	Zone        string
+	CellSize    int // backends that share a memory of keys
+	Cores       int
+	Speed       float64 // of a core; 1 is standard
+	Slots       int     // requests in work at once, per backend
+	Room        int     // that may wait
+	Connections int     // accepted; 0 for any number
+	Handshake   Duration
+	Probe       Duration // work of a probe
+	IdleClose   Duration
+	ErrorRate   float64
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name     string
+	Share    float64
+	Aim      Duration
+	Deadline Duration
+	Work     Duration // mean, on a standard core
+	Spread   float64  // sigma of its lognormal distribution
+	Worth    float64
+	Effect   string // safe, keyed or unsafe
+	Scope    string // of keyed: all, zone or cell
+	Window   Duration
+}
+
+// Account is one who asks.
+type Account struct {
+	Name  string
+	Share float64
+}
+
+// Load is a point of the load's course, which is straight between points.
+type Load struct {
+	At   Duration
+	Rate float64 // operations a second, of all clients together
+}
+
+// Clients are what callers are like.
+type Clients struct {
+	Retries  int
+	Backoff  Duration
+	TryShare float64 // of the deadline that a try may take
+	Honour   float64 // share that waits as Retry-After says
+	HangUp   float64 // share of tries that are left before their time
+	Rude     float64 // rude requests for each proper one
+}
+
+// Discovery is how news of the fleet travels.
+type Discovery struct {
+	Mode   string   // push or ask
+	Notice Duration // until a change is listed
+}
+
+// Limits are what agents may do.
+type Limits struct {
+	MaxAttempts    int
+	ConnectTimeout Duration
+	Probes         bool
+	SecondCopies   bool
+	Reports        string // probe, answers or none
+	MemoryMB       int
+	Sockets        int
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	Slack          Duration // by which each time limit is longer
+	DrainGrace     Duration
+	ColdFrom       float64
+	WarmAfter      Duration
+	OverloadFactor float64
+	OverloadFor    Duration
+}
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Kind    string
+	At, For Duration
+	Share   float64  // of the backends or agents that it hits
+	Count   int      // or so many of them
+	Every   Duration // between one that it hits and the next
+	Size    float64  // how bad, in the kind's own unit
+	Account string
+}
+
+// Kinds of faults, and what Size means to each: its range, or none if both are 0.
+var kinds = map[string]struct {
+	what     string
+	min, max float64
+	agents   bool // hits agents, not backends
+	all      bool // hits neither: share, count and every mean nothing
+}{
+	"hang":           {what: "backends take requests and answer nothing"},
+	"swallow":        {what: "backends swallow some requests", min: 0, max: 1},
+	"errors":         {what: "backends answer some requests with 500", min: 0, max: 1},
+	"spoil":          {what: "backends spoil some answers", min: 0, max: 1},
+	"rejects":        {what: "backends turn some requests away", min: 0, max: 1},
+	"neighbour":      {what: "another program takes part of the machine", min: 0, max: 0.95},
+	"restart":        {what: "processes die and come back cold at the same address"},
+	"drain":          {what: "backends drain, end and come back cold"},
+	"replace":        {what: "backends end and others come up cold at their addresses"},
+	"vanish":         {what: "machines are cut off without a word"},
+	"refuse":         {what: "connections to backends are refused"},
+	"delay":          {what: "links to backends get slow", min: 0, max: 1000},
+	"trickle":        {what: "answers come byte by byte", min: 0, max: 100},
+	"stall-requests": {what: "requests to backends get stuck on their way"},
+	"stall-answers":  {what: "answers of backends get stuck on their way"},
+	"reset-requests": {what: "connections break within requests", min: 0, max: 1},
+	"reset-answers":  {what: "connections break within answers", min: 0, max: 1},
+	"half-close":     {what: "backends' sides close within answers", min: 0, max: 1},
+	"client-reset":   {what: "connections between clients and agents break", min: 0, max: 1, agents: true},
+	"kill-agent":     {what: "agents die and come back", agents: true},
+	"restart-agent":  {what: "agents are told to end and come back", agents: true},
+	"reload-agent":   {what: "agents are given another address of discovery", agents: true},
+	"list-down":      {what: "discovery is down", all: true},
+	"list-silent":    {what: "discovery says nothing", all: true},
+	"list-garbled":   {what: "discovery's answers can't be used", all: true},
+	"list-restart":   {what: "discovery starts anew, with lower revisions", all: true},
+	"list-late":      {what: "changes are listed late", min: 0, max: 60, all: true},
+	"flood":          {what: "an account asks for a multiple", min: 1, max: 100, all: true},
+	"impatience":     {what: "clients hang up early", min: 0, max: 1, all: true},
+	"rude":           {what: "clients are rude", min: 0, max: 10, all: true},
+}
+
+// Describe says what a kind of fault is.
+func Describe(kind string) string { return kinds[kind].what }
+
+// HitsAgents says whether a kind of fault hits agents, not backends.
+func (f *Fault) HitsAgents() bool { return kinds[f.Kind].agents }
+
+// HitsAll says whether a kind of fault hits neither backends nor agents but what they share.
+func (f *Fault) HitsAll() bool { return kinds[f.Kind].all }
+
+// standard is what a file that leaves something out means by it.
+func standard() Scenario {
+	return Scenario{
+		For: Duration(12 * time.Second), Agents: 3,
+		Net:       Net{Delay: Duration(200 * time.Microsecond), Jitter: Duration(50 * time.Microsecond)},
+		Clients:   Clients{Retries: 2, Backoff: Duration(60 * time.Millisecond), TryShare: 0.65, Honour: 0.85, HangUp: 0.005},
+		Discovery: Discovery{Mode: "push", Notice: Duration(600 * time.Millisecond)},
+		Limits: Limits{
+			MaxAttempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), Probes: true, SecondCopies: true,
+			Reports: "probe", MemoryMB: 192, Sockets: 1024,
+		},
+		Rules: Rules{
+			Slack: Duration(50 * time.Millisecond), DrainGrace: Duration(2 * time.Second), ColdFrom: 0.32,
+			WarmAfter: Duration(4 * time.Second), OverloadFactor: 2.5, OverloadFor: Duration(time.Second),
+		},
+	}
+}
+
+// fill adds the lists that a file leaves out. They are no part of standard, as a file's would be added to them.
+func (s *Scenario) fill() {
+	if len(s.Backends) == 0 {
+		s.Backends = []Backends{
+			{Kind: "fast", Count: 3, Speed: 1.6}, {Kind: "std", Count: 2, Speed: 1}, {Kind: "slow", Count: 3, Speed: 0.6},
+		}
+	}
+	for i := range s.Backends {
+		b := &s.Backends[i]
+		set(&b.Zone, "a")
+		set(&b.Kind, "std")
+		set(&b.CellSize, 4)
+		set(&b.Cores, 1)
+		set(&b.Speed, 1)
+		set(&b.Slots, b.Cores)
+		set(&b.Room, 20)
+		set(&b.Handshake, Duration(4*time.Millisecond))
+		set(&b.Probe, Duration(100*time.Microsecond))
+		set(&b.IdleClose, Duration(30*time.Second))
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = []Class{
+			{Name: "status-update", Share: 0.7, Aim: Duration(500 * time.Millisecond), Deadline: Duration(time.Second),
+				Work: Duration(50 * time.Millisecond), Spread: 0.8, Worth: 5, Effect: "keyed", Scope: "cell", Window: Duration(600 * time.Millisecond)},
+			{Name: "delivery-close", Share: 0.2, Aim: Duration(600 * time.Millisecond), Deadline: Duration(2500 * time.Millisecond),
+				Work: Duration(65 * time.Millisecond), Spread: 0.8, Worth: 2, Effect: "unsafe"},
+			{Name: "tour", Share: 0.1, Aim: Duration(500 * time.Millisecond), Deadline: Duration(time.Second),
+				Work: Duration(40 * time.Millisecond), Spread: 0.8, Worth: 1, Effect: "safe"},
+		}
+	}
+	for i := range s.Classes {
+		set(&s.Classes[i].Scope, "all")
+		set(&s.Classes[i].Worth, 1)
+	}
+	if len(s.Accounts) == 0 {
+		s.Accounts = []Account{{"farmacia", 0.7}, {"livraria", 0.3}}
+	}
+	if len(s.Load) == 0 {
+		s.Load = []Load{{0, 30}}
+	}
+}
+
+func set[T comparable](v *T, to T) {
+	var zero T
+	if *v == zero {
+		*v = to
+	}
+}
+
+// Error is what is wrong with a file, and where.
+type Error struct {
+	Line  int // from 1; 0 if it is about the whole file
+	Field string
+	What  string
+}
+
+func (e *Error) Error() string {
+	var at []string
+	if e.Line > 0 {
+		at = append(at, fmt.Sprintf("line %d", e.Line))
+	}
+	if e.Field != "" {
+		at = append(at, e.Field)
+	}
+	return strings.Join(append(at, e.What), ": ")
+}
+
+// Parse reads and checks the text of a file. Its error is an *Error.
+func Parse(text []byte) (*Scenario, error) {
+	s := standard()
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		var strict *toml.StrictMissingError
+		var bad *toml.DecodeError
+		switch {
+		case errors.As(err, &strict) && len(strict.Errors) > 0:
+			line, _ := strict.Errors[0].Position()
+			return nil, &Error{line, strings.Join(strict.Errors[0].Key(), "."), "there is no such field"}
+		case errors.As(err, &bad):
+			line, _ := bad.Position()
+			return nil, &Error{line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: ")}
+		}
+		return nil, &Error{What: err.Error()}
+	}
+	s.fill()
+	if e := s.check(); e != nil {
+		e.Line = lineOf(text, e.Field)
+		return nil, e
+	}
+	return &s, nil
+}
+
+// check returns what is wrong, with the field's path as it would be written in Go.
+func (s *Scenario) check() *Error {
+	bad := func(field, format string, args ...any) *Error {
+		return &Error{Field: field, What: fmt.Sprintf(format, args...)}
+	}
+	fraction := func(v float64) bool { return v >= 0 && v <= 1 }
+	finite := func(v float64) bool { return v >= 0 && v <= 1e6 && !math.IsNaN(v) }
+	switch {
+	case s.Name == "" || strings.ContainsAny(s.Name, "/ \\"):
+		return bad("name", "%q is no name", s.Name)
+	case s.For <= 0 || s.For > Duration(24*time.Hour):
+		return bad("for", "%v is not between 0 and 24 h", s.For.D())
+	case s.Agents < 1 || s.Agents > 1000:
+		return bad("agents", "%d is not between 1 and 1000", s.Agents)
+	case s.Net.Delay < 0 || s.Net.Delay > Duration(time.Second):
+		return bad("net.delay", "%v is not between 0 and 1 s", s.Net.Delay.D())
+	case s.Net.Jitter < 0 || s.Net.Jitter > Duration(time.Second):
+		return bad("net.jitter", "%v is not between 0 and 1 s", s.Net.Jitter.D())
+	case s.Clients.Retries < 0 || s.Clients.Retries > 10:
+		return bad("clients.retries", "%d is not between 0 and 10", s.Clients.Retries)
+	case s.Clients.Backoff <= 0:
+		return bad("clients.backoff", "must be above 0")
+	case !(s.Clients.TryShare > 0 && s.Clients.TryShare <= 1):
+		return bad("clients.tryshare", "%v is not between 0 and 1", s.Clients.TryShare)
+	case !fraction(s.Clients.Honour):
+		return bad("clients.honour", "%v is no share", s.Clients.Honour)
+	case !fraction(s.Clients.HangUp):
+		return bad("clients.hangup", "%v is no share", s.Clients.HangUp)
+	case !(s.Clients.Rude >= 0 && s.Clients.Rude <= 10):
+		return bad("clients.rude", "%v is not between 0 and 10", s.Clients.Rude)
+	case s.Discovery.Mode != "push" && s.Discovery.Mode != "ask":
+		return bad("discovery.mode", "%q is neither push nor ask", s.Discovery.Mode)
+	case s.Discovery.Notice < 0:
+		return bad("discovery.notice", "must not be below 0")
+	case s.Limits.MaxAttempts < 1 || s.Limits.MaxAttempts > 100:
+		return bad("limits.maxattempts", "%d is not between 1 and 100", s.Limits.MaxAttempts)
+	case s.Limits.ConnectTimeout <= 0:
+		return bad("limits.connecttimeout", "must be above 0")
+	case !slices.Contains([]string{"probe", "answers", "none"}, s.Limits.Reports):
+		return bad("limits.reports", "%q is none of probe, answers, none", s.Limits.Reports)
+	case s.Limits.MemoryMB < 16:
+		return bad("limits.memorymb", "%d is below 16", s.Limits.MemoryMB)
+	case s.Limits.Sockets < 128:
+		return bad("limits.sockets", "%d is below 128", s.Limits.Sockets)
+	case s.Rules.Slack < 0:
+		return bad("rules.slack", "must not be below 0")
+	case s.Rules.DrainGrace < 0:
+		return bad("rules.draingrace", "must not be below 0")
+	case !(s.Rules.ColdFrom > 0 && s.Rules.ColdFrom <= 1):
+		return bad("rules.coldfrom", "%v is not between 0 and 1", s.Rules.ColdFrom)
+	case s.Rules.WarmAfter < 0:
+		return bad("rules.warmafter", "must not be below 0")
+	case !(s.Rules.OverloadFactor > 1):
+		return bad("rules.overloadfactor", "%v is not above 1", s.Rules.OverloadFactor)
+	case s.Rules.OverloadFor <= 0:
+		return bad("rules.overloadfor", "must be above 0")
+	}
+	total := 0
+	for i, b := range s.Backends {
+		at := func(field string) string { return fmt.Sprintf("backends[%d].%s", i, field) }
+		switch {
+		case b.Count < 1 || b.Count > 1000:
+			return bad(at("count"), "%d is not between 1 and 1000", b.Count)
+		case b.CellSize < 1:
+			return bad(at("cellsize"), "%d is below 1", b.CellSize)
+		case b.Cores < 1:
+			return bad(at("cores"), "%d is below 1", b.Cores)
+		case !(b.Speed > 0 && b.Speed <= 1000):
+			return bad(at("speed"), "%v is not between 0 and 1000", b.Speed)
+		case b.Slots < 1:
+			return bad(at("slots"), "%d is below 1", b.Slots)
+		case b.Room < 0:
+			return bad(at("room"), "%d is below 0", b.Room)
+		case b.Connections < 0:
+			return bad(at("connections"), "%d is below 0", b.Connections)
+		case b.Handshake < 0:
+			return bad(at("handshake"), "must not be below 0")
+		case b.Probe < 0:
+			return bad(at("probe"), "must not be below 0")
+		case b.IdleClose <= 0:
+			return bad(at("idleclose"), "must be above 0")
+		case !fraction(b.ErrorRate):
+			return bad(at("errorrate"), "%v is no share", b.ErrorRate)
+		}
+		total += b.Count
+	}
+	sum := 0.0
+	for i, c := range s.Classes {
+		at := func(field string) string { return fmt.Sprintf("classes[%d].%s", i, field) }
+		switch {
+		case c.Name == "" || strings.ContainsAny(c.Name, "/? \r\n") ||
+			slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }):
+			return bad(at("name"), "%q is no name, or taken", c.Name)
+		case !(c.Share > 0 && c.Share <= 1):
+			return bad(at("share"), "%v is no share", c.Share)
+		case c.Aim <= 0:
+			return bad(at("aim"), "must be above 0")
+		case c.Deadline < c.Aim:
+			return bad(at("deadline"), "%v is before the aim, %v", c.Deadline.D(), c.Aim.D())
+		case c.Work <= 0:
+			return bad(at("work"), "must be above 0")
+		case !(c.Spread >= 0 && c.Spread <= 3):
+			return bad(at("spread"), "%v is not between 0 and 3", c.Spread)
+		case !finite(c.Worth):
+			return bad(at("worth"), "%v is no worth", c.Worth)
+		case !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect):
+			return bad(at("effect"), "%q is none of safe, keyed, unsafe", c.Effect)
+		case !slices.Contains([]string{"all", "zone", "cell"}, c.Scope):
+			return bad(at("scope"), "%q is none of all, zone, cell", c.Scope)
+		case c.Effect == "keyed" && c.Window <= 0:
+			return bad(at("window"), "a keyed class needs one")
+		}
+		sum += c.Share
+	}
+	if math.Abs(sum-1) > 0.001 {
+		return bad("classes", "the shares add up to %.3g, not to 1", sum)
+	}
+	sum = 0
+	for i, a := range s.Accounts {
+		if a.Name == "" || strings.ContainsAny(a.Name, " \r\n") {
+			return bad(fmt.Sprintf("accounts[%d].name", i), "%q is no name", a.Name)
+		}
+		if !(a.Share > 0 && a.Share <= 1) {
+			return bad(fmt.Sprintf("accounts[%d].share", i), "%v is no share", a.Share)
+		}
+		sum += a.Share
+	}
+	if math.Abs(sum-1) > 0.001 {
+		return bad("accounts", "the shares add up to %.3g, not to 1", sum)
+	}
+	for i, l := range s.Load {
+		if !finite(l.Rate) {
+			return bad(fmt.Sprintf("load[%d].rate", i), "%v is no rate", l.Rate)
+		}
+		if l.At < 0 || i > 0 && l.At <= s.Load[i-1].At {
+			return bad(fmt.Sprintf("load[%d].at", i), "%v does not come after the point before", l.At.D())
+		}
+	}
+	for i := range s.Faults {
+		if e := s.checkFault(&s.Faults[i], total); e != nil {
+			e.Field = fmt.Sprintf("fault[%d].%s", i, e.Field)
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) checkFault(f *Fault, backends int) *Error {
+	bad := func(field, format string, args ...any) *Error {
+		return &Error{Field: field, What: fmt.Sprintf(format, args...)}
+	}
+	k, known := kinds[f.Kind]
+	most := backends
+	if k.agents {
+		most = s.Agents
+	}
+	switch {
+	case !known:
+		return bad("kind", "%q is unknown", f.Kind)
+	case f.At < 0 || f.At >= s.For:
+		return bad("at", "%v is not within the day", f.At.D())
+	case f.For < 0:
+		return bad("for", "must not be below 0")
+	case f.Every < 0:
+		return bad("every", "must not be below 0")
+	case !(f.Share >= 0 && f.Share <= 1):
+		return bad("share", "%v is no share", f.Share)
+	case f.Count < 0 || f.Count > most:
+		return bad("count", "%d is not between 0 and %d", f.Count, most)
+	case k.all && (f.Share != 0 || f.Count != 0):
+		return bad("share", "%s hits all alike", f.Kind)
+	case !k.all && (f.Share == 0) == (f.Count == 0):
+		return bad("share", "%s needs either share or count", f.Kind)
+	case k.max > 0 && !(f.Size > k.min && f.Size <= k.max):
+		return bad("size", "%v is not between %v and %v", f.Size, k.min, k.max)
+	case k.max == 0 && f.Size != 0:
+		return bad("size", "%s has none", f.Kind)
+	case (f.Kind == "flood") != (f.Account != ""):
+		return bad("account", "flood needs one, and nothing else has one")
+	case f.Account != "" && !slices.ContainsFunc(s.Accounts, func(a Account) bool { return a.Name == f.Account }):
+		return bad("account", "%q is none of the accounts", f.Account)
+	}
+	return nil
+}
+
+// Rate is the load at a time of the day.
+func (s *Scenario) Rate(at time.Duration) float64 {
+	i, _ := slices.BinarySearchFunc(s.Load, at, func(l Load, at time.Duration) int { return int(l.At.D() - at) })
+	switch {
+	case i == 0:
+		return s.Load[0].Rate
+	case i == len(s.Load):
+		return s.Load[i-1].Rate
+	}
+	from, to := s.Load[i-1], s.Load[i]
+	part := float64(at-from.At.D()) / float64(to.At-from.At)
+	return from.Rate + part*(to.Rate-from.Rate)
+}
+
+// Scale changes the load and the length of the day: faults and load keep their places in it.
+func (s *Scenario) Scale(rate float64, length time.Duration) {
+	stretch := float64(length) / float64(s.For)
+	for i := range s.Load {
+		s.Load[i].Rate *= rate
+		s.Load[i].At = Duration(float64(s.Load[i].At) * stretch)
+	}
+	for i := range s.Faults {
+		s.Faults[i].At = Duration(float64(s.Faults[i].At) * stretch)
+	}
+	s.For = Duration(length)
+}
+
+//go:embed days/*.toml
+var days embed.FS
+
+// Shipped returns the scenarios that come with the program, by name.
+func Shipped() []*Scenario {
+	files, _ := fs.Glob(days, "days/*.toml")
+	var all []*Scenario
+	for _, file := range files {
+		text, _ := days.ReadFile(file)
+		s, err := Parse(text)
+		if err != nil {
+			panic(file + ": " + err.Error()) // a test reads them all
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,280 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"example.org/micaline/internal/rules"
+	"example.org/micaline/internal/standin/network"
+)
+
+// Member is one backend as discovery lists it.
+type Member struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"host_port"`
+	Zone    string  `json:"locality"`
+	Kind    string  `json:"flavor"`
+	Cell    int     `json:"cell"`
+	Phase   string  `json:"phase"`
+	Size    float64 `json:"size"`
+	UpSince float64 `json:"up_since_ms"`
+
+	Process  int    `json:"-"` // of the backend
+	revision uint64 // at which this was new
+}
+
+var states = map[string]rules.State{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
+
+// ListTrouble is what is wrong with discovery.
+type ListTrouble uint8
+
+// The troubles of discovery.
+const (
+	ListsWell    ListTrouble = iota
+	ListsRefuse              // calls are answered 503, and watches end
+	ListsSilent              // calls are never answered
+	ListsGarbled             // answers can't be read, or not used
+)
+
+// Discovery is a stand-in for discovery. It serves each agent at an address of its own.
+type Discovery struct {
+	log *Log
+	net *network.Network
+
+	mu       sync.Mutex
+	members  map[string]Member // with tombstones of those that are gone
+	revision uint64
+	changed  chan struct{} // closed with the next change
+	trouble  ListTrouble
+	garbled  int
+	servers  []*http.Server
+	current  map[string]net.Listener      // by agent
+	known    map[string]map[string]Member // by agent, what it has been told
+	closing  context.Context
+	close    context.CancelFunc
+}
+
+// NewDiscovery returns a discovery that knows no backend.
+func NewDiscovery(n *network.Network, log *Log) *Discovery {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Discovery{
+		log: log, net: n, members: map[string]Member{}, revision: 1, changed: make(chan struct{}),
+		current: map[string]net.Listener{}, known: map[string]map[string]Member{}, closing: ctx, close: cancel,
+	}
+}
+
+// moveGrace is how long the connections at an address stay open that an agent has been moved away from.
+const moveGrace = 1500 * time.Millisecond
+
+// Serve begins to serve an agent and returns the address for it. One that it had before takes no new connection.
+func (d *Discovery) Serve(agent string) (addr string, err error) {
+	listener, err := d.net.Listen()
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{
+		Handler:     http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.call(agent, w, r) }),
+		BaseContext: func(net.Listener) context.Context { return d.closing },
+	}
+	d.mu.Lock()
+	if old := d.current[agent]; old != nil {
+		old.Close()
+		before := d.servers[slices.IndexFunc(d.servers, func(s *http.Server) bool { return s.Addr == old.Addr().String() })]
+		time.AfterFunc(moveGrace, func() { before.Close() })
+	}
+	s.Addr = listener.Addr().String()
+	d.servers, d.current[agent] = append(d.servers, s), listener
+	d.mu.Unlock()
+	go s.Serve(listener)
+	return listener.Addr().String(), nil
+}
+
+// Close ends all service.
+func (d *Discovery) Close() {
+	d.close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+// Set lists a member, or changes what is listed of it.
+func (d *Discovery) Set(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	m.revision = d.revision
+	d.members[m.ID] = m
+	d.wake()
+}
+
+// wake has all watches look again. The mutex is held.
+func (d *Discovery) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// SetTrouble puts discovery in trouble, or out of it.
+func (d *Discovery) SetTrouble(t ListTrouble) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trouble = t
+	d.wake()
+}
+
+// Restart has discovery forget its revisions: they begin anew, lower than those that agents hold.
+func (d *Discovery) Restart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision = 1
+	for id, m := range d.members {
+		if m.Phase == "Gone" {
+			delete(d.members, id)
+			continue
+		}
+		m.revision = 1
+		d.members[id] = m
+	}
+	d.wake()
+}
+
+// Known is the list as an agent last had it, which its next configuration holds; the present one for a new agent.
+func (d *Discovery) Known(agent string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.known[agent]; known != nil {
+		return encode(1, true, slices.SortedFunc(maps.Values(known), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) }))
+	}
+	text, _ := d.list(0)
+	return text
+}
+
+// list is the answer to a call for what is newer than a revision; 0 for the whole list. The mutex is held.
+func (d *Discovery) list(after uint64) (text []byte, members []Member) {
+	for _, id := range slices.Sorted(maps.Keys(d.members)) {
+		if m := d.members[id]; m.revision > after && (after > 0 || m.Phase != "Gone") {
+			members = append(members, m)
+		}
+	}
+	return encode(d.revision, after == 0, members), members
+}
+
+func encode(revision uint64, complete bool, members []Member) []byte {
+	text, _ := json.Marshal(struct { // which has a JSON form
+		Revision uint64   `json:"revision"`
+		Complete bool     `json:"complete"`
+		Members  []Member `json:"members"`
+	}{revision, complete, members})
+	return text
+}
+
+// garbage is what discovery says when its answers are garbled.
+var garbage = []string{
+	`{"revision":`,
+	`[]`,
+	`{"revision":7,"complete":true,"members":[{"id":"x","phase":"Odd"}]}`,
+	`{"complete":true,"members":[]}`,
+	`{"revision":-1,"complete":true}`,
+	`{"revision":9,"complete":true,"members":[{"id":"x","host_port":"nowhere","phase":"Ready"}]}`,
+	"\x00\x01\x02",
+}
+
+func (d *Discovery) call(agent string, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != listPath {
+		http.NotFound(w, r)
+		return
+	}
+	var after uint64
+	var over <-chan time.Time
+	if q := r.URL.Query(); q.Get("after") != "" {
+		var err error
+		if after, err = strconv.ParseUint(q.Get("after"), 10, 64); err != nil {
+			http.Error(w, "after is no revision", http.StatusBadRequest)
+			return
+		}
+		if ms, err := strconv.Atoi(q.Get("wait_ms")); err == nil && ms > 0 {
+			over = time.After(time.Duration(min(ms, 60_000)) * time.Millisecond)
+		}
+	}
+	for {
+		d.mu.Lock()
+		trouble, changed, news := d.trouble, d.changed, d.revision != after
+		d.mu.Unlock()
+		switch {
+		case trouble == ListsRefuse:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case trouble == ListsSilent:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		case trouble == ListsGarbled:
+			d.mu.Lock()
+			text := garbage[d.garbled%len(garbage)]
+			d.garbled++
+			d.mu.Unlock()
+			select { // nobody is told nonsense faster than this
+			case <-time.After(50 * time.Millisecond):
+			case <-r.Context().Done():
+			}
+			w.Write([]byte(text))
+			return
+		case news || after == 0 || over == nil:
+			d.tell(agent, w, after)
+			return
+		}
+		select {
+		case <-changed:
+		case <-over:
+			over = nil
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// tell writes an answer and takes down what the agent has been told by it.
+func (d *Discovery) tell(agent string, w http.ResponseWriter, after uint64) {
+	d.mu.Lock()
+	if after > d.revision {
+		// Its revision is of another life of discovery: there is nothing newer, and the agent sees that.
+		after = d.revision
+	}
+	text, members := d.list(after)
+	complete := after == 0
+	var gone []Member
+	if complete {
+		for _, id := range slices.Sorted(maps.Keys(d.members)) {
+			if m := d.members[id]; m.Phase == "Gone" {
+				gone = append(gone, m)
+			}
+		}
+	}
+	d.mu.Unlock()
+	if _, err := w.Write(text); err != nil {
+		return
+	}
+	d.mu.Lock()
+	known := d.known[agent]
+	if known == nil || complete {
+		known = map[string]Member{}
+		d.known[agent] = known
+	}
+	for _, m := range members {
+		if known[m.ID] = m; m.Phase == "Gone" {
+			delete(known, m.ID)
+		}
+	}
+	d.mu.Unlock()
+	for _, m := range append(members, gone...) {
+		d.log.Add(rules.Record{Kind: rules.Told, Agent: agent, Backend: m.ID, Process: m.Process, State: states[m.Phase]})
+	}
+}
--- /dev/null
+++ b/internal/standin/network/network.go
@@ -0,0 +1,348 @@
+// Package network is the network between stand-ins and agents: in memory, where it keeps to a virtual clock, or over
+// the machine's loopback addresses. What goes wrong on a link is the same on both: on loopback a link with trouble is
+// a pair of sockets spliced through the connection in memory that the trouble happens on.
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conditions are what a link does to the connections dialed over it. The zero value is a perfect link.
+type Conditions struct {
+	Delay, Jitter time.Duration // one way; the jitter comes on top, up to so much
+	Refuse        bool          // connections are refused
+	Cut           bool          // nothing crosses and nobody is told: it waits, and connections never come up
+	StallUp       bool          // what the dialer sends waits
+	StallDown     bool          // what the dialer is sent waits
+	Trickle       time.Duration // bytes arrive one by one, so far apart; 0 for at once
+	// Break, if set, is asked for each write whether the connection ends within it. It may be called from several
+	// goroutines at once.
+	Break func(up bool, size int) (Ending, bool)
+}
+
+// Ending is how a connection ends within a write.
+type Ending struct {
+	After int  // bytes of the write that arrive
+	Half  bool // the writer's side ends orderly and the other goes on; else both are reset
+}
+
+// Rule changes the conditions of the links that it matches. A link leads from a name to an address.
+type Rule struct {
+	Match  func(from, to string) bool
+	Change func(*Conditions)
+}
+
+const (
+	backlog = 512       // connections that wait to be accepted, as the kernel keeps some
+	window  = 256 << 10 // bytes on their way in one direction; a writer waits for room
+)
+
+// Network connects listeners and dialers.
+type Network struct {
+	memory bool
+	rules  map[*Rule]struct{}
+
+	dice sync.Mutex // taken last
+	rng  *rand.Rand // of jitter
+
+	mu        sync.Mutex
+	port      uint16
+	listeners map[string]*listener
+	conns     map[*Conn]struct{} // in memory, and those that are spliced
+	sockets   map[*socket]struct{}
+}
+
+// NewMemory returns a network without sockets. All that is used on it must belong to one bubble of testing/synctest,
+// or to none.
+func NewMemory(seed uint64) *Network { return newNetwork(true, seed) }
+
+// NewLoopback returns the network of the machine's loopback addresses.
+func NewLoopback(seed uint64) *Network { return newNetwork(false, seed) }
+
+func newNetwork(memory bool, seed uint64) *Network {
+	return &Network{
+		memory: memory, rules: map[*Rule]struct{}{}, rng: rand.New(rand.NewPCG(seed, 2)), port: 10000,
+		listeners: map[string]*listener{}, conns: map[*Conn]struct{}{}, sockets: map[*socket]struct{}{},
+	}
+}
+
+func (n *Network) random(below time.Duration) time.Duration {
+	n.dice.Lock()
+	defer n.dice.Unlock()
+	return time.Duration(n.rng.Int64N(int64(below)))
+}
+
+// Apply puts a rule in force, also for the connections that are open, until undo is called.
+func (n *Network) Apply(r Rule) (undo func()) {
+	n.change(func() { n.rules[&r] = struct{}{} })
+	return func() { n.change(func() { delete(n.rules, &r) }) }
+}
+
+func (n *Network) change(how func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	how()
+	for c := range n.conns {
+		c.pair.setConditions(n.conditions(c.owner.from, c.to))
+	}
+}
+
+// conditions of a link. The mutex is held.
+func (n *Network) conditions(from, to string) (c Conditions) {
+	for r := range n.rules {
+		if r.Match(from, to) {
+			r.Change(&c)
+		}
+	}
+	return c
+}
+
+// Listen listens at a free address.
+func (n *Network) Listen() (net.Listener, error) {
+	if !n.memory {
+		return net.Listen("tcp", "127.0.0.1:0")
+	}
+	n.mu.Lock()
+	n.port++
+	addr := fmt.Sprintf("127.0.0.1:%d", n.port)
+	n.mu.Unlock()
+	return n.ListenAt(addr)
+}
+
+// FreeAddr returns an address that nobody listens at.
+func (n *Network) FreeAddr() (string, error) {
+	l, err := n.Listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// ListenAt listens at an address that Listen has given once, and that is free again.
+func (n *Network) ListenAt(addr string) (net.Listener, error) {
+	if !n.memory {
+		return net.Listen("tcp", addr)
+	}
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{net: n, addr: net.TCPAddrFromAddrPort(at), queue: make(chan net.Conn, backlog), done: make(chan struct{})}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+// Dialer is a Network as one party sees it. It is what an agent takes.
+type Dialer struct {
+	net  *Network
+	from string
+	dead bool // guarded by the network's mutex
+}
+
+// From returns the network as the party of a name sees it.
+func (n *Network) From(name string) *Dialer { return &Dialer{net: n, from: name} }
+
+// Kill resets all connections that were dialed through the dialer, as the death of its process does, and opens no
+// more.
+func (d *Dialer) Kill() {
+	n := d.net
+	n.mu.Lock()
+	d.dead = true
+	var ended []net.Conn
+	for c := range n.conns {
+		if c.owner == d {
+			ended = append(ended, c)
+		}
+	}
+	for c := range n.sockets {
+		if c.owner == d {
+			ended = append(ended, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range ended {
+		Reset(c)
+	}
+}
+
+// Dial opens a connection to an address, host and port.
+func (d *Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n := d.net
+	n.mu.Lock()
+	cond := n.conditions(d.from, addr)
+	troubled, dead := len(n.rules) > 0, d.dead
+	n.mu.Unlock()
+	if cond.Cut {
+		<-ctx.Done()
+		return nil, opError("dial", ctx.Err())
+	}
+	if trip := 2 * cond.Delay; trip > 0 {
+		select {
+		case <-time.After(trip):
+		case <-ctx.Done():
+			return nil, opError("dial", ctx.Err())
+		}
+	}
+	if cond.Refuse || dead {
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	}
+	if n.memory {
+		return d.connect(ctx, addr)
+	}
+	dialer := net.Dialer{KeepAlive: -1}
+	tcp, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if troubled {
+		near, far := d.pair(addr, tcp.LocalAddr(), tcp.RemoteAddr())
+		go pump(tcp, far)
+		go pump(far, tcp)
+		return near, nil
+	}
+	c := &socket{TCPConn: tcp.(*net.TCPConn), owner: d}
+	n.mu.Lock()
+	n.sockets[c] = struct{}{}
+	n.mu.Unlock()
+	return c, nil
+}
+
+// connect opens a connection in memory.
+func (d *Dialer) connect(ctx context.Context, addr string) (net.Conn, error) {
+	n := d.net
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.port++
+	local := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(n.port)}
+	n.mu.Unlock()
+	if l == nil {
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	}
+	near, far := d.pair(addr, local, l.addr)
+	select {
+	case l.queue <- far:
+		return near, nil
+	case <-l.done:
+		near.Reset()
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	case <-ctx.Done():
+		near.Reset()
+		return nil, opError("dial", ctx.Err())
+	}
+}
+
+// socket is a TCP connection that can be killed with its dialer.
+type socket struct {
+	*net.TCPConn
+	owner *Dialer
+}
+
+func (s *socket) Close() error {
+	n := s.owner.net
+	n.mu.Lock()
+	delete(n.sockets, s)
+	n.mu.Unlock()
+	return s.TCPConn.Close()
+}
+
+// Quiet says whether the other side of an idle connection has neither closed it nor sent anything.
+func (d *Dialer) Quiet(c net.Conn) bool {
+	switch c := c.(type) {
+	case *Conn:
+		return c.in.quiet()
+	case *socket:
+		return quietSocket(c.TCPConn)
+	}
+	return false
+}
+
+func quietSocket(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Reset ends a connection without a word to be read, as the death of a process does.
+func Reset(c net.Conn) {
+	switch c := c.(type) {
+	case interface{ Reset() }:
+		c.Reset()
+	case interface{ SetLinger(int) error }:
+		c.SetLinger(0) // a connection that is gone needs none
+	}
+	c.Close()
+}
+
+// pump copies one direction between a socket and the connection in memory that stands for its link.
+func pump(to, from net.Conn) {
+	_, err := io.Copy(to, from)
+	if half, ok := to.(interface{ CloseWrite() error }); err == nil && ok {
+		half.CloseWrite() // a side that is gone shows in the other direction
+		return
+	}
+	Reset(to)
+	Reset(from)
+}
+
+func opError(op string, err error) error { return &net.OpError{Op: op, Net: "tcp", Err: err} }
+
+// listener accepts connections in memory.
+type listener struct {
+	net   *Network
+	addr  *net.TCPAddr
+	queue chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, opError("accept", net.ErrClosed)
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.net.mu.Lock()
+		delete(l.net.listeners, l.addr.String())
+		l.net.mu.Unlock()
+		close(l.done)
+		for { // what nobody will accept
+			select {
+			case c := <-l.queue:
+				Reset(c)
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return l.addr }
