--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -52,11 +52,12 @@
 // NewKeys returns an empty memory.
 func NewKeys() *Keys { return &Keys{until: map[string]time.Duration{}} }
 
-// first notes a key, and says whether it was not known.
-func (k *Keys) first(key string, now, window time.Duration) bool {
+// first notes the key of a request that is to run, and says whether it was not known. It goes by when the request came:
+// one that waited for its turn until its key was forgotten is a repeat all the same.
+func (k *Keys) first(key string, came, now, window time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if until, known := k.until[key]; known && now < until {
+	if until, known := k.until[key]; known && came < until {
 		return false
 	}
 	if len(k.until) >= mostKeys {
@@ -438,7 +439,7 @@
 	j := &job{left: work.Seconds(), done: func() { close(done) }}
 	j.start = func() bool {
 		started = true
-		if key != "" && !keys.first(key, b.log.Now(), window) {
+		if key != "" && !keys.first(key, first, b.log.Now(), window) {
 			repeat = true
 			note(rules.Dropped)
 			return false
