Deemed told, asked lists, and a client's connection that ends as it should

What discovery has to tell counts as told after 6 s, so the checker also finds an agent that follows the list no more (a seventeenth planted bug). A scenario asks for its list and has load told with answers.

An agent's view of a client's connection had lost CloseWrite when it became a net.Conn: net/http then could not end its side behind a 413 and the like. It passes it on again. The look into a socket stands once, in internal/tcp.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -27,6 +27,15 @@
 	closed bool          // to make room, or by its server
 }
 
+// CloseWrite ends what the agent sends. Danger: without it net/http can't end a connection behind the answer to a
+// request that it has not read, and the client's next bytes would make a reset of it that destroys the answer.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Accept returns the next connection, for which there is room. Serve calls it from one goroutine.
 func (a *admission) Accept() (net.Conn, error) {
 	for {
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -94,6 +94,29 @@
 	}
 }
 
+// net/http ends its side of a client's connection by the connection's own CloseWrite, which the agent passes on.
+func TestClientsSeeTheEndOfAnAnswer(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	ended := false
+	var c net.Conn = &clientConn{Conn: halfCloser{near, &ended}}
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || !ended {
+		t.Errorf("CloseWrite is there: %v, and passed on: %v", ok, ended)
+	}
+}
+
+type halfCloser struct {
+	net.Conn
+	ended *bool
+}
+
+func (h halfCloser) CloseWrite() error {
+	*h.ended = true
+	return nil
+}
+
 // What has been closed to make room is not sent on, though its request has been read meanwhile.
 func TestTakeAfterMakingRoom(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/agent/network.go
+++ b/internal/agent/network.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"syscall"
+
+	"example.org/micaline/internal/tcp"
 )
 
 // Network is what the agent reaches backends and discovery through. Its clock needs no such twin: whoever wants a
@@ -22,26 +24,15 @@
 
 // Dial opens a TCP connection.
 func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", addr)
+	c, err := tcp.Dial(ctx, addr)
+	if err != nil {
+		return nil, err // and no interface that holds a nil connection
+	}
+	return c, nil
 }
 
-// Quiet looks into the socket, which is cheaper than a reset: a request written to a closed connection may have run.
+// Quiet looks into the socket.
 func (TCP) Quiet(c net.Conn) bool {
 	sys, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-		return true
-	})
-	return err == nil && quiet
+	return ok && tcp.Quiet(sys)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,6 @@
 // fleet is one play.
 type fleet struct {
 	Options
-	rng       *rand.Rand // taken only while faults are set up
 	log       *standin.Log
 	discovery *standin.Discovery
 	keys      map[string]*standin.Keys // by class and group
@@ -53,8 +52,8 @@
 	names    int           // of backends that were ever there
 	active   []string      // faults, by what they do
 	failure  error
-	took     []time.Duration // of all that were served
-	dying    sync.WaitGroup  // processes that are killed and have not noticed
+	took     sample         // of all that were served
+	dying    sync.WaitGroup // processes that are killed and have not noticed
 }
 
 // backend is a place in the fleet, with the backend that is there now.
@@ -117,6 +116,8 @@
 	return g.Conn.Close()
 }
 
+func (g *guest) CloseWrite() error { return g.Conn.(interface{ CloseWrite() error }).CloseWrite() }
+
 // slam resets all connections, as the death of the process does.
 func (d *door) slam() {
 	d.Listener.Close()
@@ -133,7 +134,8 @@
 // Play plays a scenario to its end, or until the context ends.
 func Play(ctx context.Context, o Options) (*Report, error) {
 	s := o.Scenario
-	f := &fleet{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), keys: map[string]*standin.Keys{}}
+	f := &fleet{Options: o, keys: map[string]*standin.Keys{}}
+	f.took.rng = rand.New(rand.NewPCG(o.Seed, 1))
 	f.log = standin.NewLog(terms(s, o.Lag), o.Tap)
 	f.discovery = standin.NewDiscovery(o.Network, f.log)
 	defer f.discovery.Close()
@@ -190,13 +192,23 @@
 	return f.report(time.Since(began)), ctx.Err()
 }
 
+// By the protocol what discovery has to tell counts as told after toldWithin; where it must be asked, after four times
+// the time that an agent may go without asking.
+const (
+	toldWithin = 6 * time.Second
+	mustAskIn  = 10 * time.Second
+)
+
 // terms are the rules' figures for a scenario.
 func terms(s *scenario.Scenario, lag time.Duration) rules.Terms {
 	t := rules.Terms{
-		Classes: map[string]rules.Class{}, Slack: s.Rules.Slack.D(), DrainGrace: s.Rules.DrainGrace.D(),
+		Classes: map[string]rules.Class{}, Slack: s.Rules.Slack.D(), DrainGrace: s.Rules.DrainGrace.D(), ToldWithin: toldWithin,
 		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: s.Rules.OverloadFor.D(),
 		Lag: 2*(s.Net.Delay+s.Net.Jitter).D() + lag, Longest: 30 * time.Second,
 	}
+	if s.Discovery.Mode == "ask" {
+		t.ToldWithin = 4 * mustAskIn
+	}
 	for _, c := range s.Classes {
 		t.Classes[c.Name] = classRules(c)
 		t.Longest = max(t.Longest, 4*c.Deadline.D())
@@ -233,7 +245,7 @@
 				OverloadFactor: s.Rules.OverloadFactor, OverloadFor: s.Rules.OverloadFor.D(), Memory: f.memory(bs.Zone, cell),
 			}
 			if s.Limits.Reports != "none" {
-				cfg.Reports = reportFields
+				cfg.Reports, cfg.Inline = reportFields, s.Limits.Reports == "answers"
 			}
 			b := &backend{}
 			f.backends = append(f.backends, b)
@@ -431,7 +443,7 @@
 			},
 			"rules": object{
 				"coldFrom": s.Rules.ColdFrom, "warmAfter": ms(s.Rules.WarmAfter), "overloadFactor": s.Rules.OverloadFactor,
-				"drainGrace": ms(s.Rules.DrainGrace), "mustAskIn": 10000,
+				"drainGrace": ms(s.Rules.DrainGrace), "mustAskIn": mustAskIn.Milliseconds(),
 			},
 		},
 	})
--- a/internal/fleet/hard_test.go
+++ b/internal/fleet/hard_test.go
@@ -47,7 +47,7 @@
 	const probe = 100 // bytes; requests are longer
 	for _, missing := range []int{0, 1} {
 		t.Run(fmt.Sprintf("%d bytes missing", missing), func(t *testing.T) {
-			s, err := scenario.Parse([]byte("name='last-byte'\nfor='6s'\n[clients]\nretries=0\nhangup=0.0\n"))
+			s, err := scenario.Parse([]byte("name='last-byte'\nfor='6s'\n[clients]\nretries=0\nhang_up=0.0\n"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -101,7 +101,7 @@
 // final answer or none, whichever comes first.
 func TestAnswerAtTheDeadline(t *testing.T) {
 	const day = "name='instant'\nfor='6s'\nagents=2\nload=[{at='0s',rate=8}]\n[net]\ndelay='0s'\njitter='0s'\n" +
-		"[clients]\nretries=0\ntryshare=1.0\nhangup=%v\n[limits]\nprobes=false\nreports='none'\n" +
+		"[clients]\nretries=0\ntry_share=1.0\nhang_up=%v\n[limits]\nprobes=false\nreports='none'\n" +
 		"[[backends]]\ncount=12\nspeed=1.0\nhandshake='1ns'\n" +
 		"[[classes]]\nname='c'\nshare=1.0\naim='300ms'\ndeadline='300ms'\nwork='300ms'\neffect='unsafe'\n"
 	for _, hangup := range []float64{0, 0.9} {
--- a/internal/fleet/planted_test.go
+++ b/internal/fleet/planted_test.go
@@ -42,6 +42,7 @@
 	sendsAfterAnswer bug = "sends a request on after answering it"
 	sendsAfterHangUp bug = "sends a request on after its client has gone"
 	closesOnFailure  bug = "closes the connection on a failure"
+	stopsFollowing   bug = "asks for the list once"
 	pushesTheNewest  bug = "sends all to the backend that started last"
 )
 
@@ -115,6 +116,9 @@
 			}
 			p.mu.Unlock()
 		}
+		if p.bug == stopsFollowing && err == nil {
+			return
+		}
 		select {
 		case <-time.After(100 * time.Millisecond):
 		case <-ctx.Done():
@@ -305,7 +309,8 @@
 	const shortWindow = "[[classes]]\nname='k'\nshare=1.0\naim='900ms'\ndeadline='1s'\nwork='30ms'\neffect='keyed'\nwindow='100ms'\n" +
 		"[[fault]]\nkind='reset-answers'\nat='1s'\nfor='9s'\nshare=1.0\nsize=0.3\n"
 	const oneCold = "load=[{at='0s',rate=45}]\n[[fault]]\nkind='restart'\nat='2s'\nfor='300ms'\ncount=1\n"
-	const hangUps = "[clients]\nhangup=0.3\n"
+	const longDrain = "for='16s'\n[[fault]]\nkind='drain'\nat='1s'\nfor='12s'\nshare=0.5\n"
+	const hangUps = "[clients]\nhang_up=0.3\n"
 	for _, c := range []struct {
 		bug       bug
 		day, more string
@@ -319,6 +324,7 @@
 		{refusesWhatRan, "mid-write-reset", "", rules.Twice, "it was refused, which promises that it did not run, and it may have run"},
 		{answersTwice, "calm", "", rules.Lost, "it was answered twice"},
 		{ignoresDrains, "rolling-restart", "", rules.Drain, "sent"},
+		{stopsFollowing, "long-drain", longDrain, rules.Drain, "sent"},
 		{closesOnShutdown, "agent-churn", "", rules.Lost, "its connection ended without an answer"},
 		{swapsBodies, "calm", "", rules.Lost, "it was served what no backend made for it"},
 		{invents, "silent-nodes", "", rules.Lost, "it was served what no backend made for it"},
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -125,10 +126,31 @@
 		took = append(took, more...)
 	}
 	slices.Sort(took)
-	f.took = append(f.took, took...)
+	for _, d := range took {
+		f.took.add(d)
+	}
 	return sum, took
 }
 
+// sample is an even sample of times, however many there were: a day may be long (Vitter, "Random sampling with a
+// reservoir", 1985, algorithm R).
+type sample struct {
+	rng  *rand.Rand
+	seen int
+	kept []time.Duration
+}
+
+const mostSampled = 1 << 18
+
+func (s *sample) add(d time.Duration) {
+	s.seen++
+	if len(s.kept) < mostSampled {
+		s.kept = append(s.kept, d)
+	} else if i := s.rng.IntN(s.seen); i < mostSampled {
+		s.kept[i] = d
+	}
+}
+
 // percentile of what is sorted; 0 of nothing.
 func percentile(sorted []time.Duration, p float64) time.Duration {
 	if len(sorted) == 0 {
@@ -140,12 +162,12 @@
 // report sums the day up.
 func (f *fleet) report(took time.Duration) *Report {
 	t, _ := f.tally()
-	slices.Sort(f.took)
+	slices.Sort(f.took.kept)
 	millis := func(d time.Duration) float64 { return math.Round(float64(d)/float64(10*time.Microsecond)) / 100 }
 	r := &Report{
 		Scenario: f.Scenario.Name, Seed: f.Seed, Seconds: math.Round(took.Seconds()*10) / 10,
 		Requests: t.Requests, Served: t.Served, ServedInAim: t.InAim, Refused: t.Refused, Failed: t.Failed, HungUp: t.HungUp,
-		Retries: t.Retries, RudeIgnored: t.RudeUnanswered, P50: millis(percentile(f.took, 0.5)), P99: millis(percentile(f.took, 0.99)),
+		Retries: t.Retries, RudeIgnored: t.RudeUnanswered, P50: millis(percentile(f.took.kept, 0.5)), P99: millis(percentile(f.took.kept, 0.99)),
 	}
 	for _, b := range f.backends {
 		for _, b := range append(b.past, b.now) {
--- a/internal/rules/checker.go
+++ b/internal/rules/checker.go
@@ -59,6 +59,7 @@
 	Classes        map[string]Class
 	Slack          time.Duration // by which each time limit is longer
 	DrainGrace     time.Duration
+	ToldWithin     time.Duration // what discovery has to tell counts as told after this, if it tells at all; 0: never
 	OverloadFactor float64
 	OverloadFor    time.Duration
 	Lag            time.Duration // by which what crosses the network is seen later at most
@@ -173,7 +174,10 @@
 	operations map[string]*operation
 	backends   map[string]*backend
 	agents     map[string]*agent
-	links      map[string]*link // to backends
+	links      map[string]*link  // to backends
+	listed     map[string]Record // by backend
+	listDown   bool
+	listUp     time.Duration // since when discovery tells
 	verdicts   [rules]Verdict
 }
 
@@ -181,7 +185,7 @@
 func NewChecker(t Terms) *Checker {
 	c := &Checker{
 		terms: t, calls: map[string]*call{}, operations: map[string]*operation{},
-		backends: map[string]*backend{}, agents: map[string]*agent{}, links: map[string]*link{},
+		backends: map[string]*backend{}, agents: map[string]*agent{}, links: map[string]*link{}, listed: map[string]Record{},
 	}
 	for i := range c.verdicts {
 		c.verdicts[i].Rule = Rule(i)
@@ -267,6 +271,15 @@
 		c.fell(r)
 	case Told:
 		c.told(r)
+	case Listed:
+		if before, known := c.listed[r.Backend]; known && before.State != Ready && r.State != Ready && before.Process == r.Process {
+			r.At = before.At // it has been wanting nothing new since then
+		}
+		c.listed[r.Backend] = r
+	case ListDown:
+		c.listDown = true
+	case ListUp:
+		c.listDown, c.listUp = false, r.At
 	case Killed:
 		c.agent(r.Agent).killed = r.At
 	case Troubled, Mended:
@@ -442,11 +455,10 @@
 		c.find(Lost, false, "it was sent on after it had ended", c.story(k, f, &r)...)
 	}
 	c.repeated(k, &r)
-	agent := c.agent(k.asked.Agent)
-	if t, ok := agent.told[r.Backend]; ok && t.drains >= 0 {
+	if t := c.known(k.asked.Agent, r.Backend); t.drains >= 0 {
 		due := t.drains + c.terms.DrainGrace + c.terms.Slack
 		if late := sent - due; late > 0 {
-			c.find(Drain, false, fmt.Sprintf("sent %v after the grace to a backend that is told %s", late, t.State),
+			c.find(Drain, false, fmt.Sprintf("sent %v after the grace to a backend that is %s", late, t.State),
 				&t.Record, &k.asked, &r)
 		} else if r.First > due {
 			c.find(Drain, true, "it may have been sent within the grace", &t.Record, &r)
@@ -527,6 +539,23 @@
 	o.ran = append(o.ran, r)
 }
 
+// known is what an agent has been told of a backend, or counts as told since discovery has had it to tell for so long.
+func (c *Checker) known(name, backend string) told {
+	t, heard := c.agent(name).told[backend]
+	if !heard {
+		t.drains = -1
+	}
+	l, listed := c.listed[backend]
+	if t.drains >= 0 || !listed || l.State == Ready || heard && t.Process > l.Process || c.listDown || c.terms.ToldWithin == 0 {
+		return t
+	}
+	deemed := max(l.At, c.listUp) + c.terms.ToldWithin
+	if deemed > c.now {
+		return t
+	}
+	return told{Record: l, drains: deemed}
+}
+
 func (c *Checker) told(r Record) {
 	a := c.agent(r.Agent)
 	before, known := a.told[r.Backend]
--- a/internal/rules/checker_test.go
+++ b/internal/rules/checker_test.go
@@ -19,7 +19,7 @@
 		"zoned":  {Effect: Keyed, Scope: Zone, Window: 600 * time.Millisecond},
 		"keyed":  {Effect: Keyed, Scope: All, Window: 600 * time.Millisecond},
 	},
-	Slack: 50 * time.Millisecond, DrainGrace: 2 * time.Second, OverloadFactor: 2.5, OverloadFor: time.Second,
+	Slack: 50 * time.Millisecond, DrainGrace: 2 * time.Second, ToldWithin: 6 * time.Second, OverloadFactor: 2.5, OverloadFor: time.Second,
 	Lag: 10 * time.Millisecond, Longest: 30 * time.Second,
 }
 
@@ -91,6 +91,9 @@
 	if r.Operation == "" {
 		r.Operation = r.Call
 	}
+	if r.Kind == Listed || r.Kind == ListDown || r.Kind == ListUp {
+		r.Agent = ""
+	}
 	if (r.Kind == Troubled || r.Kind == Mended) && r.Backend != "" {
 		r.Agent = ""
 	}
@@ -133,7 +136,7 @@
 		r := Record{At: time.Second, First: time.Second, Kind: Kind(kind), Agent: "a", Backend: "b", Call: "c", Operation: "c",
 			Class: "safe", Budget: time.Second, Status: 200}
 		got, err := parse(strings.ReplaceAll(r.String(), `""`, ""))
-		if r.Kind == Troubled || r.Kind == Mended {
+		if got.Agent == "" {
 			got.Agent = "a"
 		}
 		if err != nil || got != r {
--- a/internal/rules/record.go
+++ b/internal/rules/record.go
@@ -33,6 +33,9 @@
 	Started  // a process of a backend [Backend, Process, Cell, Zone, Capacity, ColdFrom, WarmAfter]
 	Fell     // a cold process fell over [Backend]
 	Told     // discovery has told an agent [Agent, Backend, Process, State]
+	Listed   // discovery has it to tell from now on [Backend, Process, State]
+	ListDown // discovery tells nothing, or nothing that can be used, from now on
+	ListUp   // and does again
 	Killed   // an agent's process ended without notice [Agent]
 	Troubled // the network between clients and an agent, or agents and a backend, is in trouble [Agent or Backend]
 	Mended   // and no longer: what was held up has arrived by now [Agent or Backend]
@@ -40,7 +43,7 @@
 
 var kindNames = [...]string{
 	Asked: "asked", Withdrawn: "withdrawn", Answered: "answered", Broken: "broken", HungUp: "hung-up", GaveUp: "gave-up", Arrived: "arrived",
-	Rejected: "rejected", Ran: "ran", Dropped: "dropped", Made: "made", Started: "started", Fell: "fell", Told: "told",
+	Rejected: "rejected", Ran: "ran", Dropped: "dropped", Made: "made", Started: "started", Fell: "fell", Told: "told", Listed: "listed", ListDown: "list-down", ListUp: "list-up",
 	Killed: "killed", Troubled: "troubled", Mended: "mended",
 }
 
@@ -117,7 +120,7 @@
 		fmt.Fprintf(&b, " attempt=%d body=%q", r.Attempt, r.Body)
 	case Started:
 		fmt.Fprintf(&b, " process=%d cell=%d zone=%s capacity=%.2f cold=%.2f warm=%v", r.Process, r.Cell, r.Zone, r.Capacity, r.ColdFrom, r.WarmAfter)
-	case Told:
+	case Told, Listed:
 		fmt.Fprintf(&b, " process=%d state=%s", r.Process, r.State)
 	}
 	return b.String()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -60,7 +60,7 @@
 	Kind        string
 	Count       int
 	Zone        string
-	CellSize    int // backends that share a memory of keys
+	CellSize    int `toml:"cell_size"` // backends that share a memory of keys
 	Cores       int
 	Speed       float64 // of a core; 1 is standard
 	Slots       int     // requests in work at once, per backend
@@ -68,8 +68,8 @@
 	Connections int     // accepted; 0 for any number
 	Handshake   Duration
 	Probe       Duration // work of a probe
-	IdleClose   Duration
-	ErrorRate   float64
+	IdleClose   Duration `toml:"idle_close"`
+	ErrorRate   float64  `toml:"error_rate"`
 }
 
 // Class is one kind of request.
@@ -102,9 +102,9 @@
 type Clients struct {
 	Retries  int
 	Backoff  Duration
-	TryShare float64 // of the deadline that a try may take
+	TryShare float64 `toml:"try_share"` // of the deadline that a try may take
 	Honour   float64 // share that waits as Retry-After says
-	HangUp   float64 // share of tries that are left before their time
+	HangUp   float64 `toml:"hang_up"` // share of tries that are left before their time
 	Rude     float64 // rude requests for each proper one
 }
 
@@ -116,23 +116,23 @@
 
 // Limits are what agents may do.
 type Limits struct {
-	MaxAttempts    int
-	ConnectTimeout Duration
+	MaxAttempts    int      `toml:"max_attempts"`
+	ConnectTimeout Duration `toml:"connect_timeout"`
 	Probes         bool
-	SecondCopies   bool
+	SecondCopies   bool   `toml:"second_copies"`
 	Reports        string // probe, answers or none
-	MemoryMB       int
+	MemoryMB       int    `toml:"memory_mb"`
 	Sockets        int
 }
 
 // Rules are the figures of the four rules.
 type Rules struct {
 	Slack          Duration // by which each time limit is longer
-	DrainGrace     Duration
-	ColdFrom       float64
-	WarmAfter      Duration
-	OverloadFactor float64
-	OverloadFor    Duration
+	DrainGrace     Duration `toml:"drain_grace"`
+	ColdFrom       float64  `toml:"cold_from"`
+	WarmAfter      Duration `toml:"warm_after"`
+	OverloadFactor float64  `toml:"overload_factor"`
+	OverloadFor    Duration `toml:"overload_for"`
 }
 
 // Fault is something that goes wrong.
@@ -333,11 +333,11 @@
 	case s.Clients.Backoff <= 0:
 		return bad("clients.backoff", "must be above 0")
 	case !(s.Clients.TryShare > 0 && s.Clients.TryShare <= 1):
-		return bad("clients.tryshare", "%v is not between 0 and 1", s.Clients.TryShare)
+		return bad("clients.try_share", "%v is not between 0 and 1", s.Clients.TryShare)
 	case !fraction(s.Clients.Honour):
 		return bad("clients.honour", "%v is no share", s.Clients.Honour)
 	case !fraction(s.Clients.HangUp):
-		return bad("clients.hangup", "%v is no share", s.Clients.HangUp)
+		return bad("clients.hang_up", "%v is no share", s.Clients.HangUp)
 	case !(s.Clients.Rude >= 0 && s.Clients.Rude <= 10):
 		return bad("clients.rude", "%v is not between 0 and 10", s.Clients.Rude)
 	case s.Discovery.Mode != "push" && s.Discovery.Mode != "ask":
@@ -345,27 +345,27 @@
 	case s.Discovery.Notice < 0:
 		return bad("discovery.notice", "must not be below 0")
 	case s.Limits.MaxAttempts < 1 || s.Limits.MaxAttempts > 100:
-		return bad("limits.maxattempts", "%d is not between 1 and 100", s.Limits.MaxAttempts)
+		return bad("limits.max_attempts", "%d is not between 1 and 100", s.Limits.MaxAttempts)
 	case s.Limits.ConnectTimeout <= 0:
-		return bad("limits.connecttimeout", "must be above 0")
+		return bad("limits.connect_timeout", "must be above 0")
 	case !slices.Contains([]string{"probe", "answers", "none"}, s.Limits.Reports):
 		return bad("limits.reports", "%q is none of probe, answers, none", s.Limits.Reports)
 	case s.Limits.MemoryMB < 16:
-		return bad("limits.memorymb", "%d is below 16", s.Limits.MemoryMB)
+		return bad("limits.memory_mb", "%d is below 16", s.Limits.MemoryMB)
 	case s.Limits.Sockets < 128:
 		return bad("limits.sockets", "%d is below 128", s.Limits.Sockets)
 	case s.Rules.Slack < 0:
 		return bad("rules.slack", "must not be below 0")
 	case s.Rules.DrainGrace < 0:
-		return bad("rules.draingrace", "must not be below 0")
+		return bad("rules.drain_grace", "must not be below 0")
 	case !(s.Rules.ColdFrom > 0 && s.Rules.ColdFrom <= 1):
-		return bad("rules.coldfrom", "%v is not between 0 and 1", s.Rules.ColdFrom)
+		return bad("rules.cold_from", "%v is not between 0 and 1", s.Rules.ColdFrom)
 	case s.Rules.WarmAfter < 0:
-		return bad("rules.warmafter", "must not be below 0")
+		return bad("rules.warm_after", "must not be below 0")
 	case !(s.Rules.OverloadFactor > 1):
-		return bad("rules.overloadfactor", "%v is not above 1", s.Rules.OverloadFactor)
+		return bad("rules.overload_factor", "%v is not above 1", s.Rules.OverloadFactor)
 	case s.Rules.OverloadFor <= 0:
-		return bad("rules.overloadfor", "must be above 0")
+		return bad("rules.overload_for", "must be above 0")
 	}
 	total := 0
 	for i, b := range s.Backends {
@@ -374,7 +374,7 @@
 		case b.Count < 1 || b.Count > 1000:
 			return bad(at("count"), "%d is not between 1 and 1000", b.Count)
 		case b.CellSize < 1:
-			return bad(at("cellsize"), "%d is below 1", b.CellSize)
+			return bad(at("cell_size"), "%d is below 1", b.CellSize)
 		case b.Cores < 1:
 			return bad(at("cores"), "%d is below 1", b.Cores)
 		case !(b.Speed > 0 && b.Speed <= 1000):
@@ -390,9 +390,9 @@
 		case b.Probe < 0:
 			return bad(at("probe"), "must not be below 0")
 		case b.IdleClose <= 0:
-			return bad(at("idleclose"), "must be above 0")
+			return bad(at("idle_close"), "must be above 0")
 		case !fraction(b.ErrorRate):
-			return bad(at("errorrate"), "%v is no share", b.ErrorRate)
+			return bad(at("error_rate"), "%v is no share", b.ErrorRate)
 		}
 		total += b.Count
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -35,6 +35,7 @@
 	OverloadFor      time.Duration
 	ErrorRate        float64 // of requests that end with 500
 	Memory           Memory
+	Inline           bool     // answers carry the report, not only those to probes
 	Reports          []string // the figures of its load report, in the settings' words
 }
 
@@ -503,9 +504,12 @@
 	text := fmt.Sprintf("%s#%d", b.cfg.Name, rec.Attempt)
 	rec.Body = text
 	note(rules.Made)
-	pick := b.rng.IntN(len(spoilt))
+	pick, report := b.rng.IntN(len(spoilt)), ""
+	if b.cfg.Inline {
+		report = fmt.Sprintf("%s: %s\r\n", loadHeader, p.report())
+	}
 	b.mu.Unlock()
-	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", report, len(text), text)
 	if spoils {
 		return spoilt[pick].spoil(whole, text)
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -114,6 +114,7 @@
 	d.revision++
 	m.revision = d.revision
 	d.members[m.ID] = m
+	d.log.Add(rules.Record{Kind: rules.Listed, Backend: m.ID, Process: m.Process, State: states[m.Phase]})
 	d.wake()
 }
 
@@ -128,6 +129,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.trouble = t
+	kind := rules.ListDown
+	if t == ListsWell {
+		kind = rules.ListUp
+	}
+	d.log.Add(rules.Record{Kind: kind})
 	d.wake()
 }
 
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"example.org/micaline/internal/tcp"
 )
 
 // Conditions are what a link does to the connections dialed over it. The zero value is a perfect link.
@@ -208,18 +209,17 @@
 	if n.memory {
 		return d.connect(ctx, addr)
 	}
-	dialer := net.Dialer{KeepAlive: -1}
-	tcp, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := tcp.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	if n.splice {
-		near, far := d.pair(addr, tcp.LocalAddr(), tcp.RemoteAddr())
-		go pump(tcp, far)
-		go pump(far, tcp)
+		near, far := d.pair(addr, raw.LocalAddr(), raw.RemoteAddr())
+		go pump(raw, far)
+		go pump(far, raw)
 		return near, nil
 	}
-	c := &socket{TCPConn: tcp.(*net.TCPConn), owner: d}
+	c := &socket{TCPConn: raw, owner: d}
 	n.mu.Lock()
 	n.sockets[c] = struct{}{}
 	n.mu.Unlock()
@@ -270,26 +270,11 @@
 	case *Conn:
 		return c.in.quiet()
 	case *socket:
-		return quietSocket(c.TCPConn)
+		return tcp.Quiet(c.TCPConn)
 	}
 	return false
 }
 
-func quietSocket(c *net.TCPConn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
-
 // Reset ends a connection without a word to be read, as the death of a process does.
 func Reset(c net.Conn) {
 	switch c := c.(type) {
