A control interface of the instance, off by default, and micaline ctl for one instance

Need: an operator could read an agent's log and send it SIGHUP, no more.

deploy/operators.toml turns on a Unix socket of the owner's alone.

What is decided by changes under traffic: the loop gives new requests to a second decision module and lets the first finish. A module that ends by an event is no longer skipped over, which would have lost the next one a drain. A held backend is a draining one to the module; a drain of discovery's stays whatever is released.

--- a/cmd/micaline/command.go
+++ b/cmd/micaline/command.go
@@ -11,6 +11,8 @@
 
 	"github.com/spf13/cobra"
 
+	"example.org/micaline/internal/ctl"
+	"example.org/micaline/internal/exit"
 	"example.org/micaline/internal/try"
 )
 
@@ -23,7 +25,7 @@
 			"SIGTERM. The commands below are the tools around it.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(try.Command(), &cobra.Command{
+	root.AddCommand(try.Command(), ctl.Command(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) },
 	})
@@ -31,17 +33,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	err := root.ExecuteContext(ctx)
-	var exit *try.Exit
+	var ended *exit.Error
 	switch {
 	case err == nil:
 		return 0
-	case !errors.As(err, &exit): // cobra's own: an unknown command or argument
-		exit = &try.Exit{Code: try.ExitUsage, Err: err}
+	case !errors.As(err, &ended): // cobra's own: an unknown command or argument
+		ended = &exit.Error{Code: try.ExitUsage, Err: err}
 	}
-	if exit.Err != nil {
-		fmt.Fprintln(os.Stderr, "micaline:", exit.Err)
+	if ended.Err != nil {
+		fmt.Fprintln(os.Stderr, "micaline:", ended.Err)
 	}
-	return exit.Code
+	return ended.Code
 }
 
 // version is the module's version and the commit that it was built from, as far as the build knows them.
--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -3,9 +3,12 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -13,6 +16,8 @@
 	"syscall"
 
 	"example.org/micaline/internal/agent"
+	"example.org/micaline/internal/control"
+	"example.org/micaline/internal/operators"
 )
 
 // memoryShare of the limit is the collector's; the rest is for what it does not count, stacks of the kernel's
@@ -60,5 +65,48 @@
 			reloads <- next
 		}
 	}()
-	return agent.Run(ctx, cfg, reloads, log)
+	ops, err := operators.Load(operators.File)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	a, err := agent.New(cfg, listener, agent.TCP{}, log)
+	if err != nil {
+		return err
+	}
+	if ops.Control.Unix != "" {
+		stop, err := serveControl(a, ops.Control.Unix, log)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
+	return a.Run(ctx, reloads)
+}
+
+// serveControl serves the control interface at a Unix socket that only its owner can open. A socket that an earlier
+// process has left there is in the way and goes.
+func serveControl(a *agent.Agent, path string, log *slog.Logger) (stop func(), err error) {
+	if old, err := os.Lstat(path); err == nil && old.Mode().Type() == os.ModeSocket {
+		if err := os.Remove(path); err != nil {
+			return nil, fmt.Errorf("control.unix: %w", err)
+		}
+	}
+	before := syscall.Umask(0o177) // no moment at which others could open it
+	l, err := net.Listen("unix", path)
+	syscall.Umask(before)
+	if err != nil {
+		return nil, fmt.Errorf("control.unix: %w", err)
+	}
+	s := control.NewServer(a, rand.Text())
+	go func() {
+		if err := s.Serve(l); err != nil {
+			log.Error("the control interface ends", "error", err)
+		}
+	}()
+	log.Info("control interface", "unix", path)
+	return func() { s.Close() }, nil
 }
--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -264,3 +264,83 @@
 		}
 	}
 }
+
+// The operators' file turns the control interface on; ctl shows and changes the instance over it.
+func TestControl(t *testing.T) {
+	addr, asked := discovery(t)
+	cmd, stderr, _ := program(t, fmt.Sprintf(config, freeAddr(t), addr, 3))
+	cmd.Dir = t.TempDir()
+	// A path of a socket holds some hundred bytes, and those of test folders may be longer.
+	short, err := os.MkdirTemp("", "m")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(short) })
+	socket := filepath.Join(short, "c")
+	if err := os.Mkdir(filepath.Join(cmd.Dir, "deploy"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(cmd.Dir, "deploy", "operators.toml"), fmt.Appendf(nil, "[control]\nunix = %q\n", socket), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	follows(t, asked)
+	ctl := func(want int, words ...string) string {
+		t.Helper()
+		out, said, code := invoke(t, append([]string{"ctl", "--socket", socket}, words...)...)
+		if code != want {
+			t.Fatalf("ctl %v: exit code %d, said %s%s", words, code, out, said)
+		}
+		return out + said
+	}
+	if out := ctl(0, "show"); !strings.Contains(out, "n1") || !strings.Contains(out, "revision 0") {
+		t.Errorf("shown %s", out)
+	}
+	for begun := time.Now(); !strings.Contains(ctl(0, "backends"), "Ready"); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > wait {
+			t.Fatal("the backend is not shown")
+		}
+	}
+	ctl(0, "hold", "x", "--for", "1h")
+	if out := ctl(0, "backends"); !strings.Contains(out, "held 3") {
+		t.Errorf("shown %s", out)
+	}
+	ctl(0, "release", "x")
+	ctl(4, "hold", "nobody")
+	doc := filepath.Join(short, "d.json")
+	if err := os.WriteFile(doc, []byte(`{"decisions":{"classes":{"c":{"worth":7}}}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out := ctl(0, "set", doc, "--dry-run"); !strings.Contains(out, "decisions.classes.c.worth") {
+		t.Errorf("dry run: %s", out)
+	}
+	if out := ctl(0, "set", doc, "--id", "one"); !strings.Contains(out, "applied") {
+		t.Errorf("set: %s", out)
+	}
+	if out := ctl(0, "set", doc, "--id", "one"); !strings.Contains(out, "revision 1 ") {
+		t.Errorf("the same change again: %s", out)
+	}
+	ctl(0, "set", doc, "--confirm", "10s")
+	if out := ctl(0, "document", "-o", "json"); !strings.Contains(out, `"revision": 2`) {
+		t.Errorf("in force: %s", out)
+	}
+	if err := os.WriteFile(doc, []byte(`{"decisions":{"classes":{"other":{"worth":7}}}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out := ctl(4, "set", doc); !strings.Contains(out, "decisions.classes.other") {
+		t.Errorf("a bad document: %s", out)
+	}
+	ctl(0, "drain")
+	if out := ctl(0, "show"); !strings.Contains(out, "false") {
+		t.Errorf("drained: %s", out)
+	}
+	ctl(0, "undrain")
+	ctl(0, "requests")
+	ctl(0, "causes")
+	ctl(2, "show", "more")
+	notify(t, cmd, syscall.SIGTERM)
+	ends(t, cmd, stderr)
+	ctl(1, "show")
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,56 +31,79 @@
 	leaveSlack = 100 * time.Millisecond
 )
 
-// Run serves until the context ends, then finishes what it has taken and returns nil. Of a configuration that is
-// reloaded it takes discovery's address.
-func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
+// Serve runs an agent until the context ends, and until what it has taken is finished. Of a configuration that is
+// reloaded it takes discovery's address. It closes the listener.
+func Serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener net.Listener, network Network, log *slog.Logger) error {
+	a, err := New(cfg, listener, network, log)
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		listener.Close()
+		return err
 	}
-	return Serve(ctx, cfg, reloads, listener, TCP{}, log)
+	return a.Run(ctx, reloads)
 }
 
-// Serve is Run on a listener and a network of the caller's. It closes the listener.
-func Serve(ctx context.Context, cfg *Config, reloads <-chan *Config, listener net.Listener, network Network, log *slog.Logger) error {
-	defer listener.Close()
+// Agent is one agent.
+type Agent struct {
+	cfg       *Config
+	log       *slog.Logger
+	loop      *loop
+	discovery *discovery
+	clients   *admission
+	server    *server
+	moves     chan *Config // to another discovery, by operators
+	followed  string       // the discovery that they have moved to last
+}
+
+// New returns an agent that is not running yet.
+func New(cfg *Config, listener net.Listener, network Network, log *slog.Logger) (*Agent, error) {
 	// Half of the sockets is for backends.
 	half := (cfg.Sockets - reservedSockets) / 2
 	l, err := newLoop(cfg, newPool(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	// What the agent has taken it finishes, so its workers outlive the context.
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	tell := func(mode policy.ListMode, members []member) {
 		l.send(input{event: policy.Event{Kind: policy.EventList, ListMode: mode}, members: members})
 	}
 	d := newDiscovery(network, cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	l.follow = d.asked
+	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
+	// that it has used once and keeps would leave it none for the next request.
+	room := min(half, cfg.Sockets*3/10)
+	a := &Agent{
+		cfg: cfg, log: log, loop: l, discovery: d, clients: &admission{Listener: listener, most: room},
+		server: &server{loop: l, usual: int64(room - room/8)}, moves: make(chan *Config),
+		followed: cfg.Discovery,
+	}
+	a.server.clients = a.clients
+	a.server.most.Store(a.server.usual)
+	return a, nil
+}
+
+// Run serves until the context ends, then finishes what it has taken. It closes the listener.
+func (a *Agent) Run(ctx context.Context, reloads <-chan *Config) error {
+	cfg, l, handler := a.cfg, a.loop, a.server
+	defer a.clients.Close()
+	// What the agent has taken it finishes, so its workers outlive the context.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	var workers sync.WaitGroup
 	workers.Go(func() { l.run(work) })
-	tell(policy.ListCached, cfg.known.Members)
-	workers.Go(func() { d.run(work, reloads) })
+	a.discovery.tell(policy.ListCached, cfg.known.Members)
+	workers.Go(func() { a.discovery.run(work, reloads, a.moves) })
 	defer func() {
 		stop()
 		workers.Wait()
 		l.pool.close()
 	}()
-
-	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
-	// that it has used once and keeps would leave it none for the next request.
-	room := min(half, cfg.Sockets*3/10)
-	clients := &admission{Listener: listener, most: room}
-	handler := &server{loop: l, clients: clients, most: int64(room - room/8)}
 	srv := &http.Server{
 		Handler: handler, ReadTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
-		ConnContext: withConn, ConnState: clients.noteState,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnContext: withConn, ConnState: a.clients.noteState,
+		ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn),
 	}
 	defer srv.Close() // what outlasts Shutdown
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(clients) }()
+	go func() { failed <- srv.Serve(a.clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -49,6 +49,7 @@
 	ended  chan error
 	client *http.Client
 
+	agent   *Agent
 	reloads chan *Config
 	calls   atomic.Int64 // requests made
 }
@@ -66,7 +67,10 @@
 		client:  &http.Client{Transport: &http.Transport{}, Timeout: wait},
 		reloads: make(chan *Config),
 	}
-	go func() { r.ended <- Serve(ctx, cfg, r.reloads, listener, TCP{}, slog.New(slog.DiscardHandler)) }()
+	if r.agent, err = New(cfg, listener, TCP{}, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	go func() { r.ended <- r.agent.Run(ctx, r.reloads) }()
 	t.Cleanup(func() {
 		stop()
 		r.client.CloseIdleConnections()
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,248 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"example.org/micaline/internal/control"
+	"example.org/micaline/internal/document"
+	"example.org/micaline/internal/settings"
+	"example.org/micaline/policy"
+)
+
+// What the control interface shows and changes. All of it happens in the loop, between two inputs.
+
+// mostShown is how many open requests are shown.
+const mostShown = 1000
+
+var errEnded = errors.New("the agent has ended")
+
+// do has the loop call a function, and waits for it.
+func (l *loop) do(ctx context.Context, f func()) error {
+	called := make(chan struct{})
+	in := input{do: func() { f(); close(called) }}
+	select {
+	case l.inputs <- in:
+	case <-l.done:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-called:
+		return nil
+	case <-l.done:
+		return errEnded
+	}
+}
+
+// Name is the agent's, the same after a restart.
+func (a *Agent) Name() string { return a.cfg.Name }
+
+// Base are the settings that the platform has configured.
+func (a *Agent) Base() *settings.Settings { return &a.cfg.Settings }
+
+// SetTaking says whether requests are taken. One that is not is refused, and told when to come back.
+func (a *Agent) SetTaking(on bool) {
+	a.server.closed.Store(!on)
+	a.log.Info("operators", "taking", on)
+}
+
+// Apply puts a part of a document in force.
+func (a *Agent) Apply(ctx context.Context, part string, d *document.Document) error {
+	switch part {
+	case document.Service:
+		return a.applyService(ctx, &d.Service)
+	case document.Decisions:
+		return a.applyDecisions(ctx, d.Module(&a.cfg.Settings))
+	}
+	return fmt.Errorf("there is no part %q", part)
+}
+
+func (a *Agent) applyService(ctx context.Context, s *document.ServicePart) error {
+	addr := a.cfg.Discovery
+	if s.Discovery != nil {
+		addr = *s.Discovery
+	}
+	if addr != a.followed {
+		moved := *a.cfg
+		moved.Discovery = addr
+		select {
+		case a.moves <- &moved:
+			a.followed = addr
+		case <-a.loop.done:
+			return errEnded
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	most := a.server.usual
+	if s.Requests != nil {
+		most = min(most, int64(*s.Requests)) // more than the sockets bear is not to be had
+	}
+	a.server.most.Store(most)
+	return nil
+}
+
+// applyDecisions has another module decide for new requests.
+func (a *Agent) applyDecisions(ctx context.Context, s policy.Settings) error {
+	next, err := policy.New(s, a.cfg.Seed+uint64(time.Now().UnixNano()))
+	if err != nil {
+		return err
+	}
+	return a.loop.do(ctx, func() { a.loop.replace(context.WithoutCancel(ctx), next, s) })
+}
+
+// replace lets another module decide from now on. The one before finishes what it has.
+func (l *loop) replace(ctx context.Context, d Decider, s policy.Settings) {
+	old := l.current
+	if old.retired = true; old.open == 0 {
+		l.modules = slices.DeleteFunc(l.modules, func(m *module) bool { return m == old })
+	}
+	l.current = &module{Decider: d}
+	l.modules = append(l.modules, l.current)
+	l.decisions = s
+	var entries []policy.ServerEntry
+	for _, e := range l.listed {
+		entries = append(entries, l.held(e))
+	}
+	slices.SortFunc(entries, func(a, b policy.ServerEntry) int { return cmp.Compare(a.ID, b.ID) })
+	l.handle(ctx, l.current, policy.Event{Kind: policy.EventList, ListMode: policy.ListFull, Servers: entries})
+}
+
+// held is what the modules are told of a backend: one that is held out drains.
+func (l *loop) held(e policy.ServerEntry) policy.ServerEntry {
+	if _, out := l.holds[e.ID]; out && e.State == policy.Ready {
+		e.State = policy.Draining
+	}
+	return e
+}
+
+// Hold keeps a backend out for so long, or lets it in again if that is 0. Danger: what discovery says goes before it: a
+// backend that drains gets nothing, whoever lets it in.
+func (a *Agent) Hold(ctx context.Context, backend string, d time.Duration) (known bool, err error) {
+	l := a.loop
+	err = l.do(ctx, func() {
+		id, here := l.servers.ids[backend]
+		if known = here; !here {
+			return
+		}
+		if d > 0 {
+			l.holds[id] = l.clock.now() + d
+		} else {
+			delete(l.holds, id)
+		}
+		l.log.Info("operators", "backend", backend, "held_for", d)
+		l.tellHold(context.WithoutCancel(ctx), id)
+	})
+	return known, err
+}
+
+// tellHold tells the modules that a backend is held out, or no longer.
+func (l *loop) tellHold(ctx context.Context, id policy.ServerID) {
+	if e, ok := l.listed[id]; ok {
+		l.handleAll(ctx, policy.Event{Kind: policy.EventList, ListMode: policy.ListDelta, Servers: []policy.ServerEntry{l.held(e)}})
+	}
+}
+
+// endHolds lets those in again whose time is over.
+func (l *loop) endHolds(ctx context.Context) {
+	for id, until := range l.holds {
+		if l.clock.now() >= until {
+			delete(l.holds, id)
+			l.tellHold(ctx, id)
+		}
+	}
+}
+
+var phaseNames = [...]string{policy.Gone: "Gone", policy.Ready: "Ready", policy.Draining: "Terminating"}
+
+// Look returns the present state.
+func (a *Agent) Look(ctx context.Context) (*control.State, error) {
+	var s *control.State
+	err := a.loop.do(ctx, func() { s = a.look() })
+	return s, err
+}
+
+func (a *Agent) look() *control.State {
+	l := a.loop
+	now := l.clock.now()
+	s := &control.State{Taking: !a.server.closed.Load(), Held: len(l.requests), Backends: []control.Backend{}, Requests: []control.Request{}, Causes: []control.Cause{}}
+	s.Service = control.Service{
+		Requests: l.counts.requests, InAim: l.counts.inAim, Served: l.counts.served, Refused: l.counts.refused, Failed: l.counts.failed, Left: l.counts.left,
+	}
+	if turned := a.server.turned.Load(); turned > 0 { // which never came to the loop
+		s.Service.Requests += turned
+		s.Service.Refused += turned
+		s.Causes = append(s.Causes, control.Cause{Answer: "refused", Cause: "turned away at the door", Count: turned})
+	}
+	if b, ok := l.current.Decider.(*policy.Balancer); ok {
+		s.Pressure = b.Pressure()
+		for _, v := range b.View(now) {
+			s.Backends = append(s.Backends, a.backend(&v, now))
+		}
+	}
+	slices.SortFunc(s.Backends, func(x, y control.Backend) int { return cmp.Compare(x.Name, y.Name) })
+	for _, r := range l.requests {
+		if r.ended {
+			continue
+		}
+		shown := control.Request{
+			Call: r.callID, Class: l.set.Classes[r.class], Age: (now - r.begun).Seconds(), Left: (r.deadline - now).Seconds(),
+			Attempts: len(r.attempts), Out: r.out,
+		}
+		if r.tenant < len(l.set.Tenants) {
+			shown.Account = l.set.Tenants[r.tenant]
+		}
+		s.Requests = append(s.Requests, shown)
+	}
+	slices.SortFunc(s.Requests, func(x, y control.Request) int { return cmp.Or(cmp.Compare(y.Age, x.Age), cmp.Compare(x.Call, y.Call)) })
+	s.Requests = s.Requests[:min(len(s.Requests), mostShown)]
+	for c, n := range l.counts.causes {
+		answer := "failed"
+		if c.refused {
+			answer = "refused"
+		}
+		s.Causes = append(s.Causes, control.Cause{Answer: answer, Class: l.set.Classes[c.class], Cause: c.why, Count: n})
+	}
+	slices.SortFunc(s.Causes, func(x, y control.Cause) int {
+		return cmp.Or(cmp.Compare(x.Answer, y.Answer), cmp.Compare(x.Class, y.Class), cmp.Compare(x.Cause, y.Cause))
+	})
+	return s
+}
+
+// backend is one backend for people to read.
+func (a *Agent) backend(v *policy.ServerView, now time.Duration) control.Backend {
+	l := a.loop
+	b := control.Backend{
+		Name: l.servers.names[v.ID], Phase: phaseNames[l.listed[v.ID].State], Speed: round(v.Speed), Warmth: round(v.Warmth),
+		InFlight: v.InFlight, Silent: v.Silent, Load: round(v.Held), Full: round(v.Full.Seconds()),
+	}
+	if t := l.targets[v.ID]; t != nil {
+		b.Addr = t.addr
+	}
+	if until, out := l.holds[v.ID]; out {
+		b.Held = round((until - now).Seconds())
+	}
+	if v.ReportAge >= 0 {
+		age := round(v.ReportAge.Seconds())
+		b.ReportAge = &age
+	}
+	for _, e := range v.Ejected {
+		b.Ejected = append(b.Ejected, control.Ejection{Class: l.set.Classes[e.Class], For: round(e.For.Seconds()), Times: e.Times})
+	}
+	return b
+}
+
+// round leaves what a person reads.
+func round(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return math.Round(v*1000) / 1000
+}
--- /dev/null
+++ b/internal/agent/counts.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"example.org/micaline/policy"
+)
+
+// counts are the requests since the start, by how they ended.
+type counts struct {
+	requests, inAim, served, refused, failed, left int64
+
+	causes map[cause]int64 // of refusals and failures: as many as there are classes and outcomes
+}
+
+// cause is why a request was refused or failed.
+type cause struct {
+	refused bool
+	class   int
+	why     string
+}
+
+var outcomeNames = [...]string{
+	policy.OK: "ok", policy.Error: "error", policy.Full: "rejected", policy.Timeout: "timeout",
+	policy.ConnectFailed: "connect failed", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "not sent",
+}
+
+// end counts the end of a request.
+func (c *counts) end(r *request, status int, now, aim time.Duration) {
+	switch status {
+	case http.StatusOK:
+		c.served++
+		if now-r.begun <= aim {
+			c.inAim++
+		}
+		return
+	case statusRefused:
+		c.refused++
+	default:
+		c.failed++
+	}
+	why := "no room" // nothing was sent for it
+	if len(r.attempts) > 0 {
+		why = outcomeNames[r.last]
+	}
+	c.causes[cause{status == statusRefused, r.class, why}]++
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -113,7 +113,7 @@
 }
 
 // run follows the list until the context ends, from each reload on at the address that it brings.
-func (d *discovery) run(ctx context.Context, reloads <-chan *Config) {
+func (d *discovery) run(ctx context.Context, reloads, moves <-chan *Config) {
 	defer d.client.CloseIdleConnections()
 	for {
 		here, leave := context.WithCancel(ctx)
@@ -122,19 +122,21 @@
 			d.followList(here)
 			close(left)
 		}()
+		var cfg *Config
 		select {
-		case cfg := <-reloads:
-			leave()
-			<-left
-			d.log.Info("reloaded", "discovery", cfg.Discovery)
-			// The new service counts revisions of its own, so its whole list comes first.
-			d.addr, d.revision = cfg.Discovery, nil
-			d.asked()
+		case cfg = <-reloads:
+		case cfg = <-moves:
 		case <-ctx.Done():
 			leave()
 			<-left
 			return
 		}
+		leave()
+		<-left
+		d.log.Info("reloaded", "discovery", cfg.Discovery)
+		// The new service counts revisions of its own, so its whole list comes first.
+		d.addr, d.revision = cfg.Discovery, nil
+		d.asked()
 	}
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -33,6 +33,7 @@
 	call    *call    // of EventRequest and EventHangup
 	answer  answer   // of EventOutcome, if it is OK
 	members []member // of EventList
+	do      func()   // is called instead, if set
 }
 
 // call is a client's request, which the client's handler shares with the loop.
@@ -58,31 +59,53 @@
 // request is what the loop knows of a call until it is answered and its attempts are back.
 type request struct {
 	*call
+	module   *module
+	begun    time.Duration        // of the clock
 	attempts []context.CancelFunc // to give each up
 	out      int                  // attempts out
+	last     policy.Outcome       // of the attempts that are back
 	ended    bool                 // answered, or its client is gone
 }
 
+// module is a decision module. There is one, but for the time after a change of what is decided by: then the one before
+// finishes the requests that it has.
+type module struct {
+	Decider
+	open    int  // requests that it decides for
+	retired bool // it gets no new ones
+}
+
+// decision is an event on its way to a module.
+type decision struct {
+	to    *module
+	event policy.Event
+}
+
 // loop owns the module and the state of all requests. It alone decides how a request ends: handlers, attempts
 // and discovery send it inputs and share nothing else with it.
 type loop struct {
-	set     *settings.Settings
-	clock   clock
-	decider Decider
-	pool    *pool
-	follow  func() // asks discovery for the list
-	log     *slog.Logger
-	inputs  chan input
-	done    chan struct{} // closed when run returns
-	ready   atomic.Bool   // a list has come
+	set       *settings.Settings
+	clock     clock
+	current   *module         // gets new requests
+	modules   []*module       // it, and those before it that are not done
+	decisions policy.Settings // of the current one
+	pool      *pool
+	follow    func() // asks discovery for the list
+	log       *slog.Logger
+	inputs    chan input
+	done      chan struct{} // closed when run returns
+	ready     atomic.Bool   // a list has come
 
 	servers  serverIDs
 	targets  map[policy.ServerID]*target
 	requests map[policy.RequestID]*request
 	callIDs  callIDs
 	lastID   policy.RequestID
+	listed   map[policy.ServerID]policy.ServerEntry // as discovery tells
+	holds    map[policy.ServerID]time.Duration      // of the clock, until when operators hold a backend out
+	counts   counts
 	timers   timers
-	events   []policy.Event // to be handed to the module
+	events   []decision // to be handed over
 	actions  []policy.Action
 }
 
@@ -91,8 +114,11 @@
 	if err != nil {
 		return nil, err
 	}
+	first := &module{Decider: decider}
 	return &loop{
-		set: &cfg.Settings, clock: clock{time.Now()}, decider: decider, pool: pool, log: log,
+		set: &cfg.Settings, clock: clock{time.Now()}, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
+		listed: map[policy.ServerID]policy.ServerEntry{}, holds: map[policy.ServerID]time.Duration{},
+		counts:   counts{causes: map[cause]int64{}},
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}},
@@ -125,17 +151,24 @@
 		}
 		select {
 		case in := <-l.inputs:
-			l.take(ctx, in)
+			if in.do != nil {
+				in.do()
+			} else {
+				l.take(ctx, in)
+			}
 		case <-wake.C:
 		case <-sweep.C:
 			l.pool.sweep()
 			l.callIDs.age()
+			l.endHolds(ctx)
 		case <-ctx.Done():
 			return
 		}
 		for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 			t := heap.Pop(&l.timers).(timer)
-			l.handle(ctx, policy.Event{Kind: policy.EventTimer, Token: t.token})
+			if slices.Contains(l.modules, t.module) {
+				l.handle(ctx, t.module, policy.Event{Kind: policy.EventTimer, Token: t.token})
+			}
 		}
 	}
 }
@@ -146,7 +179,7 @@
 	switch ev.Kind {
 	case policy.EventList:
 		ev.Servers = l.entries(in.members)
-		l.handle(ctx, ev)
+		l.handleAll(ctx, ev)
 		if ev.ListMode != policy.ListFailed {
 			l.forgetGone(ev.ListMode, ev.Servers)
 			l.ready.Store(len(l.targets) > 0 || l.ready.Load())
@@ -157,10 +190,13 @@
 			return
 		}
 		in.call.id = l.newID()
-		l.requests[in.call.id] = &request{call: in.call}
+		r := &request{call: in.call, module: l.current, begun: l.clock.now()}
+		l.requests[in.call.id] = r
+		r.module.open++
+		l.counts.requests++
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
 		ev.Left = in.call.deadline - l.clock.now()
-		l.handle(ctx, ev)
+		l.handle(ctx, r.module, ev)
 	case policy.EventHangup:
 		r := l.requests[in.call.id]
 		if r == nil || r.ended { // it crossed the answer, if there was one
@@ -172,21 +208,23 @@
 			return
 		}
 		r.ended = true
+		l.counts.left++
 		ev.Request = r.id
-		l.handle(ctx, ev)
+		l.handle(ctx, r.module, ev)
 		l.forget(r)
 	case policy.EventOutcome:
 		r := l.requests[ev.Request]
 		r.attempts[ev.Attempt]()
 		r.out--
-		if ev.Outcome == policy.OK && !r.end(in.answer) {
+		r.last = ev.Outcome
+		if ev.Outcome == policy.OK && !l.end(r, in.answer) {
 			l.pool.free(int64(len(in.answer.body)))
 		}
 		ev.Closed = r.ended
-		l.handle(ctx, ev)
+		l.handle(ctx, r.module, ev)
 		l.forget(r)
 	default:
-		l.handle(ctx, ev)
+		l.handleAll(ctx, ev)
 	}
 }
 
@@ -200,11 +238,12 @@
 }
 
 // end gives the client its answer, unless it has one or is gone.
-func (r *request) end(a answer) bool {
+func (l *loop) end(r *request, a answer) bool {
 	if r.ended {
 		return false
 	}
 	r.ended = true
+	l.counts.end(r, a.status, l.clock.now(), l.decisions.Classes[r.class].Aim)
 	r.answered <- a
 	return true
 }
@@ -212,8 +251,14 @@
 // forget drops a request of which nothing more is to be heard.
 func (l *loop) forget(r *request) {
 	if r.ended && r.out == 0 {
+		if l.requests[r.id] == nil {
+			return // it has been
+		}
 		delete(l.requests, r.id)
 		l.callIDs.release(r.callID)
+		if r.module.open--; r.module.retired && r.module.open == 0 {
+			l.modules = slices.DeleteFunc(l.modules, func(m *module) bool { return m == r.module })
+		}
 	}
 }
 
@@ -259,7 +304,8 @@
 			Weight: m.Size,
 			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
 		}
-		entries = append(entries, e)
+		l.listed[e.ID] = e
+		entries = append(entries, l.held(e))
 		if e.State == policy.Gone {
 			continue // forgotten once the module has heard of it
 		}
@@ -290,23 +336,39 @@
 			delete(l.targets, id)
 		}
 		l.servers.free(id)
+		delete(l.listed, id)
+		delete(l.holds, id)
 	}
 }
 
-// handle hands an event to the module and carries out what it answers, and so on with the events that come of it.
-func (l *loop) handle(ctx context.Context, ev policy.Event) {
-	l.events = append(l.events, ev)
+// handleAll hands an event to each module.
+func (l *loop) handleAll(ctx context.Context, ev policy.Event) {
+	if len(l.modules) == 1 {
+		l.handle(ctx, l.current, ev)
+		return
+	}
+	// Danger: one that ends by this event leaves the list, and the next would not hear of it.
+	for _, m := range slices.Clone(l.modules) {
+		l.handle(ctx, m, ev)
+	}
+}
+
+// handle hands an event to a module and carries out what it answers, and so on with the events that come of it.
+func (l *loop) handle(ctx context.Context, to *module, ev policy.Event) {
+	l.events = append(l.events, decision{to, ev})
 	for i := 0; i < len(l.events); i++ { // act may add to them
-		l.actions = l.decider.Handle(l.clock.now(), l.events[i], l.actions[:0])
+		d := &l.events[i]
+		to = d.to
+		l.actions = to.Handle(l.clock.now(), d.event, l.actions[:0])
 		for j := range l.actions {
-			l.act(ctx, &l.actions[j])
+			l.act(ctx, to, &l.actions[j])
 		}
 	}
 	l.events = l.events[:0]
 }
 
 // act carries out one action.
-func (l *loop) act(ctx context.Context, a *policy.Action) {
+func (l *loop) act(ctx context.Context, by *module, a *policy.Action) {
 	r := l.requests[a.Request]
 	switch a.Kind {
 	case policy.ActSend:
@@ -315,12 +377,12 @@
 		}
 	case policy.ActRefuse:
 		if r != nil {
-			r.end(answer{status: statusRefused, retryAfter: a.Wait})
+			l.end(r, answer{status: statusRefused, retryAfter: a.Wait})
 			l.forget(r)
 		}
 	case policy.ActFail:
 		if r != nil {
-			r.end(answer{status: statusFailed})
+			l.end(r, answer{status: statusFailed})
 			l.forget(r)
 		}
 	case policy.ActCancel:
@@ -328,9 +390,9 @@
 			r.attempts[a.Attempt]()
 		}
 	case policy.ActTimer:
-		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token})
+		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token, module: by})
 	case policy.ActProbe:
-		l.probe(ctx, a.Server)
+		l.probe(ctx, by, a.Server)
 	case policy.ActFollow:
 		l.follow()
 	case policy.ActLog:
@@ -346,12 +408,12 @@
 		left = min(left, a.Wait)
 	}
 	t := l.targets[a.Server]
-	if r.ended || left <= 0 || t == nil || n >= l.set.Module.MaxAttempts {
+	if r.ended || left <= 0 || t == nil || n >= l.decisions.MaxAttempts {
 		r.attempts = append(r.attempts, func() {})
-		l.events = append(l.events, policy.Event{
+		l.events = append(l.events, decision{r.module, policy.Event{
 			Kind: policy.EventOutcome, Request: r.id, Attempt: n, Server: a.Server,
 			Outcome: policy.Moot, Closed: r.ended, Load: settings.NoLoad(),
-		})
+		}})
 		return
 	}
 	var sendBy time.Time
@@ -371,12 +433,12 @@
 	}()
 }
 
-func (l *loop) probe(ctx context.Context, server policy.ServerID) {
+func (l *loop) probe(ctx context.Context, by *module, server policy.ServerID) {
 	t := l.targets[server]
 	if t == nil {
-		l.events = append(l.events, policy.Event{
+		l.events = append(l.events, decision{by, policy.Event{
 			Kind: policy.EventProbed, Server: server, Outcome: policy.Moot, Load: settings.NoLoad(),
-		})
+		}})
 		return
 	}
 	go func() {
@@ -390,8 +452,9 @@
 
 // timer is an ActTimer that is to fall due.
 type timer struct {
-	due   time.Duration
-	token uint64
+	due    time.Duration
+	token  uint64
+	module *module
 }
 
 // timers is a heap, the next one first.
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -95,16 +95,16 @@
 	}
 	list(policy.ListFull, "Ready")
 	x := l.servers.of("x")
-	r := &request{call: &call{id: 7, deadline: l.clock.now() + wait, answered: make(chan answer, 1),
+	r := &request{module: l.current, call: &call{id: 7, deadline: l.clock.now() + wait, answered: make(chan answer, 1),
 		message: newMessage("POST", "/keyed/1", "x", nil, nil)}}
 	l.requests[r.id] = r
 	send := policy.Action{Kind: policy.ActSend, Request: r.id, Server: x, Wait: wait}
-	l.act(ctx, &send)
+	l.act(ctx, l.current, &send)
 	if in := receive(t, "outcome", l.inputs); in.event.Outcome != policy.OK {
 		t.Fatalf("outcome %d", in.event.Outcome)
 	}
 	send.Within = 1 // a nanosecond, which is over before a connection can be had
-	l.act(ctx, &send)
+	l.act(ctx, l.current, &send)
 	if in := receive(t, "outcome", l.inputs); in.event.Outcome != policy.Moot {
 		t.Errorf("sent too late: outcome %d", in.event.Outcome)
 	}
@@ -114,8 +114,8 @@
 		t.Errorf("still known: %v %v", l.targets, l.servers)
 	}
 	send.Within = 0
-	l.act(ctx, &send)
-	if n := len(l.events); n != 1 || l.events[0].Outcome != policy.Moot {
+	l.act(ctx, l.current, &send)
+	if n := len(l.events); n != 1 || l.events[0].event.Outcome != policy.Moot {
 		t.Errorf("to a backend that is gone: %+v", l.events)
 	}
 }
@@ -250,7 +250,7 @@
 	}
 	for range 2 { // the module's looks at the silent attempt, due or not
 		look := heap.Pop(&l.timers).(timer)
-		l.handle(ctx, policy.Event{Kind: policy.EventTimer, Token: look.token})
+		l.handle(ctx, look.module, policy.Event{Kind: policy.EventTimer, Token: look.token})
 	}
 	for range 2 { // the copy's answer, and the end of the first attempt
 		l.take(ctx, receive(t, "outcome", l.inputs))
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -47,10 +47,13 @@
 type server struct {
 	loop    *loop
 	clients *admission
-	most    int64 // requests held at once
+	usual   int64 // requests held at once, if operators say nothing
 
+	most    atomic.Int64 // requests held at once
 	held    atomic.Int64
-	leaving atomic.Bool // connections are closed after their answers
+	closed  atomic.Bool  // operators let nothing in
+	turned  atomic.Int64 // requests that were refused for one of both
+	leaving atomic.Bool  // connections are closed after their answers
 }
 
 // badRequest is what a client did wrong, and the status that tells it so.
@@ -90,7 +93,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer s.held.Add(-1)
-	if s.held.Add(1) > s.most {
+	if s.held.Add(1) > s.most.Load() || s.closed.Load() {
+		s.turned.Add(1)
 		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
 		return
 	}
--- a/internal/try/try.go
+++ b/internal/try/try.go
@@ -20,6 +20,7 @@
 
 	"example.org/micaline/internal/agent"
 	"example.org/micaline/internal/baseline"
+	"example.org/micaline/internal/exit"
 	"example.org/micaline/internal/fleet"
 	"example.org/micaline/internal/scenario"
 	"example.org/micaline/internal/standin/network"
@@ -32,23 +33,10 @@
 	ExitBroken = 3 // a rule was broken
 )
 
-// Exit is an error that ends the program with a code.
-type Exit struct {
-	Code int
-	Err  error // nil: all has been said
+func usage(format string, args ...any) error {
+	return &exit.Error{Code: ExitUsage, Err: fmt.Errorf(format, args...)}
 }
 
-func (e *Exit) Error() string {
-	if e.Err == nil {
-		return fmt.Sprintf("exit code %d", e.Code)
-	}
-	return e.Err.Error()
-}
-
-func (e *Exit) Unwrap() error { return e.Err }
-
-func usage(format string, args ...any) error { return &Exit{ExitUsage, fmt.Errorf(format, args...)} }
-
 // machineLag is by how much a machine that is busy with a whole fleet may see things late.
 const machineLag = 250 * time.Millisecond
 
@@ -92,7 +80,7 @@
 	f.BoolVar(&o.list, "list", false, "list the scenarios and end")
 	f.StringVar(&o.beside, "beside", "", "play the day once more through "+strings.Join(choices, "|"))
 	f.BoolVar(&o.verbose, "verbose", false, "show the agents' log on standard error")
-	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &Exit{ExitUsage, err} })
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exit.Error{Code: ExitUsage, Err: err} })
 	return c
 }
 
@@ -129,12 +117,12 @@
 	fmt.Fprintf(out, "%s: %s\n", s.Name, s.About)
 	report, err := o.play(ctx, s, "micaline", agent.Serve, show)
 	if err != nil {
-		return &Exit{ExitFailed, err}
+		return &exit.Error{Code: ExitFailed, Err: err}
 	}
 	if o.beside != "" && ctx.Err() == nil {
 		fmt.Fprintf(out, "\nthe same day through %s\n", o.beside)
 		if report.Beside, err = o.play(ctx, s, o.beside, besides(o.beside), show); err != nil {
-			return &Exit{ExitFailed, fmt.Errorf("%s: %w", o.beside, err)}
+			return &exit.Error{Code: ExitFailed, Err: fmt.Errorf("%s: %w", o.beside, err)}
 		}
 	}
 	summarize(out, report)
@@ -142,11 +130,11 @@
 		enc := json.NewEncoder(file)
 		enc.SetIndent("", "  ")
 		if err := enc.Encode(report); err != nil {
-			return &Exit{ExitFailed, fmt.Errorf("writing the report: %w", err)}
+			return &exit.Error{Code: ExitFailed, Err: fmt.Errorf("writing the report: %w", err)}
 		}
 	}
 	if !report.Kept() {
-		return &Exit{Code: ExitBroken}
+		return &exit.Error{Code: ExitBroken}
 	}
 	return nil
 }
