--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -2,15 +2,13 @@
 package operators
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"example.org/micaline/internal/tomlfile"
 )
 
 // File is where the operators' file is, from the folder that the program is started in.
@@ -44,22 +42,12 @@
 
 func parse(text []byte) (*Settings, error) {
 	var s Settings
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		var strict *toml.StrictMissingError
-		var bad *toml.DecodeError
-		switch {
-		case errors.As(err, &strict) && len(strict.Errors) > 0:
-			line, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("line %d: %s: there is no such field", line, strings.Join(strict.Errors[0].Key(), "."))
-		case errors.As(err, &bad):
-			line, _ := bad.Position()
-			return nil, fmt.Errorf("line %d: %s: %s", line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: "))
-		}
+	if err := tomlfile.Decode(text, &s); err != nil {
 		return nil, err
 	}
 	if p := s.Control.Unix; p != "" && !filepath.IsAbs(p) {
-		return nil, fmt.Errorf("control.unix: %q is no absolute path", p)
+		const field = "control.unix"
+		return nil, &tomlfile.Error{Line: tomlfile.LineOf(text, field), Field: field, What: fmt.Sprintf("%q is no absolute path", p)}
 	}
 	return &s, nil
 }
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -15,7 +15,7 @@
 	for _, c := range []struct{ text, unix, wrong string }{
 		{"", "", ""},
 		{"[control]\nunix = \"/run/x.sock\"\n", "/run/x.sock", ""},
-		{"[control]\nunix = \"x.sock\"\n", "", "control.unix"},
+		{"[control]\nunix = \"x.sock\"\n", "", "line 2: control.unix"},
 		{"[control]\nunix = 3\n", "", "line 2: control.unix"},
 		{"[control]\n\nport = 3\n", "", "line 3: control.port"},
 		{"[control\n", "", "line 1"},
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -2,9 +2,7 @@
 package scenario
 
 import (
-	"bytes"
 	"embed"
-	"errors"
 	"fmt"
 	"io/fs"
 	"math"
@@ -12,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"example.org/micaline/internal/tomlfile"
 )
 
 // Duration is a time in Go's notation, such as "250ms".
@@ -268,43 +266,17 @@
 }
 
 // Error is what is wrong with a file, and where.
-type Error struct {
-	Line  int // from 1; 0 if it is about the whole file
-	Field string
-	What  string
-}
-
-func (e *Error) Error() string {
-	var at []string
-	if e.Line > 0 {
-		at = append(at, fmt.Sprintf("line %d", e.Line))
-	}
-	if e.Field != "" {
-		at = append(at, e.Field)
-	}
-	return strings.Join(append(at, e.What), ": ")
-}
+type Error = tomlfile.Error
 
 // Parse reads and checks the text of a file. Its error is an *Error.
 func Parse(text []byte) (*Scenario, error) {
 	s := standard()
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		var strict *toml.StrictMissingError
-		var bad *toml.DecodeError
-		switch {
-		case errors.As(err, &strict) && len(strict.Errors) > 0:
-			line, _ := strict.Errors[0].Position()
-			return nil, &Error{line, strings.Join(strict.Errors[0].Key(), "."), "there is no such field"}
-		case errors.As(err, &bad):
-			line, _ := bad.Position()
-			return nil, &Error{line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: ")}
-		}
-		return nil, &Error{What: err.Error()}
+	if err := tomlfile.Decode(text, &s); err != nil {
+		return nil, err
 	}
 	s.fill()
 	if e := s.check(); e != nil {
-		e.Line = lineOf(text, e.Field)
+		e.Line = tomlfile.LineOf(text, e.Field)
 		return nil, e
 	}
 	return &s, nil
--- a/internal/scenario/lines.go
+++ b/internal/tomlfile/lines.go
@@ -1,4 +1,4 @@
-package scenario
+package tomlfile
 
 import (
 	"strconv"
@@ -7,8 +7,8 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// lineOf finds the line of a field such as fault[2].kind, or of the nearest that contains it; 0 if there is none.
-func lineOf(text []byte, field string) (line int) {
+// LineOf finds the line of a field such as fault[2].kind, or of the nearest that contains it; 0 if there is none.
+func LineOf(text []byte, field string) (line int) {
 	var p unstable.Parser
 	p.Reset(text)
 	tables := map[string]int{} // arrays of tables, and how many there are
