--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -229,20 +229,11 @@
 	if got := l.Waves(0); len(got) > 0 {
 		t.Errorf("waves of nobody: %v", got)
 	}
-	done := func(n, of int) (s []State) {
-		for i := range of {
-			if i < n {
-				s = append(s, Done)
-			} else {
-				s = append(s, Unknown)
-			}
-		}
-		return s
-	}
+	done := func(n, of int) Counted { return Counted{All: of, Lost: of - n} }
 	well := Service{Requests: 1000, InAim: 980, Refused: 10, Failed: 5}
 	for _, c := range []struct {
 		what    string
-		ended   []State
+		ended   Counted
 		since   Service
 		watched time.Duration
 		want    Verdict
@@ -250,7 +241,10 @@
 		{"too early", done(10, 10), well, time.Second, WatchOn},
 		{"well", done(10, 10), well, 10 * time.Second, NextWave},
 		{"one of ten is silent", done(9, 10), well, 10 * time.Second, NextWave},
-		{"two of ten are", done(8, 10), well, 0, Stop},
+		{"two of ten are", done(8, 10), well, 0, Halt},
+		{"one refuses", Counted{All: 10, Refused: 1}, well, 10 * time.Second, NextWave},
+		{"two refuse", Counted{All: 10, Refused: 2}, well, 0, Stop},
+		{"one refuses and one is silent", Counted{All: 10, Refused: 1, Lost: 1}, well, 0, Halt},
 		{"more refused", done(10, 10), Service{Requests: 1000, InAim: 965, Refused: 35}, time.Second, Stop},
 		{"a little more", done(10, 10), Service{Requests: 1000, InAim: 970, Refused: 25}, 10 * time.Second, NextWave},
 		{"more failed", done(10, 10), Service{Requests: 1000, InAim: 975, Failed: 20}, time.Second, Stop},
@@ -258,7 +252,7 @@
 		{"too few to judge", done(10, 10), Service{Requests: 10, Failed: 10}, 20 * time.Second, WatchOn},
 		{"and for too long", done(10, 10), Service{Requests: 10, Failed: 10}, time.Minute, NextWave},
 	} {
-		if got, why := l.Judge(c.ended, well, c.since, c.watched); got != c.want || got == Stop && why == "" {
+		if got, why := l.Judge(c.ended, well, c.since, c.watched); got != c.want || (got == Stop || got == Halt) && why == "" {
 			t.Errorf("%s: %d, %q", c.what, got, why)
 		}
 	}
@@ -267,3 +261,31 @@
 		t.Error("failures pass where nothing was asked before")
 	}
 }
+
+// Managers that start after one another have rising numbers, and two that start at once differ.
+func TestNextFence(t *testing.T) {
+	first := NextFence(0, 7)
+	if beside := NextFence(0, 8); first == 0 || beside == first {
+		t.Errorf("two at once: %d and %d", first, beside)
+	}
+	if second := NextFence(first, 0); second <= first {
+		t.Errorf("%d after %d", second, first)
+	}
+	if highest := NextFence(0, ^uint32(0)); NextFence(highest, 0) <= highest {
+		t.Errorf("%d after %d", NextFence(highest, 0), highest)
+	}
+}
+
+func TestStateText(t *testing.T) {
+	for s := Planned; s <= Superseded; s++ {
+		text, _ := s.MarshalText()
+		var back State
+		if err := back.UnmarshalText(text); err != nil || back != s {
+			t.Errorf("%s comes back as %s, error %v", s, back, err)
+		}
+	}
+	var s State
+	if err := s.UnmarshalText([]byte("what")); err == nil {
+		t.Error("an unknown state is read")
+	}
+}
--- a/internal/change/explore_test.go
+++ b/internal/change/explore_test.go
@@ -87,9 +87,7 @@
 func (w *world) clone() *world {
 	c := &world{flying: slices.Clone(w.flying), crashes: w.crashes, faults: w.faults, planted: w.planted}
 	for _, m := range w.machines {
-		i := *m.Instance
-		i.results, i.hashes, i.order = maps.Clone(i.results), maps.Clone(i.hashes), slices.Clone(i.order)
-		c.machines = append(c.machines, &machine{&i, m.epochs, slices.Clone(m.todo), maps.Clone(m.applied), maps.Clone(m.parts), m.heard, slices.Clone(m.waiting)})
+		c.machines = append(c.machines, &machine{m.Clone(), m.epochs, slices.Clone(m.todo), maps.Clone(m.applied), maps.Clone(m.parts), m.heard, slices.Clone(m.waiting)})
 	}
 	for _, m := range w.managers {
 		c.managers = append(c.managers, &manager{m.fence, m.id, slices.Clone(m.targets), slices.Clone(m.asked), m.last, slices.Clone(m.settles)})
@@ -102,7 +100,7 @@
 	all := make([]string, len(w.machines))
 	for i, m := range w.machines {
 		var b strings.Builder
-		fmt.Fprint(&b, m.epoch, m.revision, m.current.Hash, m.fence, m.phase, m.id, m.by, m.at, m.whole, m.stuck, m.reason, m.results, m.todo, m.applied, m.parts, m.heard)
+		fmt.Fprint(&b, m.Describe(), m.todo, m.applied, m.parts, m.heard)
 		for _, f := range m.waiting {
 			fmt.Fprint(&b, w.canonical(f))
 		}
--- a/internal/change/instance.go
+++ b/internal/change/instance.go
@@ -10,6 +10,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -358,3 +359,15 @@
 	i.results[r.ID] = r
 	i.order = append(i.order, r.ID)
 }
+
+// Clone returns an instance that goes its own way from here.
+func (i *Instance) Clone() *Instance {
+	c := *i
+	c.results, c.hashes, c.order = maps.Clone(i.results), maps.Clone(i.hashes), slices.Clone(i.order)
+	return &c
+}
+
+// Describe is the whole state in words, the same for equal states.
+func (i *Instance) Describe() string {
+	return fmt.Sprint(i.epoch, i.revision, i.current.Hash, i.fence, i.phase, i.id, i.by, i.at, i.whole, i.stuck, i.reason, i.results)
+}
--- a/internal/change/manager.go
+++ b/internal/change/manager.go
@@ -29,6 +29,28 @@
 
 func (s State) String() string { return stateNames[s] }
 
+// MarshalText writes the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("there is no state %q", text)
+	}
+	*s = State(i)
+	return nil
+}
+
+// Fences: a manager's number is higher than all that were heard before it. Its low bits are drawn, so that two managers
+// that start at once and have heard the same are not taken for one.
+const fenceBits = 20
+
+// NextFence returns the number of a manager that starts, where the highest so far is known.
+func NextFence(highest uint64, drawn uint32) uint64 {
+	return (highest>>fenceBits+1)<<fenceBits | uint64(drawn)&(1<<fenceBits-1)
+}
+
 // Final says whether the manager sends nothing more for a change in this state by itself.
 func (s State) Final() bool {
 	return s == Done || s == NotDone || s == PartlyDone || s == Unknown || s == Superseded
@@ -48,13 +70,13 @@
 // Target is a manager's knowledge of one change on one instance. Its fields are what its journal holds: a manager that
 // starts again goes on from them, and Resume tells it what it can no longer be sure of.
 type Target struct {
-	Instance string
-	State    State
-	Epoch    string   // of the process that the state is about, as it has said; "" if none has spoken yet
-	Sent     bool     // a commit has been sent to that epoch
-	Parts    []string // that are applied, if PartlyDone
-	Revision uint64   // in force afterwards, as that epoch has said
-	Reason   string
+	State    State    `json:"state"`
+	Epoch    string   `json:"epoch,omitempty"`    // of the process that the state is about, as it has said; "" if none has spoken yet
+	Sent     bool     `json:"sent,omitempty"`     // a commit has been sent to that epoch
+	Parts    []string `json:"parts,omitempty"`    // that are applied, if PartlyDone
+	Revision uint64   `json:"revision,omitempty"` // in force afterwards, as that epoch has said
+	Refused  bool     `json:"refused,omitempty"`  // it is not done because the instance can't or won't
+	Reason   string   `json:"reason,omitempty"`
 }
 
 // Answer is what an instance has answered to a request.
@@ -140,6 +162,8 @@
 		t.State, t.Parts, t.Revision, t.Reason = PartlyDone, slices.Clone(a.Result.Parts), a.Result.Revision, a.Result.Reason
 		return
 	case Unchanged, TakenBack:
+		// An abort is the manager's own word; whatever else keeps an instance from it is the instance's.
+		t.Refused = t.State == Committing || a.Result.Outcome == TakenBack
 		t.State, t.Revision, t.Reason = NotDone, a.Result.Revision, a.Result.Reason
 		return
 	}
@@ -152,7 +176,7 @@
 			t.State = Superseded
 		}
 	case a.Err != nil && t.State == Preparing:
-		t.State, t.Reason = NotDone, a.Err.Error()
+		t.State, t.Refused, t.Reason = NotDone, true, a.Err.Error()
 	case a.Err != nil && t.State == Committing:
 		// Not prepared any more, in this epoch, and no result: it was not applied and can't be.
 		t.State, t.Sent, t.Reason = NotDone, false, a.Err.Error()
--- a/internal/change/wave.go
+++ b/internal/change/wave.go
@@ -18,18 +18,25 @@
 	s.Failed += o.Failed
 }
 
+// Less returns what was counted since an earlier count.
+func (s Service) Less(o Service) Service {
+	return Service{s.Requests - o.Requests, s.InAim - o.InAim, s.Refused - o.Refused, s.Failed - o.Failed}
+}
+
 // Limits are the stop conditions of a rollout, and how its waves grow.
 type Limits struct {
-	Canaries int           // instances of the first wave
-	Growth   float64       // each further wave is so many times larger
-	Bake     time.Duration // that a wave is watched before the next
+	Canaries int           `json:"canaries"` // instances of the first wave
+	Growth   float64       `json:"growth"`   // each further wave is so many times larger
+	Bake     time.Duration `json:"bake"`     // ns that a wave is watched before the next
 	// Shares that may be worse after a wave than before it, on the instances that it changed.
-	MoreRefused, MoreFailed, LessInAim float64
-	// Least is how many requests it takes to judge; with fewer the wave is watched on, up to Patience.
-	Least    float64
-	Patience time.Duration
+	MoreRefused float64 `json:"more_refused"`
+	MoreFailed  float64 `json:"more_failed"`
+	LessInAim   float64 `json:"less_in_aim"`
+	// Least is how many requests it takes to judge; with fewer the wave is watched on, up to Patience (ns).
+	Least    float64       `json:"least"`
+	Patience time.Duration `json:"patience"`
 	// MayFail is the share of a wave's instances that may end otherwise than applied.
-	MayFail float64
+	MayFail float64 `json:"may_fail"`
 }
 
 // Verdict is what to do after a look at a wave.
@@ -39,7 +46,8 @@
 const (
 	WatchOn  Verdict = iota
 	NextWave         // or, after the last, the end
-	Stop             // and roll back
+	Stop             // and roll back: the change is bad, or instances refuse it
+	Halt             // and leave what is applied: too many instances can't be reached
 )
 
 // Waves returns how many of n instances each wave holds.
@@ -54,17 +62,22 @@
 	return sizes
 }
 
+// Counted is how the instances of a wave ended.
+type Counted struct {
+	All     int
+	Refused int // they can't use the change, have it in part only, or have died of it
+	Lost    int // else not applied: silent, cut off, restarted meanwhile
+}
+
 // Judge looks at a wave: how its instances ended, what they served in the time before the change and since it, and for
-// how long that is. Danger: an instance that says nothing must not hold the wave up; it counts as one that failed.
-func (l *Limits) Judge(ended []State, before, since Service, watched time.Duration) (Verdict, string) {
-	bad := 0
-	for _, s := range ended {
-		if s != Done {
-			bad++
-		}
-	}
-	if float64(bad) > l.MayFail*float64(len(ended)) {
-		return Stop, fmt.Sprintf("%d of %d instances did not apply it", bad, len(ended))
+// how long that is. Danger: an instance that says nothing must not hold the wave up; it counts as one that is lost.
+func (l *Limits) Judge(ended Counted, before, since Service, watched time.Duration) (Verdict, string) {
+	may := l.MayFail * float64(ended.All)
+	switch {
+	case float64(ended.Refused) > may:
+		return Stop, fmt.Sprintf("%d of %d instances refuse it", ended.Refused, ended.All)
+	case float64(ended.Refused+ended.Lost) > may:
+		return Halt, fmt.Sprintf("%d of %d instances are lost", ended.Refused+ended.Lost, ended.All)
 	}
 	if since.Requests >= l.Least && since.Requests > 0 {
 		share := func(s Service, v float64) float64 { return v / max(1, s.Requests) }
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,524 @@
+// Package rollout decides how one settings document comes to many instances: in waves, the first of them small, watched
+// before the next, and rolled back or halted where the limits say so. It has no I/O, no clock and no goroutines: callers
+// tell it what happens, with the time, write down what Changed returns, and only then send what Next returned.
+//
+// What becomes of the change on one instance package change decides. See docs/design/control.md.
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"example.org/micaline/internal/change"
+)
+
+// Status is how far a rollout is.
+type Status uint8
+
+// The statuses.
+const (
+	Running     Status = iota
+	RollingBack        // what was applied is being taken back
+	Halted             // nothing more is sent until an operator resumes it or rolls it back
+	Completed          // all waves were brought out
+	RolledBack         // whoever could be reached is as before
+	Superseded         // a newer manager has spoken
+)
+
+var statusNames = [...]string{
+	Running: "running", RollingBack: "rolling back", Halted: "halted", Completed: "completed", RolledBack: "rolled back", Superseded: "superseded",
+}
+
+func (s Status) String() string { return statusNames[s] }
+
+// MarshalText writes the status's name.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a status's name.
+func (s *Status) UnmarshalText(text []byte) error {
+	i := slices.Index(statusNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("there is no status %q", text)
+	}
+	*s = Status(i)
+	return nil
+}
+
+// Over says that the rollout does nothing more by itself and can't be resumed.
+func (s Status) Over() bool { return s == Completed || s == RolledBack }
+
+// stragglers is how long a wave's commits wait for instances that have not prepared yet. One that is slower is
+// committed when it has.
+const stragglers = 2 * time.Second
+
+// Header is what a rollout's record in the journal says of it as a whole.
+type Header struct {
+	ID       string        `json:"id"`
+	Document string        `json:"document"` // its hash
+	Limits   change.Limits `json:"limits"`
+	Waves    int           `json:"waves"`
+	Wave     int           `json:"wave"` // the present one, from 0
+	Status   Status        `json:"status"`
+	Reason   string        `json:"reason,omitempty"`
+	Begun    time.Duration `json:"begun"`           // since 1970
+	Since    time.Duration `json:"since"`           // when the present wave began
+	Baking   time.Duration `json:"baking"`          // when all of the wave had ended; 0 while they have not
+	Ended    time.Duration `json:"ended,omitempty"` // when it was completed, rolled back or halted
+}
+
+// Member is what the journal says of one instance.
+type Member struct {
+	Name   string        `json:"name"`
+	Wave   int           `json:"wave"`
+	Try    int           `json:"try"`   // so many times it was begun anew
+	Was    string        `json:"was"`   // hash of the document before
+	Epoch  string        `json:"epoch"` // of the process that was seen last
+	Base   uint64        `json:"base"`  // revision that the change is based on, of that process
+	Target change.Target `json:"target"`
+	Left   bool          `json:"left,omitempty"` // an operator has gone on without it
+	// Back is the change that takes it back.
+	Back    change.Target `json:"back"`
+	Backing bool          `json:"backing,omitempty"`
+	BackTry int           `json:"back_try,omitempty"`
+	// Before is what it served in the time before the change, Mark its counts when the change was committed.
+	Before change.Service `json:"before"`
+	Mark   change.Service `json:"mark"`
+
+	asked bool // a request is out
+	seen  Look
+}
+
+// Look is what an instance shows of itself.
+type Look struct {
+	Epoch    string
+	Revision uint64
+	Hash     string
+	Served   change.Service // since the process began
+	Before   change.Service // in the time before now, as far as a comparison goes back
+}
+
+// Send is what the caller is to ask of an instance. What comes of it, it tells with Answered or Silent.
+type Send struct {
+	Instance string
+	Request  change.Request
+	ID       string // of the change
+	Document string // hash, of AskPrepare
+	Base     uint64 // of AskPrepare
+}
+
+// Rollout is one rollout.
+type Rollout struct {
+	Header
+	members []*Member // in the order of their waves
+	byName  map[string]*Member
+	changed map[*Member]struct{}
+	header  bool // has changed
+}
+
+// Planned is an instance that a rollout is for.
+type Planned struct {
+	Name string
+	Look Look
+}
+
+// The reasons for which an operator's word can't be done.
+var (
+	ErrNotRunning = errors.New("it is not running")
+	ErrNotHalted  = errors.New("it is not halted")
+	ErrOver       = errors.New("it is over")
+)
+
+// New plans a rollout. The instances are taken in the order given.
+func New(now time.Duration, id, document string, limits change.Limits, instances []Planned) *Rollout {
+	sizes := limits.Waves(len(instances))
+	r := &Rollout{Header: Header{ID: id, Document: document, Limits: limits, Waves: len(sizes), Begun: now, Since: now}, byName: map[string]*Member{}, changed: map[*Member]struct{}{}, header: true}
+	wave := 0
+	for i, p := range instances {
+		for left := sizes[wave]; left == 0; left = sizes[wave] {
+			wave++
+		}
+		sizes[wave]--
+		m := &Member{Name: p.Name, Wave: wave, Was: p.Look.Hash, Epoch: p.Look.Epoch, Base: p.Look.Revision, seen: p.Look}
+		r.members = append(r.members, m)
+		r.byName[m.Name] = m
+		r.changed[r.members[i]] = struct{}{}
+	}
+	return r
+}
+
+// Restore returns a rollout as a journal has it, after its manager has ended at any point: what it had sent may have
+// been answered, or may yet arrive.
+func Restore(h Header, members []Member) *Rollout {
+	r := &Rollout{Header: h, byName: map[string]*Member{}, changed: map[*Member]struct{}{}}
+	for i := range members {
+		m := &members[i]
+		before, back := m.Target.State, m.Back.State
+		m.Target.Resume()
+		m.Back.Resume()
+		if m.Target.State != before || m.Back.State != back {
+			r.changed[m] = struct{}{}
+		}
+		r.members = append(r.members, m)
+		r.byName[m.Name] = m
+	}
+	slices.SortStableFunc(r.members, func(a, b *Member) int { return a.Wave - b.Wave })
+	return r
+}
+
+// Changed returns what must be in the journal before anything is sent: the header, nil if it is as it was, and members.
+func (r *Rollout) Changed() (h *Header, members []*Member) {
+	if r.header {
+		h = &r.Header
+	}
+	for _, m := range r.members {
+		if _, ok := r.changed[m]; ok {
+			members = append(members, m)
+		}
+	}
+	return h, members
+}
+
+// Written takes in that what Changed returned is in the journal.
+func (r *Rollout) Written() {
+	r.header = false
+	clear(r.changed)
+}
+
+// Members are all instances, in the order of their waves.
+func (r *Rollout) Members() []*Member { return r.members }
+
+// Member returns one instance, nil if it is not among them.
+func (r *Rollout) Member(name string) *Member { return r.byName[name] }
+
+// Busy says whether the rollout still has to do with an instance, so that nothing else may change it.
+func (r *Rollout) Busy(name string) bool {
+	m := r.byName[name]
+	return m != nil && (!r.Status.Over() || m.asked)
+}
+
+// Waiting says whether requests are out.
+func (r *Rollout) Waiting() bool {
+	return slices.ContainsFunc(r.members, func(m *Member) bool { return m.asked })
+}
+
+func (r *Rollout) note(m *Member) { r.changed[m] = struct{}{} }
+
+// id is the change's on an instance. One that is begun anew is another: what was aborted stays so.
+func (r *Rollout) id(m *Member) string { return fmt.Sprintf("%s/%d", r.ID, m.Try) }
+
+func (r *Rollout) backID(m *Member) string { return fmt.Sprintf("%s/back/%d", r.ID, m.BackTry) }
+
+// send has a request go out, if there is one.
+func (r *Rollout) send(out []Send, m *Member, q change.Request, back bool) []Send {
+	if q == change.Nothing {
+		return out
+	}
+	m.asked = true
+	r.note(m)
+	s := Send{Instance: m.Name, Request: q, ID: r.id(m), Document: r.Document, Base: m.Base}
+	if back {
+		s.ID, s.Document = r.backID(m), m.Was
+	}
+	return append(out, s)
+}
+
+// Next goes on as far as it can, and returns what is to be sent, after Changed is written.
+func (r *Rollout) Next(now time.Duration) (out []Send) {
+	switch r.Status {
+	case Running:
+		out = r.run(now)
+		if r.Status == RollingBack { // just now
+			out = append(out, r.back(now)...)
+		}
+	case RollingBack:
+		out = r.back(now)
+	case Halted:
+		// What is prepared and shall not be committed ends.
+		for _, m := range r.members {
+			if !m.asked && m.Target.State == change.Prepared {
+				out = r.send(out, m, m.Target.Settle(), false)
+			}
+		}
+	}
+	return out
+}
+
+// present are the members of the present wave that are not left out.
+func (r *Rollout) present() (all []*Member) {
+	for _, m := range r.members {
+		if m.Wave == r.Wave && !m.Left {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// run goes on with the present wave.
+func (r *Rollout) run(now time.Duration) (out []Send) {
+	wave := r.present()
+	ended, open := r.count(wave)
+	waits := false
+	for _, m := range wave {
+		waits = waits || m.Target.State == change.Planned || m.Target.State == change.Preparing
+	}
+	// Before anything is committed: a document that instances refuse is not brought to the others.
+	if v, why := r.Limits.Judge(ended, change.Service{}, change.Service{}, 0); v == change.Stop || v == change.Halt && open == 0 {
+		r.stop(now, v, why)
+		return nil
+	}
+	commit := !waits || now-r.Since >= stragglers
+	for _, m := range wave {
+		if m.asked {
+			continue
+		}
+		q := m.Target.Next(commit)
+		if q == change.AskCommit {
+			m.Before, m.Mark = m.seen.Before, m.seen.Served
+		}
+		out = r.send(out, m, q, false)
+	}
+	if open > 0 || len(out) > 0 {
+		return out
+	}
+	if r.Baking == 0 {
+		r.Baking, r.header = now, true
+	}
+	before, since := r.served(wave)
+	switch v, why := r.Limits.Judge(ended, before, since, now-r.Baking); v {
+	case change.Stop, change.Halt:
+		r.stop(now, v, why)
+	case change.NextWave:
+		r.header = true
+		if r.Wave+1 < r.Waves {
+			r.Wave, r.Since, r.Baking = r.Wave+1, now, 0
+			return r.run(now)
+		}
+		r.Status, r.Ended = Completed, now
+	}
+	return out
+}
+
+// count says how the instances of a wave ended, and how many have not.
+func (r *Rollout) count(wave []*Member) (c change.Counted, open int) {
+	c.All = len(wave)
+	for _, m := range wave {
+		t := &m.Target
+		switch {
+		case t.State == change.Done && m.seen.Epoch != "" && m.seen.Epoch != t.Epoch && r.Baking > 0:
+			c.Refused++ // the process that applied it has ended, while it was watched
+		case t.State == change.Done:
+		case t.State == change.PartlyDone || t.State == change.NotDone && t.Refused:
+			c.Refused++
+		case t.State.Final():
+			c.Lost++
+		default:
+			open++
+		}
+	}
+	return c, open
+}
+
+// served sums up what a wave's instances served before the change and since.
+func (r *Rollout) served(wave []*Member) (before, since change.Service) {
+	for _, m := range wave {
+		if m.Target.State != change.Done || m.seen.Epoch != m.Target.Epoch {
+			continue
+		}
+		before.Add(m.Before)
+		since.Add(m.seen.Served.Less(m.Mark))
+	}
+	return before, since
+}
+
+// stop ends the bringing out.
+func (r *Rollout) stop(now time.Duration, v change.Verdict, why string) {
+	r.header, r.Reason = true, fmt.Sprintf("wave %d: %s", r.Wave+1, why)
+	if v == change.Halt {
+		r.Status, r.Ended = Halted, now
+		return
+	}
+	r.rollback()
+}
+
+// rollback begins to take back. Whoever was never sent a commit has nothing to be taken back.
+func (r *Rollout) rollback() {
+	r.Status, r.Ended, r.header = RollingBack, 0, true
+}
+
+// back goes on with taking back.
+func (r *Rollout) back(now time.Duration) (out []Send) {
+	open := 0
+	for _, m := range r.members {
+		if m.asked {
+			open++
+			continue
+		}
+		t := &m.Target
+		switch {
+		case t.State == change.Prepared:
+			out = r.send(out, m, t.Settle(), false)
+		case !m.Backing && (t.State == change.Done || t.State == change.PartlyDone):
+			if m.seen.Epoch != "" && m.seen.Epoch != t.Epoch {
+				continue // the process that had it is gone, and with it the change
+			}
+			m.Backing, m.Base = true, t.Revision
+			fallthrough
+		case m.Backing:
+			out = r.send(out, m, m.Back.Next(true), true)
+		}
+	}
+	if open == 0 && len(out) == 0 {
+		r.Status, r.Ended, r.header = RolledBack, now, true
+	}
+	return out
+}
+
+// current is the change on an instance that requests are about now.
+func (m *Member) current() *change.Target {
+	if m.Backing {
+		return &m.Back
+	}
+	return &m.Target
+}
+
+// Answered takes in an instance's answer.
+func (r *Rollout) Answered(now time.Duration, name string, a change.Answer) {
+	m := r.byName[name]
+	if m == nil || !m.asked {
+		return // of a process of this manager that has ended
+	}
+	m.asked = false
+	m.current().Answered(a)
+	r.note(m)
+	if a.Fenced {
+		r.supersede(now, a.Err)
+	}
+}
+
+// supersede ends all sending: another manager has the fleet.
+func (r *Rollout) supersede(now time.Duration, err error) {
+	if r.Status.Over() || r.Status == Superseded {
+		return
+	}
+	r.Status, r.Reason, r.Ended, r.header = Superseded, err.Error(), now, true
+}
+
+// Silent takes in that a request was not answered in time, or its connection ended.
+func (r *Rollout) Silent(name, why string) {
+	m := r.byName[name]
+	if m == nil || !m.asked {
+		return
+	}
+	m.asked = false
+	m.current().Silent(why)
+	r.note(m)
+}
+
+// Looked takes in what an instance shows, and returns a question to it where what became of a commit is not known.
+func (r *Rollout) Looked(name string, l Look) (out []Send) {
+	m := r.byName[name]
+	if m == nil {
+		return nil
+	}
+	m.seen = l
+	if r.Status == Superseded || m.asked {
+		return nil
+	}
+	if m.Target.State == change.Planned && m.Epoch != l.Epoch {
+		// Another process before its turn: it has nothing of what the one before had. It goes back to that all the same.
+		m.Epoch, m.Base = l.Epoch, l.Revision
+		r.note(m)
+	}
+	if m.current().State == change.Unknown {
+		out = r.send(out, m, m.current().Settle(), m.Backing)
+	}
+	return out
+}
+
+// Abort has the rollout halt. What is prepared ends, and what is applied stays.
+func (r *Rollout) Abort(now time.Duration) error {
+	if r.Status != Running && r.Status != RollingBack {
+		return ErrNotRunning
+	}
+	r.Status, r.Reason, r.Ended, r.header = Halted, "aborted by an operator", now, true
+	return nil
+}
+
+// Resume goes on with a halted rollout, or one that was superseded, if this manager has a newer number now. Those of the
+// present wave that did not apply the change are tried again, or left out.
+func (r *Rollout) Resume(now time.Duration, leave bool) error {
+	if r.Status != Halted && r.Status != Superseded {
+		return ErrNotHalted
+	}
+	for _, m := range r.members {
+		switch t := &m.Target; {
+		case m.asked || m.Wave > r.Wave || t.State == change.Done || t.State == change.Planned:
+		case leave:
+			m.Left = true
+			r.note(m)
+		case t.State == change.NotDone || t.State == change.Superseded:
+			m.Try++
+			m.Target, m.Left = change.Target{}, false
+			if m.seen.Epoch != "" {
+				m.Epoch, m.Base = m.seen.Epoch, m.seen.Revision
+			}
+			r.note(m)
+		}
+	}
+	r.Status, r.Reason, r.Ended, r.Since, r.Baking, r.header = Running, "", 0, now, 0, true
+	return nil
+}
+
+// Rollback takes back what was applied.
+func (r *Rollout) Rollback(now time.Duration) error {
+	if r.Status == RolledBack || r.Status == RollingBack {
+		return ErrOver
+	}
+	for _, m := range r.members {
+		// A taking back that failed is tried again under another id.
+		if m.Backing && !m.asked && m.Back.State.Final() && m.Back.State != change.Done && m.Back.State != change.Unknown {
+			m.Back, m.BackTry = change.Target{}, m.BackTry+1
+			r.note(m)
+		}
+	}
+	r.Reason = "rolled back by an operator"
+	r.rollback()
+	return nil
+}
+
+// Summary counts the instances by what is known of them.
+type Summary struct {
+	Applied   int `json:"applied"`
+	Unchanged int `json:"unchanged"`
+	Partly    int `json:"partly"`
+	Unknown   int `json:"unknown"`
+	Waiting   int `json:"waiting"` // their turn has not come, or they are being asked
+	Back      int `json:"taken_back"`
+}
+
+// Summary counts the instances.
+func (r *Rollout) Summary() (s Summary) {
+	for _, m := range r.members {
+		switch t := m.Target.State; {
+		case m.Backing && m.Back.State == change.Done:
+			s.Back++
+		case m.Backing && (m.Back.State == change.Unknown || m.Back.State == change.Settling):
+			s.Unknown++
+		case m.Backing && m.Back.State == change.PartlyDone:
+			s.Partly++
+		case t == change.Done:
+			s.Applied++
+		case t == change.NotDone || t == change.Superseded:
+			s.Unchanged++
+		case t == change.PartlyDone:
+			s.Partly++
+		case t == change.Unknown || t == change.Settling || t == change.Committing:
+			s.Unknown++
+		default:
+			s.Waiting++
+		}
+	}
+	return s
+}
