--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -253,6 +253,29 @@
 	}
 }
 
+// backAfter is how long an agent is gone that was killed by name.
+const backAfter = 500 * time.Millisecond
+
+// kill kills the agents that Options.Kill names.
+func (f *fleet) kill(day context.Context) {
+	var killing sync.WaitGroup
+	defer killing.Wait()
+	for {
+		select {
+		case name := <-f.Kill:
+			for _, a := range f.agents {
+				if a.name == name {
+					killing.Go(func() {
+						f.failAgent(day, &scenario.Fault{Kind: "kill-agent", For: scenario.Duration(backAfter)}, a, nil)
+					})
+				}
+			}
+		case <-day.Done():
+			return
+		}
+	}
+}
+
 // failAgent plays a fault of one agent.
 func (f *fleet) failAgent(day context.Context, ft *scenario.Fault, a *proc, rng *rand.Rand) {
 	f.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,7 @@
 	Log      *slog.Logger        // of the agents
 	Tap      func(*rules.Record) // sees all records, if set
 	Watch    func(*Snapshot)     // is called each second, if set
+	Kill     <-chan string       // names of agents that are to be killed, and are back soon after
 }
 
 // fleet is one play.
@@ -173,6 +174,7 @@
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(1000+i)))
 		failing.Go(func() { f.fail(day, &faults[i], rng) })
 	}
+	failing.Go(func() { f.kill(day) })
 	f.watch(day, began)
 	asking.Wait()
 	failing.Wait()
