--- a/internal/change/manager.go
+++ b/internal/change/manager.go
@@ -75,6 +75,7 @@
 	Sent     bool     `json:"sent,omitempty"`     // a commit has been sent to that epoch
 	Parts    []string `json:"parts,omitempty"`    // that are applied, if PartlyDone
 	Revision uint64   `json:"revision,omitempty"` // in force afterwards, as that epoch has said
+	Loose    bool     `json:"loose,omitempty"`    // it is not done, and may be prepared there, where it keeps others out until it is settled or expires
 	Refused  bool     `json:"refused,omitempty"`  // it is not done because the instance can't or won't
 	Reason   string   `json:"reason,omitempty"`
 }
@@ -107,6 +108,11 @@
 	case Preparing, Prepared, Committing, Settling, Unknown:
 		t.State = Settling
 		return AskAbort
+	case NotDone:
+		if t.Loose {
+			t.State, t.Loose = Settling, false
+			return AskAbort
+		}
 	}
 	return Nothing
 }
@@ -134,7 +140,10 @@
 // Silent takes in that a request was not answered in time, or its connection ended.
 func (t *Target) Silent(why string) {
 	switch t.State {
-	case Preparing, Prepared, Committing, Settling:
+	case Preparing:
+		t.Loose = true
+		t.unknown(why)
+	case Prepared, Committing, Settling:
 		t.unknown(why)
 	}
 }
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -329,6 +329,9 @@
 	if err := o.report(c.OutOrStdout(), r); err != nil || !wait {
 		return err
 	}
+	if s := r.Summary; c.Name() == manage.RollbackOrder && r.Status == "rolled back" && s.Applied+s.Partly+s.Unknown == 0 {
+		return nil // which is what was wanted
+	}
 	return ended(r)
 }
 
@@ -352,7 +355,7 @@
 		what string
 	}{
 		{r.Summary.Applied, "applied"}, {r.Summary.Unchanged, "unchanged"}, {r.Summary.Partly, "partly"}, {r.Summary.Unknown, "unknown"},
-		{r.Summary.Back, "taken back"}, {r.Summary.Waiting, "waiting"},
+		{r.Summary.Back, "taken back"}, {r.Summary.Ended, "ended"}, {r.Summary.Waiting, "waiting"},
 	} {
 		if n.n > 0 {
 			words = append(words, fmt.Sprintf("%d %s", n.n, n.what))
@@ -392,7 +395,7 @@
 // ended is a rollout's exit code.
 func ended(r *manage.Report) error {
 	s := r.Summary
-	all := s.Applied + s.Unchanged + s.Partly + s.Unknown + s.Waiting + s.Back
+	all := s.Applied + s.Unchanged + s.Partly + s.Unknown + s.Waiting + s.Back + s.Ended
 	switch {
 	case !r.Over():
 		return nil
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -339,11 +339,18 @@
 		if m.superseded {
 			r.Supersede(t, fmt.Sprintf("a newer manager has spoken, with number %d", m.highest))
 		} else if m.fence != 0 {
-			before := r.Status
+			status, baking := r.Status, r.Baking
 			sends := r.Next(t)
-			if r.Status != before {
+			if r.Status != status {
 				m.ended(r)
 			}
+			if r.Baking > baking { // the wave is to be looked at, and need not wait for its instances' turns
+				for _, x := range r.Members() {
+					if p := m.places[x.Name]; p != nil && x.Wave == r.Wave {
+						p.due = t
+					}
+				}
+			}
 			m.sends = append(m.sends, sends...)
 		}
 		h, members := r.Changed()
--- a/internal/manage/orders.go
+++ b/internal/manage/orders.go
@@ -541,7 +541,7 @@
 	Revision uint64   `json:"revision"`
 	Left     bool     `json:"left,omitempty"` // the rollout goes on without it
 	Reason   string   `json:"reason,omitempty"`
-	Back     string   `json:"back,omitempty"` // state of what takes it back
+	Back     string   `json:"back,omitempty"` // state of what takes it back, or NotNeeded
 	BackWhy  string   `json:"back_reason,omitempty"`
 
 	// As it is now, which may be another process.
@@ -550,6 +550,9 @@
 	Reachable bool   `json:"reachable"`
 }
 
+// NotNeeded is said of an instance of which nothing has to be taken back.
+const NotNeeded = "not needed"
+
 // Over says that nothing more happens to the rollout by itself.
 func (r *Report) Over() bool {
 	return r.Status == rollout.Completed.String() || r.Status == rollout.RolledBack.String() || r.Halted()
@@ -574,6 +577,9 @@
 		if x.Backing {
 			g.Back, g.BackWhy = x.Back.State.String(), x.Back.Reason
 		}
+		if x.Ended {
+			g.Back, g.BackWhy = NotNeeded, "the process that had it has ended"
+		}
 		if at := m.places[x.Name]; at != nil && at.look != nil {
 			g.Now, g.Has, g.Reachable = at.look.Epoch, at.look.Hash, at.err == nil
 		}
--- /dev/null
+++ b/internal/manage/server_test.go
@@ -0,0 +1,201 @@
+package manage
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3filter"
+	"github.com/getkin/kin-openapi/routers/gorillamux"
+
+	"example.org/micaline/internal/api"
+	"example.org/micaline/internal/change"
+	"example.org/micaline/internal/control"
+	"example.org/micaline/internal/document"
+	"example.org/micaline/internal/inventory"
+	"example.org/micaline/internal/journal"
+)
+
+// paper is an instance that applies whatever it is told.
+type paper struct {
+	change   *change.Instance
+	document *document.Document
+	known    map[string]*document.Document
+}
+
+func newPaper(epoch string) *paper {
+	d := &document.Document{}
+	return &paper{change.NewInstance(epoch, 0, change.Document{Hash: d.Hash(), Parts: document.Parts}), d, map[string]*document.Document{}}
+}
+
+func (p *paper) Summary(context.Context) (*control.Summary, error) {
+	return &control.Summary{Identity: control.Identity{
+		Name: strings.TrimSuffix(p.change.Epoch(), "-e1"), Epoch: p.change.Epoch(), Revision: p.change.Revision(), Hash: p.change.Current().Hash, Fence: p.change.Fence(),
+	}}, nil
+}
+
+func (p *paper) Document(context.Context) (*control.Versioned, error) {
+	return &control.Versioned{Revision: p.change.Revision(), Hash: p.document.Hash(), Document: p.document}, nil
+}
+
+func (p *paper) say(id string, err error) (*control.Change, error) {
+	if err != nil {
+		return nil, &api.Problem{Status: 409, Title: "no", Detail: err.Error(), Epoch: p.change.Epoch()}
+	}
+	r, _ := p.change.Result(id)
+	return &control.Change{ID: id, Epoch: p.change.Epoch(), Outcome: r.Outcome.String(), Parts: r.Parts, Revision: r.Revision, Reason: r.Reason}, nil
+}
+
+func (p *paper) Prepare(_ context.Context, id string, x *control.Proposal) (*control.Change, error) {
+	p.known[id] = x.Document
+	return p.say(id, p.change.Prepare(0, x.Fence, id, x.Base, change.Document{Hash: x.Document.Hash(), Parts: document.Parts}, 0))
+}
+
+func (p *paper) Commit(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	todo, err := p.change.Commit(0, fence, id)
+	for len(todo) > 0 {
+		p.document = p.known[id]
+		todo = p.change.Done(0, todo[0], nil)
+	}
+	return p.say(id, err)
+}
+
+func (p *paper) Abort(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	_, err := p.change.Abort(0, fence, id)
+	return p.say(id, err)
+}
+
+func (p *paper) Confirm(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	return p.say(id, p.change.Confirm(0, fence, id))
+}
+
+// The description names what is served and nothing else, and what is answered is as it says.
+func TestOpenAPI(t *testing.T) {
+	description, err := openapi3.NewLoader().LoadFromData(openapi)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := description.Validate(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var described, served []string
+	for path, item := range description.Paths.Map() {
+		for method := range item.Operations() {
+			described = append(described, method+" "+path)
+		}
+	}
+	instances := map[string]*paper{"i1": newPaper("i1-e1"), "i2": newPaper("i2-e1")}
+	at := func(a api.Address) Instance { return instances[a.Name] }
+	m, err := New(Options{
+		Store: &journal.Memory{}, At: at, Fresh: at, Log: slog.New(slog.DiscardHandler),
+		Instances: []inventory.Instance{{Name: "i1", Addr: "127.0.0.1:1", Labels: map[string]string{"zone": "a"}}, {Name: "i2", Addr: "127.0.0.1:2"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { m.Run(ctx); close(ended) }()
+	s := NewServer(m, &api.Door{})
+	for pattern := range s.routes() {
+		served = append(served, pattern)
+	}
+	slices.Sort(described)
+	slices.Sort(served)
+	if !slices.Equal(described, served) {
+		t.Errorf("described\n%s\nserved\n%s", strings.Join(described, "\n"), strings.Join(served, "\n"))
+	}
+	path := filepath.Join(t.TempDir(), "m")
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close(); stop(); <-ended })
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		if st, err := m.Status(ctx); err == nil && st.Fence != 0 && st.Reachable == 2 {
+			break
+		}
+		if time.Since(begun) > 20*time.Second {
+			t.Fatal("the manager takes no number")
+		}
+	}
+	router, err := gorillamux.NewRouter(description)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "unix", path)
+	}}}
+	const order = `{"document":{"decisions":{"max_attempts":2}},"select":"zone=a","limits":{"canaries":1,"growth":1,"bake_s":0,"may_fail":0}}`
+	for _, r := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "manager", "", 200}, {"GET", "instances?select=zone%3Da", "", 200}, {"GET", "instances?select=%5B", "", 422},
+		{"PUT", "announcements/i3", `{"addr":"127.0.0.1:3","labels":{"zone":"b"}}`, 403},
+		{"POST", "plans", order, 200}, {"POST", "plans", `{"document":{"decisions":{"max_attempts":2}},"select":"zone=z"}`, 422},
+		{"PUT", "rollouts/r", order, 200}, {"GET", "rollouts", "", 200}, {"GET", "rollouts/r", "", 200}, {"GET", "rollouts/none", "", 404},
+		{"POST", "rollouts/none/resume", `{"leave":true}`, 404}, {"POST", "rollouts/none/abort", `{}`, 404}, {"POST", "rollouts/none/rollback", `{}`, 404},
+		{"POST", "takeover", "", 200},
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), r.method, "http://manager/v1/"+r.path, strings.NewReader(r.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		route, params, err := router.FindRoute(req)
+		if err != nil {
+			t.Errorf("%s %s: %v", r.method, r.path, err)
+			continue
+		}
+		in := &openapi3filter.RequestValidationInput{Request: req, PathParams: params, Route: route}
+		if err := openapi3filter.ValidateRequest(t.Context(), in); err != nil {
+			t.Errorf("%s %s: the request: %v", r.method, r.path, err)
+		}
+		req.Body = io.NopCloser(strings.NewReader(r.body))
+		resp, err := raw.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != r.status {
+			t.Errorf("%s %s: %s %s, error %v", r.method, r.path, resp.Status, body, err)
+		}
+		out := &openapi3filter.ResponseValidationInput{RequestValidationInput: in, Status: resp.StatusCode, Header: resp.Header}
+		out.SetBodyBytes(bytes.TrimSpace(body))
+		if err := openapi3filter.ValidateResponse(t.Context(), out); err != nil {
+			t.Errorf("%s %s: the answer %s: %v", r.method, r.path, body, err)
+		}
+	}
+	// Mistakes in bodies are told with their field.
+	for body, field := range map[string]string{
+		`{"document":{"servce":{}}}`: "servce", `{"documnt":{}}`: "documnt", `{"limits":{"canaries":"x"}}`: "limits.canaries", `{}`: "document",
+	} {
+		d, err := api.NewDialer(api.Credentials{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var p *api.Problem
+		var v any
+		if err := d.At(api.Address{Name: "m", Unix: path}).Call(t.Context(), "PUT", "rollouts/x", nil, rawJSON(body), &v); !errors.As(err, &p) || p.Field != field {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+}
+
+type rawJSON string
+
+func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -86,6 +86,7 @@
 	Back    change.Target `json:"back"`
 	Backing bool          `json:"backing,omitempty"`
 	BackTry int           `json:"back_try,omitempty"`
+	Ended   bool          `json:"ended,omitempty"` // the process that had applied it has ended, so that there is nothing to take back
 	// Before is what it served in the time before the change, Mark its counts when the change was committed.
 	Before change.Service `json:"before"`
 	Mark   change.Service `json:"mark"`
@@ -390,10 +391,19 @@
 		case t.State == change.Prepared:
 			out = r.send(out, m, t.Settle(), false)
 		case !m.Backing && (t.State == change.Done || t.State == change.PartlyDone):
-			if m.seen.Epoch != "" && m.seen.Epoch != t.Epoch {
-				continue // the process that had it is gone, and with it the change
+			if m.Ended {
+				continue
 			}
-			m.Backing, m.Base = true, t.Revision
+			base := t.Revision
+			if m.seen.Epoch != "" && m.seen.Epoch != t.Epoch { // the process that had it is gone, and with it the change
+				if m.seen.Hash != r.Document { // nor was it brought there again
+					m.Ended = true
+					r.note(m)
+					continue
+				}
+				base = m.seen.Revision
+			}
+			m.Backing, m.Base = true, base
 			fallthrough
 		case m.Backing:
 			out = r.send(out, m, m.Back.Next(true), true)
@@ -449,7 +459,8 @@
 	r.note(m)
 }
 
-// Looked takes in what an instance shows, and returns a question to it where what became of a commit is not known.
+// Looked takes in what an instance shows, and returns a question to it where what became of a commit is not known, or a
+// prepare may have been left there.
 func (r *Rollout) Looked(now time.Duration, name string, l Look) (out []Send) {
 	m := r.byName[name]
 	if m == nil {
@@ -464,7 +475,7 @@
 		m.Epoch, m.Base = l.Epoch, l.Revision
 		r.note(m)
 	}
-	if m.current().State == change.Unknown {
+	if t := m.current(); t.State == change.Unknown || t.Loose {
 		out = r.send(out, m, m.current().Settle(), m.Backing)
 	}
 	return out
@@ -495,7 +506,9 @@
 			m.Left = true
 			r.note(m)
 		case t.State == change.NotDone || t.State == change.Superseded || died:
-			m.Try++
+			if !t.Loose {
+				m.Try++ // what may still be prepared there is the same again
+			}
 			m.Target, m.Left = change.Target{}, false
 			if m.seen.Epoch != "" {
 				m.Epoch, m.Base = m.seen.Epoch, m.seen.Revision
@@ -532,12 +545,15 @@
 	Unknown   int `json:"unknown"`
 	Waiting   int `json:"waiting"` // their turn has not come, or they are being asked
 	Back      int `json:"taken_back"`
+	Ended     int `json:"ended"` // the process that had applied it has ended: there was nothing to take back
 }
 
 // Summary counts the instances.
 func (r *Rollout) Summary() (s Summary) {
 	for _, m := range r.members {
 		switch t := m.Target.State; {
+		case m.Ended:
+			s.Ended++
 		case m.Backing && m.Back.State == change.Done:
 			s.Back++
 		case m.Backing && (m.Back.State == change.Unknown || m.Back.State == change.Settling):
