--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,7 +58,7 @@
 func New(cfg *Config, listener net.Listener, network Network, log *slog.Logger) (*Agent, error) {
 	// Half of the sockets is for backends.
 	half := (cfg.Sockets - reservedSockets) / 2
-	l, err := newLoop(cfg, newPool(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare), log)
+	l, err := newLoop(cfg, newPool(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/answerShare, log), log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"example.org/micaline/internal/life"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
 )
@@ -69,50 +70,73 @@
 func (p *pool) exchange(ctx context.Context, t *target, m *message, sendBy time.Time, fields []string) result {
 	start := time.Now()
 	r := result{load: settings.NoLoad()}
-	resp, body, written, err := p.roundTrip(ctx, t, m, sendBy)
+	var a life.Attempt
+	resp, body, err := p.roundTrip(ctx, t, m, sendBy, &a)
 	r.latency = time.Since(start)
-	switch {
-	case err == nil:
+	if err == nil {
 		r.load = parseLoad(resp.Header.Get(loadHeader), fields)
-		r.outcome = outcomeOf(resp)
-		if r.outcome == policy.OK {
-			r.answer = answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), body: body}
-		} else {
-			p.free(int64(len(body)))
-		}
+		p.on(&a, meaning(resp))
+	} else {
+		p.onError(ctx, &a, err)
+	}
+	r.outcome = a.State().Outcome()
+	if r.outcome == policy.OK {
+		r.answer = answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), body: body}
+	} else {
+		p.free(int64(len(body)))
+	}
+	return r
+}
+
+// on takes in what happens to an attempt. Danger: what does not fit would have the attempt end as something that it is not,
+// so it is told; and the attempt stays as it is, which never calls unsent what may have run.
+func (p *pool) on(a *life.Attempt, i life.Input) {
+	if err := a.On(i); err != nil {
+		p.log.Error("attempt", "error", err)
+	}
+}
+
+// onError takes in why an attempt's I/O has come back without an answer.
+func (p *pool) onError(ctx context.Context, a *life.Attempt, err error) {
+	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		r.outcome = policy.Cancelled
-	case errors.Is(err, errTooLate), ownShortage(err):
-		r.outcome = policy.Moot // it never ran, and the backend is not to blame
-	case !written: // its last byte never went out: it cannot have run
-		r.outcome = policy.ConnectFailed
+		p.on(a, life.Cancel)
+		p.on(a, life.Back)
+	case errors.Is(err, errTooLate):
+		p.on(a, life.TooLate)
+	case ownShortage(err) && a.State() == life.Connecting:
+		p.on(a, life.NoRoom)
 	case ctx.Err() != nil:
-		r.outcome = policy.Timeout
+		p.on(a, life.Deadline)
+		p.on(a, life.Back)
+	case a.State() == life.Connecting:
+		p.on(a, life.NoConnection)
 	default:
-		r.outcome = policy.Reset
+		p.on(a, life.Broken)
 	}
-	return r
 }
 
-// outcomeOf reads a whole answer's meaning. What the protocol does not name may have run.
-func outcomeOf(resp *http.Response) policy.Outcome {
+// meaning reads a whole answer. What the protocol does not name may have run.
+func meaning(resp *http.Response) life.Input {
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return policy.OK
+		return life.Good
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get(rejectedHeader) == "1" {
-			return policy.Full
+			return life.Full
 		}
 	}
-	return policy.Error
+	return life.Bad
 }
 
-// roundTrip returns a whole answer, or an error and whether the request's last byte was written before it.
-func (p *pool) roundTrip(ctx context.Context, t *target, m *message, sendBy time.Time) (resp *http.Response, body []byte, written bool, err error) {
+// roundTrip returns a whole answer, or an error. How far it has come before that the attempt tells.
+func (p *pool) roundTrip(ctx context.Context, t *target, m *message, sendBy time.Time, a *life.Attempt) (resp *http.Response, body []byte, err error) {
+	p.on(a, life.Begin)
 	c, err := p.get(ctx, t)
 	if err != nil {
-		return nil, nil, false, err
+		return nil, nil, err
 	}
+	p.on(a, life.Connected)
 	reusable := false
 	stop := context.AfterFunc(ctx, func() { c.Close() }) // which also gives the attempt up
 	defer func() {
@@ -126,23 +150,25 @@
 	// it. What is not sent has not run.
 	if !sendBy.IsZero() && !time.Now().Before(sendBy) {
 		reusable = true
-		return nil, nil, false, errTooLate
+		return nil, nil, errTooLate
 	}
 	deadline, _ := ctx.Deadline()
+	p.on(a, life.Write)
 	if _, err := c.Write(m.encode(time.Until(deadline))); err != nil {
-		return nil, nil, false, err
+		return nil, nil, err
 	}
-	if resp, body, err = p.read(c); err != nil {
-		return nil, nil, true, err
+	p.on(a, life.WroteLast)
+	if resp, body, err = p.read(c, a); err != nil {
+		return nil, nil, err
 	}
 	// Danger: what stands behind an answer, a copy of it or noise, would be taken for the next one's.
 	reusable = !resp.Close && c.br.Buffered() == 0
-	return resp, body, true, nil
+	return resp, body, nil
 }
 
 // read reads one answer to its end. An answer whose end only the closing of the connection would show cannot be
 // known to be whole, and counts as broken.
-func (p *pool) read(c *conn) (*http.Response, []byte, error) {
+func (p *pool) read(c *conn, a *life.Attempt) (*http.Response, []byte, error) {
 	c.limit.N = maxHeader + maxAnswer
 	for {
 		if err := c.timed(false); err != nil { // however long it takes until something comes
@@ -151,6 +177,9 @@
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, nil, err
 		}
+		if a.State() == life.Sent { // not behind an interim one
+			p.on(a, life.FirstByte)
+		}
 		// Danger: an answer that says that it is longer than it is ends on no connection that stays open. What has
 		// come already needs no deadline, which costs as much as a short read.
 		here, _ := c.br.Peek(c.br.Buffered())
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -96,7 +97,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large), large), false
 	})
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer)
+	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler))
 	to := p.target(b.Addr, 0)
 	m := newMessage("GET", "/", "x", nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
@@ -165,7 +166,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=7,recent_ms=12", false
 	})
 	cfg := config(t, "127.0.0.1:1", strings.Replace(testSettings, `"off"`, `"on_probe"`, 1))
-	r := newPool(TCP{}, &cfg.Settings, 4, maxAnswer).probe(context.Background(), &target{addr: b.Addr}, &cfg.Settings)
+	r := newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler)).probe(context.Background(), &target{addr: b.Addr}, &cfg.Settings)
 	if r.outcome != policy.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
 		t.Errorf("got %+v", r)
 	}
@@ -194,7 +195,7 @@
 func TestLateRepeatIsNotSent(t *testing.T) {
 	b := newBackend(t, serves)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer)
+	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler))
 	to := p.target(b.Addr, 0)
 	m := newMessage("POST", "/keyed/1", "x", nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
@@ -210,7 +211,7 @@
 // A request that waits for a connection when its client gives up never ran, and one that is cancelled is told so.
 func TestConnectionThatNeverComesUp(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer)
+	p := newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler))
 	to := p.target("127.0.0.1:1", 0)
 	m := newMessage("GET", "/", "x", nil, nil)
 	over, cancel := context.WithDeadline(context.Background(), time.Now())
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -84,7 +84,7 @@
 func TestLoopCarriesOut(t *testing.T) {
 	b := newBackend(t, serves)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 // A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
 func TestLateOutcomeIsDropped(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -231,7 +231,7 @@
 	}
 	x, y := newBackend(t, script), newBackend(t, script)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, maxAnswer, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
@@ -47,6 +48,7 @@
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
 	room           atomic.Int64  // bytes left for large answers
+	log            *slog.Logger
 
 	mu      sync.Mutex
 	targets map[*target]struct{} // those not retired
@@ -64,10 +66,10 @@
 }
 
 // newPool returns a pool of so many connections at most, with room for so many bytes of large answers.
-func newPool(net Network, s *settings.Settings, most int, room int64) *pool {
+func newPool(net Network, s *settings.Settings, most int, room int64, log *slog.Logger) *pool {
 	p := &pool{
 		net: net, connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
-		targets: map[*target]struct{}{},
+		targets: map[*target]struct{}{}, log: log,
 	}
 	p.room.Store(room)
 	return p
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -35,13 +35,30 @@
 	os.Exit(m.Run())
 }
 
+// noErrors is a log in which an error fails the test: an input that does not fit the life of an attempt is one.
+type noErrors struct {
+	slog.Handler
+	t *testing.T
+}
+
+func (noErrors) Enabled(_ context.Context, l slog.Level) bool { return l >= slog.LevelError }
+
+func (h noErrors) WithAttrs([]slog.Attr) slog.Handler { return h }
+
+func (h noErrors) Handle(_ context.Context, r slog.Record) error {
+	text := r.Message
+	r.Attrs(func(a slog.Attr) bool { text += " " + a.String(); return true })
+	h.t.Errorf("logged: %s", text)
+	return nil
+}
+
 // virtual plays a scenario in memory, in a time of its own.
 func virtual(t *testing.T, s *scenario.Scenario, seed uint64, front Front) (r *Report) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var err error
 		r, err = Play(context.Background(), Options{
-			Scenario: s, Seed: seed, Network: network.NewMemory(seed), Front: front, Log: slog.New(slog.DiscardHandler),
+			Scenario: s, Seed: seed, Network: network.NewMemory(seed), Front: front, Log: slog.New(noErrors{slog.DiscardHandler, t}),
 			Lag: 5 * time.Millisecond,
 		})
 		if err != nil {
