A halted taking back goes on as such; no rollout begins where nobody answers

Read once more, the rollout had two ways to say or do what is not so. Resumed after an abort in the midst of taking back it brought out again, and told instances as having what they had given back. An order for instances none of which answered was completed at once, without a canary, and came to all together when they were back. Each has its test, which failed before.

--- a/internal/manage/hard_test.go
+++ b/internal/manage/hard_test.go
@@ -476,6 +476,24 @@
 	w.t.Fatal("the manager takes no number")
 }
 
+// An order for instances none of which answers begins nothing: with no canary it would come to all at once when they are back.
+func TestNobodyAnswers(t *testing.T) {
+	inTown(t, 3, func(t *testing.T, w *town) {
+		w.fenceSoon()
+		undo := w.cut(func(string) bool { return true })
+		time.Sleep(10 * time.Second)
+		var p *api.Problem
+		if _, err := w.now().Begin(context.Background(), "r", &Order{Document: doc(t, someWorth), Limits: quick}); !errors.As(err, &p) || p.Status != 409 {
+			t.Errorf("begun: %v", err)
+		}
+		undo()
+		time.Sleep(time.Minute)
+		if err := w.all(empty); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // So many rollouts are remembered and no more, and documents only while they are needed.
 func TestRolloutsAreBounded(t *testing.T) {
 	inTown(t, 1, func(t *testing.T, w *town) {
--- a/internal/manage/orders.go
+++ b/internal/manage/orders.go
@@ -358,6 +358,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(v.in) == 0 {
+		// Danger: it would be completed at once, and brought to all together when they are back.
+		return nil, &api.Problem{Status: 409, Title: "the order can't be taken now", Detail: fmt.Sprintf("none of the %d instances that it is for answers", len(v.out))}
+	}
 	var report *Report
 	err = m.change(ctx, func() error {
 		if r := m.rollouts[id]; r != nil {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -495,12 +495,18 @@
 	return nil
 }
 
-// Resume goes on with a halted rollout, or one that was superseded, if this manager has a newer number now. Those of the
-// present wave that did not apply the change are tried again, or left out.
+// Resume goes on with a halted rollout, or one that was superseded, if this manager has a newer number now; one that was being
+// taken back goes on with that. Those of the present wave that did not apply the change are tried again, or left out.
 func (r *Rollout) Resume(now time.Duration, leave bool) error {
 	if r.Status != Halted && r.Status != Superseded {
 		return ErrNotHalted
 	}
+	if slices.ContainsFunc(r.members, func(m *Member) bool { return m.Backing }) {
+		// What was halted is the taking back. To bring out what some have given back would tell them as having it.
+		r.Reason = ""
+		r.rollback()
+		return nil
+	}
 	for _, m := range r.members {
 		t := &m.Target
 		died := t.State == change.Done && m.seen.Epoch != "" && m.seen.Epoch != t.Epoch
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -416,6 +416,25 @@
 	}
 }
 
+// A taking back that was halted is what goes on when it is resumed.
+func TestResumedTakingBack(t *testing.T) {
+	b := newBench(t, 1)
+	b.step()
+	if err := b.r.Rollback(b.now); err != nil {
+		t.Fatal(err)
+	}
+	b.carryOut(b.r.Next(b.now)) // it is prepared
+	if err := b.r.Abort(b.now); err != nil {
+		t.Fatal(err)
+	}
+	b.step()
+	if err := b.r.Resume(b.now, false); err != nil {
+		t.Fatal(err)
+	}
+	b.step()
+	b.want(RolledBack, 0, Summary{Back: 1})
+}
+
 // The keeper brings back an instance that has begun anew, waits longer after each refusal, and leaves alone what a
 // rollout has in hand.
 func TestKeeper(t *testing.T) {
