Stand-in backends know keys for the window and its slack, as the rule on sends allows

By the rule each time limit is 50 ms longer, and the checker allows such a send; the stand-in had forgotten the key at the bare window and ran it. The planted agent that repeats too late is still found, by its sends.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -260,7 +260,7 @@
 	return nil
 }
 
-// memory returns the memory of keys of the backends of a zone and cell.
+// memory returns the memory of keys of the backends of a zone and cell, and how long they are known in it.
 func (f *fleet) memory(zone string, cell int) standin.Memory {
 	return func(class string) (*standin.Keys, time.Duration) {
 		i := slices.IndexFunc(f.Scenario.Classes, func(c scenario.Class) bool { return c.Name == class })
@@ -282,7 +282,8 @@
 			keys = standin.NewKeys()
 			f.keys[group] = keys
 		}
-		return keys, c.Window.D()
+		// Each time limit is longer by the slack, this one too: a repeat that is in time by the rule is one that is dropped.
+		return keys, c.Window.D() + f.Scenario.Rules.Slack.D()
 	}
 }
 
