Servers that report nothing get a learnt limit each; late answers no longer shed there

Now, where servers report nothing, each has a limit on our requests out (internal/limit, additive increase and multiplicative decrease on answers' lateness), what finds all drawn pairs at their limits is refused and presses, what finds room eases, and in flight has no part in speed. Nothing changes where reports come.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -44,7 +44,9 @@
 	mostPressure    = 2.0    // clients that repeat what is refused take more than one refusal to stop
 	slack           = 0.15   // pressure that noise alone builds: it sheds nothing
 	pressureGain    = 0.2    // of the intake shed for an answer one aim off: a few late answers halve it
-	easeOver        = 16.0   // aims in which pressure halves by itself
+	easeOver        = 16.0   // aims in which pressure halves by itself,
+	easeBlind       = 1.0    // where servers report nothing and it comes of limits that bind
+	roomy           = 0.4    // what a request that found room presses there: one without outweighs five with
 	trickle         = 0.03   // let through under any pressure, to learn when it is over
 	mixPrior        = 10.0   // requests' worth of belief in the tenants' stated shares
 	mixLife         = 200    // requests over which the tenants' mix is remembered
@@ -105,7 +107,12 @@
 	b.service.add(took, fleetGain)
 	b.learn(s, &k.ratio, min(ratio, 4))
 	if s.load.Recent <= 0 && s.load.Rate <= 0 { // else it says so itself; a queue of our own is no slowness
-		b.slower(s, ratio/k.ratio.v/(1+float64(s.inFlight)/b.width()), gain)
+		// Danger: where nothing tells how many it serves at once, our own in flight may be no queue at all: who is sent
+		// more would look faster and be sent more again, until it jams.
+		if ratio /= k.ratio.v; b.set.Reports != ReportsOff {
+			ratio /= 1 + float64(s.inFlight)/b.width()
+		}
+		b.slower(s, ratio, gain)
 	}
 }
 
@@ -193,7 +200,7 @@
 	l.epoch, l.next, l.servers = b.epoch, math.MaxInt64, l.servers[:0]
 	// Danger: agents x servers connections fill all tables; many teach little, few are overloaded.
 	size := max(shortestLine, agentsPerServer*len(b.ring)/b.set.Agents,
-		b.taken.since(b.now-seconds(retrySpan))/requestsEach)
+		b.budget.Taken(b.now-seconds(retrySpan))/requestsEach)
 	for _, s := range b.ring {
 		until := s.health[c.index].until
 		switch {
@@ -314,6 +321,8 @@
 	switch {
 	case s.probing || b.now < s.full: // it does not even answer a probe, or had no room
 		return true
+	case b.set.Reports == ReportsOff:
+		return float64(s.inFlight) >= s.room.Limit()
 	case !s.load.Known || held < width:
 		return false
 	}
@@ -344,7 +353,11 @@
 		}
 		b.press(part)
 	}
-	return !aFull && b.send(r, a) || !cFull && b.send(r, c)
+	sent := !aFull && b.send(r, a) || !cFull && b.send(r, c)
+	if sent && b.set.Reports == ReportsOff {
+		b.press(roomy) // danger: what found no room has pressed, and nothing else would tell that there is room
+	}
+	return sent
 }
 
 // probe asks what was drawn for its figures where probes bring any; the request waits for the answers.
@@ -424,7 +437,7 @@
 		r.aim = r.deadline
 	}
 	b.open[r.id] = r
-	b.taken.add(b.now)
+	b.budget.Take(b.now)
 	if b.now >= r.aim || b.shed(r) || !b.place(r) {
 		b.end(r, true)
 	}
@@ -434,8 +447,12 @@
 func (b *Balancer) shed(r *request) bool {
 	over := b.over(r.tenant)
 	// Danger: under pressure little is let through to tell that servers are idle again, so it eases by itself.
-	ease := (b.eased - b.now).Seconds() / (easeOver * b.classes[0].Aim.Seconds())
-	b.pressure, b.eased = b.pressure*math.Exp2(ease), b.now
+	aims := easeOver
+	if b.set.Reports == ReportsOff {
+		aims = easeBlind // a limit that does not bind tells at once that there is room
+	}
+	b.pressure *= math.Exp2((b.eased - b.now).Seconds() / (aims * b.classes[0].Aim.Seconds()))
+	b.eased = b.now
 	chance := max(0, b.pressure-slack) * over * over * b.worth / r.class.Worth
 	return b.rng.Float64() < min(chance, 1-trickle)
 }
@@ -461,7 +478,7 @@
 		len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.SecondCopies {
 		return false
 	}
-	if len(r.attempts) > 0 && !b.withinBudget() {
+	if len(r.attempts) > 0 && !b.budget.Allows(b.now, b.set.ExtraWindow, b.set.ExtraFloor, b.set.ExtraRatio) {
 		return false
 	}
 	for i := range r.attempts {
@@ -494,14 +511,6 @@
 	return within
 }
 
-// withinBudget says whether one more attempt beyond a request's first keeps the retry budget, a window that
-// slides over this agent's requests and further attempts. Danger: retries feed the overload that causes them.
-func (b *Balancer) withinBudget() bool {
-	from := b.now - b.set.ExtraWindow
-	taken, extra := b.taken.since(from+1), b.extra.since(from) // an edge counts against us
-	return float64(extra+1) <= min(b.set.ExtraFloor+b.set.ExtraRatio*float64(taken), longestHistory/2)
-}
-
 // mayRefuse answers whether the client may be told that a further try is harmless.
 func (b *Balancer) mayRefuse(r *request) bool {
 	return r.class.Effect == Pure || !slices.ContainsFunc(r.attempts, func(a attempt) bool {
@@ -522,7 +531,7 @@
 	}
 	n := uint64(len(r.attempts))
 	if n > 0 {
-		b.extra.add(b.now)
+		b.budget.Spend(b.now)
 	}
 	within := r.remembered(b.now)
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, out: true, ran: true})
@@ -574,7 +583,9 @@
 		h := &s.health[c.index]
 		h.bad, h.times = h.bad/2, 0
 		b.late.add(min(part, 1), gain)
-		if !s.tellsQueue() {
+		if b.set.Reports == ReportsOff {
+			s.room.Answered(part, s.inFlight+1, a.sent, b.now)
+		} else if !s.tellsQueue() {
 			b.press(part) // where queues are reported those have said it: one costly request is no crowd
 		}
 	case Timeout:
@@ -587,7 +598,9 @@
 		// its load may have reasons of its own to; were that taken for a crowd, its rejections alone would have
 		// all requests shed from idle servers. What such a server holds is judged whenever it is drawn.
 		b.passBy(a)
-		if !s.load.Known {
+		if b.set.Reports == ReportsOff {
+			s.room.Congested(a.sent, b.now)
+		} else if !s.load.Known {
 			b.press(2)
 		}
 	case Error:
@@ -662,7 +675,9 @@
 // silent counts an attempt's silence against its server, up to so much. Danger: servers fall silent before
 // they choke: where other answers are late too, the silence of one that was well is crowding.
 func (b *Balancer) silent(c *class, a *attempt, much float64) {
-	if a.server.health[c.index].bad < 0.25 && !a.server.tellsQueue() {
+	if b.set.Reports == ReportsOff {
+		a.server.room.Congested(a.sent, b.now)
+	} else if a.server.health[c.index].bad < 0.25 && !a.server.tellsQueue() {
 		b.press(4 * b.late.v)
 	}
 	b.blame(c, a.server, much-a.blamed, "silence")
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"example.org/micaline/internal/limit"
 )
 
 const ms = time.Millisecond
@@ -18,7 +20,7 @@
 	}
 	return Settings{
 		Agents: 1, MaxAttempts: 6, Tick: ms, ColdFrom: 0.2, WarmAfter: 10 * time.Second, OverloadFactor: 2.5,
-		Cancel: true,
+		Cancel: true, Reports: ReportsInline, // none of which need come
 		Classes: []Class{class(Pure, 0, 0), class(Token, ScopeCell, 300*ms), class(Token, ScopeAll, 300*ms),
 			class(SideEffect, 0, 0), class(Token, ScopeZone, 300*ms)},
 	}
@@ -401,7 +403,9 @@
 // Danger: quick errors look like quick, idle servers. One that errs leaves the line; it learns no speed.
 func TestErrorsEjectAndTeachNothing(t *testing.T) {
 	x := start(t, settings(), fleet(6)...)
-	x.b.extra = slices.Repeat(history{x.now}, 9) // none left in the retry budget
+	for range 9 { // none left in the retry budget
+		x.b.budget.Spend(x.now)
+	}
 	bad := one(t, x.ask(1, unsafe), ActSend).Server
 	x.now += ms
 	one(t, x.ends(1, 0, Error), ActLog)
@@ -952,7 +956,7 @@
 			}
 		}
 		for id := range RequestID(60) {
-			x.b.pressure, x.b.extra = 0, nil
+			x.b.pressure, x.b.budget = 0, limit.Budget{}
 			acts := x.ask(id, pure)
 			if check(acts); any && id == 0 {
 				one(t, acts, ActSend)
@@ -1390,3 +1394,107 @@
 		}
 	}
 }
+
+// blind are the settings of servers that report nothing.
+func blind() Settings {
+	s := settings()
+	s.Reports = ReportsOff
+	return s
+}
+
+// One slow server is no crowd: while the others answer well within the aim, nobody is refused. Each silence used to
+// press by how late the other answers were, up to four times over, and what that shed no answer could bring back.
+func TestSlowServerShedsNothing(t *testing.T) {
+	x := start(t, blind(), fleet(6)...)
+	type due struct {
+		at time.Duration
+		ev Event
+	}
+	var dues []due
+	slow := x.b.ring[0].ID
+	refused := 0
+	take := func(acts []Action) {
+		for _, a := range acts {
+			switch a.Kind {
+			case ActRefuse:
+				refused++
+			case ActSend:
+				took := 180 * ms
+				if a.Server == slow {
+					took = 900 * ms
+				}
+				n := len(x.b.open[a.Request].attempts) - 1
+				dues = append(dues, due{x.now + took, Event{Kind: EventOutcome, Request: a.Request, Attempt: n, Server: a.Server, Outcome: OK, Closed: true, Load: Load{InFlight: -1, Queue: -1}}})
+			case ActTimer:
+				dues = append(dues, due{x.now + a.Wait, Event{Kind: EventTimer, Token: a.Token}})
+			}
+		}
+	}
+	id := RequestID(0)
+	for end := x.now + 20*time.Second; x.now < end; x.now += ms {
+		for i := 0; i < len(dues); i++ {
+			if d := dues[i]; d.at <= x.now {
+				dues = slices.Delete(dues, i, i+1)
+				i--
+				take(x.on(d.ev))
+			}
+		}
+		if (end-x.now)%(25*ms) == 0 {
+			id++
+			take(x.ask(id, unsafe))
+		}
+	}
+	if refused > int(id)/50 {
+		t.Errorf("%d of %d refused with five of six servers well", refused, id)
+	}
+}
+
+// Where nothing tells a server's width, how many are out at it says nothing of its speed: it used to be taken for a
+// queue, so that the fuller server looked faster and was sent more.
+func TestInFlightIsNoSpeed(t *testing.T) {
+	x := start(t, blind(), fleet(2)...)
+	s := x.b.ring[0]
+	s.inFlight = 7
+	for range 100 {
+		x.b.now += 100 * ms
+		x.b.observe(&x.b.classes[pure], s, 0.1)
+	}
+	if s.slow < 0.9 || s.slow > 1.1 {
+		t.Errorf("slowness %v by usual answers with seven out", s.slow)
+	}
+}
+
+// Each server has its limit; what finds none below is refused at once, and there is room again as soon as they answer.
+func TestLimitsBindAndEase(t *testing.T) {
+	x := start(t, blind(), fleet(4)...)
+	sent := 0
+	id := RequestID(1)
+	for ; id <= 60; id++ {
+		for _, a := range x.ask(id, unsafe) {
+			if a.Kind == ActSend {
+				sent++
+			}
+		}
+	}
+	if most := 4 * 3; sent > most || sent < most/2 {
+		t.Errorf("%d of 60 sent to four servers at once, their limits being 3 each", sent)
+	}
+	x.now += 100 * ms
+	for open := range x.b.open {
+		x.ends(open, 0, OK)
+	}
+	x.now += 400 * ms // an aim
+	room := 0
+	for range 4 {
+		id++
+		for _, a := range x.ask(id, unsafe) {
+			if a.Kind == ActSend {
+				room++
+				x.ends(id, 0, OK)
+			}
+		}
+	}
+	if room < 3 {
+		t.Errorf("%d of 4 sent, an aim after all have answered", room)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"example.org/micaline/internal/limit"
 )
 
 // The state of a Balancer and its construction. What is done with it is in balancer.go.
@@ -25,9 +27,10 @@
 	load     Load          // its last report
 	loadAt   time.Duration
 	probing  bool
-	full     time.Duration // passed by until then: it had no room
-	fulls    int           // so many times in a row
-	health   []health      // by class
+	room     limit.Concurrency // where servers report nothing: how many of our attempts it answers in time
+	full     time.Duration     // passed by until then: it had no room
+	fulls    int               // so many times in a row
+	health   []health          // by class
 }
 
 // health is what a server's answers to one class say.
@@ -40,7 +43,7 @@
 func (s *server) tellsQueue() bool { return s.load.Known && s.load.Queue >= 0 }
 
 func (s *server) restart(e *ServerEntry) {
-	s.slow, s.full, s.fulls, s.used, s.load.Known = 1, 0, 0, 0, false
+	s.slow, s.full, s.fulls, s.used, s.load.Known, s.room = 1, 0, 0, 0, false, limit.Concurrency{}
 	clear(s.health)
 	if s.base = e.Weight; !(e.Weight > 0 && e.Weight < math.MaxFloat32) {
 		s.base = 1
@@ -101,24 +104,6 @@
 	seen   float64 // answers and reports that its pace was learnt from
 }
 
-// history keeps when things happened, oldest first, as far back as anyone asks.
-type history []time.Duration
-
-const longestHistory = 4096
-
-func (h *history) add(at time.Duration) {
-	if len(*h) >= longestHistory {
-		*h = append((*h)[:0], (*h)[longestHistory/2:]...)
-	}
-	*h = append(*h, at)
-}
-
-// since counts what happened at a time or later.
-func (h history) since(from time.Duration) int {
-	i, _ := slices.BinarySearch(h, from)
-	return len(h) - i
-}
-
 // mean is a moving mean; its first sample is taken whole.
 type mean struct {
 	v     float64
@@ -155,11 +140,10 @@
 	late     mean    // time of an answer over its aim
 	pressure float64 // share of the usual requests to shed
 	mix      tenantMix
-	worth    float64 // mean worth of the classes
-	taken    history // requests, for the retry budget and the size of the line
-	extra    history // attempts beyond a request's first
-	asks     int     // failed calls for the list in a row
-	logs     int     // lines since logsFrom
+	worth    float64      // mean worth of the classes
+	budget   limit.Budget // of retries
+	asks     int          // failed calls for the list in a row
+	logs     int          // lines since logsFrom
 	logsFrom time.Duration
 	eased    time.Duration // when pressure last went down by itself
 }
