Agents tell one another what they have out at each server

The settings allow short messages among agents.

Held, and so the choice within a pair and the limit, counts the others' requests; the limit is the mean of all agents', weighed by what they have out, as one that sends little learns late. With all counted the limits mean more requests: start 6 (3), decrease 0.8 (0.7), late from 0.75 of the aim (0.6).

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/wire"
 	"example.org/micaline/policy"
 )
@@ -23,7 +24,7 @@
 // run answers batches until the input ends. A reply is written whole or not at all.
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(bufio.NewReaderSize(in, 1<<20))
-	h := host{instances: map[uint32]*policy.Balancer{}}
+	h := host{instances: map[uint32]decider{}}
 	for {
 		batch, now, err := dec.Batch()
 		if errors.Is(err, io.EOF) {
@@ -51,9 +52,14 @@
 	}
 }
 
+// decider is a decision module, or one that shares counts with other instances.
+type decider interface {
+	Handle(now time.Duration, ev policy.Event, out []policy.Action) []policy.Action
+}
+
 // host keeps the instances of this process apart: each has its own Balancer and nothing else.
 type host struct {
-	instances map[uint32]*policy.Balancer
+	instances map[uint32]decider
 	enc       wire.Encoder
 	actions   []policy.Action
 }
@@ -66,6 +72,9 @@
 			return fmt.Errorf("instance %d: %w", rec.Instance, err)
 		}
 		h.instances[rec.Instance] = b
+		if rec.Settings.Peers {
+			h.instances[rec.Instance] = peers.New(b, rec.Settings)
+		}
 	case wire.Detach:
 		delete(h.instances, rec.Instance)
 	case wire.Deliver:
@@ -81,7 +90,7 @@
 }
 
 // deliver hands one event to the module. A panic comes back as text, so that it ends as the wire's own fault.
-func (h *host) deliver(b *policy.Balancer, now time.Duration, rec *wire.Record) (fault string) {
+func (h *host) deliver(b decider, now time.Duration, rec *wire.Record) (fault string) {
 	defer func() {
 		if p := recover(); p != nil {
 			fault = fmt.Sprint("panic: ", p)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,6 +50,7 @@
 	discovery *discovery
 	clients   *admission
 	server    *server
+	peers     *chatter     // nil: there is no talk among agents
 	moves     chan *Config // to another discovery, by operators
 	followed  string       // the discovery that they have moved to last
 }
@@ -67,13 +68,20 @@
 	}
 	d := newDiscovery(network, cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
 	l.follow = d.asked
+	talk, err := openPeers(&cfg.Peers, network)
+	if err != nil {
+		return nil, err
+	}
+	if talk != nil {
+		l.tell = talk.tell
+	}
 	// Danger: the application holds a third of the sockets at most for its requests. Were there room for more, those
 	// that it has used once and keeps would leave it none for the next request.
 	room := min(half, cfg.Sockets*3/10)
 	a := &Agent{
 		cfg: cfg, log: log, loop: l, discovery: d, clients: &admission{Listener: listener, most: room},
 		server: &server{loop: l, usual: int64(room - room/8)}, moves: make(chan *Config),
-		followed: cfg.Discovery,
+		followed: cfg.Discovery, peers: talk,
 	}
 	a.server.clients = a.clients
 	a.server.most.Store(a.server.usual)
@@ -91,8 +99,14 @@
 	workers.Go(func() { l.run(work) })
 	a.discovery.tell(policy.ListCached, cfg.known.Members)
 	workers.Go(func() { a.discovery.run(work, reloads, a.moves) })
+	if a.peers != nil {
+		workers.Go(func() { a.peers.hear(work, l) })
+	}
 	defer func() {
 		stop()
+		if a.peers != nil {
+			a.peers.conn.Close()
+		}
 		workers.Wait()
 		l.pool.close()
 	}()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
 )
@@ -27,6 +28,7 @@
 	MemoryMB  int
 	Sockets   int
 	Settings  settings.Settings
+	Peers     Peers // used where the settings allow it
 
 	// Decide makes what decides for the agent; nil is policy.New.
 	Decide func(policy.Settings, uint64) (Decider, error)
@@ -34,6 +36,13 @@
 	known memberList
 }
 
+// Peers are the addresses of the other agents.
+type Peers struct {
+	Listen netip.AddrPort // where their messages come
+	All    netip.AddrPort // whatever is sent there comes to all of them
+	From   []netip.AddrPort
+}
+
 // Decider decides for an agent: a policy.Balancer, or what that is held against.
 type Decider interface {
 	// Handle takes one event and appends what must be done to out.
@@ -44,7 +53,19 @@
 	if c.Decide != nil {
 		return c.Decide(c.Settings.Module, c.Seed)
 	}
-	return policy.New(c.Settings.Module, c.Seed)
+	return newDecider(c.Settings.Module, c.Seed)
+}
+
+// newDecider returns the decision module, which shares counts with other agents where the settings allow it.
+func newDecider(s policy.Settings, seed uint64) (Decider, error) {
+	b, err := policy.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	if s.Peers {
+		return peers.New(b, s), nil
+	}
+	return b, nil
 }
 
 // LoadConfig reads and checks the configuration file. Its errors name the field that cannot be used.
@@ -70,8 +91,11 @@
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
 		}
-		Known    json.RawMessage
-		Settings json.RawMessage
+		PeerListen string   `json:"peer_listen"`
+		Peers      []string `json:"peers"`
+		PeersAll   string   `json:"peers_all"`
+		Known      json.RawMessage
+		Settings   json.RawMessage
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -109,9 +133,31 @@
 	if cfg.Settings, err = settings.Parse(f.Settings); err != nil {
 		return nil, err
 	}
+	if cfg.Settings.Module.Peers && f.PeerListen != "" {
+		if cfg.Peers, err = parsePeers(f.PeerListen, f.PeersAll, f.Peers); err != nil {
+			return nil, err
+		}
+	}
 	return cfg, checkSettings(&cfg.Settings)
 }
 
+func parsePeers(listen, all string, from []string) (p Peers, err error) {
+	if p.Listen, err = netip.ParseAddrPort(listen); err != nil {
+		return p, fmt.Errorf("peer_listen: %w", err)
+	}
+	if p.All, err = netip.ParseAddrPort(all); err != nil {
+		return p, fmt.Errorf("peers_all: %w", err)
+	}
+	for i, text := range from {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return p, fmt.Errorf("peers[%d]: %w", i, err)
+		}
+		p.From = append(p.From, addr)
+	}
+	return p, nil
+}
+
 // checkSettings checks what the agent needs beside the module, whose own check is policy.New.
 func checkSettings(s *settings.Settings) error {
 	if s.ConnectTimeout <= 0 {
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -44,3 +44,26 @@
 		}
 	}
 }
+
+func TestPeersConfig(t *testing.T) {
+	text := func(allowed bool, fields string) []byte {
+		s := strings.Replace(testSettings, `"connectTimeout":2000`, fmt.Sprintf(`"connectTimeout":2000,"peerMessages":%v`, allowed), 1)
+		return fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+			"limits":{"cores":1,"memory_mb":192,"sockets":1024},%s"settings":%s}`, fields, s)
+	}
+	const good = `"peer_listen":"127.0.0.1:7946","peers":["127.0.0.2:7946","127.0.0.3:7946"],"peers_all":"127.0.0.9:7946",`
+	cfg, err := ParseConfig(text(true, good))
+	if err != nil || len(cfg.Peers.From) != 2 || cfg.Peers.All.String() != "127.0.0.9:7946" {
+		t.Errorf("peers %+v, error %v", cfg.Peers, err)
+	}
+	if cfg, err = ParseConfig(text(false, good)); err != nil || cfg.Peers.Listen.IsValid() {
+		t.Errorf("where the settings allow no talk: peers %+v, error %v", cfg.Peers, err)
+	}
+	for _, c := range []struct{ field, old, new string }{
+		{"peer_listen", `"127.0.0.1:7946"`, `"here"`}, {"peers[1]", `"127.0.0.3:7946"`, `"there"`}, {"peers_all", `"127.0.0.9:7946"`, `""`},
+	} {
+		if _, err := ParseConfig(text(true, strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: error %v", c.field, err)
+		}
+	}
+}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -22,6 +22,12 @@
 
 var errEnded = errors.New("the agent has ended")
 
+// viewer is a Decider that shows what it makes of the backends.
+type viewer interface {
+	Pressure() float64
+	View(now time.Duration) []policy.ServerView
+}
+
 // do has the loop call a function, and waits for it.
 func (l *loop) do(ctx context.Context, f func()) error {
 	called := make(chan struct{})
@@ -91,7 +97,7 @@
 
 // applyDecisions has another module decide for new requests.
 func (a *Agent) applyDecisions(ctx context.Context, s policy.Settings) error {
-	next, err := policy.New(s, a.cfg.Seed+uint64(time.Now().UnixNano()))
+	next, err := newDecider(s, a.cfg.Seed+uint64(time.Now().UnixNano()))
 	if err != nil {
 		return err
 	}
@@ -183,7 +189,7 @@
 		s.Service.Refused += turned
 		s.Causes = append(s.Causes, control.Cause{Answer: "refused", Cause: "turned away at the door", Count: turned})
 	}
-	if b, ok := l.current.Decider.(*policy.Balancer); ok {
+	if b, ok := l.current.Decider.(viewer); ok {
 		s.Pressure = b.Pressure()
 		for _, v := range b.View(now) {
 			s.Backends = append(s.Backends, a.backend(&v, now))
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"hash/fnv"
 	"log/slog"
 	"math"
 	"net/http"
@@ -90,7 +91,8 @@
 	modules   []*module       // it, and those before it that are not done
 	decisions policy.Settings // of the current one
 	pool      *pool
-	follow    func() // asks discovery for the list
+	follow    func()       // asks discovery for the list
+	tell      func([]byte) // tells all other agents
 	log       *slog.Logger
 	inputs    chan input
 	done      chan struct{} // closed when run returns
@@ -119,6 +121,7 @@
 		set: &cfg.Settings, clock: clock{time.Now()}, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
 		listed: map[policy.ServerID]policy.ServerEntry{}, holds: map[policy.ServerID]time.Duration{},
 		counts:   counts{causes: map[cause]int64{}},
+		tell:     func([]byte) {},
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}},
@@ -303,6 +306,7 @@
 			State:  phases[m.Phase],
 			Weight: m.Size,
 			Start:  time.Duration(math.Round(m.UpSince * float64(time.Millisecond))),
+			Key:    keyOf(m.ID),
 		}
 		l.listed[e.ID] = e
 		entries = append(entries, l.held(e))
@@ -321,6 +325,13 @@
 	return entries
 }
 
+// keyOf names a backend to other agents, whose numbers for it are others. FNV-1a, 32 bits.
+func keyOf(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id)) // never fails
+	return h.Sum32()
+}
+
 // forgetGone drops the addresses and idle connections of the backends that a list has shown to be gone.
 func (l *loop) forgetGone(mode policy.ListMode, entries []policy.ServerEntry) {
 	stays := make(map[policy.ServerID]bool, len(entries))
@@ -395,6 +406,10 @@
 		l.probe(ctx, by, a.Server)
 	case policy.ActFollow:
 		l.follow()
+	case policy.ActTell:
+		if by == l.current { // danger: two modules' counts under one name would take turns
+			l.tell(a.Data)
+		}
 	case policy.ActLog:
 		l.log.Info(a.Text)
 	}
--- a/internal/agent/network.go
+++ b/internal/agent/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"syscall"
 
 	"example.org/micaline/internal/tcp"
@@ -19,6 +20,19 @@
 	Quiet(c net.Conn) bool
 }
 
+// PacketNetwork is a Network that carries datagrams between agents.
+type PacketNetwork interface {
+	// ListenPacket opens a socket for datagrams at an address.
+	ListenPacket(addr netip.AddrPort) (PacketConn, error)
+}
+
+// PacketConn is a socket for datagrams.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // TCP is the Network of the machine.
 type TCP struct{}
 
@@ -31,6 +45,15 @@
 	return c, nil
 }
 
+// ListenPacket opens a UDP socket.
+func (TCP) ListenPacket(addr netip.AddrPort) (PacketConn, error) {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
 // Quiet looks into the socket.
 func (TCP) Quiet(c net.Conn) bool {
 	sys, ok := c.(syscall.Conn)
--- /dev/null
+++ b/internal/agent/peers_test.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/micaline/policy"
+)
+
+// udp opens a socket on loopback.
+func udp(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Messages go to the address of all, and those of the other agents come to the loop; a stranger's and one that is too
+// long do not. The loop being full, they are lost and nobody waits.
+func TestPeersTalk(t *testing.T) {
+	all, allAt := udp(t)
+	friend, friendAt := udp(t)
+	stranger, _ := udp(t)
+	c, err := openPeers(&Peers{Listen: netip.MustParseAddrPort("127.0.0.1:0"), All: allAt, From: []netip.AddrPort{friendAt}}, TCP{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := c.conn.(*net.UDPConn).LocalAddr().(*net.UDPAddr).AddrPort()
+	c.tell([]byte("out"))
+	buf := make([]byte, 16)
+	all.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, from, err := all.ReadFromUDPAddrPort(buf); err != nil || string(buf[:n]) != "out" || from != at {
+		t.Fatalf("%q from %v, error %v", buf[:n], from, err)
+	}
+
+	l := &loop{inputs: make(chan input, 1), done: make(chan struct{})}
+	var hearing sync.WaitGroup
+	hearing.Go(func() { c.hear(context.Background(), l) })
+	stranger.WriteToUDPAddrPort([]byte("stranger"), at)
+	friend.WriteToUDPAddrPort(make([]byte, 257), at)
+	friend.WriteToUDPAddrPort([]byte("in"), at)
+	if in := <-l.inputs; in.event.Kind != policy.EventPeer || string(in.event.Data) != "in" {
+		t.Errorf("the loop was given %+v", in.event)
+	}
+	for range 10 { // more than the loop has room for
+		friend.WriteToUDPAddrPort([]byte("more"), at)
+	}
+	c.conn.Close()
+	hearing.Wait() // danger: it would hang on a full loop
+}
+
+// Agents of different builds name a backend alike: the hash is the published one, whose test vectors these are.
+func TestBackendsKeepTheirKey(t *testing.T) {
+	for id, want := range map[string]uint32{"": 0x811c9dc5, "a": 0xe40c292c, "foobar": 0xbf9cf968} {
+		if got := keyOf(id); got != want {
+			t.Errorf("the key of %q is %#x, want %#x", id, got, want)
+		}
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -6,12 +6,12 @@
 import "time"
 
 const (
-	start    = 3.0   // requests at first: a lightly used server is not to be held back by learning
+	start    = 6.0   // requests at first: a lightly used server is not to be held back by learning
 	least    = 1.0   // or nothing would ever tell that a server is quick again
 	most     = 256.0 // keeps an idle server's limit from growing without bound
 	rise     = 0.5   // for each answer in time, until congestion is met for the first time
-	decrease = 0.7   // what remains after congestion
-	late     = 0.6   // of the wanted time: an answer that took more says that the server is congested
+	decrease = 0.8   // what remains after congestion
+	late     = 0.75  // of the wanted time: an answer that took more says that the server is congested
 )
 
 // Concurrency is how many requests may be out at one server. The zero value is that of a server of which nothing is
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,7 @@
 	Discovery string
 	Limits    struct {
 		Cancel, Probes, SecondCopies bool
+		PeerMessages                 bool
 		MaxAttempts, IdleClose       float64
 		ConnectTimeout               float64
 	}
@@ -90,6 +91,7 @@
 		Probes:         f.Limits.Probes,
 		Cancel:         f.Limits.Cancel,
 		SecondCopies:   f.Limits.SecondCopies,
+		Peers:          f.Limits.PeerMessages,
 		ColdFrom:       f.Rules.ColdFrom,
 		WarmAfter:      Millis(f.Rules.WarmAfter),
 		OverloadFactor: f.Rules.OverloadFactor,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,7 @@
 	manifests  = 16
 	hintBit    = 1
 	retryBit   = 2
+	everyPeer  = math.MaxUint32
 	maxText    = 400 // a log line longer than this is cut
 )
 
@@ -42,6 +43,7 @@
 	acLog      = 20
 	acFault    = 30
 	acFollow   = 40
+	acPublish  = 50
 	acUndoSend = 60
 	acPassOn   = 70
 	acFail     = 90
@@ -206,9 +208,9 @@
 		ev.Outcome, ev.Latency = d.outcome(), d.time()
 		ev.Load = d.load(rec.Instance)
 	case evDatagram:
-		d.u32()
-		d.bytes(uint32(d.u16()))
-		return rec, true // the module has no use for what other agents say
+		ev.Kind = policy.EventPeer
+		d.u32() // a message says itself who it is from
+		ev.Data = d.bytes(uint32(d.u16()))
 	default:
 		d.fail(fmt.Sprintf("unknown event code %d", code))
 	}
@@ -230,6 +232,7 @@
 	for i := range list {
 		e := &list[i]
 		e.ID, e.Zone, e.Kind, e.Cell = policy.ServerID(d.u32()), int(d.u8()), int(d.u8()), int(d.u16())
+		e.Key = uint32(e.ID) // the same at each instance
 		state := d.u8()
 		if state > uint8(policy.Draining) {
 			d.fail("unknown server state")
@@ -361,6 +364,10 @@
 	case policy.ActFollow:
 		e.head(acFollow, instance)
 		e.buf = append(e.buf, 1)
+	case policy.ActTell:
+		e.head(acPublish, instance)
+		e.u32(everyPeer)
+		e.text(a.Data, len(a.Data))
 	case policy.ActLog:
 		e.head(acLog, instance)
 		e.text([]byte(a.Text), maxText)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"example.org/micaline/internal/weighted"
 )
 
 const (
@@ -218,13 +220,13 @@
 	for _, s := range l.servers {
 		speed, w := b.speed(s), b.warmth(s)
 		s.built, full = speed*w, full+speed
-		l.mu, l.speeds = append(l.mu, s.built), l.speeds.add(s.built)
+		l.mu, l.speeds = append(l.mu, s.built), l.speeds.Add(s.built)
 		if w < 1 {
 			cold += s.built
 			l.next = min(l.next, b.now+b.set.WarmAfter/64)
 		}
 	}
-	sum := l.speeds.span(0, len(l.servers))
+	sum := l.speeds.Span(0, len(l.servers))
 	l.usualSum = max(full, l.usualSum*0.99)
 	l.pairs = pairSums(l.mu, l.pairs[:0])
 	for j, s := range l.servers {
@@ -232,7 +234,7 @@
 		if w := b.warmth(s); w < 1 {
 			// Danger: all agents together push it over. Even if it wins each of its pairs, and what it turns
 			// away comes again, it gets its present share of this agent's traffic.
-			inflow := (dedicated*s.built + (1-dedicated)*l.pairs.span(j-1, j+1)) / sum
+			inflow := (dedicated*s.built + (1-dedicated)*l.pairs.Span(j-1, j+1)) / sum
 			again := 1 + (draws-1)*cold/sum
 			pass = min(1, coldMargin*b.set.OverloadFactor*w*b.speed(s)/l.usualSum/(inflow*again))
 		}
@@ -241,7 +243,7 @@
 }
 
 // pairSums appends the running sums of the pairs' weights, speed plus epsilon.
-func pairSums(mu []float64, sums sums) sums {
+func pairSums(mu []float64, sums weighted.Sums) weighted.Sums {
 	n := len(mu)
 	if n < 2 {
 		return sums
@@ -258,7 +260,7 @@
 		if j == n-2 {
 			eps = mu[n-1] - float64(n-2)*eps
 		}
-		sums = sums.add(m + eps)
+		sums = sums.Add(m + eps)
 	}
 	return sums
 }
@@ -275,9 +277,9 @@
 	case n == 0:
 		return nil, nil
 	case n == 1 || b.rng.Float64() < dedicated:
-		return l.servers[l.speeds.pick(b.rng.Float64())], nil
+		return l.servers[l.speeds.Pick(b.rng.Float64())], nil
 	}
-	j := l.pairs.pick(b.rng.Float64())
+	j := l.pairs.Pick(b.rng.Float64())
 	return l.servers[j], l.servers[j+1]
 }
 
@@ -293,9 +295,10 @@
 	return c, a
 }
 
-// held is what a server has in hand: our own attempts, or its report as far as that holds, or the usual.
+// held is what a server has in hand: our attempts and what other agents tell, or its report as far as that holds, or
+// the usual.
 func (b *Balancer) held(s *server) float64 {
-	held, own := b.running.v, float64(s.inFlight)
+	held, own := b.running.v, float64(s.inFlight)+s.others
 	if s.load.Known && s.load.InFlight >= 0 {
 		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
 		// while. Of those that are silent a fresh report knows better, but not of those on their way.
@@ -322,7 +325,7 @@
 	case s.probing || b.now < s.full: // it does not even answer a probe, or had no room
 		return true
 	case b.set.Reports == ReportsOff:
-		return float64(s.inFlight) >= s.room.Limit()
+		return held >= s.limit()
 	case !s.load.Known || held < width:
 		return false
 	}
@@ -330,6 +333,15 @@
 	return b.tellsCrowd(s) && held >= width+b.crowd*math.Sqrt(width) || wait > left
 }
 
+// limit is how many attempts may be out at a server that reports nothing, those of other agents among them. Danger: an
+// agent that sends little learns late; were its limit its own, it would give way to all the others.
+func (s *server) limit() float64 {
+	if own := float64(s.inFlight) + 1; s.others > 0 {
+		return (own*s.room.Limit() + s.others*s.theirs) / (own + s.others)
+	}
+	return s.room.Limit()
+}
+
 // place sends the request to a server, or lets it wait for probes of a pair, or says that there is no room.
 func (b *Balancer) place(r *request) bool {
 	for ; r.draws < draws; r.draws++ {
@@ -463,7 +475,7 @@
 		return 1
 	}
 	portion := b.set.Tenants[tenant].Portion
-	seen, sum := b.mix.count(tenant, mixLife)
+	seen, sum := b.mix.Count(tenant, mixLife)
 	return (seen + mixPrior*portion) / (sum + mixPrior) / portion
 }
 
@@ -584,7 +596,7 @@
 		h.bad, h.times = h.bad/2, 0
 		b.late.add(min(part, 1), gain)
 		if b.set.Reports == ReportsOff {
-			s.room.Answered(part, s.inFlight+1, a.sent, b.now)
+			s.room.Answered(part, s.inFlight+1+int(s.others), a.sent, b.now)
 		} else if !s.tellsQueue() {
 			b.press(part) // where queues are reported those have said it: one costly request is no crowd
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"example.org/micaline/internal/limit"
+	"example.org/micaline/internal/weighted"
 )
 
 // The state of a Balancer and its construction. What is done with it is in balancer.go.
@@ -27,7 +28,9 @@
 	load     Load          // its last report
 	loadAt   time.Duration
 	probing  bool
-	room     limit.Concurrency // where servers report nothing: how many of our attempts it answers in time
+	room     limit.Concurrency // where servers report nothing: how many attempts it answers in time
+	others   float64           // attempts that other agents say they have out,
+	theirs   float64           // and the limit that they have learnt
 	full     time.Duration     // passed by until then: it had no room
 	fulls    int               // so many times in a row
 	health   []health          // by class
@@ -89,8 +92,8 @@
 type line struct {
 	servers  []*server     // in the design's order
 	mu       []float64     // their present speeds
-	speeds   sums          // of these
-	pairs    sums          // of the pairs' weights
+	speeds   weighted.Sums // of these
+	pairs    weighted.Sums // of the pairs' weights
 	pass     []float64     // chance that a send to a server is let through while it is cold
 	usualSum float64       // speed of the line when all of it is warm, its highest of late
 	epoch    int           // of the Balancer when it was built
@@ -139,7 +142,7 @@
 	crowd    float64 // between crowdAlone and crowd
 	late     mean    // time of an answer over its aim
 	pressure float64 // share of the usual requests to shed
-	mix      tenantMix
+	mix      limit.Mix
 	worth    float64      // mean worth of the classes
 	budget   limit.Budget // of retries
 	asks     int          // failed calls for the list in a row
@@ -159,7 +162,7 @@
 	b := &Balancer{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0)), epoch: 1, servers: map[ServerID]*server{},
 		open: map[RequestID]*request{}, kinds: map[int]*kind{},
-		mix: tenantMix{seen: make([]float64, len(s.Tenants))},
+		mix: limit.NewMix(len(s.Tenants)),
 	}
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
@@ -252,46 +255,6 @@
 	return k
 }
 
-// sums are running sums of weights, for draws by weight in logarithmic time.
-type sums []float64
-
-func (s sums) add(weight float64) sums { return append(s, s.span(0, len(s))+weight) }
-
-// span is the sum of the weights i to j-1, those that exist.
-func (s sums) span(i, j int) float64 {
-	upTo := func(k int) float64 {
-		if k = min(k, len(s)); k <= 0 {
-			return 0
-		}
-		return s[k-1]
-	}
-	return upTo(j) - upTo(i)
-}
-
-// pick draws an index by weight, u being uniform in [0, 1).
-func (s sums) pick(u float64) int {
-	i, _ := slices.BinarySearch(s, u*s[len(s)-1])
-	return min(i, len(s)-1)
-}
-
-// tenantMix counts who has asked of late.
-type tenantMix struct {
-	seen []float64
-	sum  float64
-}
-
-// count adds a request and returns its tenant's and all; both are halved after so many.
-func (m *tenantMix) count(tenant int, life float64) (seen, sum float64) {
-	m.seen[tenant]++
-	if m.sum++; m.sum > life {
-		m.sum /= 2
-		for i := range m.seen {
-			m.seen[i] /= 2
-		}
-	}
-	return m.seen[tenant], m.sum
-}
-
 // entry finds the server of a line of the list, or makes it; a server not known that is gone stays unknown.
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.servers[e.ID]
@@ -323,6 +286,10 @@
 		b.onTimer(ev.Token)
 	case EventProbed:
 		b.onProbed(&ev)
+	case EventShared:
+		if s := b.servers[ev.Server]; s != nil {
+			s.others, s.theirs = ev.Others, ev.Limit
+		}
 	}
 	out, b.out = b.out, nil
 	return out
--- a/policy/types.go
+++ b/policy/types.go
@@ -78,6 +78,7 @@
 	Probes         bool          // ActProbe is allowed
 	Cancel         bool          // ActCancel is allowed
 	SecondCopies   bool          // a request may have two attempts out at once
+	Peers          bool          // agents may tell one another things
 	ColdFrom       float64       // a starting server has at least this share of its capacity
 	WarmAfter      time.Duration // and all of it after this time at most
 	OverloadFactor float64       // sent more than this multiple of it for long, a cold server falls over
@@ -105,6 +106,7 @@
 	State  ServerState
 	Weight float64       // relative size; not above 0 means unknown
 	Start  time.Duration // when its process started; 0 means long ago
+	Key    uint32        // names it to other agents: the same at each
 }
 
 // Load is a server's report of its own load. A negative or NaN field is absent; so is all of it unless Known.
@@ -155,6 +157,8 @@
 	EventHangup                   // the client has gone [Request]: nothing more is owed
 	EventTimer                    // an ActTimer fell due [Token]
 	EventProbed                   // a probe ended [Server, Outcome, Latency, Load]
+	EventShared                   // what other agents have out at a server, and may have [Server, Others, Limit]
+	EventPeer                     // a message of another agent [Data], for package peers
 )
 
 // Event is one thing that happened to the agent. The Balancer keeps no slice of it after Handle returns.
@@ -174,6 +178,9 @@
 	Token    uint64
 	ListMode ListMode
 	Servers  []ServerEntry
+	Others   float64
+	Limit    float64
+	Data     []byte
 }
 
 // ActionKind tells which fields of an Action count.
@@ -189,6 +196,7 @@
 	ActProbe                    // ask a server for its load [Server]
 	ActFollow                   // ask for the list and all later changes
 	ActLog                      // a line for the operators [Text]
+	ActTell                     // tell all other agents, of package peers [Data]
 )
 
 // Action is one thing that the caller must do, at once and in the order returned.
@@ -201,4 +209,5 @@
 	Within  time.Duration // the attempt must reach the server within this or not at all; 0 for no limit
 	Token   uint64
 	Text    string
+	Data    []byte // lives until the next Handle
 }
--- a/policy/view.go
+++ b/policy/view.go
@@ -44,6 +44,14 @@
 	return views
 }
 
+// Shares calls a function for each server with what there is to tell other agents of it: the attempts of ours that are
+// out, and the limit that we have learnt.
+func (b *Balancer) Shares(f func(e *ServerEntry, out int, limit float64)) {
+	for _, s := range b.ring {
+		f(&s.ServerEntry, s.inFlight, s.room.Limit())
+	}
+}
+
 // Pressure is the share of the usual requests that the Balancer sheds at present, above 1 where more asks than that.
 func (b *Balancer) Pressure() float64 { return max(0, b.pressure-slack) }
 
