A server that breaks a share of its requests is weighed by it, and ejected only beyond half

Ruled out by a log line at each broken exchange (a probe, not kept): reuse of closed connections (idle times from 0.4 to 490 ms and fresh ones alike, broken 2 to 150 ms after the request). Counts by backend and second showed the cause: seven of ten backends, the older ones, break 25 to 30% of their requests each. Three failures in a row ejected each of them in turn (doubt and blame in balancer.go), so that the one on trial got 106 to 140 requests a second, others 1 to 9 and the sound ones 40; the crowded one pressed and the rest was refused.

Now a moving share of failures weighs a server's speed, by its square, and single failures count towards an ejection only where more than half fails. What does not answer at all is ejected as before.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -37,6 +37,8 @@
 	ejectDoubles    = 3      // times that this doubles while the server stays bad
 	patience        = 3.0    // usual answers' time until an attempt counts as hanging,
 	leastPatience   = 4      // at least this part of the aim: quick answers come in bursts
+	failGain        = 0.1    // weight of an outcome in the share of failures
+	mostFails       = 0.5    // share of failures up to which a server that answers is worth more than none
 	single          = 0.34   // of one that a failure counts soon after an answer: three in a row eject
 	coldMargin      = 0.5    // of overloadFactor that a cold server is sent; the rest is for peaks
 	retryRatio      = 0.2    // retry budget where none is stated: further attempts for each request, as usual
@@ -132,6 +134,11 @@
 	s.slow = 1 + (s.slow-1)*math.Exp2(-(b.now-s.learntAt).Seconds()/(forget*b.classes[0].usual.v))
 	s.slow += weight * (min(max(ratio, 1/maxSlow), maxSlow) - s.slow)
 	s.learntAt = b.now
+	b.rate(s)
+}
+
+// rate has the lines built anew once a server's speed is no longer the one in them.
+func (b *Balancer) rate(s *server) {
 	if math.Abs(b.speed(s)*b.warmth(s)-s.built) > speedStep*s.built {
 		b.epoch++
 	}
@@ -146,7 +153,10 @@
 	if k.recent.known {
 		pace = k.recent.v / b.recent.v
 	}
-	return math.Pow(s.base, 1-known) * math.Pow(max(pace, 1e-3), -known) / s.slow
+	// Danger: were a server that breaks a quarter of its requests ejected for it, and half of the fleet does, the rest
+	// would be crowded and those let in on trial would get all of the traffic in turn.
+	sound := max(s.sound(), 0.1)
+	return sound * sound * math.Pow(s.base, 1-known) * math.Pow(max(pace, 1e-3), -known) / s.slow
 }
 
 // report takes in a server's own figures.
@@ -589,6 +599,14 @@
 // judge draws the conclusions from an outcome.
 func (b *Balancer) judge(c *class, a *attempt, how Outcome, part float64) {
 	s := a.server
+	if h := &s.health[c.index]; how == OK || how == Error || how == Reset {
+		failed := 1.0
+		if how == OK {
+			failed = 0
+		}
+		h.fails += failGain * (failed - h.fails)
+		b.rate(s)
+	}
 	switch how {
 	case OK:
 		s.used, s.fulls = b.now, 0
@@ -650,7 +668,10 @@
 // doubt is what a failure says against a server. Danger: a busy agent meets single failures all the time; if
 // one were enough though answers come in between, half of the healthy would be out and the rest crowded.
 func (b *Balancer) doubt(c *class, s *server) float64 {
-	if s.used > 0 && b.now-s.used < c.Aim {
+	switch answers := s.used > 0 && b.now-s.used < c.Aim; {
+	case answers && s.health[c.index].fails < mostFails:
+		return 0
+	case answers:
 		return single
 	}
 	return 1
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -1498,3 +1499,75 @@
 		t.Errorf("%d of 4 sent, three aims after all have answered", room)
 	}
 }
+
+// Half of the fleet breaks a quarter of its requests, the rest is sound. Each such server used to be ejected after three
+// failures in a row, and whichever was let in on trial got nearly all of the traffic.
+func TestFlakyServersShareTheRest(t *testing.T) {
+	x := start(t, blind(), fleet(10)...)
+	sent, flaky := map[ServerID]int{}, map[ServerID]bool{}
+	for i, s := range x.b.ring {
+		flaky[s.ID] = i%2 == 0
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	type flight struct {
+		at time.Duration
+		id RequestID
+		to ServerID
+	}
+	var out []flight
+	refused := 0
+	for id := RequestID(1); id <= 6000; id++ {
+		x.now += 3 * ms
+		for len(out) > 0 && out[0].at <= x.now {
+			how := OK
+			if flaky[out[0].to] && rng.Float64() < 0.27 {
+				how = Reset
+			}
+			x.ends(out[0].id, 0, how)
+			out = out[1:]
+		}
+		for _, a := range x.ask(id, unsafe) {
+			switch a.Kind {
+			case ActSend:
+				out = append(out, flight{x.now + 60*ms, id, a.Server})
+				if id > 1000 {
+					sent[a.Server]++
+				}
+			case ActRefuse:
+				refused++
+			}
+		}
+	}
+	most, bad, all := 0, 0, 0
+	for id, n := range sent {
+		if all += n; flaky[id] {
+			bad += n
+		}
+		most = max(most, n)
+	}
+	if most > all/7 || refused > 40 {
+		t.Errorf("one server got %d of %d requests, %d were refused", most, all, refused)
+	}
+	if part := float64(bad) / float64(all); part < 0.1 || part > 0.48 {
+		t.Errorf("the flaky half got %.2f of the requests: neither as much as the sound, nor nothing", part)
+	}
+}
+
+// A server that fails more than half is ejected, however often it answers in between.
+func TestMostlyFailingServerIsEjected(t *testing.T) {
+	x := start(t, blind(), fleet(4)...)
+	s := x.b.ring[0]
+	for i := range 40 {
+		x.b.now += 10 * ms
+		s.inFlight++
+		a := &attempt{server: s, sent: x.b.now - 5*ms}
+		how := Error
+		if i%5 == 0 {
+			how = OK
+		}
+		x.b.judge(&x.b.classes[pure], a, how, 0.2)
+	}
+	if s.health[pure].until <= x.b.now {
+		t.Errorf("not ejected with a share of failures of %.2f", s.health[pure].fails)
+	}
+}
