Servers of other zones weigh half where crossing costs

The settings state the agent's zone and the price, and the module read neither.

A line now weighs servers of other zones half where crossing has a price: home is taken first while it is not twice as busy, and what it can't take goes abroad. The paper's weights stay, with speeds so weighed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,7 +42,8 @@
 		ColdFrom, MustAskIn, OverloadFactor, WarmAfter float64
 		ExtraFloor, ExtraWindow, ResendRatio           float64
 	}
-	Tick float64
+	Tick, Zone float64
+	Fees       struct{ CrossZone float64 }
 }
 
 var effects = map[string]policy.Effect{
@@ -83,6 +84,8 @@
 	s := &all.Module
 	*s = policy.Settings{
 		Rank: int(f.Rank), Agents: int(f.ReplicasOfMe),
+		Zone:           int(f.Zone),
+		CrossZone:      f.Fees.CrossZone,
 		AskList:        f.Discovery == "subscribe",
 		MustAskIn:      Millis(f.Rules.MustAskIn),
 		Tick:           Millis(f.Tick),
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -37,6 +37,7 @@
 	ejectDoubles    = 3      // times that this doubles while the server stays bad
 	patience        = 3.0    // usual answers' time until an attempt counts as hanging,
 	leastPatience   = 4      // at least this part of the aim: quick answers come in bursts
+	abroad          = 0.5    // weight of a server in another zone, where crossing costs
 	failGain        = 0.1    // weight of an outcome in the share of failures
 	mostFails       = 0.5    // share of failures up to which a server that answers is worth more than none
 	single          = 0.34   // of one that a failure counts soon after an answer: three in a row eject
@@ -139,7 +140,7 @@
 
 // rate has the lines built anew once a server's speed is no longer the one in them.
 func (b *Balancer) rate(s *server) {
-	if math.Abs(b.speed(s)*b.warmth(s)-s.built) > speedStep*s.built {
+	if math.Abs(b.weight(s)-s.built) > speedStep*s.built {
 		b.epoch++
 	}
 }
@@ -159,6 +160,15 @@
 	return sound * sound * math.Pow(s.base, 1-known) * math.Pow(max(pace, 1e-3), -known) / s.slow
 }
 
+// weight is what a server stands for in a line: what it can do now, less where the way there costs.
+func (b *Balancer) weight(s *server) float64 {
+	w := b.speed(s) * b.warmth(s)
+	if b.set.CrossZone > 0 && s.Zone != b.set.Zone {
+		w *= abroad
+	}
+	return w
+}
+
 // report takes in a server's own figures.
 func (b *Balancer) report(s *server, l Load) {
 	if !l.Known {
@@ -228,8 +238,8 @@
 	var full, cold float64
 	l.speeds, l.pass, l.mu = l.speeds[:0], l.pass[:0], l.mu[:0]
 	for _, s := range l.servers {
-		speed, w := b.speed(s), b.warmth(s)
-		s.built, full = speed*w, full+speed
+		w := b.warmth(s)
+		s.built, full = b.weight(s), full+b.speed(s)
 		l.mu, l.speeds = append(l.mu, s.built), l.speeds.Add(s.built)
 		if w < 1 {
 			cold += s.built
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1571,3 +1571,49 @@
 		t.Errorf("not ejected with a share of failures of %.2f", s.health[pure].fails)
 	}
 }
+
+// Where crossing costs, servers of other zones are sent less while there is room at home, and what home cannot take.
+func TestCrossingCosts(t *testing.T) {
+	share := func(cost float64, every, took time.Duration) (abroad float64, refused int) {
+		s := blind()
+		s.Zone, s.CrossZone = 1, cost
+		list := fleet(9)
+		for i := range list {
+			list[i].Zone = i % 3
+		}
+		x := start(t, s, list...)
+		type flight struct {
+			at time.Duration
+			id RequestID
+		}
+		var out []flight
+		far, all := 0, 0
+		for id := RequestID(1); id <= 3000; id++ {
+			x.now += every
+			for len(out) > 0 && out[0].at <= x.now {
+				x.ends(out[0].id, 0, OK)
+				out = out[1:]
+			}
+			for _, a := range x.ask(id, unsafe) {
+				switch a.Kind {
+				case ActSend:
+					out = append(out, flight{x.now + took, id})
+					if all++; x.b.servers[a.Server].Zone != 1 {
+						far++
+					}
+				case ActRefuse:
+					refused++
+				}
+			}
+		}
+		return float64(far) / float64(all), refused
+	}
+	free, _ := share(0, 6*ms, 100*ms)
+	costly, _ := share(0.03, 6*ms, 100*ms)
+	if free < 0.6 || free > 0.73 || costly > 0.6 {
+		t.Errorf("%.2f of the requests leave the zone for nothing, %.2f where it costs", free, costly)
+	}
+	if busy, refused := share(0.03, 3*ms, 100*ms); refused > 60 || busy < 0.4 {
+		t.Errorf("%d of 3000 refused, %.2f abroad, though home can't take all and others have room", refused, busy)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -66,7 +66,9 @@
 
 // Settings is all that a Balancer is told at its start. New checks it.
 type Settings struct {
-	Rank, Agents   int // this agent's number, from 0, and how many there are
+	Rank, Agents   int     // this agent's number, from 0, and how many there are
+	Zone           int     // this agent's
+	CrossZone      float64 // what a request that leaves it costs, as a part of its worth
 	Classes        []Class
 	Tenants        []Tenant // may be empty
 	Reports        ReportMode
