--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +45,7 @@
 	Options
 	log       *standin.Log
 	discovery *standin.Discovery
+	peers     *network.Datagrams
 	keys      map[string]*standin.Keys // by class and group
 
 	mu       sync.Mutex
@@ -138,6 +140,7 @@
 	f := &fleet{Options: o, keys: map[string]*standin.Keys{}}
 	f.took.rng = rand.New(rand.NewPCG(o.Seed, 1))
 	f.log = standin.NewLog(terms(s, o.Lag), o.Tap)
+	f.peers = network.NewDatagrams(s.Limits.PeerDelay.D(), s.Limits.PeerLoss, o.Seed)
 	f.discovery = standin.NewDiscovery(o.Network, f.log)
 	defer f.discovery.Close()
 	if o.Network.InMemory() {
@@ -389,11 +392,15 @@
 	a.stop, a.ended, a.config = stop, ended, cfg
 	a.dialer, a.door = f.Network.From(a.name), &door{Listener: listener, conns: map[net.Conn]struct{}{}}
 	a.reloads = make(chan *agent.Config)
-	reloads, door, dialer := a.reloads, a.door, a.dialer
+	reloads, door := a.reloads, a.door
+	var reach agent.Network = a.dialer
+	if f.Scenario.Limits.Peers && f.Network.InMemory() {
+		reach = talker{a.dialer, f.peers}
+	}
 	f.mu.Unlock()
 	go func() {
 		defer close(ended)
-		if err := f.Front(ctx, cfg, reloads, door, dialer, f.Log.With("agent", a.name)); err != nil && ctx.Err() == nil {
+		if err := f.Front(ctx, cfg, reloads, door, reach, f.Log.With("agent", a.name)); err != nil && ctx.Err() == nil {
 			f.mu.Lock()
 			f.failure = fmt.Errorf("agent %s: %w", a.name, err)
 			f.mu.Unlock()
@@ -402,6 +409,19 @@
 	return nil
 }
 
+// talker is an agent's network with a way to other agents.
+type talker struct {
+	*network.Dialer
+	peers *network.Datagrams
+}
+
+func (t talker) ListenPacket(addr netip.AddrPort) (agent.PacketConn, error) {
+	return t.peers.Listen(addr), nil
+}
+
+// peerAddr is where an agent hears from others.
+func peerAddr(rank int) string { return fmt.Sprintf("127.255.%d.%d:7946", 1+rank/250, 1+rank%250) }
+
 // configuration is the text that the platform would write for an agent.
 func configuration(s *scenario.Scenario, a *proc, discovery string, seed uint64, known []byte) []byte {
 	type object = map[string]any
@@ -419,6 +439,10 @@
 	for _, c := range s.Accounts {
 		accounts = append(accounts, object{"name": c.Name, "portion": c.Share})
 	}
+	var peers []string
+	for rank := range s.Agents {
+		peers = append(peers, peerAddr(rank))
+	}
 	idle := s.Backends[0].IdleClose
 	for _, b := range s.Backends {
 		idle = min(idle, b.IdleClose)
@@ -433,6 +457,7 @@
 		"name": a.name, "listen": a.addr, "discovery": discovery, "seed": fmt.Sprintf("%x", seed*1000+uint64(a.rank)),
 		"limits": object{"cores": 1, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
 		"known":  json.RawMessage(known),
+		"peers":  peers, "peer_listen": peerAddr(a.rank), "peers_all": network.Everybody.String(),
 		"settings": object{
 			"categories": categories, "accounts": accounts, "localities": zones, "skus": kinds,
 			"replicasOfMe": s.Agents, "rank": a.rank, "tick": 5,
@@ -441,7 +466,7 @@
 				"fields": reportFields, "how": map[string]string{"probe": "on_probe", "answers": "inline", "none": "off"}[s.Limits.Reports],
 			},
 			"limits": object{
-				"maxAttempts": s.Limits.MaxAttempts, "cancel": true, "probes": s.Limits.Probes, "secondCopies": s.Limits.SecondCopies,
+				"maxAttempts": s.Limits.MaxAttempts, "cancel": true, "probes": s.Limits.Probes, "secondCopies": s.Limits.SecondCopies, "peerMessages": s.Limits.Peers,
 				"connectTimeout": ms(s.Limits.ConnectTimeout), "idleClose": ms(idle),
 			},
 			"rules": object{
--- a/internal/fleet/hard_test.go
+++ b/internal/fleet/hard_test.go
@@ -210,3 +210,23 @@
 		})
 	}
 }
+
+// On the days without reports agents hear one another, though part of what they say is lost, and most of what is asked is
+// served: no rule is kept by refusing.
+func TestUnreportedDaysAreServed(t *testing.T) {
+	for _, s := range scenario.Shipped() {
+		if s.Limits.Reports != "none" {
+			continue
+		}
+		r := virtual(t, s, 3, agent.Serve)
+		if r == nil || !r.Kept() {
+			t.Fatalf("%s: %s", s.Name, findings(r))
+		}
+		if share := float64(r.Served) / float64(r.Requests); share < 0.7 {
+			t.Errorf("%s: %.2f of the requests served", s.Name, share)
+		}
+		if r.Messages == 0 {
+			t.Errorf("%s: no agent heard another", s.Name)
+		}
+	}
+}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -26,6 +26,7 @@
 	HungUp      int `json:"hung_up"`
 	Retries     int `json:"retries"` // of clients
 	Attempts    int `json:"attempts"`
+	Messages    int `json:"messages"`     // of one agent that came to another
 	RudeIgnored int `json:"rude_ignored"` // rude requests that got neither an error nor a close
 
 	Lost         int `json:"lost"`
@@ -174,6 +175,7 @@
 			r.Attempts += b.Attempts()
 		}
 	}
+	r.Messages, _ = f.peers.Carried()
 	v := f.log.Verdicts()
 	r.Lost, r.EffectsTwice = v[rules.Lost].Broken, v[rules.Twice].Broken
 	r.DrainsBroken, r.ColdPushed = v[rules.Drain].Broken, v[rules.Cold].Broken
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -120,7 +120,7 @@
 	clear(from.shares)
 	for e := msg[headBytes:]; len(e) > 0; e = e[entryBytes:] {
 		k := uint32(e[0])<<16 | uint32(e[1])<<8 | uint32(e[2])
-		from.shares[k] = share{float64(e[3]), float64(e[4]) / 2}
+		from.shares[k] = share{float64(e[3]), max(1, float64(e[4])/2)} // danger: by a limit of 0 nothing would be sent
 	}
 }
 
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -117,9 +117,12 @@
 	MaxAttempts    int      `toml:"max_attempts"`
 	ConnectTimeout Duration `toml:"connect_timeout"`
 	Probes         bool
-	SecondCopies   bool   `toml:"second_copies"`
-	Reports        string // probe, answers or none
-	MemoryMB       int    `toml:"memory_mb"`
+	SecondCopies   bool     `toml:"second_copies"`
+	Reports        string   // probe, answers or none
+	Peers          bool     // agents may send one another messages; in virtual time only
+	PeerDelay      Duration `toml:"peer_delay"` // of these, on the mean
+	PeerLoss       float64  `toml:"peer_loss"`  // share that is lost
+	MemoryMB       int      `toml:"memory_mb"`
 	Sockets        int
 }
 
@@ -207,7 +210,7 @@
 		Discovery: Discovery{Mode: "push", Notice: Duration(600 * time.Millisecond)},
 		Limits: Limits{
 			MaxAttempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), Probes: true, SecondCopies: true,
-			Reports: "probe", MemoryMB: 192, Sockets: 1024,
+			Reports: "probe", PeerDelay: Duration(8 * time.Millisecond), MemoryMB: 192, Sockets: 1024,
 		},
 		Rules: Rules{
 			Slack: Duration(50 * time.Millisecond), DrainGrace: Duration(2 * time.Second), ColdFrom: 0.32,
@@ -322,6 +325,10 @@
 		return bad("limits.connect_timeout", "must be above 0")
 	case !slices.Contains([]string{"probe", "answers", "none"}, s.Limits.Reports):
 		return bad("limits.reports", "%q is none of probe, answers, none", s.Limits.Reports)
+	case s.Limits.PeerDelay < 0 || s.Limits.PeerDelay > Duration(time.Minute):
+		return bad("limits.peer_delay", "%v is not between 0 and 1 min", s.Limits.PeerDelay.D())
+	case !fraction(s.Limits.PeerLoss):
+		return bad("limits.peer_loss", "%v is no share", s.Limits.PeerLoss)
 	case s.Limits.MemoryMB < 16:
 		return bad("limits.memory_mb", "%d is below 16", s.Limits.MemoryMB)
 	case s.Limits.Sockets < 128:
