--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -45,8 +45,13 @@
 	stranger.WriteToUDPAddrPort([]byte("stranger"), at)
 	friend.WriteToUDPAddrPort(make([]byte, 257), at)
 	friend.WriteToUDPAddrPort([]byte("in"), at)
-	if in := <-l.inputs; in.event.Kind != policy.EventPeer || string(in.event.Data) != "in" {
-		t.Errorf("the loop was given %+v", in.event)
+	select {
+	case in := <-l.inputs:
+		if in.event.Kind != policy.EventPeer || string(in.event.Data) != "in" {
+			t.Errorf("the loop was given %+v", in.event)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("a peer's message did not come")
 	}
 	for range 10 { // more than the loop has room for
 		friend.WriteToUDPAddrPort([]byte("more"), at)
