One place makes deciders; silence counts as before; a flood's test that can fail

Read again: the adapter and the agent each put a Sharer before the module, with an interface of their own; package peers does it now. The share of failures stood in doubt, which silence asks as well, so a server that fell silent soon after an answer counted for nothing; it belongs to errors and broken connections alone and stands there.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -24,7 +24,7 @@
 // run answers batches until the input ends. A reply is written whole or not at all.
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(bufio.NewReaderSize(in, 1<<20))
-	h := host{instances: map[uint32]decider{}}
+	h := host{instances: map[uint32]peers.Decider{}}
 	for {
 		batch, now, err := dec.Batch()
 		if errors.Is(err, io.EOF) {
@@ -52,14 +52,9 @@
 	}
 }
 
-// decider is a decision module, or one that shares counts with other instances.
-type decider interface {
-	Handle(now time.Duration, ev policy.Event, out []policy.Action) []policy.Action
-}
-
 // host keeps the instances of this process apart: each has its own Balancer and nothing else.
 type host struct {
-	instances map[uint32]decider
+	instances map[uint32]peers.Decider
 	enc       wire.Encoder
 	actions   []policy.Action
 }
@@ -67,14 +62,11 @@
 func (h *host) handle(now time.Duration, rec *wire.Record) error {
 	switch rec.Kind {
 	case wire.Create:
-		b, err := policy.New(rec.Settings, rec.Seed)
+		b, err := peers.NewDecider(rec.Settings, rec.Seed)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", rec.Instance, err)
 		}
 		h.instances[rec.Instance] = b
-		if rec.Settings.Peers {
-			h.instances[rec.Instance] = peers.New(b, rec.Settings)
-		}
 	case wire.Detach:
 		delete(h.instances, rec.Instance)
 	case wire.Deliver:
@@ -90,7 +82,7 @@
 }
 
 // deliver hands one event to the module. A panic comes back as text, so that it ends as the wire's own fault.
-func (h *host) deliver(b decider, now time.Duration, rec *wire.Record) (fault string) {
+func (h *host) deliver(b peers.Decider, now time.Duration, rec *wire.Record) (fault string) {
 	defer func() {
 		if p := recover(); p != nil {
 			fault = fmt.Sprint("panic: ", p)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,7 +8,6 @@
 	"os"
 	"slices"
 	"strconv"
-	"time"
 
 	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/settings"
@@ -44,28 +43,13 @@
 }
 
 // Decider decides for an agent: a policy.Balancer, or what that is held against.
-type Decider interface {
-	// Handle takes one event and appends what must be done to out.
-	Handle(now time.Duration, ev policy.Event, out []policy.Action) []policy.Action
-}
+type Decider = peers.Decider
 
 func (c *Config) decider() (Decider, error) {
 	if c.Decide != nil {
 		return c.Decide(c.Settings.Module, c.Seed)
 	}
-	return newDecider(c.Settings.Module, c.Seed)
-}
-
-// newDecider returns the decision module, which shares counts with other agents where the settings allow it.
-func newDecider(s policy.Settings, seed uint64) (Decider, error) {
-	b, err := policy.New(s, seed)
-	if err != nil {
-		return nil, err
-	}
-	if s.Peers {
-		return peers.New(b, s), nil
-	}
-	return b, nil
+	return peers.NewDecider(c.Settings.Module, c.Seed)
 }
 
 // LoadConfig reads and checks the configuration file. Its errors name the field that cannot be used.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -11,6 +11,7 @@
 
 	"example.org/micaline/internal/control"
 	"example.org/micaline/internal/document"
+	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
 )
@@ -97,7 +98,7 @@
 
 // applyDecisions has another module decide for new requests.
 func (a *Agent) applyDecisions(ctx context.Context, s policy.Settings) error {
-	next, err := newDecider(s, a.cfg.Seed+uint64(time.Now().UnixNano()))
+	next, err := peers.NewDecider(s, a.cfg.Seed+uint64(time.Now().UnixNano()))
 	if err != nil {
 		return err
 	}
--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -22,7 +22,7 @@
 }
 
 // Messages go to the address of all, and those of the other agents come to the loop; a stranger's and one that is too
-// long do not. The loop being full, they are lost and nobody waits.
+// long do not.
 func TestPeersTalk(t *testing.T) {
 	all, allAt := udp(t)
 	friend, friendAt := udp(t)
@@ -53,11 +53,32 @@
 	case <-time.After(10 * time.Second):
 		t.Error("a peer's message did not come")
 	}
-	for range 10 { // more than the loop has room for
-		friend.WriteToUDPAddrPort([]byte("more"), at)
-	}
 	c.conn.Close()
-	hearing.Wait() // danger: it would hang on a full loop
+	hearing.Wait()
+}
+
+// flood is a socket with so many messages.
+type flood struct {
+	PacketConn
+	left int
+}
+
+func (f *flood) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	if f.left--; f.left < 0 {
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+	return copy(b, "more"), netip.AddrPort{}, nil
+}
+
+// What the loop has no room for is lost, and nobody waits for it: all is read, and one message has come.
+func TestMessagesToABusyLoopAreLost(t *testing.T) {
+	f := &flood{left: 10}
+	c := &chatter{conn: f, from: map[netip.AddrPort]bool{{}: true}}
+	l := &loop{inputs: make(chan input, 1)}
+	c.hear(t.Context(), l)
+	if f.left != -1 || len(l.inputs) != 1 {
+		t.Errorf("%d messages unread, %d in the loop's hands", f.left+1, len(l.inputs))
+	}
 }
 
 // Agents of different builds name a backend alike: the hash is the published one, whose test vectors these are.
--- a/internal/fleet/hard_test.go
+++ b/internal/fleet/hard_test.go
@@ -214,10 +214,12 @@
 // On the days without reports agents hear one another, though part of what they say is lost, and most of what is asked is
 // served: no rule is kept by refusing.
 func TestUnreportedDaysAreServed(t *testing.T) {
+	played := 0
 	for _, s := range scenario.Shipped() {
 		if s.Limits.Reports != "none" {
 			continue
 		}
+		played++
 		r := virtual(t, s, 3, agent.Serve)
 		if r == nil || !r.Kept() {
 			t.Fatalf("%s: %s", s.Name, findings(r))
@@ -229,4 +231,7 @@
 			t.Errorf("%s: no agent heard another", s.Name)
 		}
 	}
+	if played == 0 {
+		t.Error("no such day ships")
+	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,6 +33,24 @@
 	token = 0xfe << 56
 )
 
+// Decider decides for an agent.
+type Decider interface {
+	// Handle takes one event and appends what must be done to out.
+	Handle(now time.Duration, ev policy.Event, out []policy.Action) []policy.Action
+}
+
+// NewDecider returns the decision module, behind a Sharer where the settings allow messages.
+func NewDecider(s policy.Settings, seed uint64) (Decider, error) {
+	b, err := policy.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	if s.Peers {
+		return New(b, s), nil
+	}
+	return b, nil
+}
+
 // share is what one agent tells of one server.
 type share struct{ out, limit float64 }
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -645,11 +645,11 @@
 		}
 	case Error:
 		// Danger: a quick error looks like a quick answer. It teaches no speed and counts against the server.
-		b.blame(c, s, b.doubt(c, s), "errors")
+		b.failed(c, s, "errors")
 	case Reset, ConnectFailed:
-		if doubt := b.doubt(c, s); doubt < 1 {
+		if b.doubt(c, s) < 1 {
 			if how == Reset {
-				b.blame(c, s, doubt, "connections")
+				b.failed(c, s, "connections")
 			} else { // danger: it takes no more connections, and those out for it would make others take more
 				b.passBy(a)
 			}
@@ -661,6 +661,13 @@
 	}
 }
 
+// failed counts an error or a broken connection against a server, unless it answers most of what it is sent.
+func (b *Balancer) failed(c *class, s *server, why string) {
+	if doubt := b.doubt(c, s); doubt == 1 || s.health[c.index].fails >= mostFails {
+		b.blame(c, s, doubt, why)
+	}
+}
+
 // passBy leaves a server without room alone for a while, longer each time until it answers. Danger: attempts
 // that were out together fail together, and say no more than the first of them.
 func (b *Balancer) passBy(a *attempt) {
@@ -678,10 +685,7 @@
 // doubt is what a failure says against a server. Danger: a busy agent meets single failures all the time; if
 // one were enough though answers come in between, half of the healthy would be out and the rest crowded.
 func (b *Balancer) doubt(c *class, s *server) float64 {
-	switch answers := s.used > 0 && b.now-s.used < c.Aim; {
-	case answers && s.health[c.index].fails < mostFails:
-		return 0
-	case answers:
+	if s.used > 0 && b.now-s.used < c.Aim {
 		return single
 	}
 	return 1
