Probes only as far as what is lost pays for them; repeats find their cell

Now a request is probed for with the chance lost / (2 x price), lost being a moving share of requests not served in their aim: probes cost no more than what is lost. A server's sends since its last report counted for good, so with rare reports idle servers looked full and work was shed; they now fade with the report.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,7 @@
 		ExtraFloor, ExtraWindow, ResendRatio           float64
 	}
 	Tick, Zone float64
-	Fees       struct{ CrossZone float64 }
+	Fees       struct{ CrossZone, Probe float64 }
 }
 
 var effects = map[string]policy.Effect{
@@ -86,6 +86,7 @@
 		Rank: int(f.Rank), Agents: int(f.ReplicasOfMe),
 		Zone:           int(f.Zone),
 		CrossZone:      f.Fees.CrossZone,
+		ProbeFee:       f.Fees.Probe,
 		AskList:        f.Discovery == "subscribe",
 		MustAskIn:      Millis(f.Rules.MustAskIn),
 		Tick:           Millis(f.Tick),
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -288,12 +288,14 @@
 // --- Choosing ---
 
 // draw picks a dedicated server (c is nil), or a pair. Both are nil when no server is ready.
-func (b *Balancer) draw(of *class) (a, c *server) {
-	l := &of.line
+func (b *Balancer) draw(r *request) (a, c *server) {
+	of, l := r.class, &r.class.line
 	if l.epoch != b.epoch || b.now >= l.next {
 		b.rebuild(of)
 	}
 	switch n := len(l.servers); {
+	case len(r.attempts) > 0:
+		return b.mates(r)
 	case n == 0:
 		return nil, nil
 	case n == 1 || b.rng.Float64() < dedicated:
@@ -303,6 +305,21 @@
 	return l.servers[j], l.servers[j+1]
 }
 
+// mates draws by speed where a further attempt may go. Danger: pairs of the line mostly miss who knows the key.
+func (b *Balancer) mates(r *request) (a, c *server) {
+	var open []*server
+	var speeds weighted.Sums
+	for _, s := range r.class.line.servers {
+		if b.may(r, s) {
+			open, speeds = append(open, s), speeds.Add(s.built)
+		}
+	}
+	if len(open) == 0 {
+		return nil, nil
+	}
+	return open[speeds.Pick(b.rng.Float64())], open[speeds.Pick(b.rng.Float64())]
+}
+
 // shorter puts the shorter expected wait of a pair, in flight over speed, first; ties at random.
 func (b *Balancer) shorter(a, c *server) (first, second *server) {
 	if c == nil {
@@ -323,7 +340,7 @@
 		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
 		// while. Of those that are silent a fresh report knows better, but not of those on their way.
 		news := math.Exp2(-(b.now - s.loadAt).Seconds() / (reportLife * b.each(s)))
-		held += (s.load.InFlight-held)*news + float64(s.since)
+		held += (s.load.InFlight - held + float64(s.since)) * news
 		own -= news * float64(s.silent)
 	}
 	return max(held, own)
@@ -365,7 +382,7 @@
 // place sends the request to a server, or lets it wait for probes of a pair, or says that there is no room.
 func (b *Balancer) place(r *request) bool {
 	for ; r.draws < draws; r.draws++ {
-		if a, c := b.draw(r.class); a == nil || b.probe(r, a, c) || b.settle(r, a, c) {
+		if a, c := b.draw(r); a == nil || b.probe(r, a, c) || b.settle(r, a, c) {
 			return a != nil
 		}
 	}
@@ -392,9 +409,11 @@
 	return sent
 }
 
-// probe asks what was drawn for its figures where probes bring any; the request waits for the answers.
+// probe asks what was drawn for its figures where probes bring any; the request waits for the answers. Danger: where a
+// probe has its price all agents together pay more than it saves; it is worth that as far as requests are being lost.
 func (b *Balancer) probe(r *request, a, c *server) bool {
-	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline {
+	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline ||
+		b.set.ProbeFee > 0 && b.rng.Float64()*2*b.set.ProbeFee > b.lost.v {
 		return false // danger: a request that waits for probes past its deadline is lost
 	}
 	asked := false
@@ -703,6 +722,11 @@
 	}
 	if !r.ended {
 		r.ended = true
+		missed := 0.0
+		if ours || b.now > r.aim {
+			missed = 1
+		}
+		b.lost.v += fleetGain * (missed - b.lost.v)
 		if ours && b.mayRefuse(r) {
 			b.act(Action{Kind: ActRefuse, Request: r.id, Wait: b.advice(r.class)})
 		} else if ours {
@@ -798,7 +822,7 @@
 			if a.checks++; a.blamed < 1 && (!answers || a.checks < 2) {
 				b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
 			}
-			if a.checks > 1 || a.lost() {
+			if a.checks > 1 || a.lost() || b.set.ProbeFee > 0 && a.server.loadAt <= a.sent {
 				b.again(r)
 			}
 		}
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -64,7 +64,7 @@
 }
 
 // draw and line are those of the first class.
-func (x *bench) draw() (a, c *server) { return x.b.draw(&x.b.classes[0]) }
+func (x *bench) draw() (a, c *server) { return x.b.draw(&request{class: &x.b.classes[0]}) }
 func (x *bench) line() *line          { return &x.b.classes[0].line }
 
 func ready(id ServerID, weight float64) ServerEntry {
@@ -1261,7 +1261,7 @@
 	x := start(t, settings(), fleet(6)...)
 	on := func(class int, id ServerID) bool {
 		c := &x.b.classes[class]
-		x.b.draw(c)
+		x.b.draw(&request{class: c})
 		return slices.Contains(c.line.servers, x.b.servers[id])
 	}
 	bad := one(t, x.ask(1, unsafe), ActSend).Server
@@ -1617,3 +1617,70 @@
 		t.Errorf("%d of 3000 refused, %.2f abroad, though home can't take all and others have room", refused, busy)
 	}
 }
+
+// Danger: two probes for each request are nothing to one agent, and where they have a price all agents together pay more
+// for them than they save. What is being lost pays: nothing when all is well, and all probes where their price is less.
+func TestProbesAreWorthWhatIsLost(t *testing.T) {
+	probed := func(fee, lost float64) (share float64) {
+		set := settings()
+		set.Reports, set.Probes, set.ProbeFee = ReportsOnProbe, true, fee
+		x := start(t, set, fleet(8)...)
+		const requests = 1000
+		for id := RequestID(1); id <= requests; id++ {
+			x.b.lost.v = lost
+			acts := x.ask(id, pure)
+			if slices.ContainsFunc(acts, func(a Action) bool { return a.Kind == ActProbe }) {
+				share += 1.0 / requests
+			}
+			for _, s := range x.b.ring {
+				acts = append(acts, x.on(Event{Kind: EventProbed, Server: s.ID, Load: Load{Known: true, InFlight: 1}})...)
+			}
+			one(t, acts, ActSend)
+			x.ends(id, 0, OK)
+			x.now += time.Second
+		}
+		return share
+	}
+	for _, c := range []struct{ fee, lost, want float64 }{
+		{0, 0, 1}, {0.1, 0, 0}, {0.1, 0.05, 0.25}, {0.1, 0.2, 1}, {0.004, 0.02, 1},
+	} {
+		if got := probed(c.fee, c.lost); math.Abs(got-c.want) > 0.05 {
+			t.Errorf("at a price of %v, with %v lost, %v of the requests are probed for, want %v", c.fee, c.lost, got, c.want)
+		}
+	}
+}
+
+// Danger: a repeat that only one cell may see would hardly ever be drawn a server of it from the pairs of a long line.
+func TestRepeatsFindTheirCell(t *testing.T) {
+	list := fleet(60)
+	for i := range list {
+		list[i].Cell = i / 6
+	}
+	x := start(t, settings(), list...)
+	for id := RequestID(1); id <= 50; id++ {
+		first := one(t, x.ask(id, byCell), ActSend)
+		x.now += ms
+		second := one(t, x.ends(id, 0, Reset), ActSend)
+		if second.Server == first.Server || (second.Server-1)/6 != (first.Server-1)/6 {
+			t.Fatalf("request %d went to %d, then to %d", id, first.Server, second.Server)
+		}
+		x.ends(id, 1, OK)
+		x.now += time.Minute // so that broken connections are forgotten
+	}
+}
+
+// Danger: where reports are rare, what was sent and answered since the last one would make an idle server look full.
+func TestOldReportForgetsSends(t *testing.T) {
+	x := start(t, settings(), fleet(1)...)
+	s := x.b.ring[0]
+	x.on(Event{Kind: EventProbed, Server: 1, Load: Load{Known: true, InFlight: 0}})
+	for id := RequestID(1); id <= 100; id++ {
+		x.ask(id, pure)
+		x.now += 100 * ms
+		x.ends(id, 0, OK)
+	}
+	x.now += time.Minute
+	if held := x.b.held(s); held > x.b.running.v+0.1 {
+		t.Errorf("%v held at an idle server", held)
+	}
+}
