Restarted agents ask discovery for changes since the list they start with

Seen by a line for each call and each second of each agent, taken out again. discovery began without a revision though the configuration tells that of the known list.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,6 +67,10 @@
 		l.send(input{event: policy.Event{Kind: policy.EventList, ListMode: mode}, members: members})
 	}
 	d := newDiscovery(network, cfg.Discovery, cfg.Settings.Module.AskList, tell, log)
+	// Danger: discovery's work is the lines that it sends, and after a release all agents ask at once.
+	if cfg.known.Complete && len(cfg.known.Members) > 0 {
+		d.revision = cfg.known.Revision
+	}
 	l.follow = d.asked
 	talk, err := openPeers(&cfg.Peers, network)
 	if err != nil {
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -40,6 +40,43 @@
 	}
 }
 
+// An agent that starts with a list asks for what has changed since. Danger: most agents come back at once, and discovery,
+// whose work is the lines that it sends, would turn them away one after the other while they go by their old lists. Where
+// discovery can't tell what has changed it says so, and its whole list is asked for.
+func TestKnownListIsFollowed(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	for _, c := range []struct {
+		name   string
+		answer []byte // to the first call
+		then   string // what the next one asks
+	}{
+		{"changes", hosts(8, false, host("x", x.Addr, "Gone", 0), host("y", y.Addr, "Ready", 0)), "after=8&wait_ms="},
+		{"whole list", hosts(8, true, host("y", y.Addr, "Ready", 0)), "after=8&wait_ms="},
+		{"unknown revision", nil, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLists(t, hosts(2, true, host("y", y.Addr, "Ready", 0)))
+			cfg := config(t, l.Addr, testSettings)
+			known, err := parseList(hosts(5, true, host("x", x.Addr, "Ready", 0)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg.known = known
+			if c.answer == nil {
+				c.answer = hosts(3, false)
+			}
+			start(t, cfg)
+			if q := receive(t, "first call", l.Calls); !strings.HasPrefix(q, "after=5&wait_ms=") {
+				t.Errorf("the first call asks %q", q)
+			}
+			l.Next <- c.answer
+			if q := receive(t, "second call", l.Calls); !strings.HasPrefix(q, c.then) || c.then == "" && q != "" {
+				t.Errorf("the second call asks %q", q)
+			}
+		})
+	}
+}
+
 // A reload moves to another discovery, which is asked for its whole list although its revisions are lower; the old
 // one's watch is given up.
 func TestReload(t *testing.T) {
