Width is learnt over all reports; waiting requests outlive their connection's deadline

Their width, requests that a busy server has in work, stood at 1.1 to 1.5 and rounded to 1, others' at 2.3 of 2: the first of the rare reports settled it, since later ones weighed 1 over answers and reports together. They now weigh 1 over the reports learnt from. One request was lost on zone+vast: two agents got no processor for some 1.5 s, in which a request came on a connection whose idle deadline then passed, and net/http closes such a one without a look. What has come is now read first.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -3,9 +3,14 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
+
+	"example.org/micaline/internal/tcp"
 )
 
 // admission holds the connections of clients. There is room for so many; when it is short, the one that has been
@@ -27,6 +32,18 @@
 	closed bool          // to make room, or by its server
 }
 
+// Read reads. Danger: the deadline of an idle connection may pass while the agent gets no processor, and a request that came
+// in the meantime would be lost with the connection. What has come by then is read.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if raw, ok := c.Conn.(syscall.Conn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n := tcp.Waiting(raw, b); n > 0 {
+			return n, nil
+		}
+	}
+	return n, err
+}
+
 // CloseWrite ends what the agent sends. Danger: without it net/http can't end a connection behind the answer to a
 // request that it has not read, and the client's next bytes would make a reset of it that destroys the answer.
 func (c *clientConn) CloseWrite() error {
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -206,3 +208,45 @@
 		t.Errorf("%d requests went on", n)
 	}
 }
+
+// A request that has come is read although the deadline of its connection has passed, as after a time without processor.
+func TestWaitingRequestOutlivesTheDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &clientConn{Conn: accepted}
+	defer c.Close()
+	c.SetReadDeadline(time.Unix(1, 0))
+	b := make([]byte, 64)
+	if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("%d bytes and %v with nothing sent", n, err)
+	}
+	const sent = "GET /up HTTP/1.1\r\n"
+	io.WriteString(client, sent)
+	var got []byte
+	for begun := time.Now(); len(got) < len(sent) && time.Since(begun) < wait; {
+		n, err := c.Read(b)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		got = append(got, b[:n]...)
+	}
+	if string(got) != sent {
+		t.Errorf("read %q", got)
+	}
+	client.Close()
+	if n, err := c.Read(b); n != 0 || err == nil {
+		t.Errorf("%d bytes and %v from a client that is gone", n, err)
+	}
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -34,3 +34,15 @@
 	})
 	return err == nil && quiet
 }
+
+// Waiting reads what a connection has received, without waiting, whatever its deadline. It returns how many bytes there
+// were, 0 also if the connection has ended.
+func Waiting(c syscall.Conn, b []byte) (n int) {
+	raw, err := c.SyscallConn()
+	if err != nil || len(b) == 0 {
+		return 0
+	}
+	// Control, as Read would mind the deadline.
+	raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
+	return max(n, 0)
+}
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -180,8 +180,8 @@
 		b.recent.add(l.Recent.Seconds(), fleetGain)
 		b.slower(s, l.Recent.Seconds()/k.recent.v, 2*gain)
 		if running := l.Rate * l.Recent.Seconds(); l.InFlight >= 2 && running > 0 {
-			b.running.add(min(running, l.InFlight, 4*b.running.v+4),
-				max(widthGain, 1/(b.seen+1)))
+			b.widths++ // danger: were answers counted too, the first of rare reports would settle it
+			b.running.add(min(running, l.InFlight, 4*b.running.v+4), max(widthGain, 1/b.widths))
 		}
 	}
 	// Danger: where most is shed few answers come, and only reports of idle servers can end that.
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1684,3 +1684,29 @@
 		t.Errorf("%v held at an idle server", held)
 	}
 }
+
+// Danger: where reports are rare, one of a server that had just become busy would say for good that servers take one request
+// at a time; pairs would look crowded and an agent would shed nearly all that it gets.
+func TestOneReportSettlesNoWidth(t *testing.T) {
+	x := start(t, settings(), fleet(4)...)
+	told := func(rate float64) {
+		x.on(Event{Kind: EventProbed, Server: 1, Load: Load{
+			Known: true, InFlight: 4, Queue: -1, Recent: 100 * ms, Rate: rate, Errors: -1,
+		}})
+	}
+	for id := RequestID(1); id <= 200; id++ { // answers say nothing of it
+		x.ask(id, pure)
+		x.now += 10 * ms
+		x.ends(id, 0, OK)
+	}
+	told(11)
+	if got := x.b.width(); got != 1 {
+		t.Fatalf("width %v after one report of 1.1", got)
+	}
+	for range 9 {
+		told(25)
+	}
+	if got := x.b.width(); got != 2 {
+		t.Errorf("width %v after nine reports of 2.5 more", got)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -142,7 +142,8 @@
 	epoch    int       // counts the changes that are worth new lines
 	seen     float64   // answers and reports that kinds' paces were learnt from
 	recent   mean      // reported service time of all servers, seconds
-	running  mean      // requests that a busy server has in work
+	running  mean      // requests that a busy server has in work,
+	widths   float64   // and the reports that this was learnt from
 	open     map[RequestID]*request
 	waiting  []*request // for probes
 	kinds    map[int]*kind
