--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -469,6 +469,7 @@
 				"maxAttempts": s.Limits.MaxAttempts, "cancel": true, "probes": s.Limits.Probes, "secondCopies": s.Limits.SecondCopies, "peerMessages": s.Limits.Peers,
 				"connectTimeout": ms(s.Limits.ConnectTimeout), "idleClose": ms(idle),
 			},
+			"fees": object{"probe": s.Limits.ProbePrice},
 			"rules": object{
 				"coldFrom": s.Rules.ColdFrom, "warmAfter": ms(s.Rules.WarmAfter), "overloadFactor": s.Rules.OverloadFactor,
 				"drainGrace": ms(s.Rules.DrainGrace), "mustAskIn": mustAskIn.Milliseconds(),
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -117,6 +117,7 @@
 	MaxAttempts    int      `toml:"max_attempts"`
 	ConnectTimeout Duration `toml:"connect_timeout"`
 	Probes         bool
+	ProbePrice     float64  `toml:"probe_price"` // of a probe, as a part of a request's worth
 	SecondCopies   bool     `toml:"second_copies"`
 	Reports        string   // probe, answers or none
 	Peers          bool     // agents may send one another messages; in virtual time only
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -600,6 +600,7 @@
 	for field, spoil := range map[string]func(*Settings){
 		"Agents":              func(s *Settings) { s.Agents = 0 },
 		"Rank":                func(s *Settings) { s.Rank = 1 },
+		"ProbeFee":            func(s *Settings) { s.ProbeFee = math.NaN() },
 		"MaxAttempts":         func(s *Settings) { s.MaxAttempts = 0 },
 		"ColdFrom":            func(s *Settings) { s.ColdFrom = math.NaN() },
 		"WarmAfter":           func(s *Settings) { s.WarmAfter = -1 },
--- a/policy/check.go
+++ b/policy/check.go
@@ -13,6 +13,8 @@
 		return bad("Agents", s.Agents)
 	case s.Rank < 0 || s.Rank >= s.Agents:
 		return bad("Rank", s.Rank)
+	case !(s.ProbeFee >= 0):
+		return bad("ProbeFee", s.ProbeFee)
 	case s.MaxAttempts < 1:
 		return bad("MaxAttempts", s.MaxAttempts)
 	case !(s.ColdFrom > 0 && s.ColdFrom <= 1):
