One probe at a time; servers that report failing are ejected; no jam passes for width

Reports told it (7 errors, 0.15 answers a second) and nothing read the figure. report() ejects by it now. Two causes, found by taking out one change after the other: width, learnt over all reports, took a jam for room (2 to 5 in 30 s, as reported times include waiting); and probes cheap at 0.004 stopped while nothing was lost, so that all jammed before they began. Width settles by 30 reports (internal/limit), and a hundredth of the requests pays for probes even while none are lost.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -20,41 +20,41 @@
 	requestsEach    = 10   // requests in retrySpan for each server of the line: busier agents use more servers
 	shortestLine    = 6    // servers on a line at least: two may be out and pairs still differ
 	draws           = 3    // draws before a request has nowhere to go
-	crowd           = 1.4  // waiting requests over the root of those served at once: beyond, servers jam,
+	crowd           = 2.2  // waiting requests over the root of those served at once: beyond, servers jam,
 	crowdAlone      = 3.0  // where this agent is the only one and knows all that is sent
 	speedStep       = 0.1  // change of speed that is worth a new line; less is noise
 	gain            = 0.15 // weight of a sample of one server: a dozen settle a mean
 	fleetGain       = gain / 4
-	widthGain       = 0.0005 // width is the machines': a jam has more in work and is not to pass for it
-	kindDoubt       = 8.0    // answers after which a kind's learnt speed counts as much as the list's weights
-	maxSlow         = 8.0    // slower than this is the business of ejection
-	forget          = 40.0   // usual answers' time after which half of a learnt speed is forgotten
-	reportLife      = 6.0    // service times that half of a report's news lasts, as queues do
-	fullFor         = 3.0    // usual answers' time that a server which was full stays passed by
-	fullDoubles     = 4      // times that this doubles until it answers
-	ejectShare      = 0.75   // of the servers at most: more looking bad at once is overload or our own blindness
-	ejectFor        = 8.0    // aims that a first ejection lasts
-	ejectDoubles    = 3      // times that this doubles while the server stays bad
-	patience        = 3.0    // usual answers' time until an attempt counts as hanging,
-	leastPatience   = 4      // at least this part of the aim: quick answers come in bursts
-	abroad          = 0.5    // weight of a server in another zone, where crossing costs
-	failGain        = 0.1    // weight of an outcome in the share of failures
-	mostFails       = 0.5    // share of failures up to which a server that answers is worth more than none
-	single          = 0.34   // of one that a failure counts soon after an answer: three in a row eject
-	coldMargin      = 0.5    // of overloadFactor that a cold server is sent; the rest is for peaks
-	retryRatio      = 0.2    // retry budget where none is stated: further attempts for each request, as usual
-	retryFloor      = 3.0    // and so many besides,
-	retrySpan       = 5.0    // in any so many seconds
-	aimShare        = 0.5    // of the aim that a usual answer may take before work is shed
-	mostPressure    = 2.0    // clients that repeat what is refused take more than one refusal to stop
-	slack           = 0.15   // pressure that noise alone builds: it sheds nothing
-	pressureGain    = 0.2    // of the intake shed for an answer one aim off: a few late answers halve it
-	easeOver        = 16.0   // aims in which pressure halves by itself,
-	easeBlind       = 1.0    // where servers report nothing and it comes of limits that bind
-	roomy           = 0.4    // what a request that found room presses there: one without outweighs five with
-	trickle         = 0.03   // let through under any pressure, to learn when it is over
-	mixPrior        = 10.0   // requests' worth of belief in the tenants' stated shares
-	mixLife         = 200    // requests over which the tenants' mix is remembered
+	kindDoubt       = 8.0  // answers after which a kind's learnt speed counts as much as the list's weights
+	maxSlow         = 8.0  // slower than this is the business of ejection
+	forget          = 40.0 // usual answers' time after which half of a learnt speed is forgotten
+	reportLife      = 6.0  // service times that half of a report's news lasts, as queues do
+	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
+	fullDoubles     = 4    // times that this doubles until it answers
+	ejectShare      = 0.75 // of the servers at most: more looking bad at once is overload or our own blindness
+	ejectFor        = 8.0  // aims that a first ejection lasts
+	ejectDoubles    = 3    // times that this doubles while the server stays bad
+	patience        = 3.0  // usual answers' time until an attempt counts as hanging,
+	leastPatience   = 4    // at least this part of the aim: quick answers come in bursts
+	abroad          = 0.5  // weight of a server in another zone, where crossing costs
+	failGain        = 0.1  // weight of an outcome in the share of failures
+	mostFails       = 0.5  // share of failures up to which a server that answers is worth more than none
+	single          = 0.34 // of one that a failure counts soon after an answer: three in a row eject
+	coldMargin      = 0.5  // of overloadFactor that a cold server is sent; the rest is for peaks
+	retryRatio      = 0.2  // retry budget where none is stated: further attempts for each request, as usual
+	retryFloor      = 3.0  // and so many besides,
+	retrySpan       = 5.0  // in any so many seconds
+	foresight       = 0.01 // of the requests is worth its probes though none are lost: after a jam they come late
+	aimShare        = 0.5  // of the aim that a usual answer may take before work is shed
+	mostPressure    = 2.0  // clients that repeat what is refused take more than one refusal to stop
+	slack           = 0.15 // pressure that noise alone builds: it sheds nothing
+	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
+	easeOver        = 16.0 // aims in which pressure halves by itself,
+	easeBlind       = 1.0  // where servers report nothing and it comes of limits that bind
+	roomy           = 0.4  // what a request that found room presses there: one without outweighs five with
+	trickle         = 0.03 // let through under any pressure, to learn when it is over
+	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
+	mixLife         = 200  // requests over which the tenants' mix is remembered
 )
 
 // --- The list ---
@@ -115,14 +115,13 @@
 		// Danger: where nothing tells how many it serves at once, our own in flight may be no queue at all: who is sent
 		// more would look faster and be sent more again, until it jams.
 		if ratio /= k.ratio.v; b.set.Reports != ReportsOff {
-			ratio /= 1 + float64(s.inFlight)/b.width()
+			ratio /= 1 + float64(s.inFlight)/b.width.Requests()
 		}
 		b.slower(s, ratio, gain)
 	}
 }
 
-// learn takes in how long a kind takes; a cold server is no example. Danger: a kind with more, slower cores
-// takes longer and does as much; where queues are told, they show it.
+// learn takes in how long a kind takes; a cold server is no example.
 func (b *Balancer) learn(s *server, pace *mean, sample float64) {
 	if k := b.kind(s); (b.warmth(s) == 1 || !pace.known) && !s.tellsQueue() {
 		k.seen, b.seen = k.seen+1, b.seen+1
@@ -179,30 +178,31 @@
 		b.learn(s, &k.recent, l.Recent.Seconds())
 		b.recent.add(l.Recent.Seconds(), fleetGain)
 		b.slower(s, l.Recent.Seconds()/k.recent.v, 2*gain)
-		if running := l.Rate * l.Recent.Seconds(); l.InFlight >= 2 && running > 0 {
-			b.widths++ // danger: were answers counted too, the first of rare reports would settle it
-			b.running.add(min(running, l.InFlight, 4*b.running.v+4), max(widthGain, 1/b.widths))
+		b.width.Report(l.Rate, l.Recent.Seconds(), l.InFlight)
+	}
+	if told := l.Errors + l.Rate; l.Errors >= 0 && l.Rate >= 0 && told > 0 {
+		// Danger: an agent meets most servers seldom, and each of many would have to be failed for itself.
+		for i := range b.classes {
+			c, h := &b.classes[i], &s.health[i]
+			if h.fails = l.Errors / (told + 1); h.fails >= mostFails && b.doubt(c, s) == 1 {
+				b.blame(c, s, 1, "errors that it reports")
+			}
 		}
 	}
-	// Danger: where most is shed few answers come, and only reports of idle servers can end that.
-	if width := b.width(); b.tellsCrowd(s) {
+	if width := b.width.Requests(); b.tellsCrowd(s) {
 		over := max(0, l.InFlight-width)
 		if l.Queue >= 0 {
 			b.queue.add(over/width, fleetGain)
 		}
-		b.press(min(1, over/(2*b.crowd*math.Sqrt(width))))
+		b.press(min(1, over/(2*b.crowd*math.Sqrt(width)))) // where most is shed, only reports of idle servers end it
 	}
 }
 
 // tellsCrowd says whether a server's reports say how crowded it is.
 func (b *Balancer) tellsCrowd(s *server) bool {
-	return s.tellsQueue() || s.load.Known && s.load.InFlight >= 0 && b.running.known
+	return s.tellsQueue() || s.load.Known && s.load.InFlight >= 0 && b.width.Known()
 }
 
-// width is how many requests a server has in work when it is just busy. Danger: were it learnt for each kind,
-// one that is sent little would look narrow, so crowded, and be sent less.
-func (b *Balancer) width() float64 { return max(1, math.Floor(b.running.v+0.5)) }
-
 // --- The line ---
 
 // eligible is placement: whether a class may ever go to a server.
@@ -335,7 +335,7 @@
 // held is what a server has in hand: our attempts and what other agents tell, or its report as far as that holds, or
 // the usual.
 func (b *Balancer) held(s *server) float64 {
-	held, own := b.running.v, float64(s.inFlight)+s.others
+	held, own := b.width.Mean(), float64(s.inFlight)+s.others
 	if s.load.Known && s.load.InFlight >= 0 {
 		// Danger: attempts that are lost stay out until they time out, and their server would look busy all the
 		// while. Of those that are silent a fresh report knows better, but not of those on their way.
@@ -357,9 +357,9 @@
 // crowded says that a request would be late behind what the server holds, or help to jam it. Who had room is
 // not crowded: where nobody sends, old figures stay for good.
 func (b *Balancer) crowded(r *request, s *server) bool {
-	held, width := b.held(s), b.width()
+	held, width := b.held(s), b.width.Requests()
 	switch {
-	case s.probing || b.now < s.full: // it does not even answer a probe, or had no room
+	case s.probing || b.now < max(s.full, s.health[r.class.index].until): // not even a probe is answered, or no room
 		return true
 	case b.set.Reports == ReportsOff:
 		return held >= s.limit()
@@ -379,61 +379,63 @@
 	return s.room.Limit()
 }
 
-// place sends the request to a server, or lets it wait for probes of a pair, or says that there is no room.
+// place sends the request to a server, or lets it wait for a probe, or says that there is no room.
 func (b *Balancer) place(r *request) bool {
 	for ; r.draws < draws; r.draws++ {
-		if a, c := b.draw(r); a == nil || b.probe(r, a, c) || b.settle(r, a, c) {
-			return a != nil
+		if r.a, r.c = b.draw(r); r.a == nil {
+			return false
+		}
+		if r.looks = 0; b.settle(r) {
+			return true
 		}
 	}
 	return false
 }
 
-// settle decides between a pair and sends. A crowded or cold server is passed by for the other.
-func (b *Balancer) settle(r *request, a, c *server) bool {
-	a, c = b.shorter(a, c)
-	aFull, cFull := b.crowded(r, a), c == nil || b.crowded(r, c)
+// settle decides between the pair drawn and sends. A crowded or cold server is passed by for the other.
+func (b *Balancer) settle(r *request) bool {
+	first, second := b.shorter(r.a, r.c)
+	full := true
+	for _, s := range [2]*server{first, second} {
+		if s == nil || !b.probe(r, s) && b.crowded(r, s) {
+			continue
+		}
+		full = false
+		if r.asked != nil || b.send(r, s) {
+			if b.set.Reports == ReportsOff {
+				b.press(roomy) // danger: what found no room has pressed, and nothing else would tell that there is room
+			}
+			return true
+		}
+	}
 	// Danger: a pair that has rejected something a moment ago is no crowd. It would press at every draw, and the
 	// refusals make themselves lasting.
-	if aFull && cFull && b.now >= a.full {
+	if full && b.now >= first.full {
 		part := 1.0
 		if r.draws < draws-1 { // another pair may have room, which an agent alone will see and others take
 			part = aimShare + (1-aimShare)*b.herd
 		}
 		b.press(part)
 	}
-	sent := !aFull && b.send(r, a) || !cFull && b.send(r, c)
-	if sent && b.set.Reports == ReportsOff {
-		b.press(roomy) // danger: what found no room has pressed, and nothing else would tell that there is room
-	}
-	return sent
+	return false
 }
 
-// probe asks what was drawn for its figures where probes bring any; the request waits for the answers. Danger: where a
-// probe has its price all agents together pay more than it saves; it is worth that as far as requests are being lost.
-func (b *Balancer) probe(r *request, a, c *server) bool {
-	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline ||
-		b.set.ProbeFee > 0 && b.rng.Float64()*2*b.set.ProbeFee > b.lost {
+// probe asks the server that a request is about to go to for its figures; the request waits for them. Danger: where a
+// probe has its price all agents together pay more than it saves. It is worth that as far as requests are being lost.
+func (b *Balancer) probe(r *request, s *server) bool {
+	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline || r.looks > 1 ||
+		s.load.Known && s.loadAt+2*b.set.Tick >= b.now || b.set.ProbeFee*b.rng.Float64() > max(b.lost, foresight) {
 		return false // danger: a request that waits for probes past its deadline is lost
 	}
-	asked := false
-	for _, s := range [2]*server{a, c} {
-		if s == nil || s.load.Known && s.loadAt+2*b.set.Tick >= b.now {
-			continue
-		}
-		asked = true
-		if !s.probing {
-			s.probing = true
-			b.act(Action{Kind: ActProbe, Server: s.ID})
-		}
-	}
-	if asked {
-		r.a, r.c = a, c
-		b.waiting = append(b.waiting, r)
-		b.act(Action{Kind: ActTimer, Token: tokenWait | uint64(r.id),
-			Wait: min(6*b.set.Tick, r.deadline-b.now)})
+	r.looks++
+	r.asked = s
+	b.waiting = append(b.waiting, r)
+	if !s.probing {
+		s.probing = true
+		b.act(Action{Kind: ActProbe, Server: s.ID})
 	}
-	return asked
+	b.act(Action{Kind: ActTimer, Token: tokenWait | uint64(r.id), Wait: min(6*b.set.Tick, r.deadline-b.now)})
+	return true
 }
 
 func (b *Balancer) onProbed(ev *Event) {
@@ -444,25 +446,23 @@
 	if s.probing = false; ev.Outcome == OK {
 		b.report(s, ev.Load)
 	}
-	b.resume(func(r *request) bool {
-		return (r.a == s || r.c == s) && !r.a.probing && (r.c == nil || !r.c.probing)
-	})
+	b.resume(func(r *request) bool { return r.asked == s })
 }
 
-// resume goes on with the waiting requests whose probes are back or overdue.
+// resume goes on with the waiting requests whose probe is back or overdue.
 func (b *Balancer) resume(ready func(*request) bool) {
-	for i := 0; i < len(b.waiting); i++ {
-		r := b.waiting[i]
+	for _, r := range slices.Clone(b.waiting) {
 		if !ready(r) {
 			continue
 		}
-		b.waiting = slices.Delete(b.waiting, i, i+1)
-		i--
-		r.draws++
+		b.waiting = slices.DeleteFunc(b.waiting, func(o *request) bool { return o == r })
 		if r.a.probing && (r.c == nil || r.c.probing) {
-			r.a.probing = false // danger: where no probe is answered, each would be refused
+			r.asked.probing = false // danger: where no probe is answered, each would be refused
+		}
+		if r.asked = nil; r.ended || b.settle(r) {
+			continue
 		}
-		if !r.ended && !b.settle(r, r.a, r.c) && !b.place(r) {
+		if r.draws++; !b.place(r) {
 			b.end(r, true)
 		}
 	}
@@ -549,8 +549,7 @@
 	return true
 }
 
-// remembered is how long the servers go on to drop a repeat of the request, 0 if they need not. Danger: a
-// connection takes time to come up, and a repeat sent when it is up may be too late.
+// remembered is how long the servers go on to drop a repeat of the request, 0 if they need not.
 func (r *request) remembered(now time.Duration) (within time.Duration) {
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.ran && r.class.Effect == Token {
@@ -788,12 +787,11 @@
 	}
 }
 
-// again sends a second copy of a request whose attempt is silent, while one may still be in time. Danger:
-// servers may swallow some requests and answer others, and only silence tells; dead connections are covered
-// too. Where many are late copies would add to it: then patience outlasts the aim, pairs are crowded and the
-// retry budget ends. It hurts where answers vary widely though nothing is lost.
+// again sends a second copy of a request whose attempt is silent, while one may still be in time. Danger: servers may
+// swallow some requests and answer others, and only silence tells. Where many are late copies would add to it: then
+// patience outlasts the aim, pairs are crowded and the retry budget ends.
 func (b *Balancer) again(r *request) {
-	if r.class.Effect != SideEffect && r.out == 1 && b.now+seconds(r.class.usual.v) < r.aim {
+	if r.class.Effect != SideEffect && r.out == 1 && r.asked == nil && b.now+seconds(r.class.usual.v) < r.aim {
 		r.draws = 0
 		b.place(r)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -87,7 +87,9 @@
 	out           int // attempts out
 	ended         bool
 	draws         int
-	a, c          *server // the pair whose probes it waits for
+	a, c          *server // the pair drawn last
+	asked         *server // of these, the one whose probe it waits for, nil if it waits for none
+	looks         int     // probes that it has waited for since the draw
 }
 
 type class struct {
@@ -142,8 +144,7 @@
 	epoch    int       // counts the changes that are worth new lines
 	seen     float64   // answers and reports that kinds' paces were learnt from
 	recent   mean      // reported service time of all servers, seconds
-	running  mean      // requests that a busy server has in work,
-	widths   float64   // and the reports that this was learnt from
+	width    limit.Width
 	open     map[RequestID]*request
 	waiting  []*request // for probes
 	kinds    map[int]*kind
