Lines of fifteen agents to a server in place of thirty; servers in doubt are probed first

What an agent learns of a server it learns from its own line, and on 22 servers a request a second each is little.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -16,7 +16,7 @@
 const (
 	dedicated       = 0.1  // p: a little blind traffic keeps agents from moving as one
 	epsilonShare    = 0.5  // of the bound on epsilon: farthest from both ends, where a pair starves
-	agentsPerServer = 30   // agents that share a server: fewer spread unevenly, more know it worse
+	agentsPerServer = 15   // agents that share a server: fewer spread unevenly, more know it worse
 	requestsEach    = 10   // requests in retrySpan for each server of the line: busier agents use more servers
 	shortestLine    = 6    // servers on a line at least: two may be out and pairs still differ
 	draws           = 3    // draws before a request has nowhere to go
@@ -423,12 +423,12 @@
 // probe asks the server that a request is about to go to for its figures; the request waits for them. Danger: where a
 // probe has its price all agents together pay more than it saves. It is worth that as far as requests are being lost.
 func (b *Balancer) probe(r *request, s *server) bool {
+	worth := max(b.lost, foresight, s.health[r.class.index].bad) // danger: what has failed of late is let in on trial
 	if !b.set.Probes || b.set.Reports == ReportsOff || b.now >= r.deadline || r.looks > 1 ||
-		s.load.Known && s.loadAt+2*b.set.Tick >= b.now || b.set.ProbeFee*b.rng.Float64() > max(b.lost, foresight) {
+		s.load.Known && s.loadAt+2*b.set.Tick >= b.now || b.set.ProbeFee*b.rng.Float64() > worth {
 		return false // danger: a request that waits for probes past its deadline is lost
 	}
-	r.looks++
-	r.asked = s
+	r.asked, r.looks = s, r.looks+1
 	b.waiting = append(b.waiting, r)
 	if !s.probing {
 		s.probing = true
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1705,6 +1705,28 @@
 	}
 }
 
+// A server that is let in again on trial may still be bad: it is asked first, though nothing is being lost elsewhere.
+func TestServersInDoubtAreProbed(t *testing.T) {
+	s := settings()
+	s.Probes, s.Reports, s.ProbeFee = true, ReportsOnProbe, 0.08
+	for _, c := range []struct{ bad, least, most float64 }{{0, 0, 0.3}, {0.5, 1, 1}} {
+		probed := 0.0
+		for id := range RequestID(100) {
+			x := start(t, s, fleet(2)...)
+			x.b.rng = rand.New(rand.NewPCG(uint64(id), 0))
+			for _, s := range x.b.ring {
+				s.health[pure].bad = c.bad
+			}
+			if slices.ContainsFunc(x.ask(id, pure), func(a Action) bool { return a.Kind == ActProbe }) {
+				probed += 0.01
+			}
+		}
+		if probed < c.least-1e-9 || probed > c.most {
+			t.Errorf("with failures of %v, %.2f of the requests were probed for", c.bad, probed)
+		}
+	}
+}
+
 // Danger: a repeat that only one cell may see would hardly ever be drawn a server of it from the pairs of a long line.
 func TestRepeatsFindTheirCell(t *testing.T) {
 	list := fleet(60)
