--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1709,8 +1709,11 @@
 func TestServersInDoubtAreProbed(t *testing.T) {
 	s := settings()
 	s.Probes, s.Reports, s.ProbeFee = true, ReportsOnProbe, 0.08
-	for _, c := range []struct{ bad, least, most float64 }{{0, 0, 0.3}, {0.5, 1, 1}} {
-		probed := 0.0
+	for _, c := range []struct {
+		bad         float64
+		least, most int
+	}{{0, 0, 30}, {0.5, 100, 100}} {
+		probed := 0
 		for id := range RequestID(100) {
 			x := start(t, s, fleet(2)...)
 			x.b.rng = rand.New(rand.NewPCG(uint64(id), 0))
@@ -1718,11 +1721,11 @@
 				s.health[pure].bad = c.bad
 			}
 			if slices.ContainsFunc(x.ask(id, pure), func(a Action) bool { return a.Kind == ActProbe }) {
-				probed += 0.01
+				probed++
 			}
 		}
-		if probed < c.least-1e-9 || probed > c.most {
-			t.Errorf("with failures of %v, %.2f of the requests were probed for", c.bad, probed)
+		if probed < c.least || probed > c.most {
+			t.Errorf("with failures of %v, %d of 100 requests were probed for", c.bad, probed)
 		}
 	}
 }
