Levels of reduced service stand before the decision module; ctl shows and holds them

An operator could not say what goes first in a peak, nor see which state of need an instance is in. Levels come from deploy/operators.toml and are off without it. judge.go is the one place of the order of judgement: level, then module. What a level refuses has been sent nowhere: 503 at once, with its name, the reason and Retry-After; counted by name. It may take second copies, retries and probes from the module (policy.Allow). `micaline ctl level`, `hold-level`, `release-level`, the API's /v1/level.

--- a/cmd/micaline-manage/main_test.go
+++ b/cmd/micaline-manage/main_test.go
@@ -40,6 +40,8 @@
 
 // instance is one that takes whatever it is told.
 type instance struct {
+	control.Instance // of which nothing calls more than what follows
+
 	name string
 	base settings.Settings
 }
@@ -90,7 +92,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	server := control.NewServer(&instance{name, base}, control.Options{Epoch: name + "-e1", Door: d})
+	server := control.NewServer(&instance{name: name, base: base}, control.Options{Epoch: name + "-e1", Door: d})
 	go server.Serve(l[0])
 	s.t.Cleanup(func() { server.Close() })
 	return l[0].Addr().String()
--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.Levels = ops.Levels
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
--- a/cmd/micaline/main_test.go
+++ b/cmd/micaline/main_test.go
@@ -280,7 +280,7 @@
 	if err := os.Mkdir(filepath.Join(cmd.Dir, "deploy"), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(cmd.Dir, "deploy", "operators.toml"), fmt.Appendf(nil, "[control]\nunix = %q\n", socket), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(cmd.Dir, "deploy", "operators.toml"), fmt.Appendf(nil, "[control]\nunix = %q\n[[levels.level]]\nname = \"lean\"\nno_retries = true\n", socket), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if err := cmd.Start(); err != nil {
@@ -337,6 +337,18 @@
 		t.Errorf("drained: %s", out)
 	}
 	ctl(0, "undrain")
+	if out := ctl(0, "level"); !strings.Contains(out, "normal") || !strings.Contains(out, "in aim unknown") {
+		t.Errorf("level: %s", out)
+	}
+	ctl(2, "hold-level", "lean")
+	ctl(4, "hold-level", "none", "--why", "a fair")
+	if out := ctl(0, "hold-level", "lean", "--for", "1h", "--why", "a fair"); !strings.Contains(out, "level lean, held for 1h") && !strings.Contains(out, "level lean, held for 59m") {
+		t.Errorf("held: %s", out)
+	}
+	if out := ctl(0, "level"); !strings.Contains(out, "held by hand") || !strings.Contains(out, "a fair") {
+		t.Errorf("level: %s", out)
+	}
+	ctl(0, "release-level")
 	before := ctl(0, "show", "-o", "json")
 	ctl(0, "reload")
 	if after := ctl(0, "show", "-o", "json"); !strings.Contains(before, `"configuration": "`) || !strings.Contains(after, `"configuration": "`) {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 
+	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
@@ -29,6 +30,8 @@
 	Settings  settings.Settings
 	Peers     Peers // used where the settings allow it
 
+	Levels level.Config // of reduced service, from the operators' file; none where it is empty
+
 	// Decide makes what decides for the agent; nil is policy.New.
 	Decide func(policy.Settings, uint64) (Decider, error)
 
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -114,6 +114,7 @@
 	l.current = &module{Decider: d}
 	l.modules = append(l.modules, l.current)
 	l.decisions = s
+	l.allow()
 	var entries []policy.ServerEntry
 	for _, e := range l.listed {
 		entries = append(entries, l.held(e))
--- a/internal/agent/counts.go
+++ b/internal/agent/counts.go
@@ -8,6 +8,7 @@
 // counts are the requests since the start, by how they ended.
 type counts struct {
 	requests, inAim, served, refused, failed, left int64
+	byLevel                                        int64 // of the refused, those that came to no module
 
 	causes map[cause]int64 // of refusals and failures: as many as there are classes and outcomes
 }
@@ -34,7 +35,10 @@
 		c.failed++
 	}
 	why := "no room" // nothing was sent for it
-	if len(r.attempts) > 0 {
+	switch {
+	case r.refusedBy != "":
+		why = r.refusedBy
+	case len(r.attempts) > 0:
 		why = r.last.String()
 	}
 	c.causes[cause{status == statusRefused, r.class, why}]++
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"math"
@@ -11,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
 )
@@ -66,6 +68,8 @@
 	out      int                  // attempts out
 	last     policy.Outcome       // of the attempts that are back
 	ended    bool                 // answered, or its client is gone
+
+	refusedBy string // what refused it before a module saw it
 }
 
 // module is a decision module. There is one, but for the time after a change of what is decided by: then the one before
@@ -106,6 +110,10 @@
 	listed   map[policy.ServerID]policy.ServerEntry // as discovery tells
 	holds    map[policy.ServerID]time.Duration      // of the clock, until when operators hold a backend out
 	counts   counts
+	levels   *level.Machine // nil: there are none
+	every    time.Duration  // between looks at their figures
+	heard    time.Duration  // of the clock, when discovery last told anything
+	looked   counts         // as the levels last saw them
 	timers   timers
 	events   []decision // to be handed over
 	actions  []policy.Action
@@ -117,7 +125,7 @@
 		return nil, err
 	}
 	first := &module{Decider: decider}
-	return &loop{
+	l := &loop{
 		set: &cfg.Settings, clock: clock{time.Now()}, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
 		listed: map[policy.ServerID]policy.ServerEntry{}, holds: map[policy.ServerID]time.Duration{},
 		counts:   counts{causes: map[cause]int64{}},
@@ -128,7 +136,22 @@
 		targets:  map[policy.ServerID]*target{},
 		requests: map[policy.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
-	}, nil
+	}
+	if c := &cfg.Levels; c.On() {
+		over := level.Service{}
+		for i, name := range cfg.Settings.Classes {
+			over.Classes = append(over.Classes, level.Class{Name: name, Effect: cfg.Settings.Module.Classes[i].Effect})
+		}
+		for _, t := range cfg.Settings.Module.Tenants {
+			over.Portions = append(over.Portions, t.Portion)
+		}
+		if err := c.Fits(&over); err != nil {
+			return nil, fmt.Errorf("levels.%w", err)
+		}
+		l.heard, l.every = l.clock.now(), c.Every.D()
+		l.levels = level.New(c, &over, cfg.Seed, l.heard)
+	}
+	return l, nil
 }
 
 // send hands an input to the loop, unless that has ended.
@@ -146,6 +169,12 @@
 	defer wake.Stop()
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	var looks <-chan time.Time // at the figures of the level; never where there are none
+	if l.levels != nil {
+		t := time.NewTicker(l.every)
+		defer t.Stop()
+		looks = t.C
+	}
 	for {
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
@@ -164,6 +193,8 @@
 			l.pool.sweep()
 			l.callIDs.age()
 			l.endHolds(ctx)
+		case <-looks:
+			l.lookAtLevel()
 		case <-ctx.Done():
 			return
 		}
@@ -184,6 +215,7 @@
 		ev.Servers = l.entries(in.members)
 		l.handleAll(ctx, ev)
 		if ev.ListMode != policy.ListFailed {
+			l.heard = l.clock.now()
 			l.forgetGone(ev.ListMode, ev.Servers)
 			l.ready.Store(len(l.targets) > 0 || l.ready.Load())
 		}
@@ -199,6 +231,11 @@
 		l.counts.requests++
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
 		ev.Left = in.call.deadline - l.clock.now()
+		if a, refused := l.judge(r); refused {
+			l.end(r, a)
+			l.forget(r)
+			return
+		}
 		l.handle(ctx, r.module, ev)
 	case policy.EventHangup:
 		r := l.requests[in.call.id]
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -101,6 +101,22 @@
 	return &v, c.once(ctx, id, http.MethodPut, path, map[string]float64{"for_s": seconds}, &v)
 }
 
+// Level asks for the level of service.
+func (c *Client) Level(ctx context.Context) (*Level, error) {
+	var v Level
+	return &v, c.call(ctx, http.MethodGet, "level", nil, &v)
+}
+
+// HoldLevel keeps a level for so many seconds and says why; 0 lets the figures decide again. A repeat under an id does nothing;
+// "" is a new one.
+func (c *Client) HoldLevel(ctx context.Context, id, level string, seconds float64, why string) (*Level, error) {
+	var v Level
+	if seconds == 0 {
+		return &v, c.once(ctx, id, http.MethodDelete, "level", nil, &v)
+	}
+	return &v, c.once(ctx, id, http.MethodPut, "level", map[string]any{"level": level, "for_s": seconds, "why": why}, &v)
+}
+
 // SetTaking says whether the instance takes requests.
 func (c *Client) SetTaking(ctx context.Context, id string, on bool) (*Taking, error) {
 	var v Taking
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -70,6 +70,17 @@
 	return backend == "x", nil
 }
 
+func (f *fake) Level(context.Context) (*Level, error) {
+	return &Level{Level: "lean", Levels: []string{"normal", "lean"}, Figures: []string{}, Refusals: []LevelRefusal{{"lean", "class", 3}}, History: []LevelChange{}}, nil
+}
+
+func (f *fake) HoldLevel(ctx context.Context, name string, d time.Duration, _ string) (*Level, error) {
+	if d > 0 && name != "lean" {
+		return nil, errors.New("there is no such level")
+	}
+	return f.Level(ctx)
+}
+
 func (f *fake) SetTaking(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -263,6 +274,9 @@
 		{"older manager", prepare("z", proposal(t, someWorth)), 412, ""},
 		{"not prepared", func() error { _, err := c.Commit(ctx, "z", 5); return err }(), 409, ""},
 		{"hold of nobody", func() error { _, err := c.Hold(ctx, "", "nobody", 5); return err }(), 404, "backend"},
+		{"level for ever", func() error { _, err := c.HoldLevel(ctx, "", "lean", 1e9, "a fair"); return err }(), 422, "for_s"},
+		{"level without a reason", func() error { _, err := c.HoldLevel(ctx, "", "lean", 5, ""); return err }(), 422, "why"},
+		{"level of nobody", func() error { _, err := c.HoldLevel(ctx, "", "none", 5, "a fair"); return err }(), 422, "level"},
 		{"hold for ever", func() error { _, err := c.Hold(ctx, "", "x", 1e9); return err }(), 422, "for_s"},
 	} {
 		var p *api.Problem
--- a/internal/control/openapi_test.go
+++ b/internal/control/openapi_test.go
@@ -20,6 +20,7 @@
 		apitest.On("POST", "changes/x/confirm", `{"fence":1}`, 200), apitest.On("POST", "changes/y/confirm", `{"fence":1}`, 409),
 		apitest.On("POST", "changes/z/abort", `{"fence":0}`, 412),
 		apitest.On("PUT", "holds/x", `{"for_s":5}`, 200), apitest.On("DELETE", "holds/x", "", 200), apitest.On("PUT", "holds/nobody", `{"for_s":5}`, 404),
+		apitest.On("GET", "level", "", 200), apitest.On("PUT", "level", `{"level":"lean","for_s":5,"why":"a fair"}`, 200), apitest.On("DELETE", "level", "", 200),
 		apitest.On("PUT", "taking", `{"taking":true}`, 200), apitest.On("POST", "reload", "{}", 200), apitest.On("GET", "summary", "", 200),
 		apitest.On("GET", "classes", "", 200), apitest.On("GET", "accounts", "", 200), apitest.On("GET", "document", "", 200),
 	})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -27,6 +27,10 @@
 	Apply(ctx context.Context, part string, d *document.Document) error
 	// Hold keeps a backend out for so long, or lets it in again if that is 0. It says whether the backend is known.
 	Hold(ctx context.Context, backend string, d time.Duration) (known bool, err error)
+	// Level returns the level of service; nil where there are none.
+	Level(ctx context.Context) (*Level, error)
+	// HoldLevel keeps a level for so long, or lets the figures decide again if that is 0. It returns nil where there are none.
+	HoldLevel(ctx context.Context, name string, d time.Duration, why string) (*Level, error)
 	// SetTaking says whether requests are taken.
 	SetTaking(on bool)
 	// Reload reads the platform's configuration again.
--- a/internal/ctl/set.go
+++ b/internal/ctl/set.go
@@ -78,6 +78,7 @@
 			v, err := c.Reload(ctx, id)
 			return "configuration " + v.Configuration, err
 		})
+	o.addLevel(root, change)
 	o.addSet(root)
 }
 
--- a/internal/level/config.go
+++ b/internal/level/config.go
@@ -41,7 +41,8 @@
 // Level is one named level.
 type Level struct {
 	Name           string
-	Shed           []string // classes that are turned away
+	Shed           []string // classes that are turned away,
+	Part           float64  // this part of their requests; 1 if it is not given
 	OverShare      float64  `toml:"over_share"` // accounts that ask for more than this multiple of their share; 0 for none
 	MostBody       int      `toml:"most_body"`  // bytes of a body; 0 for no limit of its own
 	NoSecondCopies bool     `toml:"no_second_copies"`
@@ -118,6 +119,10 @@
 			return at("name", "%.80q: names are 1 to 32 small letters, digits and hyphens", l.Name)
 		case names[l.Name]:
 			return at("name", "%q is taken", l.Name)
+		case l.Part != 0 && !(l.Part > 0 && l.Part <= 1):
+			return at("part", "%v is not between 0 and 1", l.Part)
+		case l.Part != 0 && len(l.Shed) == 0:
+			return at("shed", "missing: part says how much of it")
 		case l.OverShare != 0 && !(l.OverShare >= 1 && l.OverShare <= 100):
 			return at("over_share", "%v is not between 1 and 100", l.OverShare)
 		case l.MostBody < 0:
@@ -126,6 +131,9 @@
 			return at("after", "%v is not between 0s and 1h", l.After.D())
 		}
 		names[l.Name] = true
+		if l.Part == 0 {
+			l.Part = 1
+		}
 		for _, t := range []struct {
 			field string
 			t     *Thresholds
@@ -204,6 +212,9 @@
 			return "shed", fmt.Sprintf("%q is missing, which level %s turns away", class, below.Name)
 		}
 	}
+	if len(below.Shed) > 0 && l.Part < below.Part {
+		return "part", fmt.Sprintf("level %s has %v", below.Name, below.Part)
+	}
 	for _, b := range []struct {
 		field        string
 		below, above bool
--- a/internal/level/figures.go
+++ b/internal/level/figures.go
@@ -9,7 +9,8 @@
 type known struct {
 	pressure, inAim, refused, out *float64
 	listAge                       *time.Duration
-	blind                         bool // requests came, and none of them to the decision module
+	asked                         float64 // requests a look, turned away by the level or not
+	blind                         bool    // requests came, and none of them to the decision module
 }
 
 // known takes shares over the last looks. Danger: what the level itself turns away must not count, or a level would keep
@@ -24,6 +25,7 @@
 	if len(m.looks) == 0 {
 		return k
 	}
+	k.asked = float64(ended+shed) / float64(len(m.looks))
 	last := &m.looks[len(m.looks)-1]
 	if ended >= fewest {
 		k.inAim, k.refused = part(inAim, ended), part(refused, ended)
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -4,8 +4,10 @@
 // Levels are a ladder above normal service. A Machine looks at the figures again and again (Step). It goes up when a figure
 // has reached what a level is entered at, and down when all figures have come back to what it is left at, which is
 // easier, so that a figure that hovers at a threshold moves nothing. It goes one step at a time but for emergencies. A level
-// is kept for its dwell at least, and for twice as long each time that it has to be entered again soon after: what a level
-// relieves looks well while it is in force, and only leaving it tells whether the cause is over. So with n levels and a dwell
+// is kept for its dwell at least. What it relieves looks well while it is in force, so the figures alone don't tell whether the
+// cause is over: it is left then only when no more is asked, turned away or not, than was answered in time when it was entered.
+// Where as much is asked as then, leaving it is a trial, for which the dwell is twice as long each time that the
+// level has to be entered again soon after. So with n levels and a dwell
 // of d there are at most 2t/d + n changes in any time t, beside those that operators make: a way down takes a dwell, and each
 // way up but n is behind one.
 //
@@ -16,6 +18,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"example.org/micaline/internal/limit"
@@ -72,15 +75,16 @@
 	mix      limit.Mix
 
 	at       int
-	since    time.Duration // when the level was entered
-	left     time.Duration // when it was last left for the one below,
-	again    int           // and how often it was entered soon after, in a row
-	looks    []Figures     // the last ones, the newest last
-	reached  []time.Duration
+	since    time.Duration   // when the level was entered
+	left     time.Duration   // when it was last left for the one below,
+	again    int             // and how often it was entered soon after, in a row
+	looks    []Figures       // the last ones, the newest last
+	reached  []time.Duration // by level: since when a figure is where it is entered; negative if none is
+	fits     []float64       // by level: requests a look that were answered in time when it was entered
 	held     bool
 	until    time.Duration // of the hold
 	history  []Change
-	refusals map[string]int64 // by level and why; as many as there are levels, classes and reasons
+	refusals []Refused // as many as there are levels and reasons
 }
 
 // rung is a level with its classes by position.
@@ -95,7 +99,7 @@
 	m := &Machine{
 		config: *c, portions: s.Portions, rng: rand.New(rand.NewPCG(seed, 1)), mix: limit.NewMix(len(s.Portions)), since: now,
 		levels: []rung{{Level: Level{Name: Normal}, shed: make([]bool, len(s.Classes))}}, reached: make([]time.Duration, len(c.Level)+1),
-		refusals: map[string]int64{},
+		fits: make([]float64, len(c.Level)+1),
 	}
 	for _, l := range c.Level {
 		r := rung{Level: l, shed: make([]bool, len(s.Classes))}
@@ -128,7 +132,7 @@
 	l := &m.levels[m.at]
 	why := ""
 	switch {
-	case class >= 0 && class < len(l.shed) && l.shed[class]:
+	case class >= 0 && class < len(l.shed) && l.shed[class] && m.rng.Float64() < l.Part:
 		why = "class"
 	case l.MostBody > 0 && body > l.MostBody:
 		why = "body size"
@@ -137,10 +141,26 @@
 	default:
 		return nil
 	}
-	m.refusals[l.Name+": "+why]++
+	m.count(l.Name, why)
 	return &Refusal{Level: l.Name, Why: why, After: m.after(now)}
 }
 
+// Refused counts what a level has turned away for one reason.
+type Refused struct {
+	Level, Why string
+	Count      int64
+}
+
+func (m *Machine) count(level, why string) {
+	for i := range m.refusals {
+		if r := &m.refusals[i]; r.Level == level && r.Why == why {
+			r.Count++
+			return
+		}
+	}
+	m.refusals = append(m.refusals, Refused{level, why, 1})
+}
+
 // over counts a request and returns its account's part of the recent ones over its share.
 func (m *Machine) over(account int) float64 {
 	if account < 0 || account >= len(m.portions) || !(m.portions[account] > 0) {
@@ -205,7 +225,15 @@
 		if k.blind {
 			return m.move(now, m.at-1, "on trial: nothing comes through to be measured")
 		}
-		if met, why := m.levels[m.at].Exit.all(&k); met {
+	}
+	if m.at > 0 && now-m.since >= m.config.Dwell.D() {
+		fits := k.asked <= m.fits[m.at]
+		if met, why := m.levels[m.at].Exit.all(&k); met && (fits || now-m.since >= m.dwell()) {
+			if fits {
+				why = strings.TrimPrefix(fmt.Sprintf("%s, %.1f requests a look and %.1f fit", why, k.asked, m.fits[m.at]), ", ")
+			} else {
+				why = strings.TrimPrefix(why+", on trial", ", ")
+			}
 			return m.move(now, m.at-1, why)
 		}
 	}
@@ -223,6 +251,12 @@
 		} else {
 			m.again = 0
 		}
+		k := m.known()
+		for i := m.at + 1; i <= to; i++ {
+			if m.fits[i] = 0; k.inAim != nil {
+				m.fits[i] = k.asked * *k.inAim
+			}
+		}
 	case to < m.at:
 		m.left = now
 	}
@@ -269,13 +303,13 @@
 	Dwell    time.Duration // least time in the level, with what relapses add
 	Held     time.Duration // until when by hand; 0 if it is not
 	Known    []string      // the figures as they are judged, those that are unknown among them
-	Refusals map[string]int64
+	Refusals []Refused
 	History  []Change // the newest last
 }
 
 // View returns a copy.
 func (m *Machine) View() View {
-	v := View{Level: m.levels[m.at].Name, Since: m.since, Dwell: m.dwell(), Refusals: map[string]int64{}}
+	v := View{Level: m.levels[m.at].Name, Since: m.since, Dwell: m.dwell()}
 	if m.held {
 		v.Held = m.until
 	}
@@ -284,9 +318,7 @@
 	}
 	k := m.known()
 	v.Known = k.words()
-	for why, n := range m.refusals {
-		v.Refusals[why] = n
-	}
+	v.Refusals = append(v.Refusals, m.refusals...)
 	v.History = append(v.History, m.history...)
 	return v
 }
--- a/internal/level/level_test.go
+++ b/internal/level/level_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -308,8 +309,30 @@
 	if a := b.Allowed(); a.SecondCopies || a.Retries || !a.Probes {
 		t.Errorf("essential allows %+v", a)
 	}
-	if n := b.View().Refusals["essential: class"]; n != 1 {
-		t.Errorf("%d refusals by class are counted, want 1", n)
+	if !slices.Contains(b.View().Refusals, Refused{"essential", "class", 1}) {
+		t.Errorf("counted refusals: %+v, want one by class", b.View().Refusals)
+	}
+}
+
+// A level may turn away a part of a class: the next one up is then no cliff.
+func TestPartOfAClass(t *testing.T) {
+	c, err := parse("[[level]]\nname = \"half\"\nshed = [\"status-update\"]\npart = 0.5\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New(c, &service, 1, 0)
+	m.Hold(0, "half", time.Minute, "test")
+	turned := 0
+	for range 1000 {
+		if m.Judge(0, 0, 0, 0) != nil {
+			turned++
+		}
+		if r := m.Judge(0, 1, 0, 0); r != nil {
+			t.Fatalf("delivery-close: %+v", r)
+		}
+	}
+	if turned < 430 || turned > 570 {
+		t.Errorf("%d of 1000 turned away, half is wanted", turned)
 	}
 }
 
@@ -342,9 +365,18 @@
 most_body = 1000
 enter`, `no_retries = true
 enter`, "level[1].no_second_copies"},
-		{`most_body = 1000
-`, `most_body = 1000
-`, ""},
+		{`after = "2s"`, `part = 0.5`, ""},
+		{`after = "2s"`, `part = 1.5`, "level[0].part"},
+		{`no_retries = true
+over_share`, `part = 0.5
+no_retries = true
+over_share`, "level[1].part"},
+		{`[[level]]
+name = "lean"`, `[[level]]
+name = "first"
+part = 0.5
+[[level]]
+name = "lean"`, "level[0].shed"},
 		{`shed = ["status-update"]`, `shed = ["parcel"]`, "level[1].shed"},
 		{`shed = ["status-update", "delivery-close"]`, `shed = ["delivery-close"]`, "level[2].shed"},
 	} {
--- a/internal/manage/kill_test.go
+++ b/internal/manage/kill_test.go
@@ -61,6 +61,8 @@
 
 // process is one process of an instance.
 type process struct {
+	control.Instance // of which the manager calls no more than what follows
+
 	house *house
 	epoch string
 	born  time.Time
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"example.org/micaline/internal/api"
+	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/tomlfile"
 )
 
@@ -20,6 +21,7 @@
 // Settings are what the file says.
 type Settings struct {
 	Control Control
+	Levels  level.Config
 }
 
 // Control is the control interface of the agent: where it listens and who may come in, and how it is known to managers.
@@ -66,6 +68,9 @@
 	if err := s.Control.check(); err != nil {
 		return nil, tomlfile.At(text, "control", err)
 	}
+	if err := s.Levels.Check(); err != nil {
+		return nil, tomlfile.At(text, "levels", err)
+	}
 	return &s, nil
 }
 
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -7,6 +7,22 @@
 	"testing"
 )
 
+// The operators' page shows a file that can be used.
+func TestPageOfLevels(t *testing.T) {
+	page, err := os.ReadFile("../../docs/levels.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, _ := strings.Cut(string(page), "```toml\n")
+	text, _, found := strings.Cut(text, "```")
+	if !found {
+		t.Fatal("the page has no file")
+	}
+	if s, err := parse([]byte(text)); err != nil || len(s.Levels.Level) != 3 {
+		t.Errorf("%+v, error %v", s, err)
+	}
+}
+
 func TestLoad(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "operators.toml")
 	if s, err := Load(path); err != nil || s.Control.On() {
@@ -24,6 +40,9 @@
 		{"[control]\nlisten = \"here\"\n", "", "line 2: control.listen"},
 		{"[control]\n[[control.token]]\nrole = \"read\"\nsha256 = \"00\"\n", "", "line 4: control.token[0].sha256"},
 		{"[control]\n[[control.token]]\nrole = \"king\"\n", "", "line 3"},
+		{"[levels]\ndwell = \"10s\"\n", "", "levels.level: missing"},
+		{"[levels]\n[[levels.level]]\nname = \"lean\"\nenter = { pressure = 0.5 }\n", "", "levels.level[0].exit.pressure: missing"},
+		{"[levels]\n[[levels.level]]\nname = \"lean\"\nmost_body = -1\n", "", "line 4: levels.level[0].most_body"},
 		{"[control.announce]\naddr = \"127.0.0.1:1\"\n", "", "control.announce.manager: missing"},
 		{"[control.announce]\nmanager = \"127.0.0.1\"\nname = \"m\"\n", "", "line 2: control.announce.manager"},
 	} {
