--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -141,7 +141,7 @@
 	f.took.rng = rand.New(rand.NewPCG(o.Seed, 1))
 	f.log = standin.NewLog(terms(s, o.Lag), o.Tap)
 	f.peers = network.NewDatagrams(s.Limits.PeerDelay.D(), s.Limits.PeerLoss, o.Seed)
-	f.discovery = standin.NewDiscovery(o.Network, f.log)
+	f.discovery = standin.NewDiscovery(o.Network, f.log, o.Scenario.Discovery.Lines)
 	defer f.discovery.Close()
 	if o.Network.InMemory() {
 		defer o.Network.Apply(network.Rule{
@@ -169,7 +169,7 @@
 	began := time.Now()
 	var asking, failing sync.WaitGroup
 	for _, a := range f.agents {
-		a.clients.SetRate(s.Rate(0) / float64(s.Agents))
+		a.clients.SetRate(s.Rate(0) * f.share(a))
 		asking.Go(func() { a.clients.Run(day) })
 	}
 	faults := slices.Clone(s.Faults)
--- a/internal/fleet/front_bench_test.go
+++ b/internal/fleet/front_bench_test.go
@@ -153,7 +153,7 @@
 func BenchmarkFronts(b *testing.B) {
 	const backends = 4
 	log := standin.NewLog(terms(&scenario.Scenario{}, 0), nil)
-	discovery := standin.NewDiscovery(network.NewLoopback(1, false), log)
+	discovery := standin.NewDiscovery(network.NewLoopback(1, false), log, 0)
 	defer discovery.Close()
 	var direct string
 	for i := range backends {
--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -16,7 +16,7 @@
 	if testing.Short() {
 		t.Skip("played without the race detector, which takes eight times as long")
 	}
-	backends, err := os.ReadFile("testdata/fleets/sixty.toml") // the same on all days
+	backends, err := os.ReadFile("testdata/fleets/sixty.toml") // the same on all days that have none of their own
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +29,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, err := scenario.Parse(append(text, backends...))
+		if !strings.Contains(string(text), "[[backends]]") {
+			text = append(text, backends...)
+		}
+		s, err := scenario.Parse(text)
 		if err != nil {
 			t.Fatalf("%s: %v", file, err)
 		}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -76,6 +76,18 @@
 
 const watchEvery = time.Second
 
+// share is an agent's part of the load: by its rank, from the busiest to the quietest.
+func (f *fleet) share(a *proc) float64 {
+	part := func(rank int) float64 {
+		return math.Pow(f.Scenario.Clients.Skew, -float64(rank)/float64(max(1, len(f.agents)-1)))
+	}
+	sum := 0.0
+	for i := range f.agents {
+		sum += part(i)
+	}
+	return part(a.rank) / sum
+}
+
 // watch follows the load's course and tells how the day goes, until it ends.
 func (f *fleet) watch(day context.Context, began time.Time) {
 	const step = 100 * time.Millisecond
@@ -83,7 +95,7 @@
 	for sleep(day, step) {
 		at := time.Since(began)
 		for _, a := range f.agents {
-			a.clients.SetRate(f.Scenario.Rate(at) / float64(len(f.agents)))
+			a.clients.SetRate(f.Scenario.Rate(at) * f.share(a))
 		}
 		if f.Watch == nil || at < next {
 			continue
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -104,12 +104,14 @@
 	Honour   float64 // share that waits as Retry-After says
 	HangUp   float64 `toml:"hang_up"` // share of tries that are left before their time
 	Rude     float64 // rude requests for each proper one
+	Skew     float64 // times that the busiest agent's clients ask for what the quietest's do
 }
 
 // Discovery is how news of the fleet travels.
 type Discovery struct {
 	Mode   string   // push or ask
 	Notice Duration // until a change is listed
+	Lines  int      // that it can send in a second, each call counting for 20 besides; it turns away what is more. 0 for any number
 }
 
 // Limits are what agents may do.
@@ -207,7 +209,7 @@
 	return Scenario{
 		For: Duration(12 * time.Second), Agents: 3,
 		Net:       Net{Delay: Duration(200 * time.Microsecond), Jitter: Duration(50 * time.Microsecond)},
-		Clients:   Clients{Retries: 2, Backoff: Duration(60 * time.Millisecond), TryShare: 0.65, Honour: 0.85, HangUp: 0.005},
+		Clients:   Clients{Skew: 1, Retries: 2, Backoff: Duration(60 * time.Millisecond), TryShare: 0.65, Honour: 0.85, HangUp: 0.005},
 		Discovery: Discovery{Mode: "push", Notice: Duration(600 * time.Millisecond)},
 		Limits: Limits{
 			MaxAttempts: 3, ConnectTimeout: Duration(250 * time.Millisecond), Probes: true, SecondCopies: true,
@@ -316,6 +318,10 @@
 		return bad("clients.hang_up", "%v is no share", s.Clients.HangUp)
 	case !(s.Clients.Rude >= 0 && s.Clients.Rude <= 10):
 		return bad("clients.rude", "%v is not between 0 and 10", s.Clients.Rude)
+	case !(s.Clients.Skew >= 1 && s.Clients.Skew <= 1000):
+		return bad("clients.skew", "%v is not between 1 and 1000", s.Clients.Skew)
+	case s.Discovery.Lines < 0:
+		return bad("discovery.lines", "%d is below 0", s.Discovery.Lines)
 	case s.Discovery.Mode != "push" && s.Discovery.Mode != "ask":
 		return bad("discovery.mode", "%q is neither push nor ask", s.Discovery.Mode)
 	case s.Discovery.Notice < 0:
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -59,6 +59,8 @@
 		{"size = 3", "size = 3\ncount = 2", 9, "fault[1].share"},
 		{"account = \"farmacia\"", "account = \"nobody\"", 13, "fault[1].account"},
 		{"name = \"x\"", "name = \"x/y\"", 1, "name"},
+		{"retries = 1", "skew = 0.5", 4, "clients.skew"},
+		{"[clients]", "[discovery]\nlines = -1\n[clients]", 4, "discovery.lines"},
 		{"[clients]", "[limits]\nprobe_price = -1\n[clients]", 4, "limits.probe_price"},
 		{"[clients]", "[[backends]]\nspeed = -1\ncount = 1\n[clients]", 4, "backends[0].speed"},
 		{"[clients]", "[[classes]]\nname = \"c\"\nshare = 0.5\naim=\"1s\"\ndeadline=\"1s\"\nwork=\"1s\"\neffect=\"safe\"\n[clients]", 3, "classes"},
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -55,6 +55,9 @@
 	changed  chan struct{} // closed with the next change
 	trouble  ListTrouble
 	garbled  int
+	lines    int       // that it can send in a second; 0 for any number
+	debt     float64   // lines that it has promised and not sent yet,
+	debtAt   time.Time // at this time
 	servers  []*http.Server
 	current  map[string]net.Listener      // by agent
 	known    map[string]map[string]Member // by agent, what it has been told
@@ -62,11 +65,32 @@
 	close    context.CancelFunc
 }
 
-// NewDiscovery returns a discovery that knows no backend.
-func NewDiscovery(n *network.Network, log *Log) *Discovery {
+// callLines is the work of a call beside the lines that it is answered with.
+const callLines = 20
+
+// mostDebt is how long a call would wait for its turn at most; one that would wait longer is turned away.
+const mostDebt = 500 * time.Millisecond
+
+// takes says whether there is capacity for a call that is answered with so many lines. The mutex is held.
+func (d *Discovery) takes(answer int) bool {
+	if d.lines == 0 {
+		return true
+	}
+	now := time.Now()
+	d.debt = max(0, d.debt-now.Sub(d.debtAt).Seconds()*float64(d.lines))
+	d.debtAt = now
+	if d.debt > mostDebt.Seconds()*float64(d.lines) {
+		return false
+	}
+	d.debt += float64(callLines + answer)
+	return true
+}
+
+// NewDiscovery returns a discovery that knows no backend and can send so many lines in a second, or any number if that is 0.
+func NewDiscovery(n *network.Network, log *Log, lines int) *Discovery {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Discovery{
-		log: log, net: n, members: map[string]Member{}, revision: 1, changed: make(chan struct{}),
+		log: log, net: n, lines: lines, members: map[string]Member{}, revision: 1, changed: make(chan struct{}),
 		current: map[string]net.Listener{}, known: map[string]map[string]Member{}, closing: ctx, close: cancel,
 	}
 }
@@ -255,6 +279,11 @@
 		after = d.revision
 	}
 	text, members := d.list(after)
+	if !d.takes(len(members)) {
+		d.mu.Unlock()
+		http.Error(w, "too many calls", http.StatusServiceUnavailable)
+		return
+	}
 	complete := after == 0
 	var gone []Member
 	if complete {
