--- a/internal/agent/judge.go
+++ b/internal/agent/judge.go
@@ -31,7 +31,7 @@
 	Allow(maxAttempts int, secondCopies, probes bool)
 }
 
-// look shows the levels what has been measured since the last look.
+// lookAtLevel shows the levels what has been measured since the last look.
 func (l *loop) lookAtLevel() {
 	now := l.clock.now()
 	f := level.Figures{Pressure: -1, ListAge: now - l.heard}
