--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -207,16 +207,13 @@
 		m.held = false
 		return m.move(now, m.at, "the hold is over")
 	}
-	for to := len(m.levels) - 1; to > m.at+1; to-- {
+	for to := len(m.levels) - 1; to > m.at; to-- {
 		if met, why := m.levels[to].Emergency.any(&k); met {
 			return m.move(now, to, "emergency: "+why)
 		}
 	}
 	if to := m.at + 1; to < len(m.levels) {
 		l := &m.levels[to]
-		if met, why := l.Emergency.any(&k); met {
-			return m.move(now, to, "emergency: "+why)
-		}
 		if met, why := l.Enter.any(&k); met && now-m.reached[to] >= l.After.D() {
 			return m.move(now, to, why)
 		}
--- a/internal/standin/discovery_test.go
+++ b/internal/standin/discovery_test.go
@@ -24,10 +24,10 @@
 		if !d.takes(0) {
 			t.Error("a call is turned away though the work of a quarter of a second is done")
 		}
-		any := NewDiscovery(nil, nil, 0)
-		defer any.Close()
+		free := NewDiscovery(nil, nil, 0)
+		defer free.Close()
 		for range 1000 {
-			if !any.takes(60) {
+			if !free.takes(60) {
 				t.Fatal("a discovery without a limit turns a call away")
 			}
 		}
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -1681,7 +1681,7 @@
 			Known: true, InFlight: 0, Queue: -1, Recent: 20 * ms, Rate: c.rate, Errors: c.errors,
 		}})
 		sent := one(t, x.look(acts, nil), ActSend).Server
-		if out := x.b.servers[bad].health[pure].until > x.now; out != c.out || out == (sent == bad) && out {
+		if out := x.b.servers[bad].health[pure].until > x.now; out != c.out || out && sent == bad {
 			t.Errorf("%v errors and %v answers a second: ejected %v, want %v; sent to %d, %d reports them", c.errors, c.rate, out, c.out, sent, bad)
 		}
 		if !c.out && sent != bad {
