Servers are judged by their own time; limits follow quick answers, and meet pressure once

A beat of its own goroutine tells the agent's lateness (internal/lag); answers read behind a deadline that came before it are served.

Limits now jump to a tenth of what an answer shows, servers not heard of are like the others, and requests that meet limits together press once.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -35,11 +35,26 @@
 // Read reads. Danger: the deadline of an idle connection may pass while the agent gets no processor, and a request that came
 // in the meantime would be lost with the connection. What has come by then is read.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if raw, ok := c.Conn.(syscall.Conn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
-		if n := tcp.Waiting(raw, b); n > 0 {
-			return n, nil
-		}
+	return readWaiting(c.Conn, b)
+}
+
+// waiter is a connection that is no socket and gives what it has received, whatever its deadline.
+type waiter interface{ Waiting(b []byte) int }
+
+// readWaiting reads, behind the deadline too what had come by then.
+func readWaiting(c net.Conn, b []byte) (n int, err error) {
+	if n, err = c.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	late := 0
+	switch c := c.(type) {
+	case waiter:
+		late = c.Waiting(b)
+	case syscall.Conn:
+		late = tcp.Waiting(c, b)
+	}
+	if late > 0 {
+		return late, nil
 	}
 	return n, err
 }
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -60,7 +61,8 @@
 // result is how an attempt or a probe ended.
 type result struct {
 	outcome policy.Outcome
-	latency time.Duration
+	took    time.Duration // at the backend, at least
+	seen    time.Duration // of the clock, when it ended
 	load    policy.Load
 	answer  answer // a whole one, if the outcome is OK
 }
@@ -68,11 +70,12 @@
 // exchange sends a message once and waits for its answer until the context ends. If sendBy is set and has passed
 // when a connection is up, nothing is sent.
 func (p *pool) exchange(ctx context.Context, t *target, m *message, sendBy time.Time, fields []string) result {
-	start := time.Now()
 	r := result{load: settings.NoLoad()}
 	var a life.Attempt
-	resp, body, err := p.roundTrip(ctx, t, m, sendBy, &a)
-	r.latency = time.Since(start)
+	wrote := p.late.time.now()
+	resp, body, err := p.roundTrip(ctx, t, m, sendBy, &a, &wrote)
+	r.seen = p.late.time.now()
+	r.took = max(0, r.seen-p.late.own()-wrote)
 	if err == nil {
 		r.load = parseLoad(resp.Header.Get(loadHeader), fields)
 		p.on(&a, meaning(resp))
@@ -109,6 +112,8 @@
 	case ctx.Err() != nil:
 		p.on(a, life.Deadline)
 		p.on(a, life.Back)
+	case a.State() == life.Connecting && errors.Is(err, os.ErrDeadlineExceeded) && p.late.own() > 0:
+		p.on(a, life.NoRoom) // it may have come up in time while the agent was late
 	case a.State() == life.Connecting:
 		p.on(a, life.NoConnection)
 	default:
@@ -129,8 +134,9 @@
 	return life.Bad
 }
 
-// roundTrip returns a whole answer, or an error. How far it has come before that the attempt tells.
-func (p *pool) roundTrip(ctx context.Context, t *target, m *message, sendBy time.Time, a *life.Attempt) (resp *http.Response, body []byte, err error) {
+// roundTrip returns a whole answer, or an error. How far it has come before that the attempt tells, and wrote when its last
+// byte went out, if it did.
+func (p *pool) roundTrip(ctx context.Context, t *target, m *message, sendBy time.Time, a *life.Attempt, wrote *time.Duration) (resp *http.Response, body []byte, err error) {
 	p.on(a, life.Begin)
 	c, err := p.get(ctx, t)
 	if err != nil {
@@ -138,7 +144,13 @@
 	}
 	p.on(a, life.Connected)
 	reusable := false
-	stop := context.AfterFunc(ctx, func() { c.Close() }) // which also gives the attempt up
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.overdue()
+		} else {
+			c.Close() // which also gives the attempt up
+		}
+	})
 	defer func() {
 		if stop() && reusable {
 			p.put(c)
@@ -158,6 +170,7 @@
 		return nil, nil, err
 	}
 	p.on(a, life.WroteLast)
+	*wrote = p.late.time.now()
 	if resp, body, err = p.read(c, a); err != nil {
 		return nil, nil, err
 	}
@@ -214,9 +227,20 @@
 // headEnd ends the head of an answer.
 var headEnd = []byte("\r\n\r\n")
 
+// overdue ends all waiting on the connection. What has come by then is still read.
+func (c *conn) overdue() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+	c.SetDeadline(time.Unix(1, 0))
+}
+
 // timed gives what is read from now on so much time, or none at all.
 func (c *conn) timed(on bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
+	case c.over:
 	case on:
 		c.timing = true
 		return c.SetReadDeadline(time.Now().Add(answerTimeout))
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -37,6 +37,9 @@
 	answer  answer   // of EventOutcome, if it is OK
 	members []member // of EventList
 	do      func()   // is called instead, if set
+
+	sent, took time.Duration // of EventOutcome: when it was decided, and how long it was at the backend, at least
+	seen       time.Duration // of EventProbed: when the answer was, less what may be the agent's own lateness
 }
 
 // call is a client's request, which the client's handler shares with the loop.
@@ -95,6 +98,7 @@
 	modules   []*module       // it, and those before it that are not done
 	decisions policy.Settings // of the current one
 	pool      *pool
+	late      *lateness
 	follow    func()       // asks discovery for the list
 	tell      func([]byte) // tells all other agents
 	log       *slog.Logger
@@ -126,7 +130,7 @@
 	}
 	first := &module{Decider: decider}
 	l := &loop{
-		set: &cfg.Settings, clock: clock{time.Now()}, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
+		set: &cfg.Settings, clock: pool.late.time, late: pool.late, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
 		listed: map[policy.ServerID]policy.ServerEntry{}, holds: map[policy.ServerID]time.Duration{},
 		counts:   counts{causes: map[cause]int64{}},
 		tell:     func([]byte) {},
@@ -198,10 +202,11 @@
 		case <-ctx.Done():
 			return
 		}
+		l.late.wait()
 		for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 			t := heap.Pop(&l.timers).(timer)
 			if slices.Contains(l.modules, t.module) {
-				l.handle(ctx, t.module, policy.Event{Kind: policy.EventTimer, Token: t.token})
+				l.handle(ctx, t.module, policy.Event{Kind: policy.EventTimer, Token: t.token, Late: l.late.own()})
 			}
 		}
 	}
@@ -227,6 +232,7 @@
 		in.call.id = l.newID()
 		r := &request{call: in.call, module: l.current, begun: l.clock.now()}
 		l.requests[in.call.id] = r
+		l.late.begin()
 		r.module.open++
 		l.counts.requests++
 		ev.Request, ev.Class, ev.Tenant, ev.Retry = in.call.id, in.call.class, in.call.tenant, in.call.retry
@@ -254,6 +260,7 @@
 		l.forget(r)
 	case policy.EventOutcome:
 		r := l.requests[ev.Request]
+		ev.Late = max(0, l.clock.now()-in.sent-in.took)
 		r.attempts[ev.Attempt]()
 		r.out--
 		r.last = ev.Outcome
@@ -263,6 +270,9 @@
 		ev.Closed = r.ended
 		l.handle(ctx, r.module, ev)
 		l.forget(r)
+	case policy.EventProbed:
+		ev.Late = max(0, l.clock.now()-in.seen)
+		l.handleAll(ctx, ev)
 	default:
 		l.handleAll(ctx, ev)
 	}
@@ -295,6 +305,7 @@
 			return // it has been
 		}
 		delete(l.requests, r.id)
+		l.late.end()
 		l.callIDs.release(r.callID)
 		if r.module.open--; r.module.retired && r.module.open == 0 {
 			l.modules = slices.DeleteFunc(l.modules, func(m *module) bool { return m == r.module })
@@ -475,12 +486,11 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, left)
 	r.attempts = append(r.attempts, cancel)
 	r.out++
-	id, server, msg := r.id, a.Server, &r.message
+	id, server, msg, sent := r.id, a.Server, &r.message, l.clock.now()
 	go func() {
 		res := l.pool.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
-		l.send(input{answer: res.answer, event: policy.Event{
-			Kind: policy.EventOutcome, Request: id, Attempt: n, Server: server,
-			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+		l.send(input{answer: res.answer, sent: sent, took: res.took, event: policy.Event{
+			Kind: policy.EventOutcome, Request: id, Attempt: n, Server: server, Outcome: res.outcome, Load: res.load,
 		}})
 	}()
 }
@@ -495,9 +505,8 @@
 	}
 	go func() {
 		res := l.pool.probe(ctx, t, l.set)
-		l.send(input{event: policy.Event{
-			Kind: policy.EventProbed, Server: server,
-			Outcome: res.outcome, Latency: res.latency, Load: res.load,
+		l.send(input{seen: res.seen - l.late.own(), event: policy.Event{
+			Kind: policy.EventProbed, Server: server, Outcome: res.outcome, Load: res.load,
 		}})
 	}()
 }
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -34,11 +34,17 @@
 	net.Conn
 	to     *target
 	timing bool             // a read deadline is set
+	mu     sync.Mutex       // guards over, and the deadline against it
+	over   bool             // its request's time is over: nothing is waited for any more
 	limit  io.LimitedReader // bounds what one answer may hold, headers included
 	br     *bufio.Reader
 	since  time.Time // idle since then
 }
 
+// Read reads. Danger: its deadline may pass while the agent gets no processor, and what the backend had said in time would be
+// taken for silence.
+func (c *conn) Read(b []byte) (int, error) { return readWaiting(c.Conn, b) }
+
 // pool keeps the connections to all backends. net/http's own transport is no match for it: that sends again by
 // itself on a stale connection and does not tell whether a request's last byte went out, on which it hangs
 // whether the request may have run.
@@ -48,6 +54,7 @@
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
 	room           atomic.Int64  // bytes left for large answers
+	late           *lateness     // the agent's own
 	log            *slog.Logger
 
 	mu      sync.Mutex
@@ -69,7 +76,7 @@
 func newPool(net Network, s *settings.Settings, most int, room int64, log *slog.Logger) *pool {
 	p := &pool{
 		net: net, connectTimeout: s.ConnectTimeout, idleClose: s.Module.IdleClose, most: most,
-		targets: map[*target]struct{}{}, log: log,
+		targets: map[*target]struct{}{}, late: newLateness(s, net), log: log,
 	}
 	p.room.Store(room)
 	return p
@@ -169,7 +176,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, to: t, limit: io.LimitedReader{R: raw}}
+	c := &conn{Conn: raw, to: t}
+	c.limit.R = c
 	c.br = bufio.NewReader(&c.limit)
 	return c, nil
 }
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -296,6 +297,17 @@
 		f.dying.Go(func() { <-ended })
 		sleep(day, ft.For.D())
 		again()
+	case "freeze-agent":
+		f.mu.Lock()
+		cpu := a.cpu
+		f.mu.Unlock()
+		if cpu == nil {
+			f.end(errors.New("freeze-agent is for virtual time only"))
+			return
+		}
+		cpu.Take()
+		sleep(day, ft.For.D())
+		cpu.Give()
 	case "restart-agent":
 		stop()
 		// The platform stops the application with its agent: it opens no new connection soon after.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,7 @@
 	ended   chan struct{}
 	dialer  *network.Dialer
 	door    *door
+	cpu     *network.Processor
 	reloads chan *agent.Config
 	config  *agent.Config
 }
@@ -119,6 +120,13 @@
 	return g.Conn.Close()
 }
 
+func (g *guest) Waiting(b []byte) int {
+	if w, ok := g.Conn.(interface{ Waiting([]byte) int }); ok {
+		return w.Waiting(b)
+	}
+	return 0
+}
+
 func (g *guest) CloseWrite() error { return g.Conn.(interface{ CloseWrite() error }).CloseWrite() }
 
 // slam resets all connections, as the death of the process does.
@@ -392,10 +400,15 @@
 	a.stop, a.ended, a.config = stop, ended, cfg
 	a.dialer, a.door = f.Network.From(a.name), &door{Listener: listener, conns: map[net.Conn]struct{}{}}
 	a.reloads = make(chan *agent.Config)
-	reloads, door := a.reloads, a.door
+	reloads, door := a.reloads, net.Listener(a.door)
 	var reach agent.Network = a.dialer
-	if f.Scenario.Limits.Peers && f.Network.InMemory() {
-		reach = talker{a.dialer, f.peers}
+	if f.Network.InMemory() { // processes on loopback run on the machine's processors
+		a.cpu = &network.Processor{}
+		runs := network.Reached{Dialer: a.dialer, Processor: a.cpu}
+		reach, door = runs, network.Listener{Listener: door, Processor: a.cpu}
+		if f.Scenario.Limits.Peers {
+			reach = talker{runs, f.peers}
+		}
 	}
 	f.mu.Unlock()
 	go func() {
@@ -411,7 +424,7 @@
 
 // talker is an agent's network with a way to other agents.
 type talker struct {
-	*network.Dialer
+	network.Reached
 	peers *network.Datagrams
 }
 
--- /dev/null
+++ b/internal/lag/lag.go
@@ -0,0 +1,109 @@
+// Package lag tells how late a program itself is, so that it blames nobody else for that. It does no I/O and has no clock:
+// the caller says when things happened, as time since any fixed start.
+//
+// A program on a share of a core sees what comes for it late: while others run, or while its own work waits for its turn.
+// Neither the runtime nor the kernel says of a byte that was read when it could have been, short of time stamps on each
+// socket. So a beat is asked for at fixed times. A beat that comes late shows that what was due since then may have waited as
+// long; one in time, that nothing does.
+package lag
+
+import "time"
+
+const (
+	part      = 20 // of the span that matters: what the beats do not show is within a twentieth of it
+	leastBeat = 5 * time.Millisecond
+	mostBeat  = 50 * time.Millisecond
+	tolerance = 4   // parts of the time between beats that one may be late: timers are, on a machine that is idle
+	smooth    = 0.1 // weight of a beat in the mean
+)
+
+// Clock follows beats. Its error is the tolerance and what happens between two beats: it may call the others' up to a
+// twentieth of the span that matters of its own lateness, and calls its own what of theirs came while it was late. It never
+// calls the others' what waited through a late beat.
+type Clock struct {
+	every time.Duration
+	due   time.Duration // the next beat
+	on    bool
+
+	from, to time.Duration // the last spell of lateness
+	behind   bool          // no beat has come in time since
+
+	mean   float64 // lateness of beats, seconds
+	late   time.Duration
+	worst  time.Duration
+	beats  int64
+	spells int64
+}
+
+// New returns a Clock for delays that matter on a scale of so long.
+func New(matters time.Duration) Clock {
+	return Clock{every: min(max(matters/part, leastBeat), mostBeat)}
+}
+
+// Every is the time between beats.
+func (c *Clock) Every() time.Duration { return c.every }
+
+// Start asks for beats, and returns when the first is due. There are none while nothing is to be told apart.
+func (c *Clock) Start(now time.Duration) (due time.Duration) {
+	c.on, c.behind, c.due = true, false, now+c.every
+	return c.due
+}
+
+// Stop ends the beats.
+func (c *Clock) Stop() { c.on, c.behind = false, false }
+
+// On says whether there are beats.
+func (c *Clock) On() bool { return c.on }
+
+// Beat takes in the beat that was due, and returns when the next one is.
+func (c *Clock) Beat(now time.Duration) (due time.Duration) {
+	late := max(0, now-c.due)
+	c.beats++
+	c.mean += smooth * (late.Seconds() - c.mean)
+	if c.behind = late > c.every/tolerance; c.behind {
+		c.from, c.to = c.due, now
+		c.late += late
+		c.worst = max(c.worst, late)
+		c.spells++
+	}
+	c.due = now + c.every
+	return c.due
+}
+
+// Own is how long before now a thing may have happened that is only seen now.
+//
+// What became ready while a beat was late waits its turn behind it, for up to as long again, unless a beat in time says that
+// all of it has run.
+func (c *Clock) Own(now time.Duration) time.Duration {
+	if !c.on {
+		return 0
+	}
+	if now-c.due > c.every/tolerance { // the beat itself still waits
+		from := c.due
+		if c.behind && c.to+(c.to-c.from) >= c.due {
+			from = c.from
+		}
+		return now - from
+	}
+	if c.behind && now-c.to <= c.to-c.from {
+		return now - c.from
+	}
+	if c.behind {
+		return c.to - c.from // what is read until the next beat is read as late as that one was
+	}
+	return 0
+}
+
+// Figures are what has been seen of the lateness.
+type Figures struct {
+	Mean   time.Duration // of the beats of late
+	Worst  time.Duration // since the start
+	Late   time.Duration // in all, by beats that came too late
+	Spells int64         // so many of them
+	Beats  int64
+}
+
+// Figures returns them.
+func (c *Clock) Figures() Figures {
+	return Figures{time.Duration(c.mean * float64(time.Second)), c.worst, c.late, c.spells, c.beats}
+}
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -37,8 +37,6 @@
 	fewest   = 10 // requests that a share is taken of; of fewer it is unknown
 	relapses = 3  // times that the dwell doubles at most
 	jitter   = 0.25
-	mixLife  = 200  // requests over which accounts' parts are remembered
-	mixPrior = 10.0 // requests' worth of belief in their stated shares
 )
 
 // Figures are what is measured, since the last look or at this one.
@@ -167,8 +165,7 @@
 		return 1
 	}
 	portion := m.portions[account]
-	seen, sum := m.mix.Count(account, mixLife)
-	return (seen + mixPrior*portion) / (sum + mixPrior) / portion
+	return m.mix.Over(account, portion)
 }
 
 // after is when a request that is turned away may come again. Danger: all that are turned away together come back together.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -9,7 +9,9 @@
 	start    = 6.0   // requests at first: a lightly used server is not to be held back by learning
 	least    = 1.0   // or nothing would ever tell that a server is quick again
 	most     = 256.0 // keeps an idle server's limit from growing without bound
-	rise     = 0.5   // for each answer in time, until congestion is met for the first time
+	unlike   = 10.0  // times that one request may cost more than another
+	quickest = 1e-3  // of the wanted time: what is quicker is as quick
+	rise     = 0.5   // at least, for each answer in time, until congestion is met for the first time
 	decrease = 0.8   // what remains after congestion
 	late     = 0.75  // of the wanted time: an answer that took more says that the server is congested
 )
@@ -35,6 +37,9 @@
 	return c.limit
 }
 
+// Known says whether anything has told of it.
+func (c *Concurrency) Known() bool { return c.limit > 0 }
+
 // Answered takes in an answer: the part that it took of the time it was wanted in, how many requests were out, itself
 // among them, when it was sent, and when it came.
 func (c *Concurrency) Answered(part float64, out int, sent, now time.Duration) {
@@ -43,13 +48,15 @@
 		return
 	}
 	limit := c.Limit()
-	if float64(out) < limit/2 {
+	if c.limit = limit; float64(out) < limit/2 {
 		return // danger: a limit that does not bind would grow by answers that say nothing of it
 	}
 	if c.met {
 		limit += 1 / limit
 	} else {
-		limit += rise
+		// A server that takes turns takes so many times longer with so many times more out. Danger: half a request for each
+		// answer would refuse for seconds what a quick server has room for.
+		limit = max(limit+rise, float64(out)*late/(unlike*max(part, quickest)))
 	}
 	c.limit = min(limit, most)
 }
--- a/internal/limit/mix.go
+++ b/internal/limit/mix.go
@@ -9,14 +9,19 @@
 // NewMix returns a Mix of so many tenants.
 func NewMix(tenants int) Mix { return Mix{seen: make([]float64, tenants)} }
 
-// Count adds a request and returns its tenant's and all; both are halved after so many.
-func (m *Mix) Count(tenant int, life float64) (seen, sum float64) {
+const (
+	mixPrior = 10.0 // requests' worth of belief in the stated shares
+	mixLife  = 200  // requests over which the mix is remembered
+)
+
+// Over counts a request and returns its tenant's part of the recent ones over the share that it is due.
+func (m *Mix) Over(tenant int, portion float64) float64 {
 	m.seen[tenant]++
-	if m.sum++; m.sum > life {
+	if m.sum++; m.sum > mixLife {
 		m.sum /= 2
 		for i := range m.seen {
 			m.seen[i] /= 2
 		}
 	}
-	return m.seen[tenant], m.sum
+	return (m.seen[tenant] + mixPrior*portion) / (m.sum + mixPrior) / portion
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -165,6 +165,7 @@
 	"half-close":     {what: "backends' sides close within answers", link: true, min: 0, max: 1},
 	"client-reset":   {what: "connections between clients and agents break", link: true, min: 0, max: 1, agents: true},
 	"kill-agent":     {what: "agents die and come back", agents: true},
+	"freeze-agent":   {what: "agents get no processor", agents: true},
 	"restart-agent":  {what: "agents are told to end and come back", agents: true},
 	"reload-agent":   {what: "agents are given another address of discovery", agents: true},
 	"list-down":      {what: "discovery is down", all: true},
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -171,6 +171,17 @@
 	}
 }
 
+// Waiting reads what has arrived, whatever the deadline, and does not wait. It returns 0 if there is nothing.
+func (c *Conn) Waiting(b []byte) int {
+	s := c.in
+	s.pair.mu.Lock()
+	defer s.pair.mu.Unlock()
+	if s.readerClosed || s.stalled() || len(b) == 0 || len(s.chunks) == 0 || s.chunks[0].at.After(time.Now()) {
+		return 0
+	}
+	return s.take(b)
+}
+
 // take copies what has arrived, a byte at a time where bytes trickle.
 func (s *stream) take(b []byte) int {
 	gap := s.pair.cond.Trickle
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -193,11 +193,11 @@
 		ev.Class = int(d.u16())
 	case evBegun:
 		ev.Kind, ev.Request = policy.EventBegun, policy.RequestID(d.u32())
-		ev.Latency, ev.Attempt, ev.Server = d.time(), int(d.u8()), policy.ServerID(d.u32())
+		_, ev.Attempt, ev.Server = d.time(), int(d.u8()), policy.ServerID(d.u32())
 	case evReply:
 		ev.Kind, ev.Request = policy.EventOutcome, policy.RequestID(d.u32())
 		ev.Attempt, ev.Server, ev.Outcome = int(d.u8()), policy.ServerID(d.u32()), d.outcome()
-		ev.Latency, ev.Closed = d.time(), d.u8() != 0
+		_, ev.Closed = d.time(), d.u8() != 0
 		ev.Load = d.load(rec.Instance)
 	case evHangup:
 		ev.Kind, ev.Request = policy.EventHangup, policy.RequestID(d.u32())
@@ -205,7 +205,7 @@
 		ev.Kind, ev.Token = policy.EventTimer, d.u64()
 	case evCheck:
 		ev.Kind, ev.Server = policy.EventProbed, policy.ServerID(d.u32())
-		ev.Outcome, ev.Latency = d.outcome(), d.time()
+		ev.Outcome, _ = d.outcome(), d.time()
 		ev.Load = d.load(rec.Instance)
 	case evDatagram:
 		ev.Kind = policy.EventPeer
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"example.org/micaline/internal/limit"
 	"example.org/micaline/internal/weighted"
 )
 
@@ -30,7 +31,6 @@
 	forget          = 40.0 // usual answers' time after which half of a learnt speed is forgotten
 	reportLife      = 6.0  // service times that half of a report's news lasts, as queues do
 	fullFor         = 3.0  // usual answers' time that a server which was full stays passed by
-	fullDoubles     = 4    // times that this doubles until it answers
 	ejectShare      = 0.75 // of the servers at most: more looking bad at once is overload or our own blindness
 	ejectFor        = 8.0  // aims that a first ejection lasts
 	ejectDoubles    = 3    // times that this doubles while the server stays bad
@@ -45,16 +45,8 @@
 	retryFloor      = 3.0  // and so many besides,
 	retrySpan       = 5.0  // in any so many seconds
 	foresight       = 0.01 // of the requests is worth its probes though none are lost: after a jam they come late
-	aimShare        = 0.5  // of the aim that a usual answer may take before work is shed
-	mostPressure    = 2.0  // clients that repeat what is refused take more than one refusal to stop
-	slack           = 0.15 // pressure that noise alone builds: it sheds nothing
-	pressureGain    = 0.2  // of the intake shed for an answer one aim off: a few late answers halve it
-	easeOver        = 16.0 // aims in which pressure halves by itself,
-	easeBlind       = 1.0  // where servers report nothing and it comes of limits that bind
 	roomy           = 0.4  // what a request that found room presses there: one without outweighs five with
 	trickle         = 0.03 // let through under any pressure, to learn when it is over
-	mixPrior        = 10.0 // requests' worth of belief in the tenants' stated shares
-	mixLife         = 200  // requests over which the tenants' mix is remembered
 )
 
 // --- The list ---
@@ -106,26 +98,26 @@
 }
 
 // observe learns from how long an answer took beside others of its class and of its kind of machine.
-func (b *Balancer) observe(c *class, s *server, took float64) {
+func (b *Balancer) observe(c *class, s *server, took, sure float64) {
 	ratio, k := took/c.usual.v, b.kind(s)
-	c.usual.add(min(took, 4*c.usual.v), fleetGain)
-	b.service.add(took, fleetGain)
-	b.learn(s, &k.ratio, min(ratio, 4))
+	c.usual.add(min(took, 4*c.usual.v), fleetGain*sure)
+	b.service.add(took, fleetGain*sure)
+	b.learn(s, &k.ratio, min(ratio, 4), sure)
 	if s.load.Recent <= 0 && s.load.Rate <= 0 { // else it says so itself; a queue of our own is no slowness
 		// Danger: where nothing tells how many it serves at once, our own in flight may be no queue at all: who is sent
 		// more would look faster and be sent more again, until it jams.
 		if ratio /= k.ratio.v; b.set.Reports != ReportsOff {
 			ratio /= 1 + float64(s.inFlight)/b.width.Requests()
 		}
-		b.slower(s, ratio, gain)
+		b.slower(s, ratio, gain*sure)
 	}
 }
 
 // learn takes in how long a kind takes; a cold server is no example.
-func (b *Balancer) learn(s *server, pace *mean, sample float64) {
+func (b *Balancer) learn(s *server, pace *mean, sample, sure float64) {
 	if k := b.kind(s); (b.warmth(s) == 1 || !pace.known) && !s.tellsQueue() {
-		k.seen, b.seen = k.seen+1, b.seen+1
-		pace.add(sample, max(fleetGain, 1/(k.seen+kindDoubt/2)))
+		k.seen, b.seen = k.seen+sure, b.seen+sure
+		pace.add(sample, sure*max(fleetGain, 1/(k.seen+kindDoubt/2)))
 	}
 }
 
@@ -168,14 +160,14 @@
 	return w
 }
 
-// report takes in a server's own figures.
-func (b *Balancer) report(s *server, l Load) {
+// report takes in a server's own figures, which may have lain unread so long.
+func (b *Balancer) report(s *server, l Load, late time.Duration) {
 	if !l.Known {
 		return
 	}
-	if s.load, s.loadAt, s.since = l, b.now, 0; l.Recent > 0 {
+	if s.load, s.loadAt, s.since = l, b.now-late, 0; l.Recent > 0 {
 		k := b.kind(s) // one report of this is noise, their maximum is worse
-		b.learn(s, &k.recent, l.Recent.Seconds())
+		b.learn(s, &k.recent, l.Recent.Seconds(), 1)
 		b.recent.add(l.Recent.Seconds(), fleetGain)
 		b.slower(s, l.Recent.Seconds()/k.recent.v, 2*gain)
 		b.width.Report(l.Rate, l.Recent.Seconds(), l.InFlight)
@@ -362,7 +354,7 @@
 	case s.probing || b.now < max(s.full, s.health[r.class.index].until): // not even a probe is answered, or no room
 		return true
 	case b.set.Reports == ReportsOff:
-		return held >= s.limit()
+		return held >= b.limit(s)
 	case !s.load.Known || held < width:
 		return false
 	}
@@ -371,12 +363,17 @@
 }
 
 // limit is how many attempts may be out at a server that reports nothing, those of other agents among them. Danger: an
-// agent that sends little learns late; were its limit its own, it would give way to all the others.
-func (s *server) limit() float64 {
-	if own := float64(s.inFlight) + 1; s.others > 0 {
-		return (own*s.room.Limit() + s.others*s.theirs) / (own + s.others)
+// agent that sends little learns late; were its limit its own, it would give way to all the others. Who has not told
+// of a limit yet is like the others, and before the first answer of all nothing is refused for one.
+func (b *Balancer) limit(s *server) float64 {
+	room, own := s.room.Limit(), float64(s.inFlight)+1
+	if !s.room.Known() {
+		room = max(room, b.room.v)
 	}
-	return s.room.Limit()
+	if s.others > 0 {
+		return (own*room + s.others*s.theirs) / (own + s.others)
+	}
+	return room
 }
 
 // place sends the request to a server, or lets it wait for a probe, or says that there is no room.
@@ -413,7 +410,7 @@
 	if full && b.now >= first.full {
 		part := 1.0
 		if r.draws < draws-1 { // another pair may have room, which an agent alone will see and others take
-			part = aimShare + (1-aimShare)*b.herd
+			part = limit.Usual + (1-limit.Usual)*b.herd
 		}
 		b.press(part)
 	}
@@ -444,7 +441,7 @@
 		return
 	}
 	if s.probing = false; ev.Outcome == OK {
-		b.report(s, ev.Load)
+		b.report(s, ev.Load, ev.Late)
 	}
 	b.resume(func(r *request) bool { return r.asked == s })
 }
@@ -497,14 +494,8 @@
 // shed says whether there is no room for the request: tenants over their share and low worth go first.
 func (b *Balancer) shed(r *request) bool {
 	over := b.over(r.tenant)
-	// Danger: under pressure little is let through to tell that servers are idle again, so it eases by itself.
-	aims := easeOver
-	if b.set.Reports == ReportsOff {
-		aims = easeBlind // a limit that does not bind tells at once that there is room
-	}
-	b.pressure *= math.Exp2((b.eased - b.now).Seconds() / (aims * b.classes[0].Aim.Seconds()))
-	b.eased = b.now
-	chance := max(0, b.pressure-slack) * over * over * b.worth / r.class.Worth
+	b.pressure.Ease(b.now, b.classes[0].Aim)
+	chance := b.pressure.Shed() * over * over * b.worth / r.class.Worth
 	return b.rng.Float64() < min(chance, 1-trickle)
 }
 
@@ -514,13 +505,17 @@
 		return 1
 	}
 	portion := b.set.Tenants[tenant].Portion
-	seen, sum := b.mix.Count(tenant, mixLife)
-	return (seen + mixPrior*portion) / (sum + mixPrior) / portion
+	return b.mix.Over(tenant, portion)
 }
 
-// press moves the shed share by how full servers are or how long answers take, 1 being what no aim allows.
+// press sheds by a part of the aim that a request has met. Where servers report, what comes together says more than one
+// does: a jam is near.
 func (b *Balancer) press(part float64) {
-	b.pressure = min(max(0, b.pressure+pressureGain*(min(part, 2)-aimShare)), mostPressure)
+	if b.set.Reports == ReportsOff && part > limit.Usual {
+		b.pressure.Meet(part, b.now, b.service.v)
+		return
+	}
+	b.pressure.Move(part, 1)
 }
 
 // may is the right to send: the one place that knows placement, effects, groups, windows and drains.
@@ -608,11 +603,14 @@
 	if a.checks > 0 {
 		s.silent--
 	}
-	b.report(s, ev.Load)
-	took := (b.now - a.sent).Seconds()
-	b.judge(r.class, a, ev.Outcome, took/r.class.Aim.Seconds())
+	b.report(s, ev.Load, ev.Late)
+	// Danger: what the agent is late with would be learnt of the server. It took at least the rest, and is believed the
+	// less, the more is in doubt.
+	past, late := (b.now - a.sent).Seconds(), max(0, ev.Late.Seconds())
+	at, sure := max(0, past-late), 1-min(1, late/max(past, 1e-9))
+	b.judge(r.class, a, ev.Outcome, at/r.class.Aim.Seconds(), sure)
 	if ev.Outcome == OK {
-		b.observe(r.class, s, took)
+		b.observe(r.class, s, at, sure)
 	}
 	r.draws = 0
 	switch {
@@ -624,8 +622,8 @@
 	}
 }
 
-// judge draws the conclusions from an outcome.
-func (b *Balancer) judge(c *class, a *attempt, how Outcome, part float64) {
+// judge draws the conclusions from an outcome: the part of the aim that it took, and how sure that is.
+func (b *Balancer) judge(c *class, a *attempt, how Outcome, part, sure float64) {
 	s := a.server
 	if h := &s.health[c.index]; how == OK || how == Error || how == Reset {
 		failed := 1.0
@@ -637,18 +635,19 @@
 	}
 	switch how {
 	case OK:
-		s.used, s.fulls = b.now, 0
+		s.used = b.now
 		h := &s.health[c.index]
 		h.bad, h.times = h.bad/2, 0
-		b.late.add(min(part, 1), gain)
 		if b.set.Reports == ReportsOff {
 			s.room.Answered(part, s.inFlight+1+int(s.others), a.sent, b.now)
+			b.room.add(s.room.Limit(), fleetGain)
 		} else if !s.tellsQueue() {
-			b.press(part) // where queues are reported those have said it: one costly request is no crowd
+			// Where queues are reported those have said it: one costly request is no crowd.
+			b.pressure.Move(part, sure)
 		}
 	case Timeout:
-		b.slower(s, maxSlow/2, gain)
-		if s.used <= a.sent {
+		b.slower(s, maxSlow/2, gain*sure)
+		if s.used <= a.sent && sure > 0.5 {
 			b.silent(c, a, 1)
 		}
 	case Full:
@@ -658,8 +657,6 @@
 		b.passBy(a)
 		if b.set.Reports == ReportsOff {
 			s.room.Congested(a.sent, b.now)
-		} else if !s.load.Known {
-			b.press(2)
 		}
 	case Error:
 		// Danger: a quick error looks like a quick answer. It teaches no speed and counts against the server.
@@ -686,15 +683,12 @@
 	}
 }
 
-// passBy leaves a server without room alone for a while, longer each time until it answers. Danger: attempts
+// passBy leaves a server without room alone for a while. Danger: attempts
 // that were out together fail together, and say no more than the first of them.
 func (b *Balancer) passBy(a *attempt) {
-	s := a.server
-	if s.fulls > 0 && a.sent < s.full {
-		return
+	if s := a.server; a.sent >= s.full {
+		s.full = b.now + seconds(fullFor*b.service.v)
 	}
-	s.full = b.now + seconds(fullFor*b.service.v*float64(int(1)<<min(s.fulls, fullDoubles)))
-	s.fulls++
 }
 
 // patient is how long a server's silence is no sign.
@@ -711,7 +705,7 @@
 
 // advice is when a refused client may come again: when the servers have answered what they hold, later the
 // more is shed. Danger: clients left to themselves come again at once and keep the overload up.
-func (b *Balancer) advice(c *class) time.Duration { return seconds(c.usual.v * (1 + b.pressure)) }
+func (b *Balancer) advice(c *class) time.Duration { return seconds(c.usual.v * (1 + b.pressure.Raw)) }
 
 // end is the only place where a request ends: by the answer of ours that promises most, or as it has one or
 // is gone. A request with attempts out stays known until they are back.
@@ -742,20 +736,17 @@
 	}
 }
 
-// silent counts an attempt's silence against its server, up to so much. Danger: servers fall silent before
-// they choke: where other answers are late too, the silence of one that was well is crowding.
+// silent counts an attempt's silence against its server, up to so much.
 func (b *Balancer) silent(c *class, a *attempt, much float64) {
 	if b.set.Reports == ReportsOff {
 		a.server.room.Congested(a.sent, b.now)
-	} else if a.server.health[c.index].bad < 0.25 && !a.server.tellsQueue() {
-		b.press(4 * b.late.v)
 	}
 	b.blame(c, a.server, much-a.blamed, "silence")
 	a.blamed = much
 }
 
 // blame counts failures of a class against a server and ejects it from the class's line when there are too
-// many; once two classes have, all do. Danger: a server may fail one class and serve the others well.
+// many. Danger: a server may fail one class and serve the others well.
 func (b *Balancer) blame(c *class, s *server, much float64, why string) {
 	h := &s.health[c.index]
 	if h.bad += much; h.bad < 1 || h.until > b.now || s.State != Ready {
@@ -777,14 +768,6 @@
 	h.until = b.now + seconds(wait*(0.75+b.rng.Float64()/2))
 	h.times, h.bad, b.epoch = h.times+1, 0.5, b.epoch+1 // half bad: it will be readmitted on trial
 	b.log("server %d ejected for class %d for %.1f s: %s", s.ID, c.index, wait, why)
-	for i := range s.health {
-		if o := &s.health[i]; o.until > b.now && i != c.index {
-			for i := range b.classes {
-				b.blame(&b.classes[i], s, 1, "several classes")
-			}
-			return
-		}
-	}
 }
 
 // again sends a second copy of a request whose attempt is silent, while one may still be in time. Danger: servers may
@@ -797,8 +780,8 @@
 	}
 }
 
-func (b *Balancer) onTimer(token uint64) {
-	switch token >> 56 << 56 {
+func (b *Balancer) onTimer(ev *Event) {
+	switch token := ev.Token; token >> 56 << 56 {
 	case tokenAsk:
 		b.act(Action{Kind: ActFollow})
 	case tokenWait:
@@ -808,6 +791,10 @@
 		if r := b.open[RequestID(token)]; r != nil && n < len(r.attempts) && r.attempts[n].out {
 			// Danger: a costly request, or one on a connection that has gone dead, is no silence of its server,
 			// which answers others meanwhile.
+			if ev.Late > r.class.patient()/4 { // danger: answers lie unread, or it has hardly been sent
+				b.act(Action{Kind: ActTimer, Token: token, Wait: r.class.patient()})
+				return
+			}
 			a, answers := &r.attempts[n], r.attempts[n].server.used > r.attempts[n].sent
 			much := a.blamed
 			if !answers {
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,6 @@
 	others   float64           // attempts that other agents say they have out,
 	theirs   float64           // and the limit that they have learnt
 	full     time.Duration     // passed by until then: it had no room
-	fulls    int               // so many times in a row
 	health   []health          // by class
 }
 
@@ -56,7 +55,7 @@
 func (s *server) tellsQueue() bool { return s.load.Known && s.load.Queue >= 0 }
 
 func (s *server) restart(e *ServerEntry) {
-	s.slow, s.full, s.fulls, s.used, s.load.Known, s.room = 1, 0, 0, 0, false, limit.Concurrency{}
+	s.slow, s.full, s.used, s.load.Known, s.room = 1, 0, 0, false, limit.Concurrency{}
 	clear(s.health)
 	if s.base = e.Weight; !(e.Weight > 0 && e.Weight < math.MaxFloat32) {
 		s.base = 1
@@ -145,6 +144,7 @@
 	seen     float64   // answers and reports that kinds' paces were learnt from
 	recent   mean      // reported service time of all servers, seconds
 	width    limit.Width
+	room     mean // limit of the servers that have answered, where they report nothing
 	open     map[RequestID]*request
 	waiting  []*request // for probes
 	kinds    map[int]*kind
@@ -152,16 +152,14 @@
 	queue    mean    // reported queue for each request served at once
 	herd     float64 // from 0, this agent is alone, to 1, others send nearly all
 	crowd    float64 // between crowdAlone and crowd
-	late     mean    // time of an answer over its aim
 	lost     float64 // share of requests not served within their aim
-	pressure float64 // share of the usual requests to shed
+	pressure limit.Pressure
 	mix      limit.Mix
 	worth    float64      // mean worth of the classes
 	budget   limit.Budget // of retries
 	asks     int          // failed calls for the list in a row
 	logs     int          // lines since logsFrom
 	logsFrom time.Duration
-	eased    time.Duration // when pressure last went down by itself
 }
 
 // New returns a Balancer that knows no server yet. Its error names the setting that cannot be right.
@@ -180,6 +178,7 @@
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
 	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
+	b.room.v = math.Inf(1)
 	for _, c := range s.Classes {
 		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
 		b.worth += c.Worth / float64(len(s.Classes))
@@ -236,7 +235,7 @@
 			b.end(r, false)
 		}
 	case EventTimer:
-		b.onTimer(ev.Token)
+		b.onTimer(&ev)
 	case EventProbed:
 		b.onProbed(&ev)
 	case EventShared:
--- a/policy/types.go
+++ b/policy/types.go
@@ -156,10 +156,10 @@
 	EventList    EventKind = iota // the server list [ListMode, Servers]
 	EventRequest                  // a request, owed one answer [Request, Class, Tenant, Left, Retry]
 	EventBegun                    // a streamed answer has started [Request, Attempt, Server]
-	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Latency, Closed, Load]
+	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Late, Closed, Load]
 	EventHangup                   // the client has gone [Request]: nothing more is owed
-	EventTimer                    // an ActTimer fell due [Token]
-	EventProbed                   // a probe ended [Server, Outcome, Latency, Load]
+	EventTimer                    // an ActTimer fell due [Token, Late]
+	EventProbed                   // a probe ended [Server, Outcome, Late, Load]
 	EventShared                   // what other agents have out at a server, and may have [Server, Others, Limit]
 	EventPeer                     // a message of another agent [Data], for package peers
 )
@@ -175,8 +175,8 @@
 	Left     time.Duration // until the client gives this try up
 	Retry    bool          // the client marks this as a repeat
 	Outcome  Outcome
-	Latency  time.Duration
-	Closed   bool // the request has its final answer, by this outcome or before
+	Late     time.Duration // what the agent itself may have been late with: of the time since it sent, or was due
+	Closed   bool          // the request has its final answer, by this outcome or before
 	Load     Load
 	Token    uint64
 	ListMode ListMode
--- a/policy/view.go
+++ b/policy/view.go
@@ -53,7 +53,7 @@
 }
 
 // Pressure is the share of the usual requests that the Balancer sheds at present, above 1 where more asks than that.
-func (b *Balancer) Pressure() float64 { return max(0, b.pressure-slack) }
+func (b *Balancer) Pressure() float64 { return b.pressure.Shed() }
 
 var outcomeNames = [...]string{
 	OK: "ok", Error: "error", Full: "rejected", Timeout: "timeout", ConnectFailed: "connect failed", Reset: "reset",
