A late beat puts all since the beat before it in doubt

Cause: what became ready between a beat and the next one's due time was not covered when that one came late, so the claimed error of one beat failed in test.sh, and the test had been loosened to two.

--- a/internal/lag/lag.go
+++ b/internal/lag/lag.go
@@ -17,8 +17,8 @@
 	smooth    = 0.1 // weight of a beat in the mean
 )
 
-// Clock follows beats. Its error, while the processor keeps up: it may call two beats and their tolerance, a good tenth of the span
-// that matters, of its own lateness the others', and it calls all of the others' that came while it was late its own.
+// Clock follows beats. Its error, while the processor keeps up: it may call a beat and its tolerance, a twentieth of the span that
+// matters and a little, of its own lateness the others', and it calls all of the others' that came while it was late its own.
 type Clock struct {
 	every time.Duration
 	due   time.Duration // the next beat
@@ -28,9 +28,7 @@
 	behind   bool          // no beat has come in time since
 
 	mean   float64 // lateness of beats, seconds
-	late   time.Duration
 	worst  time.Duration
-	beats  int64
 	spells int64
 }
 
@@ -39,9 +37,6 @@
 	return Clock{every: min(max(matters/part, leastBeat), mostBeat)}
 }
 
-// Every is the time between beats.
-func (c *Clock) Every() time.Duration { return c.every }
-
 // Start asks for beats, and returns when the first is due. There are none while nothing is to be told apart.
 func (c *Clock) Start(now time.Duration) (due time.Duration) {
 	c.on, c.behind, c.due = true, false, now+c.every
@@ -57,11 +52,9 @@
 // Beat takes in the beat that was due, and returns when the next one is.
 func (c *Clock) Beat(now time.Duration) (due time.Duration) {
 	late := max(0, now-c.due)
-	c.beats++
 	c.mean += smooth * (late.Seconds() - c.mean)
 	if c.behind = late > c.every/tolerance; c.behind {
-		c.from, c.to = c.due, now
-		c.late += late
+		c.from, c.to = c.due-c.every, now // what became ready since the beat before may have waited
 		c.worst = max(c.worst, late)
 		c.spells++
 	}
@@ -78,7 +71,7 @@
 		return 0
 	}
 	if now-c.due > c.every/tolerance { // the beat itself still waits
-		from := c.due
+		from := c.due - c.every
 		if c.behind && c.to+(c.to-c.from) >= c.due {
 			from = c.from
 		}
@@ -97,12 +90,10 @@
 type Figures struct {
 	Mean   time.Duration // of the beats of late
 	Worst  time.Duration // since the start
-	Late   time.Duration // in all, by beats that came too late
-	Spells int64         // so many of them
-	Beats  int64
+	Spells int64         // beats that came too late
 }
 
 // Figures returns them.
 func (c *Clock) Figures() Figures {
-	return Figures{time.Duration(c.mean * float64(time.Second)), c.worst, c.late, c.spells, c.beats}
+	return Figures{time.Duration(c.mean * float64(time.Second)), c.worst, c.spells}
 }
--- a/internal/lag/lag_test.go
+++ b/internal/lag/lag_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// While a processor keeps up, whatever waits for it, by stalls or others' work, is never called others' lateness by more than two
-// beats and their tolerance.
+// While a processor keeps up, whatever waits for it, by stalls or others' work, is never called others' lateness by more than a
+// beat and its tolerance.
 func TestOwnCoversWhatWaited(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -68,7 +68,7 @@
 		c := New(matters)
 		play(&c, jobs, away, func(j job, at time.Duration) {
 			waited, own := at-j.ready, c.Own(at)
-			if most := own + c.every/tolerance + 2*c.every; waited > most {
+			if most := own + c.every/tolerance + c.every; waited > most {
 				t.Fatalf("at %v: waited %v, of which %v is called own", at, waited, own)
 			}
 		})
