Operators' calls, figures by class, backends out by name, drains by hand, an inherited socket

internal/admin answers the calls, one to a connection; requests are counted once, by class, where they end, and attempts where their last byte goes out; a backend is held out by name, without an end, and comes back as one that has just started; internal/leave says what connections do while an agent drains or ends. With GW_INHERITED_FD the clients' socket is the platform's.

Ruled out: a drain by closing the listener (resets what is on its way).

Tests: go test ./internal/admin ./internal/leave ./internal/agent -run 'Ban|Drain'

--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -11,13 +11,17 @@
 	"log/slog"
 	"math"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 
+	"example.org/micaline/internal/admin"
 	"example.org/micaline/internal/agent"
 	"example.org/micaline/internal/api"
 	"example.org/micaline/internal/control"
@@ -72,9 +76,15 @@
 		return err
 	}
 	cfg.Levels = ops.Levels
-	listener, err := net.Listen("tcp", cfg.Listen)
+	if addr := os.Getenv("GW_ADMIN"); addr != "" {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return fmt.Errorf("GW_ADMIN: %w", err)
+		}
+		cfg.Admin = addr
+	}
+	listener, err := listen(cfg, os.Getenv("GW_INHERITED_FD"))
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		return err
 	}
 	a, err := agent.New(cfg, listener, agent.TCP{}, log)
 	if err != nil {
@@ -90,9 +100,45 @@
 		}
 		defer stop()
 	}
+	if cfg.Admin != "" {
+		calls, err := net.Listen("tcp", cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+		s := admin.NewServer(a, log)
+		defer s.Close()
+		go func() {
+			if err := s.Serve(calls); !errors.Is(err, http.ErrServerClosed) {
+				log.Error("operators' calls end", "error", err)
+			}
+		}()
+	}
 	return a.Run(ctx, re.to)
 }
 
+// listen opens the clients' socket, or takes the one that the platform holds for all processes of the agent.
+func listen(cfg *agent.Config, inherited string) (net.Listener, error) {
+	if inherited == "" {
+		l, err := net.Listen("tcp", cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listening: %w", err)
+		}
+		return l, nil
+	}
+	fd, err := strconv.ParseUint(inherited, 10, 16)
+	if err != nil || fd <= 2 {
+		return nil, fmt.Errorf("GW_INHERITED_FD: %q is no descriptor of a listener", inherited)
+	}
+	file := os.NewFile(uintptr(fd), "inherited")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("GW_INHERITED_FD: %w", err)
+	}
+	cfg.Inherited = true
+	return l, nil
+}
+
 // reloader reads the configuration again.
 type reloader struct {
 	path string
--- /dev/null
+++ b/internal/agent/admin_test.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A backend that is called out gets nothing, also once it has left the list and come back; called out twice, it is in by
+// one call back, and is taken for one that has just started.
+func TestBanOutlivesTheList(t *testing.T) {
+	x, y := newBackend(t, serves), newBackend(t, serves)
+	l := newLists(t, hosts(1, true, host("x", x.Addr, "Ready", 0), host("y", y.Addr, "Ready", 0)))
+	a := start(t, config(t, l.Addr, testSettings))
+	ban := func(id string, out, want bool) {
+		t.Helper()
+		if known, err := a.agent.Ban(t.Context(), id, out); known != want || err != nil {
+			t.Fatalf("ban of %s: known %v, %v", id, known, err)
+		}
+	}
+	ban("x", true, true)
+	ban("x", true, true)
+	ban("z", true, false)
+	ban("z", false, false)
+	l.Next <- hosts(2, false, `{"id":"x","phase":"Gone"}`)
+	l.Next <- hosts(3, false, host("x", x.Addr, "Ready", 0))
+	l.Next <- hosts(4, false, host("z", y.Addr, "Terminating", 0)) // which shows that the one before was taken
+	for begun := time.Now(); len(look(t, a).Backends) < 3; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > wait {
+			t.Fatal("the list does not come")
+		}
+	}
+	a.serve(t, 30)
+	f, err := a.agent.Figures(t.Context())
+	if err != nil || f.Known != 3 || f.Excluded != 2 || f.Attempts != 30 || f.Classes[2].Served != 30 {
+		t.Errorf("figures %+v, %v", f, err)
+	}
+	if s := look(t, a).Backends[0]; len(x.Got) > 0 || s.HeldBy != byOperator {
+		t.Errorf("%d sent to who is out; shown as %+v", len(x.Got), s)
+	}
+	ban("x", false, true)
+	if s := look(t, a).Backends[0]; s.Warmth >= 1 || s.HeldBy != "" {
+		t.Errorf("back from a restart it is shown as %+v", s)
+	}
+	for begun := time.Now(); len(x.Got) == 0; a.serve(t, 1) {
+		if time.Since(begun) > wait {
+			t.Fatal("nothing is sent to who is back")
+		}
+	}
+}
+
+// A drained agent says no, answers what still comes and ends its connections, idle ones by themselves; when the drain
+// ends it serves as before.
+func TestDrainByHand(t *testing.T) {
+	a := agentFor(t, testSettings, newBackend(t, serves))
+	addr := strings.TrimPrefix(a.url, "http://")
+	idle, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	idle.SetDeadline(time.Now().Add(wait))
+	br := bufio.NewReader(idle)
+	ask := func() *http.Response {
+		io.WriteString(idle, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	if resp := ask(); resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("up: %v", resp.Status)
+	}
+	a.agent.SetDraining(true)
+	if a.agent.Ready() {
+		t.Error("ready while it drains")
+	}
+	if resp, err := a.client.Get(a.url + readyPath); err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("up while it drains: %+v, %v", resp, err)
+	}
+	resp, err := a.client.Do(a.request("safe", "15000m")) // on a new connection
+	if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("a request on a drained agent: %+v, %v", resp, err)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection ends with %v", err)
+	}
+	a.agent.SetDraining(false)
+	a.serve(t, 3)
+	if resp, err := a.client.Get(a.url + readyPath); err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+		t.Errorf("up after the drain: %+v, %v", resp, err)
+	}
+}
--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -31,6 +31,8 @@
 	net.Conn
 	place   *list.Element // among the silent; nil while a request is open
 	closed  bool          // to make room, or by its server
+	busy    bool          // some of a request has come
+	since   time.Time     // it is idle
 	writeBy time.Time     // the deadline that is set
 }
 
@@ -107,6 +109,7 @@
 		a.release(victim)
 	}
 	a.open++
+	c.since = time.Now()
 	c.place = a.silent.PushBack(c)
 	a.mu.Unlock()
 	if victim != nil {
@@ -115,6 +118,28 @@
 	return true
 }
 
+// newest is how long a connection that is idle is left alone: its request may be on its way.
+const newest = 200 * time.Millisecond
+
+// endIdle closes the connections on which nothing is, nor waits to be read.
+func (a *admission) endIdle() {
+	a.mu.Lock()
+	var idle []*clientConn
+	for e := a.silent.Front(); e != nil; {
+		c := e.Value.(*clientConn)
+		e = e.Next()
+		sys, ok := c.Conn.(syscall.Conn)
+		if !c.busy && time.Since(c.since) >= newest && (!ok || tcp.Quiet(sys)) {
+			a.release(c)
+			idle = append(idle, c)
+		}
+	}
+	a.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
 // release takes a connection out of the count. The mutex is held.
 func (a *admission) release(c *clientConn) {
 	if c.closed {
@@ -146,7 +171,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch state {
+	case http.StateActive:
+		c.busy = true
 	case http.StateIdle:
+		c.busy, c.since = false, time.Now()
 		if c.place != nil {
 			a.silent.MoveToBack(c.place)
 		} else if !c.closed {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"example.org/micaline/internal/leave"
 	"example.org/micaline/policy"
 )
 
@@ -26,9 +27,7 @@
 	idleClients = 2500 * time.Millisecond
 	// answerShare is the part of the memory that large answers may hold while they are on their way.
 	answerShare = 8
-	// leaveAfter is how long an agent that is to stop goes on accepting: its client goes on connecting.
-	leaveAfter = 550 * time.Millisecond
-	leaveSlack = 100 * time.Millisecond
+	leaveSlack  = 100 * time.Millisecond
 )
 
 // Serve runs an agent until the context ends, and until what it has taken is finished. Of a configuration that is
@@ -53,6 +52,11 @@
 	peers     *chatter     // nil: there is no talk among agents
 	moves     chan *Config // to another discovery, by operators
 	followed  string       // the discovery that they have moved to last
+
+	leaveMu   sync.Mutex // guards what follows
+	leave     leave.Machine
+	sweep     *time.Timer
+	following bool // the sweep is to come
 }
 
 // New returns an agent that is not running yet.
@@ -85,10 +89,11 @@
 	a := &Agent{
 		cfg: cfg, log: log, loop: l, discovery: d, clients: &admission{Listener: listener, most: room},
 		server: &server{loop: l, usual: int64(room - room/8)}, moves: make(chan *Config),
-		followed: cfg.Discovery, peers: talk,
+		followed: cfg.Discovery, peers: talk, leave: leave.Machine{Shared: cfg.Inherited},
 	}
 	a.server.clients = a.clients
 	a.server.most.Store(a.server.usual)
+	a.server.stance.Store(&leave.Stance{Ready: true, Accept: true})
 	return a, nil
 }
 
@@ -128,12 +133,18 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	handler.leaving.Store(true)
+	a.changeStance(func(m *leave.Machine, now time.Duration) { m.End(now) })
+	if cfg.Inherited { // who else accepts is there for new connections
+		a.clients.Close()
+		<-failed
+		failed = nil
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
-	case <-time.After(leaveAfter):
+	case <-time.After(leave.Accepting + sweepIdle):
 	}
+	a.clients.endIdle()
 	longest := leaveSlack
 	for _, c := range cfg.Settings.Module.Classes {
 		longest = max(longest, c.Deadline+leaveSlack)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -33,8 +33,9 @@
 
 // message is a client's request as it goes on to a backend, unchanged but for its budget.
 type message struct {
-	head []byte // the request line and the headers but for the budget
-	body []byte
+	head  []byte // the request line and the headers but for the budget
+	body  []byte
+	probe bool // the agent's own
 }
 
 // notPassedOn is what a message says anew each time.
@@ -170,6 +171,9 @@
 		return nil, nil, err
 	}
 	p.on(a, life.WroteLast)
+	if !m.probe {
+		p.written.Add(1)
+	}
 	*wrote = p.late.time.now()
 	if resp, body, err = p.read(c, a); err != nil {
 		return nil, nil, err
@@ -279,6 +283,7 @@
 		path = loadPath
 	}
 	m := newMessage(http.MethodGet, path, t.addr, nil, nil)
+	m.probe = true
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r := p.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -28,7 +28,9 @@
 	MemoryMB  int
 	Sockets   int
 	Settings  settings.Settings
-	Peers     Peers // used where the settings allow it
+	Peers     Peers  // used where the settings allow it
+	Admin     string // where operators call; empty: nowhere
+	Inherited bool   // other processes accept from the same socket
 
 	Levels level.Config // of reduced service, from the operators' file; none where it is empty
 
@@ -71,7 +73,7 @@
 // ParseConfig reads and checks the text of a configuration.
 func ParseConfig(text []byte) (*Config, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
+		Name, Listen, Discovery, Seed, Admin string
 
 		Limits struct {
 			Cores    float64
@@ -88,7 +90,7 @@
 		return nil, err
 	}
 	cfg := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: f.Admin,
 		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets,
 	}
 	var err error
@@ -98,6 +100,11 @@
 	if _, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if f.Admin != "" {
+		if _, err = netip.ParseAddrPort(f.Admin); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+	}
 	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -115,51 +115,6 @@
 	l.handle(ctx, l.current, policy.Event{Kind: policy.EventList, ListMode: policy.ListFull, Servers: entries})
 }
 
-// held is what the modules are told of a backend: one that is held out drains.
-func (l *loop) held(e policy.ServerEntry) policy.ServerEntry {
-	if _, out := l.holds[e.ID]; out && e.State == policy.Ready {
-		e.State = policy.Draining
-	}
-	return e
-}
-
-// Hold keeps a backend out for so long, or lets it in again if that is 0. Danger: what discovery says goes before it: a
-// backend that drains gets nothing, whoever lets it in.
-func (a *Agent) Hold(ctx context.Context, backend string, d time.Duration) (known bool, err error) {
-	l := a.loop
-	err = l.do(ctx, func() {
-		id, here := l.servers.ids[backend]
-		if known = here; !here {
-			return
-		}
-		if d > 0 {
-			l.holds[id] = l.clock.now() + d
-		} else {
-			delete(l.holds, id)
-		}
-		l.log.Info("operators", "backend", backend, "held_for", d)
-		l.tellHold(context.WithoutCancel(ctx), id)
-	})
-	return known, err
-}
-
-// tellHold tells the modules that a backend is held out, or no longer.
-func (l *loop) tellHold(ctx context.Context, id policy.ServerID) {
-	if e, ok := l.listed[id]; ok {
-		l.handleAll(ctx, policy.Event{Kind: policy.EventList, ListMode: policy.ListDelta, Servers: []policy.ServerEntry{l.held(e)}})
-	}
-}
-
-// endHolds lets those in again whose time is over.
-func (l *loop) endHolds(ctx context.Context) {
-	for id, until := range l.holds {
-		if l.clock.now() >= until {
-			delete(l.holds, id)
-			l.tellHold(ctx, id)
-		}
-	}
-}
-
 var phaseNames = [...]string{policy.Gone: "Gone", policy.Ready: "Ready", policy.Draining: "Terminating"}
 
 var effectNames = [...]string{policy.Pure: "pure", policy.Token: "token", policy.SideEffect: "side_effect"}
@@ -178,11 +133,6 @@
 	s.Service = control.Service{
 		Requests: l.counts.requests, InAim: l.counts.inAim, Served: l.counts.served, Refused: l.counts.refused, Failed: l.counts.failed, Left: l.counts.left,
 	}
-	if turned := a.server.turned.Load(); turned > 0 { // which never came to the loop
-		s.Service.Requests += turned
-		s.Service.Refused += turned
-		s.Causes = append(s.Causes, control.Cause{Answer: "refused", Cause: "turned away at the door", Count: turned})
-	}
 	own, part := l.late.figures()
 	s.Own = control.Own{Late: round(own.Mean.Seconds()), Part: round(part), Worst: round(own.Worst.Seconds()), Times: own.Spells}
 	if b, ok := l.current.Decider.(viewer); ok {
@@ -240,8 +190,8 @@
 	if t := l.targets[v.ID]; t != nil {
 		b.Addr = t.addr
 	}
-	if until, out := l.holds[v.ID]; out {
-		b.Held = round((until - now).Seconds())
+	if h, out := l.holds.out[b.Name]; out {
+		b.Held, b.HeldBy = round((h.until - now).Seconds()), h.by
 	}
 	if v.ReportAge >= 0 {
 		age := round(v.ReportAge.Seconds())
--- a/internal/agent/counts.go
+++ b/internal/agent/counts.go
@@ -10,7 +10,15 @@
 	requests, inAim, served, refused, failed, left int64
 	byLevel                                        int64 // of the refused, those that came to no module
 
-	causes map[cause]int64 // of refusals and failures: as many as there are classes and outcomes
+	classes []classCounts
+	causes  map[cause]int64 // of refusals and failures: as many as there are classes and outcomes
+}
+
+// classCounts are the requests of a class by what their clients got.
+type classCounts struct{ served, refused, failed int64 }
+
+func newCounts(classes int) counts {
+	return counts{classes: make([]classCounts, classes), causes: map[cause]int64{}}
 }
 
 // cause is why a request was refused or failed.
@@ -22,17 +30,21 @@
 
 // end counts the end of a request.
 func (c *counts) end(r *request, status int, now, aim time.Duration) {
+	of := &c.classes[r.class]
 	switch status {
 	case http.StatusOK:
 		c.served++
+		of.served++
 		if now-r.begun <= aim {
 			c.inAim++
 		}
 		return
 	case statusRefused:
 		c.refused++
+		of.refused++
 	default:
 		c.failed++
+		of.failed++
 	}
 	why := "no room" // nothing was sent for it
 	switch {
@@ -43,3 +55,11 @@
 	}
 	c.causes[cause{status == statusRefused, r.class, why}]++
 }
+
+// turnAway counts a request that was refused before the loop saw it.
+func (c *counts) turnAway(class int) {
+	c.requests++
+	c.refused++
+	c.classes[class].refused++
+	c.causes[cause{true, class, "turned away at the door"}]++
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -124,7 +124,7 @@
 	callIDs  callIDs
 	lastID   policy.RequestID
 	listed   map[policy.ServerID]policy.ServerEntry // as discovery tells
-	holds    map[policy.ServerID]time.Duration      // of the clock, until when operators hold a backend out
+	holds    holds
 	counts   counts
 	levels   *level.Machine // nil: there are none
 	every    time.Duration  // between looks at their figures
@@ -143,8 +143,8 @@
 	first := &module{Decider: decider}
 	l := &loop{
 		set: &cfg.Settings, clock: pool.late.time, late: pool.late, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
-		listed: map[policy.ServerID]policy.ServerEntry{}, holds: map[policy.ServerID]time.Duration{},
-		counts: counts{causes: map[cause]int64{}},
+		listed: map[policy.ServerID]policy.ServerEntry{}, holds: holds{out: map[string]heldOut{}, back: map[string]time.Duration{}},
+		counts: newCounts(len(cfg.Settings.Classes)),
 		tell:   func([]byte) {},
 		ctx:    context.Background(), wake: time.NewTimer(time.Hour),
 		done:     make(chan struct{}),
@@ -269,6 +269,7 @@
 		}
 	case policy.EventRequest:
 		if !l.callIDs.take(in.call.callID) {
+			l.counts.classes[in.call.class].failed++
 			in.call.answered <- answer{status: http.StatusConflict, contentType: "text/plain", body: []byte(callIDHeader + " is in use\n")}
 			return
 		}
@@ -439,7 +440,6 @@
 		}
 		l.servers.free(id)
 		delete(l.listed, id)
-		delete(l.holds, id)
 	}
 }
 
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -54,6 +54,7 @@
 	idleClose      time.Duration // 0: never
 	most           int           // connections, idle and in use
 	room           atomic.Int64  // bytes left for large answers
+	written        atomic.Int64  // attempts whose last byte went out
 	late           *lateness     // the agent's own
 	log            *slog.Logger
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/leave"
 	"example.org/micaline/policy"
 )
 
@@ -50,11 +51,10 @@
 	clients *admission
 	usual   int64 // requests held at once, if operators say nothing
 
-	most    atomic.Int64 // requests held at once
-	held    atomic.Int64
-	closed  atomic.Bool  // operators let nothing in
-	turned  atomic.Int64 // requests that were refused for one of both
-	leaving atomic.Bool  // connections are closed after their answers
+	most   atomic.Int64 // requests held at once
+	held   atomic.Int64
+	closed atomic.Bool // operators let nothing in
+	stance atomic.Pointer[leave.Stance]
 }
 
 // badRequest is what a client did wrong, and the status that tells it so.
@@ -79,8 +79,12 @@
 		return
 	}
 	if r.URL.Path == readyPath {
-		if !s.loop.ready.Load() {
-			http.Error(w, "no list of backends yet", http.StatusServiceUnavailable)
+		stance := s.stance.Load()
+		if stance.CloseBehind {
+			w.Header().Set("Connection", "close")
+		}
+		if !s.loop.ready.Load() || !stance.Ready {
+			http.Error(w, "no list of backends yet, or leaving", http.StatusServiceUnavailable)
 		}
 		return
 	}
@@ -95,7 +99,7 @@
 	}
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.most.Load() || s.closed.Load() {
-		s.turned.Add(1)
+		s.loop.locked(func() { s.loop.counts.turnAway(c.class) })
 		s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
 		return
 	}
@@ -127,7 +131,7 @@
 func (s *server) respond(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	// What else a client sends that has sent nonsense is not to be trusted either.
-	if s.leaving.Load() || a.status/100 == 4 {
+	if s.stance.Load().CloseBehind || a.status/100 == 4 {
 		h.Set("Connection", "close")
 	}
 	if a.retryAfter > 0 {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -80,8 +80,9 @@
 type Backend struct {
 	Name      string     `json:"name"`
 	Addr      string     `json:"addr"`
-	Phase     string     `json:"phase"` // as discovery tells it
-	Held      float64    `json:"held_s,omitempty"`
+	Phase     string     `json:"phase"`             // as discovery tells it
+	Held      float64    `json:"held_s,omitempty"`  // for how long it is still held out,
+	HeldBy    string     `json:"held_by,omitempty"` // and through what
 	Speed     float64    `json:"speed"`
 	Warmth    float64    `json:"warmth"`
 	InFlight  int        `json:"in_flight"`
