A new process takes over what operators have said, over a socket in TMPDIR

internal/handover: what is said of a backend is an entry with its moment, of two the later counts, and processes that run beside one another tell each other all entries whenever they change, as frames with version, length and checksum. A process that inherits the clients' socket accepts once it has asked and has a list; the old one stops accepting with SIGTERM. While both run each uses half of its room for connections, requests and memory.

Ruled out: a file, which would miss what is said after it was read and outlive its process.

Tests: go test ./internal/handover; go test ./internal/agent -run Replace (20 handovers under load)

--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_INHERITED_FD: %w", err)
 	}
-	cfg.Inherited = true
+	cfg.Inherited, cfg.Shared = true, os.Getenv("TMPDIR")
 	return l, nil
 }
 
--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// resize changes how many connections there may be. What is over it goes as it becomes silent and room is wanted.
+func (a *admission) resize(most int) {
+	a.mu.Lock()
+	a.most = most
+	a.mu.Unlock()
+}
+
 // release takes a connection out of the count. The mutex is held.
 func (a *admission) release(c *clientConn) {
 	if c.closed {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/leave"
 	"example.org/micaline/policy"
 )
@@ -53,6 +55,12 @@
 	moves     chan *Config // to another discovery, by operators
 	followed  string       // the discovery that they have moved to last
 
+	handover *handover.Handover // nil: the process is never replaced
+	half     int                // of the sockets, for backends
+	room     int                // connections of clients
+	beside   atomic.Bool        // another process of the agent runs
+	wanted   atomic.Int64       // requests held at once, by operators; 0: they say nothing
+
 	leaveMu   sync.Mutex // guards what follows
 	leave     leave.Machine
 	sweep     *time.Timer
@@ -94,6 +102,11 @@
 	a.server.clients = a.clients
 	a.server.most.Store(a.server.usual)
 	a.server.stance.Store(&leave.Stance{Ready: true, Accept: true})
+	a.half, a.room = half, room
+	if cfg.Inherited && cfg.Shared != "" {
+		a.handover = handover.New(cfg.Shared, side{a}, log)
+		l.said = a.handover.Tell
+	}
 	return a, nil
 }
 
@@ -107,6 +120,7 @@
 	var workers sync.WaitGroup
 	l.ctx = work
 	workers.Go(func() { l.run(work) })
+	a.takeOver(ctx)
 	a.discovery.tell(policy.ListCached, cfg.known.Members)
 	workers.Go(func() { a.discovery.run(work, reloads, a.moves) })
 	if a.peers != nil {
@@ -117,6 +131,9 @@
 		if a.peers != nil {
 			a.peers.conn.Close()
 		}
+		if a.handover != nil {
+			a.handover.Close()
+		}
 		workers.Wait()
 		l.pool.close()
 	}()
@@ -126,6 +143,7 @@
 		ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn),
 	}
 	defer srv.Close() // what outlasts Shutdown
+	a.awaitReady(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(a.clients) }()
 	select {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -31,6 +31,7 @@
 	Peers     Peers  // used where the settings allow it
 	Admin     string // where operators call; empty: nowhere
 	Inherited bool   // other processes accept from the same socket
+	Shared    string // a folder that all processes of the agent share, for the handover; empty: none
 
 	Levels level.Config // of reduced service, from the operators' file; none where it is empty
 
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -80,11 +80,11 @@
 			return ctx.Err()
 		}
 	}
-	most := a.server.usual
+	a.wanted.Store(0)
 	if s.Requests != nil {
-		most = min(most, int64(*s.Requests)) // more than the sockets bear is not to be had
+		a.wanted.Store(int64(*s.Requests)) // more than the sockets bear is not to be had
 	}
-	a.server.most.Store(most)
+	a.shareRoom(a.beside.Load())
 	return nil
 }
 
@@ -190,8 +190,8 @@
 	if t := l.targets[v.ID]; t != nil {
 		b.Addr = t.addr
 	}
-	if h, out := l.holds.out[b.Name]; out {
-		b.Held, b.HeldBy = round((h.until - now).Seconds()), h.by
+	if h := l.holds[b.Name]; h.Out {
+		b.Held, b.HeldBy = round((h.Until - now).Seconds()), h.By
 	}
 	if v.ReportAge >= 0 {
 		age := round(v.ReportAge.Seconds())
--- a/internal/agent/holds.go
+++ b/internal/agent/holds.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
+	"example.org/micaline/internal/handover"
 	"example.org/micaline/policy"
 )
 
@@ -13,6 +15,8 @@
 	forGood = 100 * 365 * 24 * time.Hour // until it is called back
 	// mostHolds bounds the backends that are held out at once, those that have left the list among them.
 	mostHolds = 4096
+	// oldNews is how long after its return discovery tells a backend's true start at the latest.
+	oldNews = time.Minute
 )
 
 var errHolds = errors.New("too many backends are held out")
@@ -23,65 +27,62 @@
 	byOperator = "operator's call"
 )
 
-// heldOut is that operators keep a backend out.
-type heldOut struct {
-	until time.Duration // of the clock
-	by    string
-}
-
-// holds are the backends that operators keep out, by name: a backend that leaves the list and comes back is still the
-// one that they mean.
-type holds struct {
-	out  map[string]heldOut
-	back map[string]time.Duration // of the clock: since when one is in again that was held out
-}
-
 // held is what the modules are told of a backend: one that is held out drains, and one that was held out starts when it
 // is let in, since it was out for a restart. Danger: discovery tells of that late, and a cold backend that is taken for a
 // warm one is pushed over.
 func (l *loop) held(e policy.ServerEntry) policy.ServerEntry {
-	name := l.servers.names[e.ID]
-	if _, out := l.holds.out[name]; out && e.State == policy.Ready {
+	switch h, said := l.holds[l.servers.names[e.ID]]; {
+	case !said:
+	case !h.Out:
+		e.Start = max(e.Start, h.Since)
+	case e.State == policy.Ready:
 		e.State = policy.Draining
 	}
-	e.Start = max(e.Start, l.holds.back[name])
 	return e
 }
 
 // hold keeps a backend out for so long, or lets it in again if that is 0. It says whether the backend is known.
 func (l *loop) hold(ctx context.Context, backend string, d time.Duration, by string) (known bool, err error) {
-	id, listed := l.servers.ids[backend]
-	_, out := l.holds.out[backend]
-	switch {
+	_, listed := l.servers.ids[backend]
+	h, said := l.holds[backend]
+	switch out := said && h.Out; {
 	case !listed && !out:
 		return false, nil
-	case d > 0 && !out && len(l.holds.out) >= mostHolds:
+	case d > 0 && !said && len(l.holds) >= mostHolds:
 		return true, errHolds
-	case d > 0:
-		l.holds.out[backend] = heldOut{l.clock.now() + min(d, forGood), by}
-	case out:
-		l.letIn(backend)
+	case d == 0 && !out:
+		return true, nil
 	}
+	now := l.clock.now()
+	l.say(ctx, backend, handover.Entry{Out: d > 0, Since: now, Until: now + min(d, forGood), By: by})
 	l.log.Info("operators", "backend", backend, "held_for", d, "by", by)
-	if listed {
-		l.tellHold(ctx, id)
-	}
+	l.said()
 	return true, nil
 }
 
-// letIn ends a hold.
-func (l *loop) letIn(backend string) {
-	now := l.clock.now()
-	delete(l.holds.out, backend)
-	maps.DeleteFunc(l.holds.back, func(_ string, since time.Duration) bool {
-		return now-since > l.decisions.WarmAfter+time.Minute // discovery has told of its start by now
-	})
-	l.holds.back[backend] = now
+// say notes the last that was said of a backend, and tells the modules.
+func (l *loop) say(ctx context.Context, backend string, h handover.Entry) {
+	l.holds[backend] = h
 	id, listed := l.servers.ids[backend]
-	if t := l.targets[id]; listed && t != nil { // its connections lead to the process before
+	if !listed {
+		return
+	}
+	if t := l.targets[id]; !h.Out && t != nil { // its connections lead to the process before
 		l.pool.retire(t)
 		l.targets[id] = l.pool.target(t.addr, t.start)
 	}
+	l.handleAll(ctx, policy.Event{Kind: policy.EventList, ListMode: policy.ListDelta, Servers: []policy.ServerEntry{l.held(l.listed[id])}})
+}
+
+// endHolds lets those in again whose time is over, and forgets those that have been in for long.
+func (l *loop) endHolds(ctx context.Context) {
+	now := l.clock.now()
+	for name, h := range l.holds {
+		if h.Out && now >= h.Until {
+			l.say(ctx, name, handover.Entry{Since: now, By: h.By})
+		}
+	}
+	l.holds.Forget(now - l.decisions.WarmAfter - oldNews)
 }
 
 // Hold keeps a backend out for so long, or lets it in again if that is 0. Danger: what discovery says goes before it: a
@@ -105,21 +106,29 @@
 	return known, errors.Join(err, wrong)
 }
 
-// tellHold tells the modules that a backend is held out, or no longer.
-func (l *loop) tellHold(ctx context.Context, id policy.ServerID) {
-	if e, ok := l.listed[id]; ok {
-		l.handleAll(ctx, policy.Event{Kind: policy.EventList, ListMode: policy.ListDelta, Servers: []policy.ServerEntry{l.held(e)}})
-	}
+// side is the agent's part in a handover.
+type side struct{ *Agent }
+
+// Known returns what operators have said.
+func (s side) Known() (known handover.Register) {
+	s.loop.locked(func() { known = maps.Clone(s.loop.holds) })
+	return known
 }
 
-// endHolds lets those in again whose time is over.
-func (l *loop) endHolds(ctx context.Context) {
-	for name, h := range l.holds.out {
-		if l.clock.now() >= h.until {
-			l.letIn(name)
-			if id, listed := l.servers.ids[name]; listed {
-				l.tellHold(ctx, id)
-			}
+// Learn takes in what operators have said to the other process.
+func (s side) Learn(from handover.Register) {
+	l := s.loop
+	l.locked(func() {
+		changed := l.holds.Merge(from, mostHolds)
+		slices.Sort(changed) // the same events have the same actions
+		for _, name := range changed {
+			l.say(l.ctx, name, l.holds[name])
 		}
-	}
+	})
+}
+
+// Beside has the agent use half of its room while there is another process.
+func (s side) Beside(is bool) {
+	s.log.Info("handover", "another_process", is)
+	s.shareRoom(is)
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
@@ -124,7 +125,8 @@
 	callIDs  callIDs
 	lastID   policy.RequestID
 	listed   map[policy.ServerID]policy.ServerEntry // as discovery tells
-	holds    holds
+	holds    handover.Register                      // what operators have said of backends
+	said     func()                                 // operators have said something
 	counts   counts
 	levels   *level.Machine // nil: there are none
 	every    time.Duration  // between looks at their figures
@@ -143,7 +145,7 @@
 	first := &module{Decider: decider}
 	l := &loop{
 		set: &cfg.Settings, clock: pool.late.time, late: pool.late, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
-		listed: map[policy.ServerID]policy.ServerEntry{}, holds: holds{out: map[string]heldOut{}, back: map[string]time.Duration{}},
+		listed: map[policy.ServerID]policy.ServerEntry{}, holds: handover.Register{}, said: func() {},
 		counts: newCounts(len(cfg.Settings.Classes)),
 		tell:   func([]byte) {},
 		ctx:    context.Background(), wake: time.NewTimer(time.Hour),
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// resize changes how many connections there may be; idle ones that are over it go when one is wanted.
+func (p *pool) resize(most int) {
+	p.mu.Lock()
+	p.most = most
+	p.mu.Unlock()
+}
+
 // target returns a new target.
 func (p *pool) target(addr string, start time.Duration) *target {
 	t := &target{addr: addr, start: start}
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,192 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+const (
+	socketName = "micaline-handover"
+	greetTime  = time.Second // for the other process to tell what it knows
+	tellTime   = time.Second // for it to take what it is told
+	mostLinks  = 2           // to processes at once: the one before and the one behind
+)
+
+// Side is what a process knows and learns.
+type Side interface {
+	// Known returns what the process knows.
+	Known() Register
+	// Learn takes in what the other knows.
+	Learn(Register)
+	// Beside says whether there is another process now.
+	Beside(is bool)
+}
+
+// Handover is one process's part.
+type Handover struct {
+	dir  string
+	side Side
+	log  *slog.Logger
+
+	mu       sync.Mutex
+	links    map[*link]struct{}
+	listener *net.UnixListener
+	closed   bool
+	running  sync.WaitGroup
+}
+
+// link is the way to another process.
+type link struct {
+	conn net.Conn
+	news chan struct{} // holds one: there is something to tell
+}
+
+// New returns a process's part, in a folder that all processes of the agent share.
+func New(dir string, side Side, log *slog.Logger) *Handover {
+	return &Handover{dir: dir, side: side, log: log, links: map[*link]struct{}{}}
+}
+
+// Take asks the process that serves for what it knows, and stays linked with it. Without one there is nothing to take.
+// Danger: it returns in bounded time whatever the other does, which may hang or be of another version.
+func (h *Handover) Take(ctx context.Context) (found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, greetTime)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "unix", filepath.Join(h.dir, socketName))
+	if err != nil {
+		return false, nil // nobody is there, or only the socket of one that has gone
+	}
+	conn.SetReadDeadline(time.Now().Add(greetTime))
+	known, err := Read(conn)
+	if err != nil {
+		conn.Close()
+		return true, err
+	}
+	conn.SetReadDeadline(time.Time{})
+	h.side.Learn(known)
+	h.join(conn)
+	return true, nil
+}
+
+// Offer has the next process find this one, which is from now on the one that serves.
+func (h *Handover) Offer() error {
+	own := filepath.Join(h.dir, fmt.Sprintf("%s-%d", socketName, os.Getpid()))
+	os.Remove(own) // of a process long gone that had the same number
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	l.SetUnlinkOnClose(false)
+	// Danger: between a removal and a new socket there would be none.
+	if err := os.Rename(own, filepath.Join(h.dir, socketName)); err != nil {
+		l.Close()
+		os.Remove(own)
+		return fmt.Errorf("handover: %w", err)
+	}
+	h.mu.Lock()
+	h.listener = l
+	h.mu.Unlock()
+	h.running.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(10 * time.Millisecond) // no descriptor is left
+				continue
+			}
+			h.join(conn)
+		}
+	})
+	return nil
+}
+
+// join links with another process.
+func (h *Handover) join(conn net.Conn) {
+	k := &link{conn: conn, news: make(chan struct{}, 1)}
+	k.news <- struct{}{}
+	h.mu.Lock()
+	if h.closed || len(h.links) >= mostLinks {
+		h.mu.Unlock()
+		conn.Close()
+		return
+	}
+	h.links[k] = struct{}{}
+	h.side.Beside(true)
+	h.mu.Unlock()
+	ended := make(chan struct{})
+	h.running.Go(func() {
+		defer h.part(k)
+		defer close(ended)
+		for {
+			known, err := Read(conn)
+			if err != nil {
+				if !errors.Is(err, io.EOF) {
+					h.log.Warn("the link with the other process ends", "error", err)
+				}
+				return
+			}
+			h.side.Learn(known)
+		}
+	})
+	h.running.Go(func() {
+		for {
+			select {
+			case <-k.news:
+			case <-ended:
+				return
+			}
+			conn.SetWriteDeadline(time.Now().Add(tellTime))
+			if err := Write(conn, h.side.Known()); err != nil {
+				conn.Close() // and its reader ends
+				return
+			}
+		}
+	})
+}
+
+// part ends a link.
+func (h *Handover) part(k *link) {
+	k.conn.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.links, k)
+	if len(h.links) == 0 {
+		h.side.Beside(false)
+	}
+}
+
+// Tell tells the other processes what is known by now. It does not wait for them.
+func (h *Handover) Tell() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k := range h.links {
+		select {
+		case k.news <- struct{}{}:
+		default: // what is to be told is read when it is told
+		}
+	}
+}
+
+// Close ends all links. The socket's name stays, since it may be another process's by now.
+func (h *Handover) Close() {
+	h.mu.Lock()
+	h.closed = true
+	if h.listener != nil {
+		h.listener.Close()
+	}
+	for k := range h.links {
+		k.conn.Close()
+	}
+	h.mu.Unlock()
+	h.running.Wait()
+}
