--- a/internal/agent/holds.go
+++ b/internal/agent/holds.go
@@ -28,13 +28,14 @@
 )
 
 // held is what the modules are told of a backend: one that is held out drains, and one that was held out starts when it
-// is let in, since it was out for a restart. Danger: discovery tells of that late, and a cold backend that is taken for a
-// warm one is pushed over.
+// is let in, since it was out for a restart, unless discovery has told when that was. Danger: discovery tells late, and a
+// cold backend that is taken for a warm one is pushed over.
 func (l *loop) held(e policy.ServerEntry) policy.ServerEntry {
 	switch h, said := l.holds[l.servers.names[e.ID]]; {
 	case !said:
+	case !h.Out && e.Start < h.From:
+		e.Start = h.Since
 	case !h.Out:
-		e.Start = max(e.Start, h.Since)
 	case e.State == policy.Ready:
 		e.State = policy.Draining
 	}
@@ -54,7 +55,11 @@
 		return true, nil
 	}
 	now := l.clock.now()
-	l.say(ctx, backend, handover.Entry{Out: d > 0, Since: now, Until: now + min(d, forGood), By: by})
+	from := now
+	if said && h.Out {
+		from = h.From
+	}
+	l.say(ctx, backend, handover.Entry{Out: d > 0, Since: now, Until: now + min(d, forGood), From: from, By: by})
 	l.log.Info("operators", "backend", backend, "held_for", d, "by", by)
 	l.said()
 	return true, nil
@@ -79,7 +84,7 @@
 	now := l.clock.now()
 	for name, h := range l.holds {
 		if h.Out && now >= h.Until {
-			l.say(ctx, name, handover.Entry{Since: now, By: h.By})
+			l.say(ctx, name, handover.Entry{Since: now, From: h.From, By: h.By})
 		}
 	}
 	l.holds.Forget(now - l.decisions.WarmAfter - oldNews)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -37,6 +37,7 @@
 	Out   bool          `json:"out"`   // it is held out; else it was, and is back
 	Since time.Duration `json:"since"` // when that was said: time since 1970
 	Until time.Duration `json:"until"` // when it is in again by itself
+	From  time.Duration `json:"from"`  // since when it is, or was, out
 	By    string        `json:"by"`    // through what it was said
 }
 
@@ -53,6 +54,8 @@
 		return e.Out
 	case e.Until != than.Until:
 		return e.Until > than.Until
+	case e.From != than.From:
+		return e.From < than.From
 	}
 	return e.By > than.By
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -19,7 +19,7 @@
 	entry := rapid.Custom(func(t *rapid.T) Entry {
 		return Entry{
 			Out: rapid.Bool().Draw(t, "out"), Since: time.Duration(rapid.IntRange(0, 3).Draw(t, "since")),
-			Until: time.Duration(rapid.IntRange(0, 2).Draw(t, "until")), By: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "by"),
+			Until: time.Duration(rapid.IntRange(0, 2).Draw(t, "until")), From: time.Duration(rapid.IntRange(0, 2).Draw(t, "from")), By: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "by"),
 		}
 	})
 	return rapid.MapOf(rapid.SampledFrom([]string{"x", "y", "z"}), entry).Draw(t, label)
