--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -43,9 +43,15 @@
 // in the meantime would be lost with the connection. What has come by then is read.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := readWaiting(c.Conn, b)
-	if room := maxHeader - len(c.head); room > 0 && n > 0 && !c.inBody {
-		c.head = append(c.head, b[:min(n, room)]...)
+	if c.inBody || n == 0 {
+		return n, err
+	}
+	if len(c.head) == 0 && !bytes.Contains(b[:n], headEnd) {
+		// Danger: net/http counts a head's time from when the connection became idle, and one that comes slowly late in that
+		// time would be cut off.
+		c.SetReadDeadline(time.Now().Add(requestTimeout))
 	}
+	c.head = append(c.head, b[:min(n, maxHeader-len(c.head))]...)
 	return n, err
 }
 
@@ -138,6 +144,9 @@
 	return true
 }
 
+// headEnd ends a head.
+var headEnd = []byte("\r\n\r\n")
+
 // usualHead is how much room for a head an idle connection holds, in bytes.
 const usualHead = 1 << 10
 
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -265,3 +265,30 @@
 		t.Errorf("%d bytes of room when all is over", room)
 	}
 }
+
+// A head that begins late in the time that a connection may be idle, and comes slowly, has its own time.
+func TestSlowHeadOnAnIdleConnection(t *testing.T) {
+	t.Parallel()
+	a := agentFor(t, testSettings, newBackend(t, serves))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(wait))
+	br := bufio.NewReader(conn)
+	for i, first := range []string{"", "P"} { // the second a while after the answer to the first
+		text := fmt.Sprintf("POST /unsafe/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: s%d\r\nX-Call-Class: unsafe\r\nX-Caller: acme\r\nX-Budget: 9000m\r\nContent-Length: 0\r\n\r\n", i)
+		if first != "" {
+			time.Sleep(idleClients * 8 / 10)
+			io.WriteString(conn, first)
+			time.Sleep(idleClients * 4 / 10)
+		}
+		io.WriteString(conn, text[len(first):])
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", i, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
