--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -25,6 +25,7 @@
 	"example.org/micaline/internal/agent"
 	"example.org/micaline/internal/api"
 	"example.org/micaline/internal/control"
+	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/manage"
 	"example.org/micaline/internal/operators"
 )
@@ -135,7 +136,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_INHERITED_FD: %w", err)
 	}
-	cfg.Inherited, cfg.Shared = true, os.Getenv("TMPDIR")
+	cfg.Inherited = true
+	if dir := os.Getenv("TMPDIR"); dir != "" {
+		cfg.Beside = handover.Unix(dir)
+	}
 	return l, nil
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -103,8 +103,8 @@
 	a.server.most.Store(a.server.usual)
 	a.server.stance.Store(&leave.Stance{Ready: true, Accept: true})
 	a.half, a.room = half, room
-	if cfg.Inherited && cfg.Shared != "" {
-		a.handover = handover.New(cfg.Shared, side{a}, log)
+	if cfg.Beside != nil {
+		a.handover = handover.New(cfg.Beside, side{a}, log)
 		l.said = a.handover.Tell
 	}
 	return a, nil
@@ -114,6 +114,9 @@
 func (a *Agent) Run(ctx context.Context, reloads <-chan *Config) error {
 	cfg, l, handler := a.cfg, a.loop, a.server
 	defer a.clients.Close()
+	if cfg.Started != nil {
+		cfg.Started(a)
+	}
 	// What the agent has taken it finishes, so its workers outlive the context.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 
+	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/peers"
 	"example.org/micaline/internal/settings"
@@ -28,10 +29,12 @@
 	MemoryMB  int
 	Sockets   int
 	Settings  settings.Settings
-	Peers     Peers  // used where the settings allow it
-	Admin     string // where operators call; empty: nowhere
-	Inherited bool   // other processes accept from the same socket
-	Shared    string // a folder that all processes of the agent share, for the handover; empty: none
+	Peers     Peers              // used where the settings allow it
+	Admin     string             // where operators call; empty: nowhere
+	Inherited bool               // other processes accept from the same socket
+	Beside    handover.Transport // the way to other processes of the agent; nil: there is none
+	// Started is told of the agent before it serves, for who operates it from the same process; nil: nobody does.
+	Started func(*Agent)
 
 	Levels level.Config // of reduced service, from the operators' file; none where it is empty
 
--- a/internal/agent/replace_test.go
+++ b/internal/agent/replace_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"example.org/micaline/internal/handover"
 )
 
 // handovers is how often the process is replaced; 200 take three minutes.
@@ -28,7 +30,7 @@
 	}
 	defer shared.Close()
 	cfg := config(t, l.Addr, testSettings)
-	cfg.Inherited, cfg.Shared = true, t.TempDir()
+	cfg.Inherited, cfg.Beside = true, handover.Unix(t.TempDir())
 	type process struct {
 		*Agent
 		stop  context.CancelFunc
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -142,6 +142,8 @@
 		if sleep(day, ft.For.D()) {
 			f.restart(b, "Ready", rng)
 		}
+	case "hold":
+		f.hold(day, ft, b, rng)
 	case "drain":
 		now.SetDraining(true)
 		f.list(b, "Terminating", rng)
@@ -317,6 +319,10 @@
 		sleep(day, ft.For.D())
 		again()
 		a.clients.SetConnecting(true)
+	case "upgrade-agent":
+		f.upgrade(a)
+	case "drain-agent":
+		f.drainAgent(day, ft, a)
 	case "reload-agent":
 		addr, err := f.discovery.Serve(a.name)
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,9 @@
 	cpu     *network.Processor
 	reloads chan *agent.Config
 	config  *agent.Config
+
+	platform *platform    // nil: its processes open their sockets themselves
+	operated *agent.Agent // for its operators; nil: they can't reach it
 }
 
 // door is an agent's listener, which knows the connections that came through it.
@@ -195,6 +198,9 @@
 	}
 	for _, a := range f.agents {
 		<-a.ended
+		if a.platform != nil {
+			a.platform.close()
+		}
 	}
 	f.dying.Wait()
 	f.mu.Lock()
@@ -357,6 +363,11 @@
 			return err
 		}
 		a := &proc{name: fmt.Sprintf("a%d", i+1), addr: addr, rank: i}
+		if slices.ContainsFunc(s.Faults, func(ft scenario.Fault) bool { return ft.Kind == "upgrade-agent" }) {
+			if a.platform, err = newPlatform(f.Network, addr); err != nil {
+				return err
+			}
+		}
 		f.agents = append(f.agents, a)
 		if err := f.startAgent(a); err != nil {
 			return err
@@ -369,7 +380,7 @@
 		for _, c := range s.Classes {
 			cfg.Classes = append(cfg.Classes, standin.Class{
 				Name: c.Name, Share: c.Share, Aim: c.Aim.D(), Deadline: c.Deadline.D(), Work: c.Work.D(), Spread: c.Spread,
-				Class: classRules(c),
+				Body: c.Body, Answer: c.Answer, Class: classRules(c),
 			})
 		}
 		for _, c := range s.Accounts {
@@ -390,14 +401,21 @@
 	if err != nil {
 		return err
 	}
-	listener, err := f.Network.ListenAt(a.addr)
-	if err != nil {
+	var listener net.Listener
+	if a.platform != nil {
+		listener, cfg.Inherited, cfg.Beside = a.platform.join(), true, a.platform
+	} else if listener, err = f.Network.ListenAt(a.addr); err != nil {
 		return err
 	}
+	cfg.Started = func(started *agent.Agent) {
+		f.mu.Lock()
+		a.operated = started
+		f.mu.Unlock()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	f.mu.Lock()
-	a.stop, a.ended, a.config = stop, ended, cfg
+	a.stop, a.ended, a.config, a.operated = stop, ended, cfg, nil
 	a.dialer, a.door = f.Network.From(a.name), &door{Listener: listener, conns: map[net.Conn]struct{}{}}
 	a.reloads = make(chan *agent.Config)
 	reloads, door := a.reloads, net.Listener(a.door)
--- a/internal/fleet/planted_test.go
+++ b/internal/fleet/planted_test.go
@@ -353,3 +353,22 @@
 		})
 	}
 }
+
+// A process that takes nothing over from the one before sends to backends that operators took out, and that is seen.
+func TestAForgottenHoldIsSeen(t *testing.T) {
+	forgets := func(ctx context.Context, cfg *agent.Config, reloads <-chan *agent.Config, l net.Listener, n agent.Network, log *slog.Logger) error {
+		own := *cfg
+		own.Beside = nil
+		return agent.Serve(ctx, &own, reloads, l, n, log)
+	}
+	s := day(t, "upgraded", "")
+	broken := 0
+	for seed := uint64(1); seed <= 5 && broken == 0; seed++ {
+		if r := virtual(t, s, seed, forgets); r != nil {
+			broken += r.DrainsBroken
+		}
+	}
+	if broken == 0 {
+		t.Error("no drain was seen broken")
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -149,7 +149,7 @@
 	var last *person
 	for i, said := range []string{"x", "y", "z"} {
 		p := newPerson(Register{})
-		h := New(dir, p, log)
+		h := New(Unix(dir), p, log)
 		found, err := h.Take(t.Context())
 		if err != nil || found != (i > 0) {
 			t.Fatalf("process %d found %v, %v", i, found, err)
@@ -179,7 +179,7 @@
 	}
 	before.Close()
 	// The socket's name is still there, and nobody behind it.
-	if found, err := New(dir, newPerson(Register{}), log).Take(t.Context()); found || err != nil {
+	if found, err := New(Unix(dir), newPerson(Register{}), log).Take(t.Context()); found || err != nil {
 		t.Errorf("found %v, %v where all have gone", found, err)
 	}
 }
@@ -208,7 +208,7 @@
 			}
 		}()
 		p := newPerson(Register{})
-		if found, err := New(dir, p, slog.New(slog.DiscardHandler)).Take(t.Context()); !found || err == nil ||
+		if found, err := New(Unix(dir), p, slog.New(slog.DiscardHandler)).Take(t.Context()); !found || err == nil ||
 			name == "another version" && !errors.Is(err, ErrFrame) || len(p.known) > 0 {
 			t.Errorf("%s: %v, %v, learnt %v", name, found, err, p.known)
 		}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -30,15 +30,49 @@
 	Beside(is bool)
 }
 
+// Transport is how processes of one agent reach one another.
+type Transport interface {
+	// Dial reaches the process that listened last, if there is one.
+	Dial(ctx context.Context) (net.Conn, error)
+	// Listen has Dial reach this process from now on.
+	Listen() (net.Listener, error)
+}
+
+// Unix is the Transport of processes that share a folder: a socket in it.
+type Unix string
+
+// Dial connects to the socket.
+func (dir Unix) Dial(ctx context.Context) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "unix", filepath.Join(string(dir), socketName))
+}
+
+// Listen puts a socket in the place of the one that is there. Danger: between a removal and a new socket there would be none.
+func (dir Unix) Listen() (net.Listener, error) {
+	own := filepath.Join(string(dir), fmt.Sprintf("%s-%d", socketName, os.Getpid()))
+	os.Remove(own) // of a process long gone that had the same number
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // the name may be another process's by then
+	if err := os.Rename(own, filepath.Join(string(dir), socketName)); err != nil {
+		l.Close()
+		os.Remove(own)
+		return nil, err
+	}
+	return l, nil
+}
+
 // Handover is one process's part.
 type Handover struct {
-	dir  string
+	way  Transport
 	side Side
 	log  *slog.Logger
 
 	mu       sync.Mutex
 	links    map[*link]struct{}
-	listener *net.UnixListener
+	listener net.Listener
 	closed   bool
 	running  sync.WaitGroup
 }
@@ -49,9 +83,9 @@
 	news chan struct{} // holds one: there is something to tell
 }
 
-// New returns a process's part, in a folder that all processes of the agent share.
-func New(dir string, side Side, log *slog.Logger) *Handover {
-	return &Handover{dir: dir, side: side, log: log, links: map[*link]struct{}{}}
+// New returns a process's part.
+func New(way Transport, side Side, log *slog.Logger) *Handover {
+	return &Handover{way: way, side: side, log: log, links: map[*link]struct{}{}}
 }
 
 // Take asks the process that serves for what it knows, and stays linked with it. Without one there is nothing to take.
@@ -59,8 +93,7 @@
 func (h *Handover) Take(ctx context.Context) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "unix", filepath.Join(h.dir, socketName))
+	conn, err := h.way.Dial(ctx)
 	if err != nil {
 		return false, nil // nobody is there, or only the socket of one that has gone
 	}
@@ -78,19 +111,10 @@
 
 // Offer has the next process find this one, which is from now on the one that serves.
 func (h *Handover) Offer() error {
-	own := filepath.Join(h.dir, fmt.Sprintf("%s-%d", socketName, os.Getpid()))
-	os.Remove(own) // of a process long gone that had the same number
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	l, err := h.way.Listen()
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	l.SetUnlinkOnClose(false)
-	// Danger: between a removal and a new socket there would be none.
-	if err := os.Rename(own, filepath.Join(h.dir, socketName)); err != nil {
-		l.Close()
-		os.Remove(own)
-		return fmt.Errorf("handover: %w", err)
-	}
 	h.mu.Lock()
 	h.listener = l
 	h.mu.Unlock()
@@ -177,7 +201,7 @@
 	}
 }
 
-// Close ends all links. The socket's name stays, since it may be another process's by now.
+// Close ends all links.
 func (h *Handover) Close() {
 	h.mu.Lock()
 	h.closed = true
--- a/internal/rules/checker.go
+++ b/internal/rules/checker.go
@@ -163,6 +163,7 @@
 	killed  time.Duration // when it last was; -1: never
 	clients link
 	told    map[string]told
+	barred  map[string]*Record // backends that its operators took out
 }
 
 // Checker takes records one by one and keeps no more of them than it needs.
@@ -214,7 +215,7 @@
 func (c *Checker) agent(name string) *agent {
 	a := c.agents[name]
 	if a == nil {
-		a = &agent{killed: -1, clients: link{mended: -1}, told: map[string]told{}}
+		a = &agent{killed: -1, clients: link{mended: -1}, told: map[string]told{}, barred: map[string]*Record{}}
 		c.agents[name] = a
 	}
 	return a
@@ -271,6 +272,12 @@
 		c.fell(r)
 	case Told:
 		c.told(r)
+	case Barred:
+		if a := c.agent(r.Agent); a.barred[r.Backend] == nil {
+			a.barred[r.Backend] = &r
+		}
+	case Let:
+		delete(c.agent(r.Agent).barred, r.Backend)
 	case Listed:
 		if before, known := c.listed[r.Backend]; known && before.State != Ready && r.State != Ready && before.Process == r.Process {
 			r.At = before.At // it has been wanting nothing new since then
@@ -455,6 +462,11 @@
 		c.find(Lost, false, "it was sent on after it had ended", c.story(k, f, &r)...)
 	}
 	c.repeated(k, &r)
+	if b := c.agent(k.asked.Agent).barred[r.Backend]; b != nil {
+		if late := sent - b.At - c.terms.DrainGrace - c.terms.Slack; late > 0 {
+			c.find(Drain, false, fmt.Sprintf("sent %v after the grace to a backend that operators took out", late), b, &k.asked, &r)
+		}
+	}
 	if t := c.known(k.asked.Agent, r.Backend); t.drains >= 0 {
 		due := t.drains + c.terms.DrainGrace + c.terms.Slack
 		if late := sent - due; late > 0 {
--- a/internal/rules/record.go
+++ b/internal/rules/record.go
@@ -39,12 +39,14 @@
 	Killed   // an agent's process ended without notice [Agent]
 	Troubled // the network between clients and an agent, or agents and a backend, is in trouble [Agent or Backend]
 	Mended   // and no longer: what was held up has arrived by now [Agent or Backend]
+	Barred   // an agent has said yes to operators who took a backend out [Agent, Backend]
+	Let      // they have asked it to put the backend back [Agent, Backend]
 )
 
 var kindNames = [...]string{
 	Asked: "asked", Withdrawn: "withdrawn", Answered: "answered", Broken: "broken", HungUp: "hung-up", GaveUp: "gave-up", Arrived: "arrived",
 	Rejected: "rejected", Ran: "ran", Dropped: "dropped", Made: "made", Started: "started", Fell: "fell", Told: "told", Listed: "listed", ListDown: "list-down", ListUp: "list-up",
-	Killed: "killed", Troubled: "troubled", Mended: "mended",
+	Killed: "killed", Troubled: "troubled", Mended: "mended", Barred: "barred", Let: "let",
 }
 
 func (k Kind) String() string {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -69,6 +69,8 @@
 	Effect   string // safe, keyed or unsafe
 	Scope    string // of keyed: all, zone or cell
 	Window   Duration
+	Body     int // bytes of a request's, about
+	Answer   int // bytes of an answer's
 }
 
 // Account is one who asks.
@@ -154,6 +156,7 @@
 	"restart":        {what: "processes die and come back cold at the same address"},
 	"drain":          {what: "backends drain, end and come back cold"},
 	"replace":        {what: "backends end and others come up cold at their addresses"},
+	"hold":           {what: "operators take backends out, restart them and put them back"},
 	"vanish":         {what: "machines are cut off without a word", link: true},
 	"refuse":         {what: "connections to backends are refused", link: true},
 	"delay":          {what: "links to backends get slow", link: true, min: 0, max: 1000},
@@ -167,6 +170,8 @@
 	"kill-agent":     {what: "agents die and come back", agents: true},
 	"freeze-agent":   {what: "agents get no processor", agents: true},
 	"restart-agent":  {what: "agents are told to end and come back", agents: true},
+	"upgrade-agent":  {what: "agents are replaced by new processes beside them", agents: true},
+	"drain-agent":    {what: "operators drain agents", agents: true},
 	"reload-agent":   {what: "agents are given another address of discovery", agents: true},
 	"list-down":      {what: "discovery is down", all: true},
 	"list-silent":    {what: "discovery says nothing", all: true},
@@ -395,6 +400,12 @@
 			return bad(at("effect"), "%q is none of safe, keyed, unsafe", c.Effect)
 		case !slices.Contains([]string{"all", "zone", "cell"}, c.Scope):
 			return bad(at("scope"), "%q is none of all, zone, cell", c.Scope)
+		case c.Body < 0 || c.Body > 32<<20:
+			return bad(at("body"), "%d is not between 0 and 33554432 bytes", c.Body)
+		case c.Body > 0 && c.Effect == "safe":
+			return bad(at("body"), "a safe class has none")
+		case c.Answer < 0 || c.Answer > 32<<20:
+			return bad(at("answer"), "%d is not between 0 and 33554432 bytes", c.Answer)
 		case c.Effect == "keyed" && c.Window <= 0:
 			return bad(at("window"), "a keyed class needs one")
 		}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -372,10 +372,13 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(io.LimitReader(req.Body, 1<<20))
-		if err != nil || int64(len(body)) != max(0, req.ContentLength) {
+		body, err := io.ReadAll(io.LimitReader(req.Body, mostBody))
+		if err != nil || req.ContentLength >= 0 && int64(len(body)) != req.ContentLength {
 			return // its last byte has not come
 		}
+		if _, whole := unfill(body); !whole {
+			return // and what has come is not what its client sent
+		}
 		next = p.incoming(br)
 		text := p.answer(req, first.at, next, full)
 		if text == "" {
@@ -401,6 +404,9 @@
 	}
 }
 
+// mostBody bounds bodies, in bytes.
+const mostBody = 64 << 20
+
 const noBody = "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n"
 
 // answer handles a request whose last byte has come, and returns what is to be written; nothing to end the
@@ -516,6 +522,9 @@
 		report = fmt.Sprintf("%s: %s\r\n", loadHeader, p.report())
 	}
 	b.mu.Unlock()
+	if size, err := strconv.Atoi(req.URL.Query().Get("answer")); err == nil {
+		text = fill(text, min(size, mostBody))
+	}
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", report, len(text), text)
 	if spoils {
 		return spoilt[pick].spoil(whole, text)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -27,6 +27,8 @@
 	Deadline time.Duration // over all tries
 	Work     time.Duration // mean, on a standard core
 	Spread   float64       // of the work, the sigma of a lognormal distribution; 0 for none
+	Body     int           // bytes of a request's, about
+	Answer   int           // bytes of an answer's that is asked for
 	rules.Class
 }
 
@@ -438,8 +440,15 @@
 	if err != nil {
 		return nil, "", err
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-	return resp, string(b), err
+	b, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
+	if err != nil {
+		return resp, "", err
+	}
+	body, whole := unfill(b)
+	if !whole {
+		body = "not as it was made: " + body // which no backend has said
+	}
+	return resp, body, nil
 }
 
 func isTimeout(err error) bool {
@@ -468,8 +477,12 @@
 	if o.class.Effect == rules.Safe {
 		method, body = "GET", ""
 	}
-	fmt.Fprintf(&b, "%s /%s/%s?work=%d HTTP/1.1\r\nHost: service.internal\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: %du\r\n",
-		method, o.class.Name, o.id, o.work.Microseconds(), callIDHeader, call, classHeader, o.class.Name,
+	body, answer := fill(body, o.class.Body), ""
+	if o.class.Answer > 0 {
+		answer = fmt.Sprintf("&answer=%d", o.class.Answer)
+	}
+	fmt.Fprintf(&b, "%s /%s/%s?work=%d%s HTTP/1.1\r\nHost: service.internal\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: %du\r\n",
+		method, o.class.Name, o.id, o.work.Microseconds(), answer, callIDHeader, call, classHeader, o.class.Name,
 		tenantHeader, o.account, budgetHeader, budget.Microseconds())
 	if o.class.Effect == rules.Keyed {
 		fmt.Fprintf(&b, "%s: key-%s\r\n", idempotencyHeader, o.id)
