A process that dies before it replaced the old one leaves that to be found; inherited sockets stay non-blocking

With real processes (go test ./cmd/micaline -run Replaced) an old process did not end at SIGTERM: whoever starts another process may clear the socket's non-blocking flag, which all holders share, and Accept waited in the kernel where Close can't end it. It is set before each accept. And a new process that had offered itself and died left nobody to be found: the old one offers itself again.

Failed try: the look whether somebody is there counted as a process and was looked for in turn, for ever; only who has told something counts now.

--- a/cmd/micaline/main.go
+++ b/cmd/micaline/main.go
@@ -28,6 +28,7 @@
 	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/manage"
 	"example.org/micaline/internal/operators"
+	"example.org/micaline/internal/tcp"
 )
 
 // memoryShare of the limit is the collector's; the rest is for what it does not count, stacks of the kernel's
@@ -132,7 +133,7 @@
 	}
 	file := os.NewFile(uintptr(fd), "inherited")
 	defer file.Close()
-	l, err := net.FileListener(file)
+	l, err := tcp.Inherit(file)
 	if err != nil {
 		return nil, fmt.Errorf("GW_INHERITED_FD: %w", err)
 	}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -141,11 +141,17 @@
 	}
 }
 
+// mostSpan is a hold that nobody means as a span: a year.
+const mostSpan = 365 * 24 * time.Hour
+
 // whyOut says why a backend gets nothing, or not from all classes.
 func whyOut(b *control.Backend) string {
 	var why []string
-	if b.Held > 0 {
-		why = append(why, fmt.Sprintf("held by %s for %v", b.HeldBy, span(b.Held)))
+	switch held := span(b.Held); {
+	case held > mostSpan:
+		why = append(why, fmt.Sprintf("held by %s until called back", b.HeldBy))
+	case held > 0:
+		why = append(why, fmt.Sprintf("held by %s for %v", b.HeldBy, held))
 	}
 	for _, e := range b.Ejected {
 		why = append(why, fmt.Sprintf("ejected for %s %.1f s", e.Class, e.For))
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -215,3 +215,34 @@
 		l.Close()
 	}
 }
+
+// A process that dies after it has offered itself leaves the one that it was to replace to be found by the next.
+func TestTheNextProcessDies(t *testing.T) {
+	dir, log := t.TempDir(), slog.New(slog.DiscardHandler)
+	begin := func(p *person) *Handover {
+		h := New(Unix(dir), p, log)
+		if _, err := h.Take(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := h.Offer(); err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	serves := newPerson(Register{"x": {Out: true, Since: 1}})
+	first := begin(serves)
+	defer first.Close()
+	begin(newPerson(Register{})).Close()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		p := newPerson(Register{})
+		h := New(Unix(dir), p, log)
+		found, err := h.Take(t.Context())
+		h.Close()
+		if err == nil && found && p.known["x"].Out {
+			break
+		}
+		if time.Since(begun) > 20*time.Second {
+			t.Fatalf("found %v, %v, known %v", found, err, p.known)
+		}
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 )
@@ -79,8 +81,9 @@
 
 // link is the way to another process.
 type link struct {
-	conn net.Conn
-	news chan struct{} // holds one: there is something to tell
+	conn  net.Conn
+	news  chan struct{} // holds one: there is something to tell
+	heard bool          // a process is at its other end
 }
 
 // New returns a process's part.
@@ -105,7 +108,7 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	h.side.Learn(known)
-	h.join(conn)
+	h.join(conn, false)
 	return true, nil
 }
 
@@ -116,8 +119,15 @@
 		return fmt.Errorf("handover: %w", err)
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		l.Close()
+		return nil
+	}
+	if h.listener != nil {
+		h.listener.Close()
+	}
 	h.listener = l
-	h.mu.Unlock()
 	h.running.Go(func() {
 		for {
 			conn, err := l.Accept()
@@ -128,14 +138,28 @@
 				time.Sleep(10 * time.Millisecond) // no descriptor is left
 				continue
 			}
-			h.join(conn)
+			h.join(conn, true)
 		}
 	})
 	return nil
 }
 
-// join links with another process.
-func (h *Handover) join(conn net.Conn) {
+// offerAgain has the next process find this one when the one that was to replace it has gone. Danger: that one may have
+// offered itself, and nobody would be found in its place.
+func (h *Handover) offerAgain() {
+	ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+	defer cancel()
+	if conn, err := h.way.Dial(ctx); err == nil { // somebody is there: this one, or a third
+		conn.Close()
+		return
+	}
+	if err := h.Offer(); err != nil {
+		h.log.Warn("the next process will find nothing to take over", "error", err)
+	}
+}
+
+// join links with another process, which is to replace this one or is the one before.
+func (h *Handover) join(conn net.Conn, next bool) {
 	k := &link{conn: conn, news: make(chan struct{}, 1)}
 	k.news <- struct{}{}
 	h.mu.Lock()
@@ -145,11 +169,18 @@
 		return
 	}
 	h.links[k] = struct{}{}
-	h.side.Beside(true)
+	if k.heard = !next; k.heard {
+		h.side.Beside(true)
+	}
 	h.mu.Unlock()
 	ended := make(chan struct{})
 	h.running.Go(func() {
-		defer h.part(k)
+		defer func() {
+			// Danger: who only looks whether somebody is there tells nothing, and must not have this one look in turn.
+			if h.part(k) && next {
+				h.offerAgain()
+			}
+		}()
 		defer close(ended)
 		for {
 			known, err := Read(conn)
@@ -159,6 +190,12 @@
 				}
 				return
 			}
+			h.mu.Lock()
+			if !k.heard {
+				k.heard = true
+				h.side.Beside(true)
+			}
+			h.mu.Unlock()
 			h.side.Learn(known)
 		}
 	})
@@ -178,15 +215,16 @@
 	})
 }
 
-// part ends a link.
-func (h *Handover) part(k *link) {
+// part ends a link, and says whether a process was at its other end.
+func (h *Handover) part(k *link) bool {
 	k.conn.Close()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, k)
-	if len(h.links) == 0 {
+	if k.heard && !slices.ContainsFunc(slices.Collect(maps.Keys(h.links)), func(o *link) bool { return o.heard }) {
 		h.side.Beside(false)
 	}
+	return k.heard
 }
 
 // Tell tells the other processes what is known by now. It does not wait for them.
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -46,3 +48,37 @@
 	raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
 	return max(n, 0)
 }
+
+// Inherit returns a listener on a socket that other processes hold too.
+func Inherit(file *os.File) (net.Listener, error) {
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, err
+	}
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, fmt.Errorf("a listener of %s, not of TCP", l.Addr().Network())
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return &inherited{t, raw}, nil
+}
+
+type inherited struct {
+	*net.TCPListener
+	raw syscall.RawConn
+}
+
+// Accept returns the next connection. Danger: whether a call waits is a flag of the socket, not of the descriptor, and who
+// starts another process with it may clear it. Accept would then wait in the kernel, where Close can't end it.
+func (l *inherited) Accept() (net.Conn, error) {
+	var err error
+	if wrong := l.raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), true) }); wrong != nil || err != nil {
+		return nil, errors.Join(wrong, err)
+	}
+	return l.TCPListener.Accept()
+}
