--- a/internal/fleet/front_bench_test.go
+++ b/internal/fleet/front_bench_test.go
@@ -109,6 +109,7 @@
 type frontProcess struct {
 	in  io.Writer
 	out *bufio.Reader
+	pid int
 }
 
 func startFront(b *testing.B, name string, cores int, config []byte) *frontProcess {
@@ -127,7 +128,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { in.Close(); cmd.Wait() })
-	p := &frontProcess{in, bufio.NewReader(out)}
+	p := &frontProcess{in, bufio.NewReader(out), cmd.Process.Pid}
 	if _, err := fmt.Fprintf(in, "%s\n", config); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -7,6 +7,7 @@
 package handover
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -29,6 +30,12 @@
 
 var checksums = crc32.MakeTable(crc32.Castagnoli)
 
+// errLook is a frame of somebody who only looks whether a process is there.
+var errLook = errors.New("handover: somebody looks")
+
+// look is such a frame: a head of version 0.
+var look = append(magic[:], make([]byte, headSize-len(magic))...)
+
 // ErrFrame is what is no frame of this version.
 var ErrFrame = errors.New("handover: no frame that is understood")
 
@@ -107,6 +114,8 @@
 	switch {
 	case [3]byte(head[:]) != magic:
 		return nil, fmt.Errorf("%w: it begins with %q", ErrFrame, head[:3])
+	case bytes.Equal(head[:], look):
+		return nil, errLook
 	case head[3] != version:
 		return nil, fmt.Errorf("%w: version %d", ErrFrame, head[3])
 	case size > mostFrame:
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -150,6 +150,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), greetTime)
 	defer cancel()
 	if conn, err := h.way.Dial(ctx); err == nil { // somebody is there: this one, or a third
+		conn.Write(look)
 		conn.Close()
 		return
 	}
@@ -175,15 +176,19 @@
 	h.mu.Unlock()
 	ended := make(chan struct{})
 	h.running.Go(func() {
+		looks := false
 		defer func() {
-			// Danger: who only looks whether somebody is there tells nothing, and must not have this one look in turn.
-			if h.part(k) && next {
+			// Danger: who only looks whether somebody is there must not have this one look in turn.
+			if h.part(k); next && !looks {
 				h.offerAgain()
 			}
 		}()
 		defer close(ended)
 		for {
 			known, err := Read(conn)
+			if looks = errors.Is(err, errLook); looks {
+				return
+			}
 			if err != nil {
 				if !errors.Is(err, io.EOF) {
 					h.log.Warn("the link with the other process ends", "error", err)
@@ -215,8 +220,8 @@
 	})
 }
 
-// part ends a link, and says whether a process was at its other end.
-func (h *Handover) part(k *link) bool {
+// part ends a link.
+func (h *Handover) part(k *link) {
 	k.conn.Close()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -224,7 +229,6 @@
 	if k.heard && !slices.ContainsFunc(slices.Collect(maps.Keys(h.links)), func(o *link) bool { return o.heard }) {
 		h.side.Beside(false)
 	}
-	return k.heard
 }
 
 // Tell tells the other processes what is known by now. It does not wait for them.
