--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -309,16 +309,14 @@
 	}
 }
 
-// readBody reads a body that is short. Of another it returns what has come, which is nothing if it says that it is long.
+// readBody reads a body that is short. Of another it returns what has come, once that is much or has gone on for a while.
 func readBody(resp *http.Response) (body []byte, whole bool, err error) {
-	switch {
-	case resp.ContentLength > keep:
-		return nil, false, nil
-	case resp.ContentLength >= 0:
+	if resp.ContentLength >= 0 && resp.ContentLength <= keep {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 		return body, true, err
 	}
+	// Danger: one that says that it is longer than it is would be chosen for its head, and could not be sent for again.
 	begun := time.Now()
 	for len(body) < keep && (len(body) == 0 || time.Since(begun) < settle) {
 		body = slices.Grow(body, 4<<10)
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -28,7 +28,7 @@
 	leastRate = 32 << 10
 	grace     = 2 * time.Second
 
-	answerStall = 500 * time.Millisecond // until the next byte of an answer that is read whole
+	answerStall = 250 * time.Millisecond // until the next byte of an answer that is read whole
 	streamStall = 10 * time.Second       // until a backend gives, or takes, the next byte of what passes through
 	settle      = 100 * time.Millisecond // for an answer without a length to be whole
 )
