--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -47,30 +47,13 @@
 }
 
 // join returns the socket as one process has it: when that closes it the others go on.
-func (p *platform) join() net.Listener { return &inherited{platform: p, closed: make(chan struct{})} }
-
-type inherited struct {
-	*platform
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *inherited) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *inherited) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
+func (p *platform) join() net.Listener {
+	return &hall{addr: p.Addr(), conns: p.conns, closed: make(chan struct{})}
 }
 
-// hall is where a process waits for the next one.
+// hall is where one process waits for connections: its clients', or of the process that is to replace it.
 type hall struct {
+	addr   net.Addr
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
@@ -90,8 +73,8 @@
 	return nil
 }
 
-// Addr names the hall.
-func (h *hall) Addr() net.Addr { return &net.UnixAddr{Name: "hall", Net: "unix"} }
+// Addr is what the hall stands for.
+func (h *hall) Addr() net.Addr { return h.addr }
 
 var errNobody = errors.New("no process is there")
 
@@ -116,7 +99,7 @@
 
 // Listen has Dial reach the caller.
 func (p *platform) Listen() (net.Listener, error) {
-	h := &hall{conns: make(chan net.Conn), closed: make(chan struct{})}
+	h := &hall{addr: &net.UnixAddr{Name: "hall", Net: "unix"}, conns: make(chan net.Conn), closed: make(chan struct{})}
 	p.mu.Lock()
 	p.last = h
 	p.mu.Unlock()
