--- /dev/null
+++ b/internal/averau/core.go
@@ -0,0 +1,239 @@
+// Package averau (Averau hut) is the control plane's process on a core machine.
+//
+// It takes the operators' calls, has them agreed on (package konkordia) before it answers, and feeds all agents with the
+// configuration that holds and with what the agents say of themselves (package lagazuoi). A core machine that is no member of the
+// agreement, or does not lead it, serves all the same: it passes on what must be agreed.
+//
+// What it promises: a call is answered 200 once a majority has it on disk; nothing that is not agreed reaches an agent; a read
+// holds all that was acknowledged before it.
+package averau
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/brogles"
+	"example.org/micaline/internal/konkordia"
+	"example.org/micaline/internal/lagazuoi"
+	"example.org/micaline/internal/nuvolau"
+	"github.com/apex/log"
+	"github.com/samber/oops"
+)
+
+const (
+	queue     = 1024
+	heartbeat = 500 * time.Millisecond
+	muteFor   = 1700 * time.Millisecond
+	mostFeeds = 2048
+)
+
+// Core is the process. Its fields from registry on belong to the goroutine of own.
+type Core struct {
+	set   *nuvolau.Settings
+	log   log.Interface
+	node  *konkordia.Node
+	table *table
+	peers *peers
+
+	commands chan func()
+	began    time.Time
+	registry *lagazuoi.Table
+	feeds    map[string]*feed // by the agent's control address
+	cores    []string
+}
+
+// New returns a core process that has not started.
+func New(set *nuvolau.Settings, l log.Interface) *Core {
+	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: lagazuoi.New(), feeds: map[string]*feed{}}
+	c.table = newTable(func() { c.poke(func() { c.each(func(f *feed) { f.wake() }) }) })
+	c.peers = newPeers(set)
+	return c
+}
+
+// poke queues a command without waiting; the queue's bound is far above what may be due at once, and who finds it full waits beside.
+func (c *Core) poke(f func()) {
+	select {
+	case c.commands <- f:
+	default:
+		go func() { c.commands <- f }()
+	}
+}
+
+func (c *Core) do(f func()) { c.commands <- f }
+
+// Run serves until the context ends, hands leadership over and returns.
+func (c *Core) Run(ctx context.Context) error {
+	inner, err := net.Listen("tcp4", brogles.Inner(c.set, c.set.Control))
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	defer inner.Close()
+	owner, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.own(owner)
+	c.node, err = konkordia.Start(konkordia.Options{
+		Self: c.set.Control, Seeds: c.set.Seeds, FirstStart: c.set.FirstStart, Dir: c.set.DataFolder, Table: c.table,
+		Send: c.peers.send, Log: c.log, OnChange: c.onChange,
+	})
+	if err != nil {
+		return oops.In("agreement").Wrap(err)
+	}
+	go c.accept(inner)
+	l, err := net.Listen("tcp4", c.set.Control)
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	server := &http.Server{Handler: c.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
+	go server.Serve(l)
+	c.log.WithField("zone", c.set.Zone).WithField("seeds", c.set.Seeds).Info("core started")
+	<-ctx.Done()
+	leaving, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c.node.Leave(leaving)
+	server.Shutdown(leaving)
+	err = c.node.Close()
+	c.log.Info("core ended")
+	return err
+}
+
+// onChange tells the agents who the members are.
+func (c *Core) onChange(s konkordia.Status) {
+	c.log.WithField("role", s.Role).WithField("leader", s.Leader).WithField("term", s.Term).WithField("members", s.Members).Info("agreement")
+	members := slices.Clone(s.Members)
+	c.poke(func() {
+		if !slices.Equal(c.cores, members) {
+			c.cores = members
+			c.each(func(f *feed) { f.wake() })
+		}
+	})
+}
+
+func (c *Core) each(f func(*feed)) {
+	for _, one := range c.feeds {
+		f(one)
+	}
+}
+
+func (c *Core) own(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.commands:
+			f()
+		case <-tick.C:
+			c.registry.Step(time.Since(c.began))
+		}
+	}
+}
+
+// accept takes connections of agents and of other core machines.
+func (c *Core) accept(l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			brentei.Bound(raw)
+			k := brentei.NewConn(raw)
+			defer k.Close()
+			var hello brentei.Hello
+			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if err := k.Receive(&hello); err != nil || hello.Version != brentei.Version {
+				return
+			}
+			raw.SetReadDeadline(time.Time{})
+			switch hello.Use {
+			case brentei.Peer:
+				for {
+					var m konkordia.Message
+					if k.Receive(&m) != nil {
+						return
+					}
+					c.node.Receive(m)
+				}
+			case brentei.FeedUse:
+				c.feed(hello.From, k)
+			}
+		}()
+	}
+}
+
+// statusOf is the answer to a caller whose call was not agreed on: it goes on to another core machine with it.
+func statusOf(err error) int {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, konkordia.ErrUnknown) {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// peers carries messages to other core machines, each over a connection of its own that is opened when there is something to send.
+type peers struct {
+	set *nuvolau.Settings
+	mu  sync.Mutex
+	to  map[string]chan konkordia.Message
+}
+
+const mostPeers = 16
+
+func newPeers(set *nuvolau.Settings) *peers {
+	return &peers{set: set, to: map[string]chan konkordia.Message{}}
+}
+
+// send queues a message; where the queue is full it is lost, which the agreement bears.
+func (p *peers) send(m konkordia.Message) {
+	p.mu.Lock()
+	q := p.to[m.To]
+	if q == nil && len(p.to) < mostPeers {
+		q = make(chan konkordia.Message, 64)
+		p.to[m.To] = q
+		go p.carry(m.To, q)
+	}
+	p.mu.Unlock()
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+func (p *peers) carry(to string, q chan konkordia.Message) {
+	var c *brentei.Conn
+	var failed time.Time
+	for m := range q {
+		if c == nil {
+			if time.Since(failed) < 100*time.Millisecond {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			var err error
+			c, err = brentei.Dial(ctx, brentei.Peer, p.set.Control, brogles.Inner(p.set, to))
+			cancel()
+			if err != nil {
+				c, failed = nil, time.Now()
+				for len(q) > 0 { // what has waited behind a dead address is old
+					<-q
+				}
+				continue
+			}
+			go func(c *brentei.Conn) { // nothing comes on it but its end
+				var b [1]byte
+				c.Read(b[:])
+				c.Close()
+			}(c)
+		}
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		if err := c.Send(m, nil); err != nil {
+			c.Close()
+			c = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/averau/handlers.go
@@ -0,0 +1,168 @@
+package averau
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/margherita"
+)
+
+const (
+	answerIn  = 900 * time.Millisecond // callers move on after a second
+	mostPatch = 8 << 20                // bytes of a call
+	mostBeat  = 16 << 10
+)
+
+// handler has one object for each resource.
+func (c *Core) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/api/config", &configs{c})
+	mux.Handle("/api/drain-zone/{zone}", &evacuations{c})
+	mux.Handle("/api/servers/{id}", &servers{c})
+	return mux
+}
+
+// problem is the body of every answer that says no.
+func problem(w http.ResponseWriter, status int, what string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(map[string]string{"error": what})
+}
+
+func only(w http.ResponseWriter, methods string) {
+	w.Header().Set("Allow", methods)
+	problem(w, http.StatusMethodNotAllowed, "use "+methods)
+}
+
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		problem(w, http.StatusBadRequest, "body: can't be read whole: "+err.Error())
+		return nil, false
+	}
+	return b, true
+}
+
+// agree has an order agreed on and answers the caller.
+func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *order) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
+	defer cancel()
+	result, err := c.node.Propose(ctx, o.encode())
+	switch {
+	case err != nil:
+		problem(w, statusOf(err), err.Error())
+	case len(result.Reply) > 0:
+		problem(w, http.StatusBadRequest, string(result.Reply))
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		io.WriteString(w, "{}")
+	}
+}
+
+// configs is the configuration.
+type configs struct{ c *Core }
+
+func (h *configs) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodGet:
+		ctx, cancel := context.WithTimeout(r.Context(), answerIn)
+		defer cancel()
+		if err := h.c.node.Read(ctx); err != nil {
+			problem(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(h.c.table.now.Load().config.Items())
+	case http.MethodPatch:
+		b, ok := body(w, r, mostPatch)
+		if !ok {
+			return
+		}
+		if _, err := margherita.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
+			problem(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		h.c.agree(w, r, &order{Op: opPatch, Body: b})
+	default:
+		only(w, "GET, PATCH")
+	}
+}
+
+// evacuations are the zones that are to get nothing.
+type evacuations struct{ c *Core }
+
+func (h *evacuations) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	zone := r.PathValue("zone")
+	if _, known := h.c.set.Zones[zone]; !known {
+		problem(w, http.StatusNotFound, "zone: "+zone+" is none of the settings' zones")
+		return
+	}
+	switch r.Method {
+	case http.MethodPost:
+		h.c.agree(w, r, &order{Op: opEvacuate, Zone: zone})
+	case http.MethodDelete:
+		h.c.agree(w, r, &order{Op: opReturn, Zone: zone})
+	default:
+		only(w, "POST, DELETE")
+	}
+}
+
+// servers are the backends. The agent beside one is the owner of what is known of it, so a call that comes here is handed there.
+type servers struct{ c *Core }
+
+func (h *servers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	b := brentei.Beat{ID: id}
+	var agent string
+	switch r.Method {
+	case http.MethodPut:
+		text, ok := body(w, r, mostBeat)
+		if !ok {
+			return
+		}
+		var said struct {
+			Address string `json:"address"`
+		}
+		host := ""
+		if err := json.Unmarshal(text, &said); err == nil {
+			host, _, _ = net.SplitHostPort(said.Address)
+		}
+		if host == "" {
+			problem(w, http.StatusBadRequest, "address: not host:port")
+			return
+		}
+		b.Body, agent = text, host
+	case http.MethodDelete:
+		b.Leave = true
+		found := make(chan string, 1)
+		h.c.do(func() {
+			for _, s := range h.c.registry.All() {
+				if s.Station.Backend != nil && s.Station.Backend.ID == id {
+					found <- s.Station.Agent
+					return
+				}
+			}
+			found <- ""
+		})
+		if agent = <-found; agent == "" {
+			io.WriteString(w, "{}") // gone already
+			return
+		}
+	default:
+		only(w, "PUT, DELETE")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
+	defer cancel()
+	if status := h.c.pass(ctx, agent, b); status != http.StatusOK {
+		problem(w, status, "the agent beside the backend did not take it")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	io.WriteString(w, "{}")
+}
--- /dev/null
+++ b/internal/brentei/conn.go
@@ -0,0 +1,149 @@
+// Package brentei (Brentei hut) is the link: what passes between the mesh's own processes, over TCP.
+//
+// There are three uses of a connection, told by the Hello that opens it:
+//
+//   - an exchange: the agent beside a caller, the sender, hands requests to the agent beside a backend, the gate, one at a time.
+//     An Ask and its body go, a Reply and its body come. The connection is kept for the next.
+//   - a feed: an agent tells a core machine about itself and its backend, and hears the configuration and all other agents.
+//   - a peer: core machines exchange the messages of their agreement, each direction over a connection of its own.
+//
+// Heads are gob values, each message written at once with the raw bytes that follow it. A connection that breaks proves nothing
+// about what went over it: who must know whether a request ran is told by a Verdict, or takes it that it may have.
+package brentei
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/gob"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"golang.org/x/sys/unix"
+)
+
+// Uses of a connection.
+const (
+	Exchange = "exchange"
+	FeedUse  = "feed"
+	Peer     = "peer"
+)
+
+// Hello opens a connection. A process that does not know the use or the version closes it.
+type Hello struct {
+	Version int
+	Use     string
+	From    string // control address of who opens it
+}
+
+// Version is the version of the messages.
+const Version = 1
+
+// keepScratch is how large a buffer for writing is kept, in bytes: one large body must not hold its memory for good.
+const keepScratch = 64 << 10
+
+// Conn is a connection between two processes of the mesh. One goroutine may read and others may write at the same time.
+type Conn struct {
+	net.Conn
+	r   *bufio.Reader
+	dec *gob.Decoder
+	lr  io.LimitedReader // bounds one message's head
+
+	mu      sync.Mutex // guards what follows
+	enc     *gob.Encoder
+	scratch bytes.Buffer
+}
+
+// mostHead bounds the gob part of one message, in bytes.
+const mostHead = 32 << 20
+
+// NewConn wraps a connection.
+func NewConn(c net.Conn) *Conn {
+	k := &Conn{Conn: c}
+	k.lr = io.LimitedReader{R: c, N: mostHead}
+	k.r = bufio.NewReaderSize(&k.lr, 8<<10)
+	k.dec = gob.NewDecoder(k.r)
+	k.enc = gob.NewEncoder(&k.scratch)
+	return k
+}
+
+// Send writes a message and the raw bytes behind it, at once. Its error says nothing of what has arrived.
+func (c *Conn) Send(message any, raw []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scratch.Reset()
+	if err := c.enc.Encode(message); err != nil {
+		return oops.Code("encode").Wrap(err)
+	}
+	if len(raw) > keepScratch {
+		if _, err := c.Conn.Write(c.scratch.Bytes()); err != nil {
+			return err
+		}
+		_, err := c.Conn.Write(raw)
+		return err
+	}
+	c.scratch.Write(raw)
+	_, err := c.Conn.Write(c.scratch.Bytes())
+	if c.scratch.Cap() > 4*keepScratch {
+		c.scratch = bytes.Buffer{}
+	}
+	return err
+}
+
+// Receive reads the next message into a pointer.
+func (c *Conn) Receive(message any) error {
+	c.lr.N = mostHead
+	return c.dec.Decode(message)
+}
+
+// Body reads the raw bytes behind a message.
+func (c *Conn) Body(n int64, most int64) ([]byte, error) {
+	if n < 0 || n > most {
+		return nil, oops.Code("body").Errorf("a body of %d bytes, at most %d are taken", n, most)
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	c.lr.N = n
+	body := make([]byte, n)
+	_, err := io.ReadFull(c.r, body)
+	return body, err
+}
+
+// Buffered says how many bytes have come that nobody has read.
+func (c *Conn) Buffered() int { return c.r.Buffered() }
+
+// unheard is how long the kernel keeps trying to send what is not acknowledged: a machine without power says nothing.
+const unheard = 3 * time.Second
+
+// Dial opens a connection for a use. Sends on it fail once the other machine has been mute for a while.
+func Dial(ctx context.Context, use, from, to string) (*Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: nil}
+	raw, err := d.DialContext(ctx, "tcp4", to)
+	if err != nil {
+		return nil, err
+	}
+	Bound(raw)
+	c := NewConn(raw)
+	if err := c.Send(Hello{Version: Version, Use: use, From: from}, nil); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Bound sets how long a connection's peer may be mute while there is something for it.
+func Bound(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if raw, err := t.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unheard.Milliseconds()))
+		})
+	}
+}
--- /dev/null
+++ b/internal/brentei/message.go
@@ -0,0 +1,105 @@
+package brentei
+
+import "time"
+
+// Ask is a request that a sender hands to a gate. Body raw bytes follow it.
+type Ask struct {
+	Try     string // the client's id of this try
+	Target  string // id of the backend's life that must run it
+	Method  string
+	URI     string
+	Host    string
+	Caller  string // the service of the machine on which the request began
+	Unsafe  bool   // must not run twice
+	Left    time.Duration
+	Aim     time.Duration // until when an answer earns its full worth, from now
+	Rank    int
+	Header  []string // names and values in turn
+	Body    int64
+	Patient time.Duration // the longest that it may wait at the gate before it is refused
+}
+
+// Reply is a gate's answer. Body raw bytes follow it.
+type Reply struct {
+	Verdict Verdict
+	Reason  Reason
+	After   time.Duration
+	Status  int
+	Header  []string
+	Body    int64
+	Load    Load
+}
+
+// Load is what a gate knows of its backend: all that reaches it passes the gate.
+type Load struct {
+	InFlight int // handed over, or waiting at the gate
+	Waiting  int // of these, at the gate
+	Recent   time.Duration
+	Rate     float64 // served a second
+	Errors   float64 // failed a second
+}
+
+// Backend is one life of a backend, as its beats tell.
+type Backend struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Version  string
+	Capacity int
+	Draining bool
+	ColdLeft time.Duration // at the time of the report
+	Calls    uint64
+}
+
+// Station is what an agent says of itself. Who hears two of one agent keeps the one of the later life, and of one life the
+// one said later.
+type Station struct {
+	Agent   string // ip of its machine
+	Gate    string // where senders reach its gate
+	Zone    string
+	Life    uint64 // of the agent's process, later lives are higher
+	Seq     uint64
+	Open    bool // takes requests for its backend
+	Backend *Backend
+}
+
+// Newer says whether a station's word replaces another.
+func (s *Station) Newer(than *Station) bool {
+	return than == nil || s.Life > than.Life || s.Life == than.Life && s.Seq > than.Seq
+}
+
+// Up is what an agent says to a core machine over its feed; fields that are not set say nothing.
+type Up struct {
+	Station *Station
+	Have    uint64 // index of the configuration that the agent has
+	Fresh   uint64 // not 0: answer with this number once what you have sent is current
+	Handed  uint64 // number of a Down.Beat that has been dealt with
+	Status  int    // the answer to it
+}
+
+// Down is what a core machine says to an agent.
+type Down struct {
+	Config   []byte // the whole configuration, of
+	Index    uint64 // this index
+	Stations []Heard
+	Whole    bool // Stations holds all that there are: who is not among them is gone
+	Fresh    uint64
+	Cores    []string // control addresses of the members of the agreement
+	MinLife  uint64   // the agent's life must be above this: an earlier one of it was heard with it
+	Beat     *Beat
+	Number   uint64 // of Beat
+}
+
+// Heard is a station and whether the core machine hears it.
+type Heard struct {
+	Station Station
+	Lost    bool
+}
+
+// Beat is a backend's call that reached a core machine instead of the agent beside the backend.
+type Beat struct {
+	ID    string
+	Leave bool // DELETE
+	Body  []byte
+}
--- /dev/null
+++ b/internal/brentei/pool.go
@@ -0,0 +1,129 @@
+package brentei
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"example.org/micaline/internal/tcp"
+)
+
+// Pool keeps connections for exchanges, by the gate's address. All fields are set before its first use.
+type Pool struct {
+	From    string        // own control address
+	Connect time.Duration // for a connection to come up
+	Idle    time.Duration // how long one is kept idle
+	Most    int           // connections kept idle for each gate
+
+	mu   sync.Mutex
+	idle map[string][]kept
+	open int
+	made uint64
+}
+
+type kept struct {
+	c     *Conn
+	since time.Time
+}
+
+// Get returns a connection to a gate: the one used last, or a new one.
+func (p *Pool) Get(ctx context.Context, gate string) (*Conn, error) {
+	for {
+		k, ok := p.take(gate)
+		if !ok {
+			break
+		}
+		if t, ok := k.Conn.(syscall.Conn); k.Buffered() == 0 && (!ok || tcp.Quiet(t)) {
+			return k, nil
+		}
+		p.Discard(k)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Connect)
+	defer cancel()
+	c, err := Dial(ctx, Exchange, p.From, gate)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.open++
+	p.made++
+	p.mu.Unlock()
+	return c, nil
+}
+
+func (p *Pool) take(gate string) (*Conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[gate]
+	if len(list) == 0 {
+		return nil, false
+	}
+	k := list[len(list)-1]
+	p.idle[gate] = list[:len(list)-1]
+	return k.c, true
+}
+
+// Put gives a connection back on which nothing is due.
+func (p *Pool) Put(gate string, c *Conn) {
+	p.mu.Lock()
+	if p.idle == nil {
+		p.idle = map[string][]kept{}
+	}
+	full := len(p.idle[gate]) >= p.Most
+	if !full {
+		p.idle[gate] = append(p.idle[gate], kept{c, time.Now()})
+	}
+	p.mu.Unlock()
+	if full {
+		p.Discard(c)
+	}
+}
+
+// Discard closes a connection that is not in the pool.
+func (p *Pool) Discard(c *Conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Drop closes the idle connections to a gate that is gone.
+func (p *Pool) Drop(gate string) {
+	p.mu.Lock()
+	list := p.idle[gate]
+	delete(p.idle, gate)
+	p.mu.Unlock()
+	for _, k := range list {
+		p.Discard(k.c)
+	}
+}
+
+// Sweep closes what has been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for gate, list := range p.idle {
+		n := 0
+		for n < len(list) && now.Sub(list[n].since) > p.Idle {
+			old = append(old, list[n].c)
+			n++
+		}
+		if n == len(list) {
+			delete(p.idle, gate)
+		} else {
+			p.idle[gate] = append(list[:0:0], list[n:]...)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.Discard(c)
+	}
+}
+
+// Counts says how many connections are open and how many were made.
+func (p *Pool) Counts() (open int, made uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, p.made
+}
--- /dev/null
+++ b/internal/brogles/agent.go
@@ -0,0 +1,300 @@
+// Package brogles (Brogles hut) is the agent: the process beside an application backend.
+//
+// It joins the parts that stand on such a machine: the sender (package vajolet) for what begins there, the gate (package solvay) for
+// what the backend is sent, and a feed to each core machine, over which it tells of itself and hears the configuration and all other
+// agents. One goroutine owns what is known and works through a queue of commands; the sender reads a view that never changes.
+//
+// What it promises: it is ready only once it has a configuration that was known to be current after it had started; it never goes
+// back to an older one; cut off, it goes on with what it has.
+package brogles
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/lagazuoi"
+	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/vajolet"
+	"github.com/apex/log"
+	"github.com/samber/oops"
+)
+
+const (
+	tick        = time.Second
+	queue       = 256 // commands that wait for the owner
+	leaveNotice = 2200 * time.Millisecond
+	mostBody    = 64 << 20
+)
+
+// Agent is the process. Its fields from table on belong to the goroutine of own.
+type Agent struct {
+	path   string // of the settings
+	set    *nuvolau.Settings
+	log    log.Interface
+	host   *solvay.Host
+	sender *vajolet.Sender
+	links  *brentei.Pool
+	ready  atomic.Bool
+	went   atomic.Bool // told to end
+
+	commands chan func()
+	publish  atomic.Bool // a command to publish is queued
+
+	table   *lagazuoi.Table
+	began   time.Time
+	config  *margherita.Config
+	index   uint64
+	proven  bool // what came over a feed was current after the start
+	fresh   bool // proven, and there is a configuration
+	dirty   bool
+	feeds   map[string]*feed
+	cores   []string // members of the agreement, as told
+	station atomic.Pointer[brentei.Station]
+	life    uint64
+	seq     uint64
+	changed time.Time // of the settings file
+}
+
+// New returns an agent that has not started.
+func New(path string, set *nuvolau.Settings, l log.Interface) *Agent {
+	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: lagazuoi.New(), began: time.Now(),
+		config: margherita.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
+	a.links = &brentei.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
+	a.host = solvay.NewHost(a.rules(), mostBody, a.news)
+	a.sender = vajolet.New(set, a.host, a.links, l)
+	return a
+}
+
+// Inner is the address at which the process of a machine hears the others: its first spare port.
+func Inner(set *nuvolau.Settings, control string) string {
+	host, _, err := net.SplitHostPort(control)
+	if err != nil {
+		return control
+	}
+	return net.JoinHostPort(host, strconv.Itoa(set.SparePorts[0]))
+}
+
+// Run serves until the context ends, and then leaves in order within the bound.
+func (a *Agent) Run(ctx context.Context) error {
+	inner, err := net.Listen("tcp4", Inner(a.set, a.set.Control))
+	if err != nil {
+		return oops.In("listen").Wrap(err)
+	}
+	defer inner.Close()
+	go a.accept(inner)
+	serve := func(addr string, h http.Handler) (*http.Server, error) {
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			return nil, oops.In("listen").Wrap(err)
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 64 << 10}
+		s.ErrorLog = nil
+		go s.Serve(l)
+		return s, nil
+	}
+	out, err := serve(a.set.Outbound, a.sender)
+	if err != nil {
+		return err
+	}
+	ready, err := serve(a.set.Ready, http.HandlerFunc(a.readiness))
+	if err != nil {
+		return err
+	}
+	control, err := serve(a.set.Control, a.control())
+	if err != nil {
+		return err
+	}
+	owner, stop := context.WithCancel(context.Background())
+	defer stop()
+	go a.own(owner)
+	a.log.WithField("zone", a.set.Zone).WithField("service", a.set.Service).Info("agent started")
+	<-ctx.Done()
+	a.leave(out)
+	ready.Close()
+	control.Close()
+	return nil
+}
+
+// accept takes connections of other agents.
+func (a *Agent) accept(l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			brentei.Bound(raw)
+			c := brentei.NewConn(raw)
+			var hello brentei.Hello
+			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if err := c.Receive(&hello); err != nil || hello.Version != brentei.Version || hello.Use != brentei.Exchange {
+				c.Close()
+				return
+			}
+			raw.SetReadDeadline(time.Time{})
+			a.host.Serve(c)
+		}()
+	}
+}
+
+func (a *Agent) readiness(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != "/api/readiness":
+		http.NotFound(w, r)
+	case !a.ready.Load() || a.went.Load():
+		http.Error(w, "no current configuration yet, or leaving", http.StatusServiceUnavailable)
+	}
+}
+
+// leave ends the process in order: clients are told by readiness first, which takes two missed calls, and other agents by the
+// station; what comes meanwhile is served, and what is in hand is ended.
+func (a *Agent) leave(out *http.Server) {
+	began := time.Now()
+	a.went.Store(true)
+	a.sender.Leave()
+	a.news()
+	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
+	for time.Now().Before(end) && (time.Since(began) < leaveNotice || a.sender.Held() > 0 || a.host.Held() > 0) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	a.host.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(300*time.Millisecond))
+	defer cancel()
+	out.Shutdown(ctx)
+	for time.Now().Before(end) && a.host.Held() > 0 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	a.log.WithField("after", time.Since(began).Round(time.Millisecond).String()).Info("agent ended")
+}
+
+// do queues a command for the owner.
+func (a *Agent) do(f func()) { a.commands <- f }
+
+// news has the station said anew.
+func (a *Agent) news() {
+	if a.publish.CompareAndSwap(false, true) {
+		go a.do(a.say)
+	}
+}
+
+// own works through the commands.
+func (a *Agent) own(ctx context.Context) {
+	a.say()
+	a.follow()
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-a.commands:
+			f()
+		case <-timer.C:
+			a.tick()
+		}
+		for more := true; more; { // what has come together is shown together
+			select {
+			case f := <-a.commands:
+				f()
+			default:
+				more = false
+			}
+		}
+		if a.dirty {
+			a.dirty = false
+			a.show()
+		}
+	}
+}
+
+func (a *Agent) now() time.Duration { return time.Since(a.began) }
+
+func (a *Agent) tick() {
+	a.host.Tick()
+	if a.table.Step(a.now()) {
+		a.dirty = true
+	}
+	a.links.Sweep(time.Now())
+	a.reread()
+}
+
+// reread takes in a settings file that has changed, with or without a signal.
+func (a *Agent) reread() {
+	info, err := os.Stat(a.path)
+	if err != nil || info.ModTime().Equal(a.changed) {
+		return
+	}
+	first := a.changed.IsZero()
+	a.changed = info.ModTime()
+	if first {
+		return
+	}
+	set, err := nuvolau.Load(a.path)
+	if err != nil {
+		a.log.WithError(err).Error("settings kept as they were")
+		return
+	}
+	if !slices.Equal(set.Seeds, a.set.Seeds) {
+		a.log.WithField("seeds", set.Seeds).Info("seeds changed")
+	}
+	changed := *a.set
+	changed.Seeds = set.Seeds
+	a.set = &changed
+	a.follow()
+}
+
+// Reload has the settings read again.
+func (a *Agent) Reload() { a.do(func() { a.changed = time.Unix(1, 0); a.reread() }) }
+
+// say makes the station's next word and has the feeds tell it.
+func (a *Agent) say() {
+	a.publish.Store(false)
+	a.seq++
+	s := &brentei.Station{Agent: a.set.IP, Gate: Inner(a.set, a.set.Control), Zone: a.set.Zone, Life: a.life, Seq: a.seq,
+		Open: a.host.Open() && a.fresh && !a.went.Load()}
+	a.host.With(func(now time.Duration, g *solvay.Gate) bool { s.Backend = g.Backend(now); return false })
+	a.station.Store(s)
+	for _, f := range a.feeds {
+		f.wake()
+	}
+	// Its own backend is known at once, also to an agent that is cut off.
+	if a.table.Hear(a.now(), "self", false, []brentei.Heard{{Station: *s}}) {
+		a.dirty = true
+	}
+}
+
+// rules are what the gate goes by. Danger: until the configuration is known to be current nobody knows whether the zone is evacuated.
+func (a *Agent) rules() solvay.Rules {
+	b := &a.set.Bounds
+	r := solvay.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery,
+		Evacuated: a.config.Evacuated(a.set.Zone)}
+	if s := a.config.Service(a.set.Service); s != nil {
+		r.Warmup, r.WarmupPerS = s.Warmup, s.WarmupPerS
+	}
+	return r
+}
+
+// show gives the sender and the gate what is known now.
+func (a *Agent) show() {
+	if a.proven && a.index > 0 && !a.fresh {
+		a.fresh = true
+		defer a.say()
+	}
+	a.host.With(func(now time.Duration, g *solvay.Gate) bool { g.Configure(now, a.rules()); return false })
+	if !a.fresh && a.index == 0 {
+		return
+	}
+	a.sender.SetView(&vajolet.View{Config: a.config, Index: a.index, Stations: a.table.All()})
+	if a.fresh && !a.ready.Swap(true) {
+		a.log.WithField("index", a.index).Info("ready")
+	}
+}
--- /dev/null
+++ b/internal/konkordia/api.go
@@ -0,0 +1,57 @@
+package konkordia
+
+import (
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+)
+
+var (
+	// ErrNoLeader says that no leader was found, and that the command was not appended and never will be: it may be tried
+	// again, here or at another node.
+	ErrNoLeader = errors.New("konkordia: no leader; the command was not appended")
+	// ErrUnknown says that the command may hold, now or later.
+	ErrUnknown = errors.New("konkordia: unknown whether the command holds")
+	// ErrBusy says that too much is queued; the command did not run.
+	ErrBusy = errors.New("konkordia: busy; the command did not run")
+	// ErrClosed says that the node was closed before the command was taken up.
+	ErrClosed = errors.New("konkordia: closed; the command did not run")
+)
+
+// Result is what a command that holds came to.
+type Result struct {
+	Index uint64
+	Reply []byte
+}
+
+// Table is the state that the log drives. All calls come from the node's goroutine, in order.
+type Table interface {
+	Apply(index uint64, command []byte) (reply []byte)
+	Snapshot() []byte
+	Restore(index uint64, snapshot []byte) error
+}
+
+// Options are what a Node is started with.
+type Options struct {
+	Self       string
+	Seeds      []string // control addresses "ip:port"; members are named by them
+	FirstStart bool     // Seeds are the first members, and disks are empty
+	Dir        string   // data folder; the file is made inside
+	Table      Table
+	Send       func(m Message) // must not block; may lose; goes to m.To
+	Log        log.Interface
+	Tick       time.Duration // the coarseness of timers; 0: 50 ms
+	Replace    time.Duration // how long a voter is unheard before a caught-up learner takes its place; 0: 8 s
+	OnChange   func(Status)  // leader or membership changed; called from the node's goroutine, must not block
+}
+
+// Status is how a node stands. It is a copy that never changes.
+type Status struct {
+	Role                  string // "leader", "follower", "candidate", "learner" or "recovering"
+	Leader                string // empty: unknown
+	Term, Commit, Applied uint64
+	Members, Learners     []string // of learners, only the leader knows
+	LeaderChanges, Syncs  uint64
+	SyncMax               time.Duration
+}
--- /dev/null
+++ b/internal/konkordia/election.go
@@ -0,0 +1,200 @@
+package konkordia
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// is tells whether a disk at an address is this member.
+func (v Member) is(address string, disk uint64, founder bool) bool {
+	return v.Address == address && (v.Disk == disk || v.Disk == 0 && founder)
+}
+
+func (s Members) find(address string, disk uint64, founder bool) (Member, bool) {
+	for _, v := range s.Voters {
+		if v.is(address, disk, founder) {
+			return v, true
+		}
+	}
+	return Member{}, false
+}
+
+func (s Members) majority() int { return len(s.Voters)/2 + 1 }
+
+func (m *Machine) isVoter() bool {
+	_, ok := m.log.current().members.find(m.self, m.disk, m.founder)
+	return ok
+}
+
+// mayCampaign tells whether we are a member, by all we know.
+func (m *Machine) mayCampaign() bool { return m.isVoter() && m.log.current().index >= m.outside }
+
+func (m *Machine) resetElection() {
+	m.electionAt = m.now + electionMin + time.Duration(m.rng.Int64N(int64(electionMax-electionMin)))
+}
+
+// hearsLeader tells whether a leader was heard so lately that an election would only disturb.
+func (m *Machine) hearsLeader() bool {
+	return m.role == leader || m.leader.Address != "" && m.now-m.heard < electionMin
+}
+
+// follow enters a term as a follower, or stays in it as one. Who leads may be unknown yet.
+func (m *Machine) follow(term uint64, by Member) {
+	if term < m.hard.Term {
+		panic(fmt.Sprintf("konkordia: term goes from %d to %d", m.hard.Term, term))
+	}
+	if term > m.hard.Term {
+		m.hard, m.hardDirty = Hard{Term: term}, true
+		m.leader = Member{}
+	}
+	if m.role == leader {
+		m.peers, m.reads, m.moving = nil, nil, nil
+	}
+	if m.role != follower {
+		m.resetElection()
+	}
+	m.role, m.votes = follower, nil
+	if by.Address == "" {
+		return
+	}
+	if m.leader != by {
+		m.ledBy(by)
+		m.askLeader(0)
+	}
+}
+
+// ledBy notes who leads. That there is one leader a term at most is what all else hangs on.
+func (m *Machine) ledBy(by Member) {
+	if m.led.Term == m.hard.Term && m.led.Vote != by {
+		panic(fmt.Sprintf("konkordia: two leaders in term %d: %v and %v", m.hard.Term, m.led.Vote, by))
+	}
+	m.led = Hard{Term: m.hard.Term, Vote: by}
+	m.leader = by
+	m.changes++
+}
+
+// campaign asks for votes. A preCandidate only asks whether it would get them, so that who is cut off doesn't raise the terms
+// of all when it comes back.
+func (m *Machine) campaign(as role) {
+	m.resetElection()
+	m.role, m.votes, m.leader = as, nil, Member{}
+	m.failReads(ErrNoLeader)
+	kind, reply, term := PreVote, PreVoteReply, m.hard.Term+1
+	if as == candidate {
+		kind, reply = Vote, VoteReply
+		m.hard, m.hardDirty = Hard{Term: term, Vote: Member{m.self, m.disk}}, true
+	}
+	c := m.log.current()
+	for _, v := range c.members.Voters {
+		msg := Message{Kind: kind, To: v.Address, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm(),
+			MembersIndex: c.index}
+		switch {
+		case v.is(m.self, m.disk, m.founder):
+			m.promise(Message{Kind: reply, To: m.self, Term: term})
+		case as == candidate: // whoever asks for votes has voted for itself
+			m.promise(msg)
+		default:
+			m.send(msg)
+		}
+	}
+}
+
+func (m *Machine) onVote(msg Message) {
+	c := m.log.current()
+	if _, ok := c.members.find(msg.From, msg.Disk, msg.Founder); !ok && c.index > msg.MembersIndex {
+		m.hint(msg.From) // it was taken out; its term is of no interest
+		return
+	}
+	recent := msg.LogTerm > m.log.lastTerm() || msg.LogTerm == m.log.lastTerm() && msg.Index >= m.log.last()
+	if msg.Kind == PreVote {
+		grant := msg.Term > m.hard.Term && recent && !m.hearsLeader()
+		reply := Message{Kind: PreVoteReply, To: msg.From, Reject: !grant}
+		if grant {
+			reply.Term = msg.Term
+		}
+		m.send(reply)
+		return
+	}
+	if msg.Term > m.hard.Term {
+		m.follow(msg.Term, Member{})
+	}
+	by := Member{msg.From, msg.Disk}
+	if msg.Term < m.hard.Term || !recent || m.hard.Vote != (Member{}) && m.hard.Vote != by {
+		m.send(Message{Kind: VoteReply, To: msg.From, Reject: true})
+		return
+	}
+	if m.hard.Vote != by {
+		m.hard.Vote, m.hardDirty = by, true
+	}
+	m.role, m.votes = follower, nil
+	m.resetElection()
+	m.promise(Message{Kind: VoteReply, To: msg.From})
+}
+
+func (m *Machine) onVoteReply(msg Message) {
+	if msg.Reject {
+		if msg.Term > m.hard.Term {
+			m.follow(msg.Term, Member{})
+		}
+		return
+	}
+	pre := msg.Kind == PreVoteReply
+	if pre && (m.role != preCandidate || msg.Term != m.hard.Term+1) ||
+		!pre && (m.role != candidate || msg.Term != m.hard.Term) {
+		return
+	}
+	members := m.log.current().members
+	v, ok := members.find(msg.From, msg.Disk, msg.Founder)
+	if !ok || slices.Contains(m.votes, v) {
+		return
+	}
+	m.votes = append(m.votes, v)
+	if len(m.votes) < members.majority() {
+		return
+	}
+	if pre {
+		m.campaign(candidate)
+		return
+	}
+	m.lead()
+}
+
+// lead begins to lead. The entry that opens the term commits what is left of earlier terms, since those are not committed by
+// counting.
+func (m *Machine) lead() {
+	m.ledBy(Member{m.self, m.disk})
+	m.role, m.votes = leader, nil
+	m.peers, m.reads, m.moving = nil, nil, nil
+	m.removed = ""
+	m.setPeers()
+	m.opened = m.log.last() + 1
+	m.log.append(Entry{Index: m.opened, Term: m.hard.Term})
+	m.beatAt = m.now + heartbeat
+	m.askLeader(0)
+}
+
+// HandOver begins to hand leadership to the voter that has most, if we lead. It tells whether it did.
+func (m *Machine) HandOver() bool {
+	if m.role != leader {
+		return false
+	}
+	var to *progress
+	for _, p := range m.peers {
+		if !p.learner && m.now-p.heard < healthy && (to == nil || p.match > to.match) {
+			to = p
+		}
+	}
+	if to == nil {
+		return false
+	}
+	m.moving, m.movingUntil = to, m.now+electionMin
+	m.tryHandOver()
+	return true
+}
+
+func (m *Machine) tryHandOver() {
+	if m.moving != nil && m.moving.match == m.log.last() {
+		m.send(Message{Kind: HandOver, To: m.moving.member.Address})
+	}
+}
--- /dev/null
+++ b/internal/konkordia/message.go
@@ -0,0 +1,79 @@
+package konkordia
+
+// Kind is what a message is about.
+type Kind uint8
+
+// The kinds of message.
+const (
+	PreVote      Kind = iota + 1 // would you vote for me in this term?
+	PreVoteReply                 //
+	Vote                         // vote for me
+	VoteReply                    // a promise: it leaves once the vote is synced
+	Append                       // entries of the leader's log, or none: a heartbeat
+	AppendReply                  // a promise: it leaves once the entries are synced
+	Install                      // a snapshot in place of entries that the leader no longer has
+	HandOver                     // campaign now
+	Join                         // replicate to me: I am no voter
+	Hint                         // these are the members and the leader that I know
+	Forward                      // append this command
+	Refuse                       // the command was not appended and never will be
+	ReadAsk                      // which index must I have applied to answer a read?
+	ReadReply                    //
+)
+
+// Entry is one place of the log: a command, a change of members, or nothing but the opening of a term.
+type Entry struct {
+	Index, Term uint64
+	Origin      uint64 // of a command: the life of the process that it was proposed at,
+	ID          uint64 // and its number there; 0 if this is no command
+	Command     []byte
+	Members     *Members
+}
+
+// Member is a voter. It is a disk at an address: a disk that is gone takes its promises with it, so what comes back empty at
+// the same address is somebody else. Disk 0 stands for the disk of the first start, until its number has been heard.
+type Member struct {
+	Address string
+	Disk    uint64
+}
+
+// Members are the voters. Target is how many there are to be.
+type Members struct {
+	Voters []Member
+	Target int
+}
+
+// Snapshot is the state at an index.
+type Snapshot struct {
+	Index, Term  uint64
+	Members      Members
+	MembersIndex uint64 // where these members were decided
+	Data         []byte
+}
+
+// Message goes between nodes.
+type Message struct {
+	Kind     Kind
+	From, To string
+	Disk     uint64 // the sender's,
+	Founder  bool   // which was made at the first start
+	ToDisk   uint64 // the one that the leader means; 0 if it isn't known
+	Term     uint64
+
+	Index   uint64 // before the entries; of the last entry; up to which a follower agrees; to be applied before a read
+	LogTerm uint64 // the term at Index
+	Commit  uint64
+	Entries []Entry
+
+	Sequence uint64 // of the leader's sends, told back by replies
+	Reject   bool   // of replies
+	About    uint64 // the index that doesn't agree; the term in which a refused command was given to the leader
+	Snapshot *Snapshot
+
+	Leader       string // known to the sender
+	Members      *Members
+	MembersIndex uint64
+
+	Origin, ID uint64 // of a command or a read
+	Command    []byte
+}
--- /dev/null
+++ b/internal/konkordia/replicate.go
@@ -0,0 +1,343 @@
+package konkordia
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+type stage uint8
+
+const (
+	probing    stage = iota // one message at a time, until it is known where the logs agree
+	streaming               // as much as may be in flight
+	installing              // a snapshot is under way
+)
+
+// progress is what a leader knows of a peer.
+type progress struct {
+	member      Member
+	learner     bool
+	disk        uint64 // heard, of a member that is known by disk 0; 0 if not yet
+	stage       stage
+	probed      bool // the one message is under way
+	match       uint64
+	next        uint64
+	told        uint64 // commit
+	heard       time.Duration
+	round       uint64 // of heartbeats, acknowledged,
+	sent        uint64 // and sent
+	since       uint64 // the round at which it became a learner
+	installedAt time.Duration
+}
+
+// is tells whether a reply comes from this peer. A member by disk 0 is the first disk that was heard of it.
+func (p *progress) is(msg Message) bool {
+	return p.member.is(msg.From, msg.Disk, msg.Founder) && (p.disk == 0 || p.disk == msg.Disk)
+}
+
+// setPeers brings the peers in line with the members.
+func (m *Machine) setPeers() {
+	var peers []*progress
+	members := m.log.current().members
+	for _, v := range members.Voters {
+		if v.is(m.self, m.disk, m.founder) {
+			continue
+		}
+		i := slices.IndexFunc(m.peers, func(p *progress) bool {
+			return p.member == v || p.member.Address == v.Address && p.member.Disk == 0 && p.disk == v.Disk
+		})
+		p := &progress{heard: m.now, next: m.log.last() + 1}
+		if i >= 0 {
+			p = m.peers[i]
+		}
+		p.member, p.learner = v, false
+		peers = append(peers, p)
+	}
+	for _, p := range m.peers {
+		if p.learner && !slices.Contains(peers, p) {
+			peers = append(peers, p)
+		}
+	}
+	m.peers = peers
+}
+
+// beat is a leader's heartbeat. A leader that hasn't heard a majority for long stands back, so that those who ask it go
+// elsewhere.
+func (m *Machine) beat() {
+	m.beatAt = m.now + heartbeat
+	if !m.majorityHeard(m.log.current().members, electionMax) {
+		m.follow(m.hard.Term, Member{})
+		m.leader = Member{}
+		m.failReads(ErrNoLeader)
+		return
+	}
+	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
+		return p.learner && m.now-p.heard > unheardFactor*m.replace
+	})
+	if m.moving != nil && m.now >= m.movingUntil {
+		m.moving = nil
+	}
+	m.tryHandOver()
+	m.round++
+	for _, p := range m.peers {
+		if m.now-p.heard >= healthy && p.stage == streaming {
+			p.stage, p.next = probing, p.match+1
+		}
+		p.probed = false
+		if p.stage == installing && m.now-p.installedAt >= installWait {
+			p.stage = probing
+		}
+	}
+	m.plan()
+}
+
+// majorityHeard tells whether a majority of members was heard within a time.
+func (m *Machine) majorityHeard(members Members, within time.Duration) bool {
+	n := 0
+	for _, v := range members.Voters {
+		if v.is(m.self, m.disk, m.founder) {
+			n++
+		}
+		for _, p := range m.peers {
+			if p.member == v && m.now-p.heard <= within {
+				n++
+			}
+		}
+	}
+	return n >= members.majority()
+}
+
+// replicate sends to all peers what they need.
+func (m *Machine) replicate() {
+	if slices.ContainsFunc(m.reads, func(r read) bool { return r.need > m.round }) {
+		m.round++
+		m.confirmReads() // it may be that nobody else is needed
+	}
+	for _, p := range m.peers {
+		if !p.learner && slices.ContainsFunc(m.peers, func(q *progress) bool {
+			return q.learner && q.member.Address == p.member.Address
+		}) {
+			continue // the disk is gone, and its successor listens at the address
+		}
+		m.sendTo(p)
+	}
+}
+
+func (m *Machine) sendTo(p *progress) {
+	if p.stage == probing && p.probed {
+		return
+	}
+	if p.stage != installing && p.next <= m.log.base {
+		if m.now-p.heard < healthy { // to who is down, a snapshot would only be traffic
+			p.stage, p.installedAt, p.sent = installing, m.now, m.round
+			p.told = m.commit
+			m.send(Message{Kind: Install, To: p.member.Address, ToDisk: p.member.Disk, Snapshot: m.snapshot,
+				Sequence: m.round})
+			return
+		}
+		p.next = m.log.base + 1
+	}
+	if p.stage == installing { // only a heartbeat, at the one index where all logs agree
+		if p.sent < m.round {
+			p.sent = m.round
+			m.send(Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Sequence: m.round})
+		}
+		return
+	}
+	for {
+		quiet := m.now-p.heard >= healthy // who is down gets heartbeats alone
+		full := m.log.bytes(p.match, p.next-1) >= mostInFlight
+		more := p.next <= m.log.last() && !quiet && !full
+		if !more && p.sent >= m.round && p.told >= min(m.commit, p.next-1) {
+			return
+		}
+		if !more && quiet && p.sent >= m.round {
+			return
+		}
+		term, _ := m.log.term(p.next - 1)
+		msg := Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Index: p.next - 1, LogTerm: term,
+			Commit: m.commit, Sequence: m.round}
+		if more {
+			msg.Entries = m.log.after(p.next-1, mostMessage)
+		}
+		m.send(msg)
+		p.sent, p.told = m.round, m.commit
+		if p.stage == probing {
+			p.probed = true
+			return
+		}
+		p.next += uint64(len(msg.Entries))
+	}
+}
+
+func (m *Machine) onAppend(msg Message) {
+	if !m.heed(msg) {
+		return
+	}
+	prev, entries := msg.Index, msg.Entries
+	if prev < m.log.base { // what we no longer hold is committed, so it agrees
+		skip := min(m.log.base-prev, uint64(len(entries)))
+		entries = entries[skip:]
+		prev += skip
+		if prev < m.log.base {
+			m.acknowledge(msg, m.commit)
+			return
+		}
+		msg.LogTerm = m.log.baseTerm
+	}
+	if term, ok := m.log.term(prev); !ok || term != msg.LogTerm {
+		m.disagree(msg, prev)
+		return
+	}
+	for i, e := range entries {
+		if term, ok := m.log.term(e.Index); ok && term == e.Term {
+			continue
+		} else if ok {
+			m.cut(e.Index)
+		}
+		for _, e := range entries[i:] {
+			m.log.append(e)
+		}
+		break
+	}
+	agreed := prev + uint64(len(entries))
+	if to := min(msg.Commit, agreed); to > m.commit {
+		m.commitTo(to)
+	}
+	m.acknowledge(msg, agreed)
+}
+
+// heed tells whether a leader's message counts, and follows it.
+func (m *Machine) heed(msg Message) bool {
+	if msg.Term < m.hard.Term {
+		m.send(Message{Kind: AppendReply, To: msg.From, Reject: true, Sequence: msg.Sequence})
+		return false
+	}
+	if m.role == leader && msg.Term == m.hard.Term {
+		panic(fmt.Sprintf("konkordia: two leaders in term %d: %s and we", msg.Term, msg.From))
+	}
+	m.follow(msg.Term, Member{msg.From, msg.Disk})
+	m.heard = m.now
+	m.resetElection()
+	if m.mayCampaign() {
+		m.askLeader(askAgain)
+		return true
+	}
+	if msg.ToDisk == m.disk {
+		m.adopted = m.now
+		m.joinAt = m.now + electionMax
+	} else if m.now-m.joinedAt >= heartbeat {
+		m.joinAt = m.now
+	}
+	m.askLeader(askAgain)
+	return true
+}
+
+// acknowledge promises that the log agrees with the leader's up to an index.
+func (m *Machine) acknowledge(msg Message, index uint64) {
+	m.promise(Message{Kind: AppendReply, To: msg.From, Index: index, Sequence: msg.Sequence})
+}
+
+// disagree tells the leader where to look next: at our end, or before the term that doesn't fit.
+func (m *Machine) disagree(msg Message, prev uint64) {
+	to := m.log.last()
+	if term, ok := m.log.term(prev); ok {
+		to = prev - 1
+		for t, ok := m.log.term(to); ok && t == term && to > m.commit; t, ok = m.log.term(to) {
+			to--
+		}
+	}
+	m.send(Message{Kind: AppendReply, To: msg.From, Reject: true, Index: to, About: prev, Sequence: msg.Sequence})
+}
+
+func (m *Machine) onAppendReply(msg Message) {
+	if msg.Term > m.hard.Term {
+		m.follow(msg.Term, Member{})
+		return
+	}
+	if m.role != leader || msg.Term != m.hard.Term {
+		return
+	}
+	i := slices.IndexFunc(m.peers, func(p *progress) bool { return p.is(msg) })
+	if i < 0 {
+		return
+	}
+	p := m.peers[i]
+	p.heard, p.disk, p.round = m.now, msg.Disk, max(p.round, msg.Sequence)
+	if msg.Reject {
+		if prev := msg.About; prev == p.next-1 && p.stage == probing || p.stage == streaming && prev > p.match {
+			p.stage, p.probed = probing, false
+			p.next = max(min(prev, msg.Index+1), p.match+1)
+		}
+		m.confirmReads()
+		return
+	}
+	if msg.Index > m.log.last() {
+		panic(fmt.Sprintf("konkordia: %v acknowledges %d, and the log ends at %d", p.member, msg.Index, m.log.last()))
+	}
+	p.match = max(p.match, msg.Index)
+	p.next = max(p.next, p.match+1)
+	if p.stage == probing && msg.Index >= p.next-1 || p.stage == installing && p.match >= m.log.base {
+		p.stage, p.next = streaming, p.match+1
+	}
+	m.advanceCommit()
+	m.confirmReads()
+	if p == m.moving {
+		m.tryHandOver()
+	}
+}
+
+// advanceCommit commits what a majority has synced, once that reaches this term.
+func (m *Machine) advanceCommit() {
+	members := m.log.current().members
+	var have []uint64
+	for _, v := range members.Voters {
+		at := uint64(0)
+		if v.is(m.self, m.disk, m.founder) {
+			at = m.synced
+		}
+		for _, p := range m.peers {
+			if p.member == v && !p.learner {
+				at = p.match
+			}
+		}
+		have = append(have, at)
+	}
+	slices.Sort(have)
+	index := have[len(have)-members.majority()]
+	if index <= m.commit {
+		return
+	}
+	if term, _ := m.log.term(index); term != m.hard.Term {
+		return
+	}
+	m.commitTo(index)
+	m.confirmReads()
+	m.plan()
+}
+
+func (m *Machine) onInstall(msg Message) {
+	s := msg.Snapshot
+	if s == nil || !m.heed(msg) {
+		return
+	}
+	if s.Index <= m.commit {
+		m.acknowledge(msg, m.commit)
+		return
+	}
+	if term, ok := m.log.term(s.Index); ok && term == s.Term { // the entries are here; they only weren't known to hold
+		m.commitTo(s.Index)
+		m.acknowledge(msg, s.Index)
+		return
+	}
+	m.log.reset(s)
+	m.snapshot, m.restore, m.baseDirty = s, s, true
+	m.handed, m.savedTo, m.synced = s.Index, s.Index, s.Index
+	m.commit, m.applied = s.Index, s.Index
+	for _, p := range m.pending { // their fate is behind the snapshot
+		m.done = append(m.done, Done{ID: p.id, Err: ErrUnknown})
+	}
+	m.pending = nil
+	m.acknowledge(msg, s.Index)
+}
--- /dev/null
+++ b/internal/konkordia/sim_test.go
@@ -0,0 +1,552 @@
+package konkordia
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime/debug"
+	"slices"
+	"time"
+)
+
+// plant is a fault that is put into the world around the machines, to see that the checks find it.
+type plant struct {
+	rememberDisk bool // a wiped disk keeps its number, so that its node takes part at once
+	forgetVote   bool // the disk doesn't keep votes
+	earlySync    bool // syncs are reported before they are done
+	earlyAck     bool // a leader's own sync is taken for a commit
+	localRead    bool // who leads answers reads alone
+}
+
+// world is a few machines in virtual time, with a network and disks that fail by a seed, and a judge.
+type world struct {
+	rng    *rand.Rand
+	now    time.Duration
+	events events
+	count  uint64
+	hosts  []*host
+	cut    map[[2]string]bool
+	rough  float64 // chance that a message is lost, doubled or late
+	plant  plant
+	life   uint64
+
+	committed []Entry // by index - 1, as first applied anywhere
+	members   Members // committed last
+	fate      map[uint64]string
+	at        map[uint64]uint64 // where a value is in the log
+	acked     map[uint64]uint64
+	acks      int
+	reads     int
+	lost      map[Member]bool // disks
+}
+
+type host struct {
+	address string
+	machine *Machine // nil: down
+	disk    *State   // nil: empty
+	life    uint64
+	frozen  time.Duration // until when
+	table   []Entry       // applied commands
+	applied uint64
+	saving  *Save
+	next    uint64
+	asked   map[uint64]uint64 // a read's or proposal's number: the floor or the value
+	isRead  map[uint64]bool
+	early   []uint64 // proposals at a leader, for earlyAck
+	due     time.Duration
+	first   bool
+}
+
+type event struct {
+	at time.Duration
+	n  uint64
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+var seedNames = []string{"a", "b", "c"}
+
+func newWorld(seed uint64, p plant) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, plant: p, fate: map[uint64]string{},
+		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}}
+	for _, a := range []string{"a", "b", "c", "d"} {
+		w.hosts = append(w.hosts, &host{address: a, first: a != "d"})
+	}
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	panic(fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...))
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.count++
+	heap.Push(&w.events, event{w.now + d, w.count, do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// within draws a time.
+func (w *world) within(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Int64N(int64(high-low)))
+}
+
+func (w *world) host(address string) *host {
+	for _, h := range w.hosts {
+		if h.address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *world) start(h *host) {
+	if h.machine != nil {
+		return
+	}
+	if h.disk == nil {
+		h.disk = &State{Disk: w.rng.Uint64() | 1, Founder: h.first}
+		if h.first {
+			h.disk.Hard.Term, h.disk.Entries = 1, Found(seedNames)
+		}
+	}
+	h.first = false
+	w.life++
+	h.life = w.life
+	state := *h.disk
+	state.Entries = slices.Clone(state.Entries)
+	h.machine = New(Config{Self: h.address, Seeds: seedNames, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
+		State: state, Replace: 3 * time.Second})
+	h.machine.compact = 24
+	h.machine.now = w.now
+	h.machine.resetElection()
+	h.table, h.applied, h.saving, h.next, h.frozen, h.due = nil, 0, nil, 0, 0, 0
+	h.asked, h.isRead, h.early = map[uint64]uint64{}, map[uint64]bool{}, nil
+	if s := state.Snapshot; s != nil {
+		w.restore(h, s)
+	}
+	w.settle(h)
+}
+
+// stop kills a host. What is being saved is on the disk, or not.
+func (w *world) stop(h *host) {
+	if h.machine == nil {
+		return
+	}
+	for id, value := range h.asked {
+		if !h.isRead[id] && w.fate[value] == "" {
+			w.fate[value] = "unknown"
+		}
+	}
+	if h.saving != nil && w.rng.IntN(2) == 0 {
+		w.write(h, h.saving)
+	}
+	h.machine, h.saving = nil, nil
+}
+
+// mayWipe tells whether the disk of a host may be lost now: all others of the members are whole.
+func (w *world) mayWipe() bool {
+	var newest decided
+	for _, h := range w.hosts {
+		if h.machine != nil {
+			if c := h.machine.log.current(); c.index > newest.index {
+				newest = c
+			}
+		}
+	}
+	for _, v := range slices.Concat(newest.members.Voters, w.members.Voters) {
+		if w.lost[v] {
+			return false
+		}
+	}
+	return len(newest.members.Voters) >= 3 && len(w.members.Voters) >= 3
+}
+
+func (w *world) wipe(h *host) {
+	w.stop(h)
+	if h.disk == nil {
+		return
+	}
+	if w.plant.rememberDisk {
+		h.disk = &State{Disk: h.disk.Disk, Founder: h.disk.Founder}
+		return
+	}
+	w.lost[Member{h.address, h.disk.Disk}] = true
+	if h.disk.Founder {
+		w.lost[Member{Address: h.address}] = true
+	}
+	h.disk = nil
+}
+
+func (w *world) write(h *host, s *Save) {
+	d := h.disk
+	d.Hard, d.Base, d.BaseTerm = s.Hard, s.Base, s.BaseTerm
+	if w.plant.forgetVote {
+		d.Hard.Vote = Member{}
+	}
+	if s.Snapshot != nil {
+		d.Snapshot = s.Snapshot
+	}
+	var entries []Entry
+	for _, e := range d.Entries {
+		if e.Index > s.Base && e.Index < s.First {
+			entries = append(entries, e)
+		}
+	}
+	d.Entries = append(entries, s.Entries...)
+}
+
+// touch has a host do something now, or once it wakes.
+func (w *world) touch(h *host, life uint64, do func(m *Machine)) {
+	if h.machine == nil || h.life != life {
+		return
+	}
+	if h.frozen > w.now {
+		w.after(h.frozen-w.now, func() { w.touch(h, life, do) })
+		return
+	}
+	h.machine.Clock(w.now)
+	do(h.machine)
+	w.settle(h)
+}
+
+func (w *world) settle(h *host) {
+	m, life := h.machine, h.life
+	for o := m.Take(); !o.Empty(); o = m.Take() {
+		for _, msg := range o.Send {
+			w.send(msg)
+		}
+		if o.Restore != nil {
+			w.restore(h, o.Restore)
+		}
+		for _, e := range o.Apply {
+			w.apply(h, e)
+		}
+		for _, d := range o.Done {
+			w.done(h, d)
+		}
+		if o.Compact {
+			var b bytes.Buffer
+			if err := gob.NewEncoder(&b).Encode(h.table); err != nil {
+				w.fail("%v", err)
+			}
+			m.Compact(b.Bytes())
+		}
+		if s := o.Save; s != nil {
+			h.saving = s
+			slow := w.within(500*time.Microsecond, 5*time.Millisecond)
+			if w.plant.earlySync {
+				m.Saved()
+				w.after(slow*20, func() {
+					if h.life == life && h.machine != nil {
+						w.write(h, s)
+					}
+				})
+				continue
+			}
+			w.after(slow, func() {
+				w.touch(h, life, func(m *Machine) {
+					w.write(h, s)
+					h.saving = nil
+					m.Saved()
+					if w.plant.earlyAck && m.role == leader {
+						for _, id := range h.early {
+							w.done(h, Done{ID: id, Index: w.indexOf(m, h.life, id)})
+						}
+					}
+					h.early = nil
+				})
+			})
+		}
+	}
+	if at := m.Deadline(); h.due <= w.now || at < h.due {
+		h.due = max(at, w.now+time.Microsecond)
+		w.after(h.due-w.now, func() {
+			w.touch(h, life, func(m *Machine) { m.Advance(w.now) })
+		})
+	}
+}
+
+func (w *world) indexOf(m *Machine, life, id uint64) uint64 {
+	for _, e := range m.log.entries {
+		if e.Origin == life && e.ID == id {
+			return e.Index
+		}
+	}
+	return 0
+}
+
+func (w *world) send(msg Message) {
+	times := 1
+	if w.rng.Float64() < w.rough {
+		times = w.rng.IntN(3)
+	}
+	for range times {
+		delay := w.within(300*time.Microsecond, 3*time.Millisecond)
+		if w.rng.Float64() < w.rough {
+			delay = w.within(0, 3*time.Second)
+		}
+		w.after(delay, func() {
+			h := w.host(msg.To)
+			if h != nil && !w.cut[[2]string{msg.From, msg.To}] {
+				w.touch(h, h.life, func(m *Machine) { m.Step(msg) })
+			}
+		})
+	}
+}
+
+func (w *world) apply(h *host, e Entry) {
+	if e.Index != h.applied+1 {
+		w.fail("%s applies %d after %d", h.address, e.Index, h.applied)
+	}
+	h.applied = e.Index
+	if e.Origin != 0 {
+		h.table = append(h.table, e)
+	}
+	if e.Index <= uint64(len(w.committed)) {
+		if c := w.committed[e.Index-1]; c.Term != e.Term || c.Origin != e.Origin || c.ID != e.ID {
+			w.fail("%s applies %v at %d, where there was %v", h.address, e, e.Index, c)
+		}
+		return
+	}
+	w.committed = append(w.committed, e)
+	if e.Members != nil {
+		w.members = *e.Members
+	}
+	if e.Origin != 0 {
+		value := valueOf(e.Command)
+		if w.at[value] != 0 {
+			w.fail("%d is at %d and at %d", value, w.at[value], e.Index)
+		}
+		w.at[value] = e.Index
+		if w.fate[value] == "refused" {
+			w.fail("%d was refused and is at %d", value, e.Index)
+		}
+	}
+}
+
+func (w *world) restore(h *host, s *Snapshot) {
+	h.table = nil
+	if err := gob.NewDecoder(bytes.NewReader(s.Data)).Decode(&h.table); err != nil {
+		w.fail("%v", err)
+	}
+	h.applied = s.Index
+	n := 0
+	for _, e := range w.committed[:s.Index] {
+		if e.Origin != 0 {
+			if n >= len(h.table) || h.table[n].Index != e.Index || h.table[n].ID != e.ID || h.table[n].Origin != e.Origin {
+				w.fail("%s: the snapshot as of %d lacks %d", h.address, s.Index, e.Index)
+			}
+			n++
+		}
+	}
+	if n != len(h.table) {
+		w.fail("%s: the snapshot as of %d has %d too many", h.address, s.Index, len(h.table)-n)
+	}
+}
+
+func valueOf(command []byte) (v uint64) {
+	for _, b := range command {
+		v = v<<8 | uint64(b)
+	}
+	return v
+}
+
+func (w *world) propose(h *host, value uint64) {
+	w.touch(h, h.life, func(m *Machine) {
+		h.next++
+		h.asked[h.next] = value
+		if m.role == leader {
+			h.early = append(h.early, h.next)
+		}
+		m.Propose(h.next, []byte{byte(value >> 16), byte(value >> 8), byte(value)})
+	})
+}
+
+// read notes what has been committed before.
+func (w *world) read(h *host) {
+	w.touch(h, h.life, func(m *Machine) {
+		h.next++
+		h.asked[h.next], h.isRead[h.next] = uint64(len(w.committed)), true
+		m.Read(h.next)
+		if w.plant.localRead && m.role == leader {
+			w.done(h, Done{ID: h.next})
+		}
+	})
+}
+
+func (w *world) done(h *host, d Done) {
+	what, ok := h.asked[d.ID]
+	if !ok {
+		return
+	}
+	delete(h.asked, d.ID)
+	switch {
+	case h.isRead[d.ID]:
+		if d.Err == nil {
+			w.reads++
+			if h.applied < what {
+				w.fail("%s answers a read at %d, and %d was committed before", h.address, h.applied, what)
+			}
+		}
+	case d.Err == nil:
+		w.acks++
+		w.fate[what], w.acked[what] = "acked", d.Index
+		if at := w.at[what]; at != 0 && at != d.Index {
+			w.fail("%d is acknowledged at %d and is at %d", what, d.Index, at)
+		}
+	case errors.Is(d.Err, ErrUnknown):
+		w.fate[what] = "unknown"
+	default:
+		w.fate[what] = "refused"
+		if at := w.at[what]; at != 0 {
+			w.fail("%d is refused and is at %d", what, at)
+		}
+	}
+}
+
+// heal mends all, and demands that the hosts that are up agree, take proposals, and have lost nothing.
+func (w *world) heal(gone *host) {
+	clear(w.cut)
+	w.rough = 0
+	for _, h := range w.hosts {
+		h.frozen = min(h.frozen, w.now)
+		if h != gone {
+			w.start(h)
+		}
+	}
+	w.run(16 * time.Second)
+	for i, h := range w.hosts {
+		if h == gone {
+			continue
+		}
+		value := 1<<20 + uint64(i)
+		w.propose(h, value)
+		w.read(h)
+		w.run(time.Second)
+		if w.fate[value] != "acked" {
+			w.fail("%s (%+v): a proposal after all is mended comes to %q", h.address, h.machine.Status(), w.fate[value])
+		}
+	}
+	if len(w.members.Voters) != 3 {
+		w.fail("the members are %v", w.members)
+	}
+	for _, h := range w.hosts {
+		if h != gone && h.applied != uint64(len(w.committed)) {
+			w.fail("%s has applied %d of %d", h.address, h.applied, len(w.committed))
+		}
+	}
+	for value, index := range w.acked {
+		if w.at[value] != index {
+			w.fail("%d was acknowledged at %d and is at %d", value, index, w.at[value])
+		}
+	}
+}
+
+// explore plays one seed.
+func explore(seed uint64, p plant) (w *world, trouble any) {
+	w = newWorld(seed, p)
+	defer func() {
+		if r := recover(); r != nil {
+			trouble = fmt.Sprint(r)
+			if _, ok := r.(error); ok {
+				trouble = fmt.Sprintf("%v\n%s", r, debug.Stack())
+			}
+		}
+	}()
+	w.rough = []float64{0, 0.02, 0.1}[w.rng.IntN(3)]
+	for _, h := range w.hosts {
+		w.after(w.within(0, 2*time.Second), func() { w.start(h) })
+	}
+	end := 12 * time.Second
+	value := uint64(0)
+	var ask func()
+	ask = func() {
+		h := w.hosts[w.rng.IntN(len(w.hosts))]
+		value++
+		w.propose(h, value)
+		w.read(w.hosts[w.rng.IntN(len(w.hosts))])
+		if w.now < end {
+			w.after(w.within(0, 80*time.Millisecond), ask)
+		}
+	}
+	w.after(0, ask)
+	var gone *host
+	var harm func()
+	harm = func() {
+		if w.now >= end {
+			return
+		}
+		h := w.hosts[w.rng.IntN(len(w.hosts))]
+		back := func(d time.Duration) { w.after(d, func() { w.revive(h, gone) }) }
+		switch w.rng.IntN(8) {
+		case 0, 1:
+			w.stop(h)
+			back(w.within(0, 3*time.Second))
+		case 2:
+			h.frozen = w.now + w.within(0, 3*time.Second)
+		case 3, 4:
+			link := [2]string{h.address, w.hosts[w.rng.IntN(len(w.hosts))].address}
+			w.cut[link] = true
+			both := w.rng.IntN(2) == 0
+			if both {
+				w.cut[[2]string{link[1], link[0]}] = true
+			}
+			w.after(w.within(0, 3*time.Second), func() {
+				delete(w.cut, link)
+				delete(w.cut, [2]string{link[1], link[0]})
+			})
+		case 5, 6:
+			if w.mayWipe() {
+				w.wipe(h)
+				back(w.within(0, time.Second))
+			}
+		case 7:
+			if w.rng.IntN(4) == 0 && gone == nil && w.mayWipe() {
+				gone = h // for good
+				w.wipe(h)
+				break
+			}
+			for _, h := range w.hosts {
+				w.stop(h)
+				w.after(w.within(0, time.Second), func() { w.revive(h, gone) })
+			}
+		}
+		w.after(w.within(0, 1500*time.Millisecond), harm)
+	}
+	w.after(3*time.Second, harm)
+	w.run(end)
+	w.heal(gone)
+	return w, nil
+}
+
+func (w *world) revive(h, gone *host) {
+	if h != gone {
+		w.start(h)
+	}
+}
--- /dev/null
+++ b/internal/lagazuoi/table.go
@@ -0,0 +1,172 @@
+// Package lagazuoi (Lagazuoi hut) is the registry: which agents there are, and which backend stands beside each.
+//
+// Each agent is the only source of what there is to say of itself and its backend, a Station, which it says to all core machines;
+// of two words of one agent the later counts (Station.Newer), so tables that have heard the same words are the same, in whatever
+// order they came. A core machine adds whether it hears the agent now. A Table merges what several sources tell: at a core machine
+// the agents themselves, at an agent the core machines.
+//
+// What it promises: a station counts as lost only while every source that is up and knows it says so, so that one core machine that
+// is cut off takes nobody out; a source that has just come, and knows nobody yet, takes nobody out either; and what nobody has told
+// of for Forget is dropped, so that the table is bounded by the machines that there are.
+package lagazuoi
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+)
+
+// Forget is how long a station is kept that no source tells of, or that is lost for all.
+const Forget = 20 * time.Second
+
+// Most is how many stations are kept: more than the agents that the mesh is made for.
+const Most = 4096
+
+// Table merges the words of sources. It is not safe for concurrent use.
+type Table struct {
+	stations map[string]*entry
+	sources  map[string]*source
+}
+
+type entry struct {
+	brentei.Station
+	seen time.Duration // when a source last had it as not lost
+}
+
+type source struct {
+	up    bool
+	heard map[string]bool // agents it tells of: whether they are lost to it
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{stations: map[string]*entry{}, sources: map[string]*source{}} }
+
+func (t *Table) source(name string) *source {
+	s := t.sources[name]
+	if s == nil {
+		s = &source{heard: map[string]bool{}}
+		t.sources[name] = s
+	}
+	s.up = true
+	return s
+}
+
+// Hear takes in what a source tells. Whole says that it tells of all that it knows.
+func (t *Table) Hear(now time.Duration, from string, whole bool, heard []brentei.Heard) (changed bool) {
+	s := t.source(from)
+	if whole {
+		clear(s.heard)
+	}
+	for i := range heard {
+		h := &heard[i]
+		e := t.stations[h.Station.Agent]
+		if e == nil {
+			if len(t.stations) >= Most {
+				continue
+			}
+			e = &entry{seen: now}
+			t.stations[h.Station.Agent] = e
+			changed = true
+		}
+		if old := t.lost(h.Station.Agent); h.Station.Newer(&e.Station) {
+			e.Station, changed = h.Station, true
+			s.heard[h.Station.Agent] = h.Lost
+		} else if s.heard[h.Station.Agent] = h.Lost; old != t.lost(h.Station.Agent) {
+			changed = true
+		}
+		if !h.Lost {
+			e.seen = now
+		}
+	}
+	return changed || whole
+}
+
+// Down takes in that a source is out of reach: what it told holds on, but its word that somebody is lost does not count.
+func (t *Table) Down(from string) {
+	if s := t.sources[from]; s != nil {
+		s.up = false
+	}
+}
+
+// Lost says that a source lost an agent's present life.
+func (t *Table) Lost(from, agent string, life uint64) (changed bool) {
+	e, s := t.stations[agent], t.source(from)
+	if e == nil || e.Life != life {
+		return false
+	}
+	old := t.lost(agent)
+	s.heard[agent] = true
+	return old != t.lost(agent)
+}
+
+// lost says whether all sources that are up and know an agent say that it is lost.
+func (t *Table) lost(agent string) bool {
+	told := false
+	for _, s := range t.sources {
+		if lost, known := s.heard[agent]; known && s.up {
+			if !lost {
+				return false
+			}
+			told = true
+		}
+	}
+	return told
+}
+
+// Step forgets what nobody has told of for long.
+func (t *Table) Step(now time.Duration) (changed bool) {
+	anyUp := false
+	for _, s := range t.sources {
+		anyUp = anyUp || s.up
+	}
+	if !anyUp {
+		return false // danger: who is cut off would forget all that it could still use
+	}
+	for agent, e := range t.stations {
+		here := false
+		for _, s := range t.sources {
+			lost, known := s.heard[agent]
+			here = here || s.up && known && !lost
+		}
+		if here {
+			e.seen = now
+		} else if now-e.seen > Forget {
+			delete(t.stations, agent)
+			for _, s := range t.sources {
+				delete(s.heard, agent)
+			}
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Station returns what is known of an agent, nil if nothing is.
+func (t *Table) Station(agent string) *brentei.Station {
+	if e := t.stations[agent]; e != nil {
+		s := e.Station
+		return &s
+	}
+	return nil
+}
+
+// All returns all stations in the order of their agents.
+func (t *Table) All() []brentei.Heard {
+	all := make([]brentei.Heard, 0, len(t.stations))
+	for agent, e := range t.stations {
+		all = append(all, brentei.Heard{Station: e.Station, Lost: t.lost(agent)})
+	}
+	slices.SortFunc(all, func(x, y brentei.Heard) int { return cmp.Compare(x.Station.Agent, y.Station.Agent) })
+	return all
+}
+
+// Of returns one station as All does.
+func (t *Table) Of(agent string) (brentei.Heard, bool) {
+	e := t.stations[agent]
+	if e == nil {
+		return brentei.Heard{}, false
+	}
+	return brentei.Heard{Station: e.Station, Lost: t.lost(agent)}, true
+}
--- /dev/null
+++ b/internal/margherita/diff.go
@@ -0,0 +1,66 @@
+package margherita
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Summary is the configuration in counts, for a log line.
+func (c *Config) Summary() string {
+	counts := make(map[string]int)
+	for _, i := range c.items {
+		if i.dropped() {
+			counts["dropped"]++
+		} else {
+			counts[i.kind]++
+		}
+	}
+	var parts []string
+	for _, what := range []string{routes, services, limits, tenants, "dropped"} {
+		if n := counts[what]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	if len(c.zones) > 0 {
+		parts = append(parts, "evacuated: "+strings.Join(c.zones, " "))
+	}
+	if len(parts) == 0 {
+		return "empty"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Diff tells people what changed from a to b, a line for each item and zone.
+func Diff(a, b *Config) []string {
+	var lines []string
+	for _, i := range b.sorted() {
+		old := a.items[i.key]
+		switch {
+		case old != nil && old.version == i.version && old.dropped() == i.dropped():
+		case i.dropped() && (old == nil || old.dropped()):
+			lines = append(lines, fmt.Sprintf("%v %s: dropped, didn't stand", i.key, i.text))
+		case i.dropped():
+			lines = append(lines, fmt.Sprintf("%v %s: dropped, was %s", i.key, i.text, old.text))
+		case old == nil || old.dropped():
+			lines = append(lines, fmt.Sprintf("%v %s: added", i.key, i.text))
+		default:
+			lines = append(lines, fmt.Sprintf("%v %s: changed, was %s", i.key, i.text, old.text))
+		}
+	}
+	for _, i := range a.sorted() {
+		if b.items[i.key] == nil {
+			lines = append(lines, fmt.Sprintf("%v %s: forgotten", i.key, i.text))
+		}
+	}
+	for _, zone := range b.zones {
+		if !a.Evacuated(zone) {
+			lines = append(lines, fmt.Sprintf("zone %s: evacuated", zone))
+		}
+	}
+	for _, zone := range a.zones {
+		if !b.Evacuated(zone) {
+			lines = append(lines, fmt.Sprintf("zone %s: returned", zone))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/margherita/routes.go
@@ -0,0 +1,10 @@
+package margherita
+
+// Routes returns the routes that stand, in no order.
+func (c *Config) Routes() []*Route {
+	var all []*Route
+	for _, p := range c.hosts {
+		all = append(all, p.routes...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/solvay/gate.go
@@ -0,0 +1,355 @@
+// Package solvay (Solvay hut) is the gate: admission beside a backend.
+//
+// A backend is reached only from its own machine, so all that reaches it passes one Gate, and what a Gate decides needs no
+// agreement: it holds through every cut, stale view and restart. A Gate is a machine without I/O, clock or goroutines. It knows
+// at most one life of a backend, the one whose beats it hears, and decides for each request that arrives whether it is handed
+// over now, waits for a slot, or is refused. What is refused did not run and never will.
+//
+// What it promises:
+//
+//   - Life: only the life that is named by the request gets it, and only one that has been heard by this process.
+//   - Drain: once it has said that the backend leaves, or while its zone is evacuated, nothing more is handed over.
+//   - Warm-up: in no span of a second does a cold backend get more than the bound, counted over restarts of the gate.
+//   - Room: no more is handed over at once than the backend works on at once, so that it never meets what it cannot queue.
+//   - Once: one id of an unsafe request is handed over once in the life of the process.
+package solvay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+)
+
+const (
+	span       = 1050 * time.Millisecond // of the warm-up bound: a second, and what clocks and sockets blur
+	mostTwice  = 1 << 15                 // ids of unsafe requests remembered in each of two generations
+	twiceFor   = 30 * time.Second        // that a generation lasts: longer than any client waits
+	gain       = 0.1                     // weight of a sample in the moving means
+	queueSlots = 2                       // requests that wait at most, for each slot: more wait longer than any may
+	deadAfter  = 3                       // beats missed in a row until the backend is taken to be gone
+)
+
+// Rules are what the configuration and the deployment say of the backend's service and zone.
+type Rules struct {
+	Blind      bool // the configuration is not known: nothing is handed over
+	Evacuated  bool
+	Warmup     time.Duration
+	WarmupPerS float64
+	Excess     float64 // the bound in a second is WarmupPerS x Excess + Margin
+	Margin     float64
+	BeatEvery  time.Duration
+}
+
+// coldLimit is how many requests a cold backend gets in a second. It bears WarmupPerS; the bound above that is for what is
+// counted differently where it arrives.
+func (r *Rules) coldLimit() int {
+	bound := r.WarmupPerS*r.Excess + r.Margin
+	return int(max(1, min(r.WarmupPerS*1.1+r.Margin*0.3, bound-2)))
+}
+
+// Ticket is a request's place at the gate.
+type Ticket struct {
+	due     time.Duration // its aim: who is due first goes first
+	try     string
+	unsafe  bool
+	waiting bool
+	began   time.Duration
+	Grant   func(ok bool, f *brentei.Failure) // called when a waiting ticket's turn has come, or never will
+}
+
+// Gate is the machine. It is not safe for concurrent use.
+type Gate struct {
+	rules    Rules
+	started  time.Duration
+	now      time.Duration
+	backend  *brentei.Backend // nil: none has been heard, or it is gone
+	heard    time.Duration    // its last beat, or answer
+	cold     time.Duration    // until then
+	inFlight int
+	waiting  []*Ticket       // by due
+	handed   []time.Duration // to a cold backend, within the span
+	recent   float64         // seconds of work
+	rate     meter
+	errors   meter
+	seen     [2]map[string]struct{}
+	aged     time.Duration
+	// Refused counts by reason.
+	Refused [32]uint64
+}
+
+// New returns a gate that knows no backend.
+func New(now time.Duration, r Rules) *Gate {
+	return &Gate{rules: r, started: now, now: now, aged: now, seen: [2]map[string]struct{}{{}, {}}}
+}
+
+// Beat takes in what the backend says of itself, and says whether others should hear of it.
+func (g *Gate) Beat(now time.Duration, b brentei.Backend) (news bool) {
+	g.step(now)
+	old := g.backend
+	if old != nil && old.ID == b.ID && b.Calls != 0 && b.Calls < old.Calls {
+		return false // a late call
+	}
+	if old != nil && old.ID == b.ID && old.Draining {
+		b.Draining = true // who has left does not come back as the same life
+	}
+	wasCold := g.cold > now
+	g.backend, g.heard = &b, now
+	g.cold = now + b.ColdLeft
+	if old == nil || old.ID != b.ID {
+		g.recent, g.rate, g.errors = 0, meter{}, meter{}
+	}
+	if old != nil && old.ID != b.ID {
+		g.refuseWaiting(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown})
+	} else if f := g.shut(); f != nil {
+		g.refuseWaiting(f)
+	}
+	return old == nil || old.ID != b.ID || old.Draining != b.Draining || old.Service != b.Service ||
+		old.Capacity != b.Capacity || wasCold != (b.ColdLeft > 0)
+}
+
+// Left takes in that a life has ended, by its own word or because its address refuses connections.
+func (g *Gate) Left(now time.Duration, id string) (news bool) {
+	g.step(now)
+	if g.backend == nil || g.backend.ID != id {
+		return false
+	}
+	g.backend = nil
+	g.refuseWaiting(g.shut())
+	return true
+}
+
+// Tick lets time pass: a backend that has said nothing and answered nothing for long is gone.
+func (g *Gate) Tick(now time.Duration) (news bool) {
+	g.step(now)
+	if b := g.backend; b != nil && now-g.heard > deadAfter*g.rules.BeatEvery+g.rules.BeatEvery/2 {
+		return g.Left(now, b.ID)
+	}
+	return false
+}
+
+// Configure takes in new rules. Danger: a backend may have become cold while its zone was evacuated and has not said so yet,
+// so it counts as cold until it says that it is not.
+func (g *Gate) Configure(now time.Duration, r Rules) (news bool) {
+	g.step(now)
+	back := g.rules.Evacuated && !r.Evacuated
+	news = g.rules.Evacuated != r.Evacuated
+	g.rules = r
+	if back {
+		g.cold = max(g.cold, now+r.Warmup)
+	}
+	if f := g.shut(); f != nil {
+		g.refuseWaiting(f)
+	}
+	return news
+}
+
+// Backend returns what is known of the backend, with what is left of its warm-up; nil if there is none.
+func (g *Gate) Backend(now time.Duration) *brentei.Backend {
+	if g.backend == nil {
+		return nil
+	}
+	b := *g.backend
+	b.ColdLeft = max(0, g.cold-now)
+	return &b
+}
+
+// Admit decides about a request: it may be handed over at once (nil, nil), waits (a ticket), or is refused.
+func (g *Gate) Admit(now time.Duration, a *brentei.Ask) (*Ticket, *brentei.Failure) {
+	g.step(now)
+	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
+		return nil, g.refuse(f)
+	}
+	t := &Ticket{due: now + a.Aim, try: a.Try, unsafe: a.Unsafe, began: now}
+	if len(g.waiting) == 0 && g.room() {
+		if f := g.hand(t); f != nil {
+			return nil, g.refuse(f)
+		}
+		return nil, nil
+	}
+	// What it would wait for is no use to it: others may have room now.
+	wait := g.wait(len(g.waiting) + 1)
+	if wait > a.Patient || len(g.waiting) >= queueSlots*g.backend.Capacity {
+		return nil, g.refuse(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: wait})
+	}
+	t.waiting = true
+	i, _ := slices.BinarySearchFunc(g.waiting, t, func(x, y *Ticket) int { return cmp.Compare(x.due, y.due+1) })
+	g.waiting = slices.Insert(g.waiting, i, t)
+	return t, nil
+}
+
+// Abandon takes a ticket back that has waited for too long. It says false if its turn has come meanwhile.
+func (g *Gate) Abandon(now time.Duration, t *Ticket) bool {
+	g.step(now)
+	if !t.waiting {
+		return false
+	}
+	t.waiting = false
+	g.waiting = slices.DeleteFunc(g.waiting, func(o *Ticket) bool { return o == t })
+	g.Refused[brentei.Full]++
+	return true
+}
+
+// Done takes in how a request that was handed over ended: how long the backend took, and whether it answered well, and hands
+// over who waits.
+func (g *Gate) Done(now, took time.Duration, answered, well bool) {
+	g.step(now)
+	if g.inFlight--; g.inFlight < 0 {
+		panic("solvay: more requests ended than were handed over")
+	}
+	if answered {
+		g.heard = now
+		if g.recent == 0 {
+			g.recent = took.Seconds()
+		}
+		g.recent += gain * (took.Seconds() - g.recent)
+	}
+	if well {
+		g.rate.add(now)
+	} else {
+		g.errors.add(now)
+	}
+	g.next()
+}
+
+// next hands over those who wait, as far as there is room.
+func (g *Gate) next() {
+	for len(g.waiting) > 0 && g.backend != nil && g.room() {
+		t := g.waiting[0]
+		g.waiting = slices.Delete(g.waiting, 0, 1)
+		t.waiting = false
+		f := g.hand(t)
+		if f != nil {
+			f = g.refuse(f)
+		}
+		t.Grant(f == nil, f)
+	}
+}
+
+// Load is what others are told of the backend.
+func (g *Gate) Load(now time.Duration) brentei.Load {
+	return brentei.Load{
+		InFlight: g.inFlight + len(g.waiting), Waiting: len(g.waiting),
+		Recent: time.Duration(g.recent * float64(time.Second)), Rate: g.rate.perSecond(now), Errors: g.errors.perSecond(now),
+	}
+}
+
+func (g *Gate) room() bool { return g.inFlight < max(1, g.backend.Capacity) }
+
+// wait is how long the n-th of those who wait will.
+func (g *Gate) wait(n int) time.Duration {
+	return time.Duration(float64(n) / float64(max(1, g.backend.Capacity)) * g.recent * float64(time.Second))
+}
+
+// shut says why nothing at all is handed over.
+func (g *Gate) shut() *brentei.Failure {
+	switch {
+	case g.backend == nil:
+		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
+	case g.backend.Draining:
+		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
+	case g.rules.Evacuated:
+		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Evacuated}
+	case g.rules.Blind:
+		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
+	}
+	return nil
+}
+
+// may is the right to be handed over but for room and warmth.
+func (g *Gate) may(target, try string, unsafe bool) *brentei.Failure {
+	if f := g.shut(); f != nil {
+		return f
+	}
+	if g.backend.ID != target {
+		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
+	}
+	if unsafe {
+		for _, seen := range g.seen {
+			if _, twice := seen[try]; twice {
+				return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
+			}
+		}
+		if len(g.seen[0]) >= mostTwice {
+			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own, After: time.Second}
+		}
+	}
+	return nil
+}
+
+// hand counts a request that goes to the backend now; the only way there.
+func (g *Gate) hand(t *Ticket) *brentei.Failure {
+	if g.cold > g.now {
+		limit := g.rules.coldLimit()
+		// Danger: what the process before this one handed over within the last second is not known.
+		if len(g.handed) >= limit || g.now-g.started < span {
+			after := g.started + span - g.now
+			if len(g.handed) > 0 {
+				after = max(after, g.handed[0]+span-g.now)
+			}
+			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Cold, After: after}
+		}
+	}
+	g.handed = append(g.handed, g.now)
+	if t.unsafe {
+		g.seen[0][t.try] = struct{}{}
+	}
+	if g.inFlight++; g.inFlight > max(1, g.backend.Capacity) {
+		panic(fmt.Sprintf("solvay: %d handed over at once to a backend that takes %d", g.inFlight, g.backend.Capacity))
+	}
+	return nil
+}
+
+func (g *Gate) refuse(f *brentei.Failure) *brentei.Failure {
+	g.Refused[f.Reason]++
+	return f
+}
+
+func (g *Gate) refuseWaiting(f *brentei.Failure) {
+	for _, t := range g.waiting {
+		t.waiting = false
+		t.Grant(false, g.refuse(f))
+	}
+	g.waiting = g.waiting[:0]
+}
+
+// step lets time pass.
+func (g *Gate) step(now time.Duration) {
+	g.now = max(g.now, now)
+	i := 0
+	for i < len(g.handed) && g.handed[i] <= g.now-span {
+		i++
+	}
+	g.handed = append(g.handed[:0], g.handed[i:]...)
+	if g.now-g.aged >= twiceFor {
+		g.aged = g.now
+		g.seen[0], g.seen[1] = map[string]struct{}{}, g.seen[0]
+	}
+}
+
+// meter counts what happens in a second, over the last two.
+type meter struct {
+	from       time.Duration
+	last, this float64
+}
+
+func (m *meter) add(now time.Duration) {
+	m.roll(now)
+	m.this++
+}
+
+func (m *meter) roll(now time.Duration) {
+	if d := now - m.from; d >= 2*time.Second {
+		*m = meter{from: now}
+	} else if d >= time.Second {
+		m.from, m.last, m.this = m.from+time.Second, m.this, 0
+	}
+}
+
+func (m *meter) perSecond(now time.Duration) float64 {
+	m.roll(now)
+	part := (now - m.from).Seconds()
+	return m.this + m.last*(1-part)
+}
--- /dev/null
+++ b/internal/solvay/host.go
@@ -0,0 +1,177 @@
+package solvay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+)
+
+// Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
+type Host struct {
+	pool       backendPool
+	mostAnswer int64
+	mostBody   int64
+	began      time.Time
+	news       func() // others should hear of the backend; called without the lock
+
+	mu   sync.Mutex
+	gate *Gate
+
+	// Counters.
+	Handed, Answered, Failed atomic.Uint64
+	open                     atomic.Bool
+}
+
+// NewHost returns a host whose backend has not been heard.
+func NewHost(r Rules, mostBody int64, news func()) *Host {
+	h := &Host{began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news}
+	h.gate = New(0, r)
+	h.open.Store(true)
+	return h
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.began) }
+
+// With runs a function on the gate; if it says so, others hear of the backend.
+func (h *Host) With(f func(now time.Duration, g *Gate) (news bool)) {
+	h.mu.Lock()
+	news := f(h.now(), h.gate)
+	h.mu.Unlock()
+	if news {
+		h.news()
+	}
+}
+
+// Serve takes requests off a connection, one at a time, until it ends.
+func (h *Host) Serve(c *brentei.Conn) {
+	defer c.Close()
+	for {
+		var ask brentei.Ask
+		if err := c.Receive(&ask); err != nil {
+			return
+		}
+		body, err := c.Body(ask.Body, h.mostBody)
+		if err != nil {
+			return
+		}
+		reply, out := h.Handle(&ask, body)
+		if c.Send(reply, out) != nil {
+			return
+		}
+	}
+}
+
+// Handle brings a request to the backend and returns its answer, or why there is none.
+func (h *Host) Handle(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+	arrived := time.Now()
+	address, f := h.admit(a)
+	if f != nil {
+		return h.reply(f), nil
+	}
+	h.Handed.Add(1)
+	if a.Left -= time.Since(arrived); a.Left < time.Millisecond {
+		a.Left = time.Millisecond
+	}
+	sent := time.Now()
+	// Danger: a backend's silence proves nothing, so it is waited for until nobody waits for the answer.
+	deadline := sent.Add(a.Left + 50*time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.Background(), sent.Add(min(a.Left, time.Second)))
+	ans, f := h.exchange(ctx, address, a, body, deadline)
+	cancel()
+	took := time.Since(sent)
+	var meant *brentei.Failure
+	if f == nil {
+		meant = ans.meaning()
+	}
+	well := f == nil && meant == nil && ans.status < 500
+	var lost bool
+	h.mu.Lock()
+	now := h.now()
+	h.gate.Done(now, took, f == nil && meant == nil, well)
+	if f != nil && f.Reason == brentei.Unknown || meant != nil && meant.Reason == brentei.Unknown {
+		// Danger: nobody listens where it was, or somebody else does: it is gone until a beat tells otherwise.
+		lost = h.gate.Left(now, a.Target)
+	}
+	h.mu.Unlock()
+	if lost {
+		h.news()
+	}
+	if f == nil {
+		f = meant
+	}
+	if f != nil {
+		h.Failed.Add(1)
+		return h.reply(f), nil
+	}
+	h.Answered.Add(1)
+	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body))}
+	r.Load = h.load()
+	return r, ans.body
+}
+
+// admit waits for a slot.
+func (h *Host) admit(a *brentei.Ask) (address string, f *brentei.Failure) {
+	if !h.open.Load() {
+		return "", &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
+	}
+	h.mu.Lock()
+	t, f := h.gate.Admit(h.now(), a)
+	if f != nil {
+		h.mu.Unlock()
+		return "", f
+	}
+	address = h.gate.backend.Address
+	if t == nil {
+		h.mu.Unlock()
+		return address, nil
+	}
+	granted := make(chan *brentei.Failure, 1)
+	t.Grant = func(ok bool, f *brentei.Failure) { granted <- f }
+	h.mu.Unlock()
+	timer := time.NewTimer(a.Patient)
+	defer timer.Stop()
+	select {
+	case f := <-granted:
+		return address, f
+	case <-timer.C:
+	}
+	h.mu.Lock()
+	abandoned := h.gate.Abandon(h.now(), t)
+	h.mu.Unlock()
+	if abandoned {
+		return "", &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
+	}
+	return address, <-granted
+}
+
+func (h *Host) reply(f *brentei.Failure) *brentei.Reply {
+	return &brentei.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: h.load()}
+}
+
+func (h *Host) load() brentei.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gate.Load(h.now())
+}
+
+// Close has it take nothing more; what it has in hand goes on.
+func (h *Host) Close() { h.open.Store(false) }
+
+// Open says whether it takes requests.
+func (h *Host) Open() bool { return h.open.Load() }
+
+// Tick lets time pass.
+func (h *Host) Tick() {
+	h.With(func(now time.Duration, g *Gate) bool { return g.Tick(now) })
+	h.pool.sweep()
+}
+
+// Held is how many requests it has in hand.
+func (h *Host) Held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gate.inFlight + len(h.gate.waiting)
+}
--- /dev/null
+++ b/internal/vajolet/sender.go
@@ -0,0 +1,206 @@
+// Package vajolet (Vajolet hut) is the sender: the data plane beside a caller.
+//
+// It takes the requests of the clients and of the backend on its machine, finds the route and the service, has the decision module
+// (package policy) choose a backend, and hands the request to the gate beside that backend. It keeps one module for each service. What
+// comes back is passed on unchanged, or ends in the answer that promises as much as is proven: see brentei.Verdict.
+//
+// What the sender may use is a View, which never changes and is exchanged whole.
+package vajolet
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/solvay"
+	"example.org/micaline/policy"
+	"github.com/apex/log"
+)
+
+// View is what a sender knows of the mesh.
+type View struct {
+	Config   *margherita.Config
+	Index    uint64 // of the configuration
+	Stations []brentei.Heard
+}
+
+const (
+	budgetShare = 0.5  // of the retry budget that agents spend by themselves: repeats make calls, which are repeats too
+	floorShare  = 0.5  // of the tries that are free for all: agents come and go, and start with a budget each
+	coldFrom    = 0.25 // of its capacity that a backend has at its start, until gates tell otherwise
+	worthFirst  = 2.0  // worth of rank 0 over that of rank 1
+)
+
+// Sender is the data plane beside a caller.
+type Sender struct {
+	set   *nuvolau.Settings
+	host  *solvay.Host // the gate on this machine
+	links *brentei.Pool
+	log   log.Interface
+	zones map[string]int
+
+	view    atomic.Pointer[View]
+	mu      sync.RWMutex // guards services
+	serves  map[string]*chooser
+	agents  int
+	leaving atomic.Bool
+	held    atomic.Int64
+	Count   Counters
+}
+
+// New returns a sender that knows nothing and refuses all.
+func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, l log.Interface) *Sender {
+	s := &Sender{set: set, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+	for _, z := range sortedKeys(set.Zones) {
+		s.zones[z] = len(s.zones)
+	}
+	return s
+}
+
+func sortedKeys(m map[string]string) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// View returns what the sender knows, nil if it knows nothing.
+func (s *Sender) View() *View { return s.view.Load() }
+
+// Leave has it tell clients to go elsewhere; what comes is still served.
+func (s *Sender) Leave() { s.leaving.Store(true) }
+
+// Held is how many requests it has in hand.
+func (s *Sender) Held() int { return int(s.held.Load()) }
+
+// SetView exchanges what the sender knows. Only its owner calls it.
+func (s *Sender) SetView(v *View) {
+	byService := map[string][]*target{}
+	agents := 0
+	for i := range v.Stations {
+		h := &v.Stations[i]
+		agents++
+		b := h.Station.Backend
+		if b == nil || b.Draining || !h.Station.Open || h.Lost || v.Config.Evacuated(b.Zone) {
+			continue
+		}
+		t := &target{id: idOf(h.Station.Agent), gate: h.Station.Gate, backend: b.ID, agent: h.Station.Agent,
+			zone: s.zones[b.Zone], local: h.Station.Agent == s.set.IP, cold: b.ColdLeft}
+		byService[b.Service] = append(byService[b.Service], t)
+	}
+	s.mu.Lock()
+	s.agents = max(agents, 1)
+	for _, name := range v.Config.Services() {
+		classes := classesOf(v.Config, name)
+		c := s.serves[name]
+		if c == nil || !c.same(classes) {
+			var err error
+			if c, err = newChooser(name, s.settings(v.Config, name, classes), s.line(name)); err != nil {
+				s.log.WithError(err).Error("decision module")
+				continue
+			}
+			s.serves[name] = c
+		}
+		list := byService[name]
+		sv := v.Config.Service(name)
+		for _, t := range list {
+			if t.cold > 0 && sv != nil {
+				t.start = max(1, c.now()-max(0, sv.Warmup-t.cold))
+			}
+		}
+		slices.SortFunc(list, func(x, y *target) int { return cmp.Compare(x.id, y.id) })
+		c.setTargets(list)
+	}
+	s.mu.Unlock()
+	s.view.Store(v)
+}
+
+func (s *Sender) line(service string) func(string) {
+	return func(text string) { s.log.WithField("service", service).Info(text) }
+}
+
+func (s *Sender) chooser(service string) *chooser {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.serves[service]
+}
+
+// settings are the decision module's for one service.
+func (s *Sender) settings(c *margherita.Config, name string, classes []policy.Class) policy.Settings {
+	b := &s.set.Bounds
+	set := policy.Settings{
+		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline,
+		Tick: time.Millisecond, MaxAttempts: 6, SecondCopies: true,
+		ColdFrom: coldFrom, OverloadFactor: 2,
+		ExtraWindow: b.RetryWindow, ExtraFloor: floorShare * b.ExtraTries / float64(s.agents), ExtraRatio: budgetShare * b.RetryRatio,
+	}
+	if sv := c.Service(name); sv != nil {
+		set.WarmAfter = sv.Warmup
+	}
+	return set
+}
+
+// classesOf lists the kinds of requests that may go to a service, by what the module tells apart.
+func classesOf(c *margherita.Config, service string) []policy.Class {
+	var classes []policy.Class
+	for _, r := range c.Routes() {
+		if !slices.ContainsFunc(r.Shares, func(sh margherita.Share) bool { return sh.Service == service }) {
+			continue
+		}
+		k := classOf(r)
+		if !slices.ContainsFunc(classes, func(o policy.Class) bool { return sameClass(&o, &k) }) {
+			classes = append(classes, k)
+		}
+	}
+	if len(classes) == 0 {
+		classes = append(classes, policy.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, LateWorth: 0.1})
+	}
+	slices.SortFunc(classes, func(x, y policy.Class) int {
+		return cmp.Or(cmp.Compare(x.Effect, y.Effect), cmp.Compare(x.Worth, y.Worth), cmp.Compare(x.Aim, y.Aim))
+	})
+	return classes
+}
+
+func sameClass(x, y *policy.Class) bool {
+	return x.Effect == y.Effect && x.Worth == y.Worth && x.Aim == y.Aim
+}
+
+// classOf is the class of a route's requests. Danger: a module that is made anew has forgotten all speeds, so what changes often,
+// the time-out, has no part in it: each request brings the time that it has.
+func classOf(r *margherita.Route) policy.Class {
+	k := policy.Class{Aim: r.TargetTime, Worth: worthFirst / (1 + float64(r.Rank)), LateWorth: 0.1, Effect: policy.SideEffect}
+	if r.Kind == margherita.Safe {
+		k.Effect = policy.Pure
+	}
+	if k.Aim <= 0 {
+		k.Aim = time.Second
+	}
+	k.Deadline = 8 * k.Aim
+	return k
+}
+
+func classIndex(classes []policy.Class, r *margherita.Route) int {
+	k := classOf(r)
+	for i := range classes {
+		if sameClass(&classes[i], &k) {
+			return i
+		}
+	}
+	return 0
+}
+
+// idOf derives a backend's number from its machine, the same at each agent and in each life.
+func idOf(agent string) policy.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(agent))
+	return policy.ServerID(h.Sum32() & math.MaxInt32)
+}
--- /dev/null
+++ b/internal/vajolet/serve.go
@@ -0,0 +1,444 @@
+package vajolet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/solvay"
+	"example.org/micaline/policy"
+)
+
+const (
+	wayBack     = 20 * time.Millisecond // of a client's time that its answer needs to get there
+	connectTime = 250 * time.Millisecond
+	patientPart = 4 // a request waits for a slot for this part of its aim at most: held longer for nothing it is priced
+	leastAfter  = 50 * time.Millisecond
+	mostAfter   = 2 * time.Second
+)
+
+// Counters count what became of requests. They are read at any time.
+type Counters struct {
+	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Local atomic.Uint64
+	Attempts, Repeats                                                  atomic.Uint64
+	ByReason                                                           [32]atomic.Uint64 // of attempts that brought no answer
+}
+
+// attempt is one that is under way for a request.
+type attempt struct {
+	n      int
+	server policy.ServerID
+	reply  *brentei.Reply
+	body   []byte
+	fail   *brentei.Failure
+}
+
+// job is a request on its way.
+type job struct {
+	route    *margherita.Route
+	ask      brentei.Ask
+	body     []byte
+	deadline time.Time
+	aim      time.Time
+	chooser  *chooser
+	call     *call
+	attempts int // started
+	reached  int // of these, those that reached a backend
+
+	mu     sync.Mutex
+	last   *attempt // the best answer that is no success
+	done   chan struct{}
+	won    *attempt
+	inline *brentei.Conn // of the attempt that the request's own goroutine waits for
+}
+
+// ServeHTTP takes a request of a client, or of the backend on this machine.
+func (s *Sender) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	s.Count.Taken.Add(1)
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	v := s.view.Load()
+	if v == nil {
+		s.refuse(w, 200*time.Millisecond)
+		return
+	}
+	path := r.URL.EscapedPath()
+	route := v.Config.Route(r.Host, path)
+	if route == nil {
+		s.Count.NoRoute.Add(1)
+		s.say(w, http.StatusNotFound, "no route for this host and path")
+		return
+	}
+	most := v.Config.Limits().BodyBytes
+	if r.ContentLength > most {
+		s.Count.Bad.Add(1)
+		s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
+		return
+	}
+	body, err := readBody(r, most)
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		s.Count.Bad.Add(1)
+		if errors.As(err, &tooLarge) {
+			s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
+			return
+		}
+		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
+	}
+	j := &job{route: route, body: body, done: make(chan struct{})}
+	left := route.GiveUp
+	if text := r.Header.Get(solvay.LeftHeader); text != "" {
+		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 && ms < 1e9 {
+			if l := time.Duration(ms * float64(time.Millisecond)); left <= 0 || l-wayBack < left {
+				left = l - wayBack
+			}
+		}
+	}
+	if left <= 0 {
+		s.refuse(w, 0)
+		return
+	}
+	now := time.Now()
+	j.deadline, j.aim = now.Add(left), now.Add(route.TargetTime)
+	j.ask = brentei.Ask{
+		Try: r.Header.Get(solvay.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
+		Unsafe: route.Kind != margherita.Safe, Rank: route.Rank, Body: int64(len(body)), Header: passedOn(r.Header),
+		Patient: max(route.TargetTime/patientPart, 10*time.Millisecond),
+	}
+	service := route.Pick(rand.Float64())
+	j.chooser = s.chooser(service)
+	if j.chooser == nil {
+		s.refuse(w, 200*time.Millisecond)
+		return
+	}
+	s.answer(w, j, s.run(j, left))
+}
+
+func readBody(r *http.Request, most int64) ([]byte, error) {
+	switch {
+	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
+		return nil, nil
+	case r.ContentLength > 0:
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(nil, r.Body, most))
+}
+
+// passedOn lists the headers of a request that go on to the backend.
+func passedOn(h http.Header) []string {
+	list := make([]string, 0, 2*len(h))
+	also := ""
+	if c := h["Connection"]; c != nil {
+		also = strings.ToLower(strings.Join(c, ","))
+	}
+	for name, values := range h {
+		switch name {
+		case solvay.TryHeader, solvay.LeftHeader, solvay.TargetHeader, solvay.CallerHeader:
+			continue
+		}
+		if !solvay.Passes(name) || also != "" && strings.Contains(also, strings.ToLower(name)) {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, name, v)
+		}
+	}
+	return list
+}
+
+// end is how a request ended: an attempt, or a refusal, which promises that the request did not run or may run again.
+type end struct {
+	at      *attempt
+	refused bool
+	after   time.Duration
+}
+
+// run carries out what the chooser orders until the request has its answer.
+func (s *Sender) run(j *job, left time.Duration) end {
+	c := j.chooser
+	again := func(a policy.Action, t *target) { go s.again(j, a, t) }
+	j.call = c.begin(classIndex(c.classes, j.route), left, again)
+	defer c.forget(j.call)
+	for {
+		a, t, ok := c.take(j.call)
+		if !ok { // nothing to do but to wait for an attempt that another goroutine carries out
+			late := time.NewTimer(time.Until(j.deadline))
+			select {
+			case <-j.call.ready:
+				late.Stop()
+				continue
+			case <-j.done:
+				late.Stop()
+				return end{at: j.won}
+			case <-late.C:
+				return end{at: j.best()}
+			}
+		}
+		switch a.Kind {
+		case policy.ActRefuse:
+			return end{at: j.best(), refused: true, after: a.Wait}
+		case policy.ActFail:
+			return end{at: j.best()}
+		}
+		at := s.attempt(j, a, t, j.started(), true)
+		if j.isDone() {
+			s.ended(j, at)
+			return end{at: j.won}
+		}
+		if s.ended(j, at) {
+			return end{at: at}
+		}
+	}
+}
+
+func (j *job) started() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts++
+	return j.attempts - 1
+}
+
+func (j *job) isDone() bool {
+	select {
+	case <-j.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// best is the answer to pass on where no attempt succeeded.
+func (j *job) best() *attempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.last
+}
+
+// ended tells the chooser how an attempt ended, and whether that is the request's answer.
+func (s *Sender) ended(j *job, at *attempt) (answered bool) {
+	how, load := policy.OK, policy.Load{}
+	switch {
+	case at.fail != nil:
+		s.Count.ByReason[at.fail.Reason].Add(1)
+		how = outcomeOf(at.fail)
+	case at.reply.Status >= 500:
+		how = policy.Error
+	}
+	if at.reply != nil {
+		load = loadOf(&at.reply.Load)
+	}
+	j.mu.Lock()
+	if how != policy.OK && (j.last == nil || j.last.fail != nil && (at.fail == nil || j.last.fail.Verdict == brentei.NotRun)) {
+		j.last = at
+	}
+	j.mu.Unlock()
+	j.chooser.outcome(j.call, at.n, at.server, how, load, j.isDone())
+	return how == policy.OK
+}
+
+// outcomeOf translates a verdict for the module.
+func outcomeOf(f *brentei.Failure) policy.Outcome {
+	switch {
+	case f.Verdict == brentei.NotRun && f.Reason == brentei.Unreachable:
+		return policy.ConnectFailed
+	case f.Verdict == brentei.NotRun && f.Reason == brentei.Own:
+		return policy.Moot
+	case f.Verdict == brentei.NotRun:
+		return policy.Full
+	case f.Reason == brentei.Silent:
+		return policy.Timeout
+	}
+	return policy.Reset
+}
+
+// attempt hands the request to a gate and waits for what comes of it.
+func (s *Sender) attempt(j *job, a policy.Action, t *target, n int, inline bool) *attempt {
+	at := &attempt{n: n, server: a.Server}
+	refuse := func(reason brentei.Reason) *attempt {
+		at.fail = &brentei.Failure{Verdict: brentei.NotRun, Reason: reason}
+		return at
+	}
+	j.mu.Lock()
+	spent := j.reached >= max(1, j.route.Tries)
+	j.mu.Unlock()
+	if t == nil {
+		return refuse(brentei.Unknown)
+	}
+	if spent {
+		return refuse(brentei.Own) // the route's tries are used up
+	}
+	s.Count.Attempts.Add(1)
+	if n > 0 {
+		s.Count.Repeats.Add(1)
+	}
+	ask := j.ask
+	now := time.Now()
+	ask.Target, ask.Left, ask.Aim = t.backend, j.deadline.Sub(now), j.aim.Sub(now)
+	if ask.Left <= 0 {
+		return refuse(brentei.Late)
+	}
+	if t.local {
+		s.Count.Local.Add(1)
+		at.reply, at.body = s.host.Handle(&ask, j.body)
+	} else {
+		at.reply, at.body, at.fail = s.exchange(j, t.gate, &ask, inline)
+	}
+	if at.reply != nil && at.reply.Verdict != brentei.Ran {
+		at.fail = &brentei.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
+	}
+	if at.fail == nil || at.fail.Verdict != brentei.NotRun {
+		j.mu.Lock()
+		j.reached++
+		j.mu.Unlock()
+	}
+	return at
+}
+
+// exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
+// that it did not run.
+func (s *Sender) exchange(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(ask.Left, connectTime))
+	c, err := s.links.Get(ctx, gate)
+	cancel()
+	if err != nil {
+		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
+	}
+	if inline {
+		j.mu.Lock()
+		j.inline = c
+		j.mu.Unlock()
+	}
+	broken := func(err error) (*brentei.Reply, []byte, *brentei.Failure) {
+		s.links.Discard(c)
+		f := &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Broken, Cause: err}
+		if isTimeout(err) {
+			f.Reason = brentei.Silent
+		}
+		return nil, nil, f
+	}
+	c.SetDeadline(j.deadline)
+	if j.isDone() {
+		s.links.Put(gate, c)
+		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
+	}
+	if err := c.Send(ask, j.body); err != nil {
+		return broken(err)
+	}
+	var reply brentei.Reply
+	if err := c.Receive(&reply); err != nil {
+		return broken(err)
+	}
+	body, err := c.Body(reply.Body, mostAnswer)
+	if err != nil {
+		return broken(err)
+	}
+	if inline {
+		j.mu.Lock()
+		j.inline = nil
+		j.mu.Unlock()
+	}
+	c.SetDeadline(time.Time{})
+	s.links.Put(gate, c)
+	return &reply, body, nil
+}
+
+// mostAnswer bounds a backend's answer, in bytes.
+const mostAnswer = 64 << 20
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// again carries out an attempt beside one that is out.
+func (s *Sender) again(j *job, a policy.Action, t *target) {
+	at := s.attempt(j, a, t, j.started(), false)
+	if !s.ended(j, at) {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.won == nil {
+		j.won = at
+		close(j.done)
+		if j.inline != nil {
+			j.inline.SetReadDeadline(time.Unix(1, 0)) // what the request's own goroutine waits for is not needed
+		}
+	}
+}
+
+// answer tells the client what came of its request.
+func (s *Sender) answer(w http.ResponseWriter, j *job, e end) {
+	at := e.at
+	switch {
+	case e.refused:
+		if at != nil && at.fail != nil {
+			e.after = max(e.after, at.fail.After)
+		}
+		s.refuse(w, e.after)
+		return
+	case at == nil || at.fail != nil:
+		status, what := http.StatusBadGateway, "no answer"
+		if at != nil {
+			what = at.fail.Reason.String()
+		}
+		if at == nil || at.fail.Reason == brentei.Silent {
+			status = http.StatusGatewayTimeout
+		}
+		s.Count.Failed.Add(1)
+		s.say(w, status, what)
+		return
+	}
+	h := w.Header()
+	for i := 0; i+1 < len(at.reply.Header); i += 2 {
+		h.Add(at.reply.Header[i], at.reply.Header[i+1])
+	}
+	status := at.reply.Status
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		status = http.StatusBadGateway // danger: it ran, and these promise that it did not
+	}
+	if status < 500 {
+		s.Count.Served.Add(1)
+	} else {
+		s.Count.BackendFailed.Add(1)
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	h["Date"] = nil
+	h.Set("Content-Length", strconv.Itoa(len(at.body)))
+	w.WriteHeader(status)
+	w.Write(at.body)
+}
+
+// refuse promises that the request did not run and tells when to come back.
+func (s *Sender) refuse(w http.ResponseWriter, after time.Duration) {
+	s.Count.Refused.Add(1)
+	after = min(max(after, leastAfter), mostAfter)
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	s.say(w, http.StatusServiceUnavailable, "no room; the request did not run")
+}
+
+func (s *Sender) say(w http.ResponseWriter, status int, what string) {
+	h := w.Header()
+	h["Date"] = nil
+	h.Set("Content-Type", "text/plain")
+	h.Set("Content-Length", strconv.Itoa(len(what)+1))
+	w.WriteHeader(status)
+	io.WriteString(w, what+"\n")
+}
