--- a/internal/limit/width.go
+++ b/internal/limit/width.go
@@ -16,6 +16,7 @@
 // more, and is told of more. So the first reports settle it, and later ones, which are of machines that did not change,
 // hardly move it. Were the first alone to settle it, an agent that gets few reports would go by chance.
 type Width struct {
+	Told    float64 // so many, as somebody knows; 0: to be learnt
 	mean    float64
 	reports int
 }
@@ -43,4 +44,9 @@
 
 // Requests is a whole number, at least 1. Danger: were it learnt for each kind of machine, one that is sent little would
 // look narrow, so crowded, and be sent less.
-func (w *Width) Requests() float64 { return max(1, math.Floor(w.mean+0.5)) }
+func (w *Width) Requests() float64 {
+	if w.Told > 0 {
+		return w.Told
+	}
+	return max(1, math.Floor(w.mean+0.5))
+}
--- a/internal/vajolet/chooser.go
+++ b/internal/vajolet/chooser.go
@@ -40,6 +40,7 @@
 type chooser struct {
 	service string
 	classes []policy.Class
+	width   int // requests that a backend works on at once
 	began   time.Time
 	log     func(string)
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("service %s: %w", service, err)
 	}
-	return &chooser{service: service, classes: set.Classes, began: time.Now(), log: log, module: module,
+	return &chooser{service: service, classes: set.Classes, width: int(set.Width), began: time.Now(), log: log, module: module,
 		calls: map[policy.RequestID]*call{}, targets: map[policy.ServerID]*target{}}, nil
 }
 
@@ -196,9 +197,9 @@
 	c.arm()
 }
 
-// same says whether the module's classes serve a list of them as well.
-func (c *chooser) same(classes []policy.Class) bool {
-	return slices.EqualFunc(c.classes, classes, func(x, y policy.Class) bool {
+// same says whether the module was made for these classes and width.
+func (c *chooser) same(classes []policy.Class, width int) bool {
+	return c.width == width && slices.EqualFunc(c.classes, classes, func(x, y policy.Class) bool {
 		return x.Effect == y.Effect && x.Worth == y.Worth && x.Aim == y.Aim && x.Deadline == y.Deadline
 	})
 }
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -85,7 +85,7 @@
 // SetView exchanges what the sender knows. Only its owner calls it.
 func (s *Sender) SetView(v *View) {
 	byService := map[string][]*target{}
-	agents := 0
+	agents, width := 0, map[string]int{}
 	for i := range v.Stations {
 		h := &v.Stations[i]
 		agents++
@@ -96,15 +96,20 @@
 		t := &target{id: idOf(h.Station.Agent), gate: h.Station.Gate, backend: b.ID, agent: h.Station.Agent,
 			zone: s.zones[b.Zone], local: h.Station.Agent == s.set.IP, cold: b.ColdLeft}
 		byService[b.Service] = append(byService[b.Service], t)
+		width[b.Service] = max(width[b.Service], b.Capacity)
 	}
 	s.mu.Lock()
 	s.agents = max(agents, 1)
 	for _, name := range v.Config.Services() {
 		classes := classesOf(v.Config, name)
 		c := s.serves[name]
-		if c == nil || !c.same(classes) {
+		wide := width[name]
+		if wide == 0 && c != nil {
+			wide = c.width
+		}
+		if c == nil || !c.same(classes, wide) {
 			var err error
-			if c, err = newChooser(name, s.settings(v.Config, name, classes), s.line(name)); err != nil {
+			if c, err = newChooser(name, s.settings(v.Config, name, classes, wide), s.line(name)); err != nil {
 				s.log.WithError(err).Error("decision module")
 				continue
 			}
@@ -135,10 +140,10 @@
 }
 
 // settings are the decision module's for one service.
-func (s *Sender) settings(c *margherita.Config, name string, classes []policy.Class) policy.Settings {
+func (s *Sender) settings(c *margherita.Config, name string, classes []policy.Class, width int) policy.Settings {
 	b := &s.set.Bounds
 	set := policy.Settings{
-		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline,
+		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline, Width: float64(width),
 		Tick: time.Millisecond, MaxAttempts: 6, SecondCopies: true,
 		ColdFrom: coldFrom, OverloadFactor: 2,
 		ExtraWindow: b.RetryWindow, ExtraFloor: floorShare * b.ExtraTries / float64(s.agents), ExtraRatio: budgetShare * b.RetryRatio,
--- a/policy/check.go
+++ b/policy/check.go
@@ -15,6 +15,8 @@
 		return bad("Rank", s.Rank)
 	case !(s.ProbeFee >= 0):
 		return bad("ProbeFee", s.ProbeFee)
+	case !(s.Width >= 0):
+		return bad("Width", s.Width)
 	case s.MaxAttempts < 1:
 		return bad("MaxAttempts", s.MaxAttempts)
 	case !(s.ColdFrom > 0 && s.ColdFrom <= 1):
--- a/policy/state.go
+++ b/policy/state.go
@@ -179,7 +179,7 @@
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
 	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
-	b.room.v = math.Inf(1)
+	b.room.v, b.width.Told = math.Inf(1), s.Width
 	for _, c := range s.Classes {
 		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
 		b.worth += c.Worth / float64(len(s.Classes))
--- a/policy/types.go
+++ b/policy/types.go
@@ -70,6 +70,7 @@
 	Classes        []Class
 	Tenants        []Tenant // may be empty
 	Reports        ReportMode
+	Width          float64       // requests that a server works on at once, 0: to be learnt from reports
 	AskList        bool          // the server list must be asked for (ActFollow)
 	MustAskIn      time.Duration // the longest an agent may go without asking for the list
 	IdleClose      time.Duration // a connection that is idle for so long is closed
