--- a/internal/konkordia/sim_test.go
+++ b/internal/konkordia/sim_test.go
@@ -23,15 +23,17 @@
 
 // world is a few machines in virtual time, with a network and disks that fail by a seed, and a judge.
 type world struct {
-	rng    *rand.Rand
-	now    time.Duration
-	events events
-	count  uint64
-	hosts  []*host
-	cut    map[[2]string]bool
-	rough  float64 // chance that a message is lost, doubled or late
-	plant  plant
-	life   uint64
+	rng     *rand.Rand
+	now     time.Duration
+	events  events
+	count   uint64
+	hosts   []*host
+	cut     map[[2]string]bool
+	rough   float64 // chance that a message is lost, doubled or late
+	crashes float64 // chance that a sync ends in a crash, done or not
+	gone    *host   // for good
+	plant   plant
+	life    uint64
 
 	committed []Entry // by index - 1, as first applied anywhere
 	members   Members // committed last
@@ -44,20 +46,21 @@
 }
 
 type host struct {
-	address string
-	machine *Machine // nil: down
-	disk    *State   // nil: empty
-	life    uint64
-	frozen  time.Duration // until when
-	table   []Entry       // applied commands
-	applied uint64
-	saving  *Save
-	next    uint64
-	asked   map[uint64]uint64 // a read's or proposal's number: the floor or the value
-	isRead  map[uint64]bool
-	early   []uint64 // proposals at a leader, for earlyAck
-	due     time.Duration
-	first   bool
+	address  string
+	machine  *Machine // nil: down
+	disk     *State   // nil: empty
+	life     uint64
+	frozen   time.Duration // until when
+	table    []Entry       // applied commands
+	applied  uint64
+	saving   *Save
+	unsynced []*Save // for earlySync
+	next     uint64
+	asked    map[uint64]uint64 // a read's or proposal's number: the floor or the value
+	isRead   map[uint64]bool
+	early    []uint64 // proposals at a leader, for earlyAck
+	due      time.Duration
+	first    bool
 }
 
 type event struct {
@@ -96,6 +99,20 @@
 	panic(fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...))
 }
 
+func (w *world) flush(h *host) {
+	for _, s := range h.unsynced {
+		w.write(h, s)
+	}
+	h.unsynced = nil
+}
+
+// trace writes what goes on, for -first SEED -seeds 1 -trace.
+func (w *world) trace(format string, args ...any) {
+	if *tracing {
+		fmt.Printf("%12v "+format+"\n", append([]any{w.now}, args...)...)
+	}
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.count++
 	heap.Push(&w.events, event{w.now + d, w.count, do})
@@ -136,6 +153,7 @@
 		}
 	}
 	h.first = false
+	w.trace("start %s %x", h.address, h.disk.Disk)
 	w.life++
 	h.life = w.life
 	state := *h.disk
@@ -158,6 +176,7 @@
 	if h.machine == nil {
 		return
 	}
+	w.trace("stop %s %+v", h.address, h.machine.Status())
 	for id, value := range h.asked {
 		if !h.isRead[id] && w.fate[value] == "" {
 			w.fate[value] = "unknown"
@@ -166,7 +185,7 @@
 	if h.saving != nil && w.rng.IntN(2) == 0 {
 		w.write(h, h.saving)
 	}
-	h.machine, h.saving = nil, nil
+	h.machine, h.saving, h.unsynced = nil, nil, nil
 }
 
 // mayWipe tells whether the disk of a host may be lost now: all others of the members are whole.
@@ -188,6 +207,7 @@
 }
 
 func (w *world) wipe(h *host) {
+	w.trace("wipe %s", h.address)
 	w.stop(h)
 	if h.disk == nil {
 		return
@@ -232,7 +252,9 @@
 	}
 	h.machine.Clock(w.now)
 	do(h.machine)
-	w.settle(h)
+	if h.machine != nil {
+		w.settle(h)
+	}
 }
 
 func (w *world) settle(h *host) {
@@ -261,16 +283,23 @@
 			h.saving = s
 			slow := w.within(500*time.Microsecond, 5*time.Millisecond)
 			if w.plant.earlySync {
+				h.saving = nil
+				h.unsynced = append(h.unsynced, s)
 				m.Saved()
-				w.after(slow*20, func() {
+				w.after(20*slow, func() {
 					if h.life == life && h.machine != nil {
-						w.write(h, s)
+						w.flush(h)
 					}
 				})
 				continue
 			}
 			w.after(slow, func() {
 				w.touch(h, life, func(m *Machine) {
+					if w.rng.Float64() < w.crashes {
+						w.stop(h)
+						w.after(w.within(0, 100*time.Millisecond), func() { w.revive(h) })
+						return
+					}
 					w.write(h, s)
 					h.saving = nil
 					m.Saved()
@@ -336,6 +365,7 @@
 	}
 	w.committed = append(w.committed, e)
 	if e.Members != nil {
+		w.trace("%s: members at %d: %v", h.address, e.Index, e.Members)
 		w.members = *e.Members
 	}
 	if e.Origin != 0 {
@@ -431,18 +461,18 @@
 }
 
 // heal mends all, and demands that the hosts that are up agree, take proposals, and have lost nothing.
-func (w *world) heal(gone *host) {
+func (w *world) heal() {
 	clear(w.cut)
-	w.rough = 0
+	w.rough, w.crashes = 0, 0
 	for _, h := range w.hosts {
 		h.frozen = min(h.frozen, w.now)
-		if h != gone {
+		if h != w.gone {
 			w.start(h)
 		}
 	}
 	w.run(16 * time.Second)
 	for i, h := range w.hosts {
-		if h == gone {
+		if h == w.gone {
 			continue
 		}
 		value := 1<<20 + uint64(i)
@@ -450,14 +480,19 @@
 		w.read(h)
 		w.run(time.Second)
 		if w.fate[value] != "acked" {
-			w.fail("%s (%+v): a proposal after all is mended comes to %q", h.address, h.machine.Status(), w.fate[value])
+			for _, h := range w.hosts {
+				if h.machine != nil {
+					w.trace("%s %x: %+v %v", h.address, h.disk.Disk, h.machine.Status(), h.machine.log.current())
+				}
+			}
+			w.fail("%s: a proposal after all is mended comes to %q", h.address, w.fate[value])
 		}
 	}
 	if len(w.members.Voters) != 3 {
 		w.fail("the members are %v", w.members)
 	}
 	for _, h := range w.hosts {
-		if h != gone && h.applied != uint64(len(w.committed)) {
+		if h != w.gone && h.applied != uint64(len(w.committed)) {
 			w.fail("%s has applied %d of %d", h.address, h.applied, len(w.committed))
 		}
 	}
@@ -480,6 +515,7 @@
 		}
 	}()
 	w.rough = []float64{0, 0.02, 0.1}[w.rng.IntN(3)]
+	w.crashes = []float64{0, 0, 0.005, 0.03}[w.rng.IntN(4)]
 	for _, h := range w.hosts {
 		w.after(w.within(0, 2*time.Second), func() { w.start(h) })
 	}
@@ -496,14 +532,13 @@
 		}
 	}
 	w.after(0, ask)
-	var gone *host
 	var harm func()
 	harm = func() {
 		if w.now >= end {
 			return
 		}
 		h := w.hosts[w.rng.IntN(len(w.hosts))]
-		back := func(d time.Duration) { w.after(d, func() { w.revive(h, gone) }) }
+		back := func(d time.Duration) { w.after(d, func() { w.revive(h) }) }
 		switch w.rng.IntN(8) {
 		case 0, 1:
 			w.stop(h)
@@ -527,26 +562,26 @@
 				back(w.within(0, time.Second))
 			}
 		case 7:
-			if w.rng.IntN(4) == 0 && gone == nil && w.mayWipe() {
-				gone = h // for good
+			if w.rng.IntN(4) == 0 && w.gone == nil && w.mayWipe() {
+				w.gone = h
 				w.wipe(h)
 				break
 			}
 			for _, h := range w.hosts {
 				w.stop(h)
-				w.after(w.within(0, time.Second), func() { w.revive(h, gone) })
+				w.after(w.within(0, time.Second), func() { w.revive(h) })
 			}
 		}
 		w.after(w.within(0, 1500*time.Millisecond), harm)
 	}
 	w.after(3*time.Second, harm)
 	w.run(end)
-	w.heal(gone)
+	w.heal()
 	return w, nil
 }
 
-func (w *world) revive(h, gone *host) {
-	if h != gone {
+func (w *world) revive(h *host) {
+	if h != w.gone {
 		w.start(h)
 	}
 }
--- a/internal/nuvolau/nuvolau.go
+++ b/internal/nuvolau/nuvolau.go
@@ -1,12 +1,12 @@
-// Package nuvolau (Rifugio Nuvolau) reads the settings of a process: the file that the machine gives
-// it, checked, as a plain struct.
+// Package nuvolau (Rifugio Nuvolau) reads the settings of a process: the file that the machine
+// gives it, checked, as a plain struct.
 //
 // The file has a line `a.b=value` for each field, and commas join lists. Fields that aren't known
 // are ignored, as new ones may appear at any time; a field without a value counts as absent; of two
-// lines for one field the later holds. The file may change under a running process, which then reads
-// it again: settings are never altered, only replaced. What Load returns is whole (all that the
-// process needs for what it serves is there, every address is one, every time is one); otherwise
-// there is an error, which names the field and its line.
+// lines for one field the later holds. The file may change under a running process, which then
+// reads it again: settings are never altered, only replaced. What Load returns is whole (all that
+// the process needs for what it serves is there, every address is one, every time is one);
+// otherwise there is an error, which names the field and its line.
 package nuvolau
 
 import (
@@ -79,7 +79,8 @@
 		return nil, oops.In("settings").With("path", path).Wrapf(err, "read the settings")
 	}
 	if len(text) > mostBytes {
-		return nil, oops.In("settings").Errorf("%s holds more than %d bytes: is it the settings file?", path, mostBytes)
+		return nil, oops.In("settings").
+			Errorf("%s holds more than %d bytes: is it the settings file?", path, mostBytes)
 	}
 	s, err := Parse(text)
 	return s, oops.In("settings").Wrapf(err, "%s", path)
