--- a/internal/konkordia/election.go
+++ b/internal/konkordia/election.go
@@ -28,7 +28,7 @@
 }
 
 // mayCampaign tells whether we are a member, by all we know.
-func (m *Machine) mayCampaign() bool { return m.isVoter() && m.log.current().index >= m.outside }
+func (m *Machine) mayCampaign() bool { return m.isVoter() && !m.log.current().at.before(m.outside) }
 
 func (m *Machine) resetElection() {
 	m.electionAt = m.now + electionMin + time.Duration(m.rng.Int64N(int64(electionMax-electionMin)))
@@ -88,7 +88,7 @@
 	c := m.log.current()
 	for _, v := range c.members.Voters {
 		msg := Message{Kind: kind, To: v.Address, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm(),
-			MembersIndex: c.index}
+			MembersAt: c.at}
 		switch {
 		case v.is(m.self, m.disk, m.founder):
 			m.promise(Message{Kind: reply, To: m.self, Term: term})
@@ -102,7 +102,7 @@
 
 func (m *Machine) onVote(msg Message) {
 	c := m.log.current()
-	if _, ok := c.members.find(msg.From, msg.Disk, msg.Founder); !ok && c.index > msg.MembersIndex {
+	if _, ok := c.members.find(msg.From, msg.Disk, msg.Founder); !ok && msg.MembersAt.before(c.at) {
 		m.hint(msg.From) // it was taken out; its term is of no interest
 		return
 	}
--- a/internal/konkordia/log.go
+++ b/internal/konkordia/log.go
@@ -10,7 +10,7 @@
 
 // decided are members and where they were decided.
 type decided struct {
-	index   uint64
+	at      Place
 	members Members
 }
 
@@ -53,7 +53,7 @@
 	l.sums = append(l.sums, l.sum(l.last())+entryOverhead+uint64(len(e.Command)))
 	l.entries = append(l.entries, e)
 	if e.Members != nil {
-		l.members = append(l.members, decided{e.Index, *e.Members})
+		l.members = append(l.members, decided{Place{e.Term, e.Index}, *e.Members})
 	}
 }
 
@@ -71,7 +71,7 @@
 func (l *entryLog) cut(from uint64) {
 	keep := int(from - l.base - 1)
 	l.entries, l.sums = slices.Clone(l.entries[:keep]), l.sums[:keep]
-	for len(l.members) > 0 && l.members[len(l.members)-1].index >= from {
+	for len(l.members) > 0 && l.members[len(l.members)-1].at.Index >= from {
 		l.members = l.members[:len(l.members)-1]
 	}
 }
@@ -85,14 +85,14 @@
 	sum, drop := l.sum(to), int(to-l.base)
 	l.entries, l.sums = slices.Clone(l.entries[drop:]), slices.Clone(l.sums[drop:])
 	l.base, l.baseTerm, l.baseSum = to, term, sum
-	for len(l.members) > 1 && l.members[1].index <= to {
+	for len(l.members) > 1 && l.members[1].at.Index <= to {
 		l.members = l.members[1:]
 	}
 }
 
 // reset puts a snapshot in place of all entries.
 func (l *entryLog) reset(s *Snapshot) {
-	*l = entryLog{base: s.Index, baseTerm: s.Term, members: []decided{{s.MembersIndex, s.Members}}}
+	*l = entryLog{base: s.Index, baseTerm: s.Term, members: []decided{{s.MembersAt, s.Members}}}
 }
 
 // after copies the entries after an index, as many as weigh most bytes at most, and one at least.
@@ -116,7 +116,7 @@
 func (l *entryLog) at(index uint64) decided {
 	var found decided
 	for _, d := range l.members {
-		if d.index <= index {
+		if d.at.Index <= index {
 			found = d
 		}
 	}
--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -168,7 +168,7 @@
 	seen        []origin
 
 	// As a learner.
-	outside  uint64 // members newer than those in the log don't hold us
+	outside  Place // members newer than those in the log don't hold us
 	known    []string
 	joinAt   time.Duration
 	joinedAt time.Duration // when the leader was last asked
@@ -190,10 +190,10 @@
 	m.log.base, m.log.baseTerm = c.State.Base, c.State.BaseTerm
 	if s := m.snapshot; s != nil {
 		m.commit, m.applied = s.Index, s.Index
-		m.log.members = []decided{{s.MembersIndex, s.Members}}
+		m.log.members = []decided{{s.MembersAt, s.Members}}
 	}
 	for _, e := range c.State.Entries {
-		if e.Members != nil && m.log.current().index >= e.Index { // the snapshot knows it already
+		if e.Members != nil && m.log.current().at.Index >= e.Index { // the snapshot knows it already
 			members := e.Members
 			e.Members = nil
 			m.log.append(e)
@@ -382,7 +382,7 @@
 func (m *Machine) Compact(data []byte) {
 	term, _ := m.log.term(m.applied)
 	members := m.log.at(m.applied)
-	m.snapshot = &Snapshot{Index: m.applied, Term: term, Members: members.members, MembersIndex: members.index, Data: data}
+	m.snapshot = &Snapshot{Index: m.applied, Term: term, Members: members.members, MembersAt: members.at, Data: data}
 	to := m.applied
 	for to > m.log.base && m.applied-to < m.compact/2 && m.log.bytes(to-1, m.applied) <= compactBytes/2 {
 		to--
--- a/internal/konkordia/machine_test.go
+++ b/internal/konkordia/machine_test.go
@@ -9,7 +9,7 @@
 
 var seeds = flag.Int("seeds", 400, "how many seeds the explorer plays")
 var firstSeed = flag.Uint64("first", 1, "the first of them")
-var tracing = flag.Bool("trace", false, "tell what goes on")
+var tracing = flag.Bool("tell", false, "tell what goes on")
 
 func TestExplore(t *testing.T) {
 	acks, reads := 0, 0
--- a/internal/konkordia/members.go
+++ b/internal/konkordia/members.go
@@ -51,7 +51,7 @@
 
 func (m *Machine) askToJoin(address string) {
 	m.joinedAt = m.now
-	m.send(Message{Kind: Join, To: address, MembersIndex: m.log.current().index})
+	m.send(Message{Kind: Join, To: address, MembersAt: m.log.current().at})
 }
 
 // onJoin takes in a learner. Join messages may be old: one that names a disk which is there no more does no harm, since
@@ -89,11 +89,11 @@
 // hint tells a node that is no member, or doesn't know the leader, what we know.
 func (m *Machine) hint(to string) {
 	c := m.log.current()
-	if c.index == 0 {
+	if c.at.Index == 0 {
 		return
 	}
 	members := c.members
-	m.send(Message{Kind: Hint, To: to, Members: &members, MembersIndex: c.index, Leader: m.leader.Address})
+	m.send(Message{Kind: Hint, To: to, Members: &members, MembersAt: c.at, Leader: m.leader.Address})
 }
 
 func (m *Machine) onHint(msg Message) {
@@ -103,8 +103,10 @@
 	for _, v := range msg.Members.Voters {
 		m.learnAddresses([]string{v.Address})
 	}
-	if _, ok := msg.Members.find(m.self, m.disk, m.founder); !ok && m.role != leader && msg.MembersIndex > m.log.current().index {
-		m.outside = max(m.outside, msg.MembersIndex)
+	if _, ok := msg.Members.find(m.self, m.disk, m.founder); !ok && m.role != leader && m.log.current().at.before(msg.MembersAt) {
+		if m.outside.before(msg.MembersAt) {
+			m.outside = msg.MembersAt
+		}
 		if m.role != follower {
 			m.follow(m.hard.Term, Member{})
 		}
@@ -118,7 +120,7 @@
 // plan is what a leader does about the members, one change at a time and each only after the one before holds.
 func (m *Machine) plan() {
 	current := m.log.current()
-	if m.role != leader || m.commit < m.opened || current.index > m.commit || m.moving != nil {
+	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
 		return
 	}
 	voters, target := current.members.Voters, current.members.Target
--- a/internal/konkordia/message.go
+++ b/internal/konkordia/message.go
@@ -37,6 +37,12 @@
 	Disk    uint64
 }
 
+// Place is a place of the log as one leader had it. Of two places the one with the later term is newer, whatever their
+// indexes: entries that never held may lie further on.
+type Place struct{ Term, Index uint64 }
+
+func (p Place) before(q Place) bool { return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index }
+
 // Members are the voters. Target is how many there are to be.
 type Members struct {
 	Voters []Member
@@ -45,10 +51,10 @@
 
 // Snapshot is the state at an index.
 type Snapshot struct {
-	Index, Term  uint64
-	Members      Members
-	MembersIndex uint64 // where these members were decided
-	Data         []byte
+	Index, Term uint64
+	Members     Members
+	MembersAt   Place // where these members were decided
+	Data        []byte
 }
 
 // Message goes between nodes.
@@ -70,9 +76,9 @@
 	About    uint64 // the index that doesn't agree; the term in which a refused command was given to the leader
 	Snapshot *Snapshot
 
-	Leader       string // known to the sender
-	Members      *Members
-	MembersIndex uint64
+	Leader    string // known to the sender
+	Members   *Members
+	MembersAt Place
 
 	Origin, ID uint64 // of a command or a read
 	Command    []byte
--- a/internal/konkordia/sim_test.go
+++ b/internal/konkordia/sim_test.go
@@ -106,7 +106,7 @@
 	h.unsynced = nil
 }
 
-// trace writes what goes on, for -first SEED -seeds 1 -trace.
+// trace writes what goes on, for -first SEED -seeds 1 -tell.
 func (w *world) trace(format string, args ...any) {
 	if *tracing {
 		fmt.Printf("%12v "+format+"\n", append([]any{w.now}, args...)...)
@@ -193,7 +193,7 @@
 	var newest decided
 	for _, h := range w.hosts {
 		if h.machine != nil {
-			if c := h.machine.log.current(); c.index > newest.index {
+			if c := h.machine.log.current(); newest.at.before(c.at) {
 				newest = c
 			}
 		}
@@ -516,6 +516,9 @@
 	}()
 	w.rough = []float64{0, 0.02, 0.1}[w.rng.IntN(3)]
 	w.crashes = []float64{0, 0, 0.005, 0.03}[w.rng.IntN(4)]
+	if w.rng.IntN(8) == 0 || p.forgetVote { // elections upon elections
+		w.rough, w.crashes = 0.4, 0.2
+	}
 	for _, h := range w.hosts {
 		w.after(w.within(0, 2*time.Second), func() { w.start(h) })
 	}
