The decision module is split by concern; speeds and ejection records are packages of their own

Change: nine files, each for one concern, with its constants: admit, choose, health, line, list, outcome, speed beside state and types. What has a concept of its own is a pure package: He and Down's weights of pairs and moving means (internal/weighted), how fast servers are beside one another (internal/tracuit), the records of ejection (internal/moiry).

TestPairWeightsByHand moves to internal/weighted with what it tests.

--- a/internal/weighted/weighted.go
+++ b/internal/weighted/weighted.go
@@ -1,4 +1,4 @@
-// Package weighted draws by weight.
+// Package weighted draws by weight and averages by weight.
 package weighted
 
 import "slices"
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,25 +1,23 @@
 package policy
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"example.org/micaline/internal/limit"
+	"example.org/micaline/internal/moiry"
+	"example.org/micaline/internal/tracuit"
 	"example.org/micaline/internal/weighted"
 )
 
-// The state of a Balancer and its construction. What is done with it is in balancer.go.
+// The state of a Balancer, its construction, and the events that move it.
 
 type server struct {
 	ServerEntry
 	rank     float64 // place on the ring of all servers
-	base     float64 // speed by the list's first weight
-	slow     float64 // times slower than its kind, learnt
-	learntAt time.Duration
+	pace     tracuit.Server
 	built    float64       // speed in the present line
 	used     time.Duration // when it last answered over a connection, 0 if never
 	inFlight int           // own attempts out
@@ -32,34 +30,7 @@
 	others   float64           // attempts that other agents say they have out,
 	theirs   float64           // and the limit that they have learnt
 	full     time.Duration     // passed by until then: it had no room
-	health   []health          // by class
-}
-
-// health is what a server's answers to one class say.
-type health struct {
-	bad   float64       // failures of late, halved by each success
-	fails float64       // share of failures, a moving mean
-	until time.Duration // ejected until then
-	times int           // ejections in a row
-}
-
-// sound is the share of requests that does not fail, of the class that it serves best.
-func (s *server) sound() float64 {
-	fails := 1.0
-	for _, h := range s.health {
-		fails = min(fails, h.fails)
-	}
-	return 1 - fails
-}
-
-func (s *server) tellsQueue() bool { return s.load.Known && s.load.Queue >= 0 }
-
-func (s *server) restart(e *ServerEntry) {
-	s.slow, s.full, s.used, s.load.Known, s.room = 1, 0, 0, false, limit.Concurrency{}
-	clear(s.health)
-	if s.base = e.Weight; !(e.Weight > 0 && e.Weight < math.MaxFloat32) {
-		s.base = 1
-	}
+	health   []moiry.Record    // by class
 }
 
 type attempt struct {
@@ -96,7 +67,7 @@
 	Class
 	index int
 	first time.Duration // how long a client's first try waits
-	usual mean          // time of an answer, seconds
+	usual weighted.Mean // time of an answer, seconds
 	line  line
 }
 
@@ -112,26 +83,6 @@
 	next     time.Duration // when time alone changes it
 }
 
-// kind is what servers of one kind of machine have in common.
-type kind struct {
-	ratio  mean    // time of an answer over its class's
-	recent mean    // reported service time, seconds
-	seen   float64 // answers and reports that its pace was learnt from
-}
-
-// mean is a moving mean; its first sample is taken whole.
-type mean struct {
-	v     float64
-	known bool
-}
-
-func (m *mean) add(x, weight float64) {
-	if !m.known {
-		m.v, m.known = x, true
-	}
-	m.v += weight * (x - m.v)
-}
-
 // Balancer decides for one agent. It is not safe for concurrent use.
 type Balancer struct {
 	set      Settings
@@ -140,20 +91,18 @@
 	out      []Action
 	classes  []class
 	servers  map[ServerID]*server
-	ring     []*server // all servers, by rank
-	epoch    int       // counts the changes that are worth new lines
-	seen     float64   // answers and reports that kinds' paces were learnt from
-	recent   mean      // reported service time of all servers, seconds
+	ring     []*server     // all servers, by rank
+	epoch    int           // counts the changes that are worth new lines
+	fleet    tracuit.Fleet // how fast its servers are
 	width    limit.Width
-	room     mean // limit of the servers that have answered, where they report nothing
+	room     weighted.Mean // limit of the servers that have answered, where they report nothing
 	open     map[RequestID]*request
-	waiting  []*request // for probes
-	kinds    map[int]*kind
-	service  mean    // time of an answer, seconds
-	queue    mean    // reported queue for each request served at once
-	herd     float64 // from 0, this agent is alone, to 1, others send nearly all
-	crowd    float64 // between crowdAlone and crowd
-	lost     float64 // share of requests not served within their aim
+	waiting  []*request    // for probes
+	service  weighted.Mean // time of an answer, seconds
+	queue    weighted.Mean // reported queue for each request served at once
+	herd     float64       // from 0, this agent is alone, to 1, others send nearly all
+	crowd    float64       // between crowdAlone and crowd
+	lost     float64       // share of requests not served within their aim
 	pressure limit.Pressure
 	mix      limit.Mix
 	worth    float64      // mean worth of the classes
@@ -173,15 +122,15 @@
 	}
 	b := &Balancer{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0)), epoch: 1, servers: map[ServerID]*server{},
-		open: map[RequestID]*request{}, kinds: map[int]*kind{},
-		mix: limit.NewMix(len(s.Tenants)),
+		open: map[RequestID]*request{}, mix: limit.NewMix(len(s.Tenants)),
 	}
 	// What a server is sent by others between its report and a request is unknown, and grows with their number.
 	b.herd = 1 - 1/math.Sqrt(float64(s.Agents))
 	b.crowd = crowdAlone + (crowd-crowdAlone)*b.herd
-	b.room.v = math.Inf(1)
+	b.room.V = math.Inf(1)
 	for _, c := range s.Classes {
-		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: mean{c.Aim.Seconds() / 3, true}})
+		usual := weighted.Mean{V: c.Aim.Seconds() / 3, Known: true}
+		b.classes = append(b.classes, class{Class: c, index: len(b.classes), usual: usual})
 		b.worth += c.Worth / float64(len(s.Classes))
 	}
 	return b, nil
@@ -199,28 +148,6 @@
 	}
 }
 
-func (b *Balancer) kind(s *server) *kind {
-	k := b.kinds[s.Kind]
-	if k == nil {
-		k = &kind{ratio: mean{1, true}}
-		b.kinds[s.Kind] = k
-	}
-	return k
-}
-
-// entry finds the server of a line of the list, or makes it; a server not known that is gone stays unknown.
-func (b *Balancer) entry(e *ServerEntry) *server {
-	s := b.servers[e.ID]
-	if s == nil && e.State != Gone {
-		s = &server{rank: b.order(e.ID), health: make([]health, len(b.classes))}
-		b.servers[e.ID] = s
-		byRank := func(o *server, rank float64) int { return cmp.Compare(o.rank, rank) }
-		i, _ := slices.BinarySearchFunc(b.ring, s.rank, byRank)
-		b.ring = slices.Insert(b.ring, i, s)
-	}
-	return s
-}
-
 // Handle takes one event and appends what must be done to out.
 func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
 	b.now, b.out = max(now, b.now), out
@@ -258,7 +185,3 @@
 )
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func (b *Balancer) askIn(wait float64) {
-	b.act(Action{Kind: ActTimer, Token: tokenAsk, Wait: time.Duration(wait)})
-}
--- a/policy/view.go
+++ b/policy/view.go
@@ -39,8 +39,8 @@
 			v.ReportAge = b.now - s.loadAt
 		}
 		for c, h := range s.health {
-			if h.until > b.now {
-				v.Ejected = append(v.Ejected, Ejection{c, h.until - b.now, h.times})
+			if h.Out(b.now) {
+				v.Ejected = append(v.Ejected, Ejection{c, h.Until - b.now, h.Times})
 			}
 		}
 		views = append(views, v)
