--- a/internal/konkordia/machine_test.go
+++ b/internal/konkordia/machine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"runtime/debug"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -12,6 +14,7 @@
 var tracing = flag.Bool("tell", false, "tell what goes on")
 
 func TestExplore(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
 	acks, reads := 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		w, trouble := explore(seed, plant{})
@@ -44,3 +47,87 @@
 		})
 	}
 }
+
+// settled is a world in which a leads b and c, and all is well.
+func settled(t *testing.T) *world {
+	for seed := uint64(1); ; seed++ {
+		w := newWorld(seed, plant{})
+		for _, h := range w.hosts[:3] {
+			w.start(h)
+		}
+		w.run(3 * time.Second)
+		require.Len(t, w.members.Voters, 3)
+		if w.host("a").machine.role == leader {
+			return w
+		}
+	}
+}
+
+func (w *world) isolate(h *host) {
+	for _, o := range w.hosts {
+		w.cut[[2]string{h.address, o.address}], w.cut[[2]string{o.address, h.address}] = true, true
+	}
+}
+
+// What two of three have holds when one of them loses its disk and all others their power.
+func TestWipedAndPowerless(t *testing.T) {
+	for _, names := range [][2]string{{"a", "b"}, {"b", "a"}} {
+		w := settled(t)
+		wiped, whole, lags := w.host(names[0]), w.host(names[1]), w.host("c")
+		w.isolate(lags)
+		w.propose(w.host("a"), 7)
+		w.run(time.Second)
+		require.Equal(t, "acked", w.fate[7])
+		w.wipe(wiped)
+		w.stop(whole)
+		w.stop(lags)
+		clear(w.cut)
+		w.start(wiped)
+		w.start(lags)
+		w.run(10 * time.Second)
+		for _, h := range []*host{wiped, lags} {
+			require.NotEqual(t, leader, h.machine.role, "it leads with one that has forgotten")
+		}
+		require.Equal(t, "recovering", wiped.machine.Status().Role)
+		w.gone = w.host("d")
+		w.heal()
+		require.Equal(t, uint64(7), valueOf(whole.table[0].Command))
+		require.Equal(t, "follower", wiped.machine.Status().Role)
+	}
+}
+
+func TestWipedOneAfterTheOther(t *testing.T) {
+	w := settled(t)
+	w.gone = w.host("d")
+	w.propose(w.host("a"), 7)
+	w.run(time.Second)
+	for _, name := range []string{"a", "b", "c", "a"} {
+		require.True(t, w.mayWipe())
+		w.wipe(w.host(name))
+		w.start(w.host(name))
+		w.run(4 * time.Second)
+	}
+	w.heal()
+	require.Equal(t, "acked", w.fate[7])
+}
+
+// A member that comes long after the others at the first start just joins; one that is gone is replaced, and told so
+// when it is back.
+func TestReplacedAndBack(t *testing.T) {
+	w := newWorld(1, plant{})
+	w.start(w.host("a"))
+	w.start(w.host("b"))
+	w.run(5 * time.Second)
+	w.start(w.host("c"))
+	w.start(w.host("d"))
+	w.run(2 * time.Second)
+	require.Equal(t, "follower", w.host("c").machine.Status().Role)
+	require.Equal(t, "learner", w.host("d").machine.Status().Role)
+	w.stop(w.host("c"))
+	w.run(6 * time.Second)
+	require.Equal(t, "follower", w.host("d").machine.Status().Role)
+	w.start(w.host("c"))
+	w.run(4 * time.Second)
+	require.Equal(t, "learner", w.host("c").machine.Status().Role)
+	w.heal()
+}
--- a/internal/konkordia/sim_test.go
+++ b/internal/konkordia/sim_test.go
@@ -198,12 +198,7 @@
 			}
 		}
 	}
-	for _, v := range slices.Concat(newest.members.Voters, w.members.Voters) {
-		if w.lost[v] {
-			return false
-		}
-	}
-	return len(newest.members.Voters) >= 3 && len(w.members.Voters) >= 3
+	return !w.anyLost(newest.members.Voters) && !w.anyLost(w.members.Voters) && len(newest.members.Voters) >= 3 && len(w.members.Voters) >= 3
 }
 
 func (w *world) wipe(h *host) {
@@ -460,6 +455,20 @@
 	}
 }
 
+// calm tells whether all that are up follow one leader, with as many members as there should be and all applied.
+func (w *world) calm() bool {
+	for _, h := range w.hosts {
+		if h != w.gone && (h.machine.leader.Address == "" || h.applied != uint64(len(w.committed))) {
+			return false
+		}
+	}
+	return len(w.members.Voters) == 3 && !w.anyLost(w.members.Voters)
+}
+
+func (w *world) anyLost(voters []Member) bool {
+	return slices.ContainsFunc(voters, func(v Member) bool { return w.lost[v] })
+}
+
 // heal mends all, and demands that the hosts that are up agree, take proposals, and have lost nothing.
 func (w *world) heal() {
 	clear(w.cut)
@@ -470,7 +479,9 @@
 			w.start(h)
 		}
 	}
-	w.run(16 * time.Second)
+	for end := w.now + 16*time.Second; w.now < end && !w.calm(); {
+		w.run(time.Second)
+	}
 	for i, h := range w.hosts {
 		if h == w.gone {
 			continue
@@ -488,7 +499,7 @@
 			w.fail("%s: a proposal after all is mended comes to %q", h.address, w.fate[value])
 		}
 	}
-	if len(w.members.Voters) != 3 {
+	if len(w.members.Voters) != 3 || w.anyLost(w.members.Voters) {
 		w.fail("the members are %v", w.members)
 	}
 	for _, h := range w.hosts {
