--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -65,6 +65,8 @@
 	}
 }
 
+func (c *Core) now() time.Duration { return time.Since(c.began) }
+
 func (c *Core) do(f func()) { c.commands <- f }
 
 // Run serves until the context ends, hands leadership over and returns.
@@ -130,7 +132,7 @@
 		case f := <-c.commands:
 			f()
 		case <-tick.C:
-			c.registry.Step(time.Since(c.began))
+			c.registry.Step(c.now())
 		}
 	}
 }
--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -96,7 +96,7 @@
 			f.wake()
 		} else {
 			f.life = s.Life
-			if c.registry.Hear(time.Since(c.began), "feeds", false, []brentei.Heard{{Station: *s}}) {
+			if c.registry.Hear(c.now(), "feeds", false, []brentei.Heard{{Station: *s}}) {
 				c.spread(f.agent)
 			}
 		}
@@ -172,11 +172,11 @@
 		d.Config, d.Index, *index = s.encoded(), s.index, s.index
 	}
 	if f.whole {
-		d.Stations, d.Whole, f.whole = c.registry.All(), true, false
+		d.Stations, d.Whole, f.whole = c.registry.All(c.now()), true, false
 		clear(f.dirty)
 	}
 	for agent := range f.dirty {
-		if h, ok := c.registry.Of(agent); ok {
+		if h, ok := c.registry.Of(c.now(), agent); ok {
 			d.Stations = append(d.Stations, h)
 		}
 		delete(f.dirty, agent)
--- a/internal/averau/handlers.go
+++ b/internal/averau/handlers.go
@@ -141,7 +141,7 @@
 		b.Leave = true
 		found := make(chan string, 1)
 		h.c.do(func() {
-			for _, s := range h.c.registry.All() {
+			for _, s := range h.c.registry.All(h.c.now()) {
 				if s.Station.Backend != nil && s.Station.Backend.ID == id {
 					found <- s.Station.Agent
 					return
--- a/internal/brentei/message.go
+++ b/internal/brentei/message.go
@@ -30,6 +30,7 @@
 	Header  []string
 	Body    int64
 	Load    Load
+	Inner   bool // the backend failed after a call of its own had
 }
 
 // Load is what a gate knows of its backend: all that reaches it passes the gate.
--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -293,7 +293,7 @@
 	if !a.fresh && a.index == 0 {
 		return
 	}
-	a.sender.SetView(&vajolet.View{Config: a.config, Index: a.index, Stations: a.table.All()})
+	a.sender.SetView(&vajolet.View{Config: a.config, Index: a.index, Stations: a.table.All(a.now())})
 	if a.fresh && !a.ready.Swap(true) {
 		a.log.WithField("index", a.index).Info("ready")
 	}
--- a/internal/konkordia/message.go
+++ b/internal/konkordia/message.go
@@ -70,6 +70,7 @@
 	LogTerm uint64 // the term at Index
 	Commit  uint64
 	Entries []Entry
+	Quiet   bool // tells the commit alone: no reply unless the logs disagree
 
 	Sequence uint64 // of the leader's sends, told back by replies
 	Reject   bool   // of replies
--- a/internal/konkordia/replicate.go
+++ b/internal/konkordia/replicate.go
@@ -161,6 +161,7 @@
 		if more {
 			msg.Entries = m.log.after(p.next-1, mostMessage)
 		}
+		msg.Quiet = !more && p.stage == streaming && p.sent >= m.round
 		m.send(msg)
 		p.sent, p.told = m.round, m.commit
 		if p.stage == probing {
@@ -205,7 +206,9 @@
 	if to := min(msg.Commit, agreed); to > m.commit {
 		m.commitTo(to)
 	}
-	m.acknowledge(msg, agreed)
+	if !msg.Quiet {
+		m.acknowledge(msg, agreed)
+	}
 }
 
 // heed tells whether a leader's message counts, and follows it.
--- a/internal/konkordia/store.go
+++ b/internal/konkordia/store.go
@@ -40,7 +40,9 @@
 // store keeps a machine's state in a bbolt file. Each record carries a checksum over its key and value; one that doesn't fit
 // ends the start with an error, since to go on without it would be to forget a promise.
 type store struct {
-	db *bbolt.DB
+	db   *bbolt.DB
+	hard Hard // as written last
+	base base
 }
 
 // openStore opens the store in a folder, or makes one. A new file is made under another name and gets its own when it is
@@ -139,16 +141,25 @@
 
 // save writes in one transaction, which is synced when it returns.
 func (s *store) save(save *Save) error {
-	return s.db.Update(func(tx *bbolt.Tx) error { return s.write(tx, save) })
+	if err := s.db.Update(func(tx *bbolt.Tx) error { return s.write(tx, save) }); err != nil {
+		return err
+	}
+	s.hard, s.base = save.Hard, base{save.Base, save.BaseTerm}
+	return nil
 }
 
 func (s *store) write(tx *bbolt.Tx, save *Save) error {
 	meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
-	if err := putGob(meta, hardKey, save.Hard); err != nil {
-		return err
+	if save.Hard != s.hard || meta.Get(hardKey) == nil {
+		if err := putGob(meta, hardKey, save.Hard); err != nil {
+			return err
+		}
 	}
-	if err := putGob(meta, baseKey, base{save.Base, save.BaseTerm}); err != nil {
-		return err
+	at := base{save.Base, save.BaseTerm}
+	if at != s.base || meta.Get(baseKey) == nil {
+		if err := putGob(meta, baseKey, at); err != nil {
+			return err
+		}
 	}
 	if save.Snapshot != nil {
 		if err := putGob(meta, snapshotKey, save.Snapshot); err != nil {
@@ -202,6 +213,7 @@
 		if err := getGob(meta, hardKey, &state.Hard); err != nil {
 			return err
 		}
+		s.hard, s.base = state.Hard, at
 		state.Disk, state.Founder, state.Base, state.BaseTerm = id.Disk, id.Founder, at.Index, at.Term
 		if meta.Get(snapshotKey) != nil {
 			state.Snapshot = new(Snapshot)
--- a/internal/lagazuoi/table.go
+++ b/internal/lagazuoi/table.go
@@ -32,6 +32,7 @@
 
 type entry struct {
 	brentei.Station
+	told time.Duration // when it was said
 	seen time.Duration // when a source last had it as not lost
 }
 
@@ -71,7 +72,7 @@
 			changed = true
 		}
 		if old := t.lost(h.Station.Agent); h.Station.Newer(&e.Station) {
-			e.Station, changed = h.Station, true
+			e.Station, e.told, changed = h.Station, now, true
 			s.heard[h.Station.Agent] = h.Lost
 		} else if s.heard[h.Station.Agent] = h.Lost; old != t.lost(h.Station.Agent) {
 			changed = true
@@ -152,21 +153,33 @@
 	return nil
 }
 
-// All returns all stations in the order of their agents.
-func (t *Table) All() []brentei.Heard {
+// heard is a station as of now. Danger: what is left of a warm-up was left when it was said; passed on as it was, a backend would be
+// cold for ever to who hears of it late.
+func (t *Table) heard(now time.Duration, e *entry) brentei.Heard {
+	h := brentei.Heard{Station: e.Station, Lost: t.lost(e.Agent)}
+	if b := h.Station.Backend; b != nil && b.ColdLeft > 0 {
+		since := *b
+		since.ColdLeft = max(0, b.ColdLeft-(now-e.told))
+		h.Station.Backend = &since
+	}
+	return h
+}
+
+// All returns all stations, as of now, in the order of their agents.
+func (t *Table) All(now time.Duration) []brentei.Heard {
 	all := make([]brentei.Heard, 0, len(t.stations))
-	for agent, e := range t.stations {
-		all = append(all, brentei.Heard{Station: e.Station, Lost: t.lost(agent)})
+	for _, e := range t.stations {
+		all = append(all, t.heard(now, e))
 	}
 	slices.SortFunc(all, func(x, y brentei.Heard) int { return cmp.Compare(x.Station.Agent, y.Station.Agent) })
 	return all
 }
 
 // Of returns one station as All does.
-func (t *Table) Of(agent string) (brentei.Heard, bool) {
+func (t *Table) Of(now time.Duration, agent string) (brentei.Heard, bool) {
 	e := t.stations[agent]
 	if e == nil {
 		return brentei.Heard{}, false
 	}
-	return brentei.Heard{Station: e.Station, Lost: t.lost(agent)}, true
+	return t.heard(now, e), true
 }
--- a/internal/solvay/gate.go
+++ b/internal/solvay/gate.go
@@ -194,8 +194,8 @@
 	for i > 0 && t.before(g.waiting[i-1]) < 0 {
 		i--
 	}
-	full := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: g.wait(len(g.waiting) + 1)}
 	most := queueSlots * max(1, g.backend.Capacity)
+	full := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: max(g.wait(1), g.wait(i+1)-a.Patient)}
 	if g.wait(i+1) > a.Patient || i >= most {
 		return nil, g.refuse(full)
 	}
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -10,6 +10,12 @@
 	"example.org/micaline/internal/brentei"
 )
 
+// run is a request that the backend has in work.
+type run struct {
+	repeat bool
+	failed bool // a call of its own brought no success
+}
+
 // Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
 type Host struct {
 	pool       backendPool
@@ -20,7 +26,7 @@
 
 	mu   sync.Mutex
 	gate *Gate
-	runs map[string]bool // tries that the backend has in work, and whether they are repeats
+	runs map[string]*run // what the backend has in work, by try
 
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
@@ -29,7 +35,7 @@
 
 // NewHost returns a host whose backend has not been heard.
 func NewHost(r Rules, mostBody int64, news func()) *Host {
-	h := &Host{began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]bool{}}
+	h := &Host{began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
 	h.open.Store(true)
 	return h
@@ -74,8 +80,9 @@
 		return h.reply(f), nil
 	}
 	h.Handed.Add(1)
+	working := &run{repeat: a.Repeat}
 	h.mu.Lock()
-	h.runs[a.Try] = a.Repeat
+	h.runs[a.Try] = working
 	h.mu.Unlock()
 	if a.Left -= time.Since(arrived); a.Left < time.Millisecond {
 		a.Left = time.Millisecond
@@ -91,10 +98,10 @@
 	if f == nil {
 		meant = ans.meaning()
 	}
-	well := f == nil && meant == nil && ans.status < 500
 	var lost bool
 	h.mu.Lock()
 	now := h.now()
+	well := f == nil && meant == nil && (ans.status < 500 || working.failed)
 	delete(h.runs, a.Try)
 	h.gate.Done(now, took, f == nil && meant == nil, well)
 	if f != nil && f.Reason == brentei.Unknown || meant != nil && meant.Reason == brentei.Unknown {
@@ -115,6 +122,7 @@
 	h.Answered.Add(1)
 	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body))}
 	r.Load = h.load()
+	r.Inner = working.failed && ans.status >= 500
 	return r, ans.body
 }
 
@@ -166,19 +174,34 @@
 // Parent says whether a try is one that a run on this machine calls, and whether that run is a repeat. A backend's own calls have ids
 // that begin with the one of the request it runs, and a dot; where they don't, none is found, and the call is one like any other.
 func (h *Host) Parent(try string) (inner, repeat bool) {
-	id, _, dotted := strings.Cut(try, ".")
-	if !dotted {
+	if !strings.Contains(try, ".") {
 		return false, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if repeat, inner = h.runs[id]; inner {
-		return true, repeat
+	r := h.parent(try)
+	return r != nil, r != nil && r.repeat
+}
+
+// CallFailed says that a call of a run on this machine brought no success: if the run fails too, that is not the backend's fault.
+func (h *Host) CallFailed(try string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := h.parent(try); r != nil {
+		r.failed = true
+	}
+}
+
+// parent finds the run that makes a call. A call's own calls have ids that are longer by one more part.
+func (h *Host) parent(try string) *run {
+	id, _, _ := strings.Cut(try, ".")
+	if r := h.runs[id]; r != nil {
+		return r
 	}
-	if i := strings.LastIndexByte(try, '.'); i != len(id) { // calls of calls
-		repeat, inner = h.runs[try[:i]]
+	if i := strings.LastIndexByte(try, '.'); i > 0 {
+		return h.runs[try[:i]]
 	}
-	return inner, repeat
+	return nil
 }
 
 // Close has it take nothing more; what it has in hand goes on.
--- a/internal/vajolet/chooser.go
+++ b/internal/vajolet/chooser.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +19,12 @@
 	id      policy.ServerID
 	gate    string
 	backend string // id of its life
+	life    uint64 // of its gate
 	agent   string
 	zone    int
-	local   bool // beside this agent
-	cold    time.Duration
+	local   bool          // beside this agent
+	told    uint64        // number of its gate's word
+	cold    time.Duration // that was left of its warm-up then
 	start   time.Duration // on the chooser's clock, when its warm-up began; 0: long ago
 }
 
@@ -41,6 +42,7 @@
 	service string
 	classes []policy.Class
 	width   int // requests that a backend works on at once
+	warmup  time.Duration
 	began   time.Time
 	log     func(string)
 
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("service %s: %w", service, err)
 	}
-	return &chooser{service: service, classes: set.Classes, width: int(set.Width), began: time.Now(), log: log, module: module,
+	return &chooser{service: service, classes: set.Classes, width: int(set.Width), warmup: set.WarmAfter, began: time.Now(), log: log, module: module,
 		calls: map[policy.RequestID]*call{}, targets: map[policy.ServerID]*target{}}, nil
 }
 
@@ -74,8 +76,14 @@
 	now := c.now()
 	fresh := make(map[policy.ServerID]*target, len(list))
 	for _, t := range list {
-		if old := c.targets[t.id]; old != nil && old.backend == t.backend && (t.cold == 0 || old.start != 0 && now < old.start+2*t.cold) {
+		old := c.targets[t.id]
+		switch {
+		case old != nil && old.backend == t.backend && old.life == t.life && (t.told == old.told || t.cold == 0 && old.start < 0):
 			t.start = old.start
+		case t.cold > 0: // it began to warm up when this much was left of its time
+			t.start = max(1, now-max(0, c.warmup-t.cold))
+		default: // danger: what was learnt of another life, by broken connections mostly, would keep this one out
+			t.start = min(now-2*c.warmup-1, -1)
 		}
 		fresh[t.id] = t
 		entries = append(entries, policy.ServerEntry{ID: t.id, Zone: t.zone, State: policy.Ready, Weight: 1, Start: t.start, Key: uint32(t.id)})
@@ -197,11 +205,9 @@
 	c.arm()
 }
 
-// same says whether the module was made for these classes and width.
+// same says whether the module serves these classes, and backends so wide.
 func (c *chooser) same(classes []policy.Class, width int) bool {
-	return c.width == width && slices.EqualFunc(c.classes, classes, func(x, y policy.Class) bool {
-		return x.Effect == y.Effect && x.Worth == y.Worth && x.Aim == y.Aim && x.Deadline == y.Deadline
-	})
+	return c.width == width && serves(c.classes, classes)
 }
 
 // loadOf translates what a gate knows of its backend.
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -35,8 +35,10 @@
 	budgetShare = 0.5  // of the retry budget that agents spend by themselves: repeats make calls, which are repeats too
 	floorShare  = 0.5  // of the tries that are free for all: agents come and go, and start with a budget each
 	coldFrom    = 0.25 // of its capacity that a backend has at its start, until gates tell otherwise
-	worthFirst  = 2.0  // worth of rank 0 over that of rank 1
 	innerWorth  = 10.0 // of what a backend calls: all the work of its run hangs on it
+	lateWorth   = 0.1  // not nothing: a late answer is worth sending for
+	usualAim    = time.Second
+	alike       = 0.7 // by how much the logarithms of aims may differ: twice
 )
 
 // Sender is the data plane beside a caller.
@@ -95,7 +97,7 @@
 			continue
 		}
 		t := &target{id: idOf(h.Station.Agent), gate: h.Station.Gate, backend: b.ID, agent: h.Station.Agent,
-			zone: s.zones[b.Zone], local: h.Station.Agent == s.set.IP, cold: b.ColdLeft}
+			life: h.Station.Life, told: h.Station.Seq, zone: s.zones[b.Zone], local: h.Station.Agent == s.set.IP, cold: b.ColdLeft}
 		byService[b.Service] = append(byService[b.Service], t)
 		width[b.Service] = max(width[b.Service], b.Capacity)
 	}
@@ -117,12 +119,6 @@
 			s.serves[name] = c
 		}
 		list := byService[name]
-		sv := v.Config.Service(name)
-		for _, t := range list {
-			if t.cold > 0 && sv != nil {
-				t.start = max(1, c.now()-max(0, sv.Warmup-t.cold))
-			}
-		}
 		slices.SortFunc(list, func(x, y *target) int { return cmp.Compare(x.id, y.id) })
 		c.setTargets(list)
 	}
@@ -155,60 +151,68 @@
 	return set
 }
 
-// classesOf lists the kinds of requests that may go to a service, by what the module tells apart.
+// classesOf lists the kinds of requests that a service gets, by what the module tells apart: whether they may run twice, whether a
+// backend calls, and about how long they may take. Danger: a module that is made anew has forgotten all speeds and failures, so what
+// changes often makes no class of its own: each request brings the time that it has, and aims that are alike are one.
 func classesOf(c *margherita.Config, service string) []policy.Class {
 	var classes []policy.Class
-	add := func(k policy.Class) {
-		if !slices.ContainsFunc(classes, func(o policy.Class) bool { return sameClass(&o, &k) }) {
-			classes = append(classes, k)
+	add := func(effect policy.Effect, aim time.Duration) {
+		for _, worth := range []float64{1, innerWorth} {
+			k := policy.Class{Aim: aim, Deadline: 8 * aim, Worth: worth, LateWorth: lateWorth, Effect: effect}
+			if nearest(classes, effect, worth, aim) < 0 {
+				classes = append(classes, k)
+			}
 		}
 	}
-	for _, r := range c.Routes() {
-		if !slices.ContainsFunc(r.Shares, func(sh margherita.Share) bool { return sh.Service == service }) {
-			continue
+	add(policy.Pure, usualAim)
+	add(policy.SideEffect, usualAim)
+	routes := c.Routes()
+	slices.SortFunc(routes, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
+	for _, r := range routes {
+		if slices.ContainsFunc(r.Shares, func(sh margherita.Share) bool { return sh.Service == service }) {
+			add(effectOf(r), aimOf(r))
 		}
-		add(classOf(r, false))
-		add(classOf(r, true))
 	}
-	if len(classes) == 0 {
-		classes = append(classes, policy.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, LateWorth: 0.1})
-	}
-	slices.SortFunc(classes, func(x, y policy.Class) int {
-		return cmp.Or(cmp.Compare(x.Effect, y.Effect), cmp.Compare(x.Worth, y.Worth), cmp.Compare(x.Aim, y.Aim))
-	})
 	return classes
 }
 
-func sameClass(x, y *policy.Class) bool {
-	return x.Effect == y.Effect && x.Worth == y.Worth && x.Aim == y.Aim
+// nearest finds the class for a request; -1 if its aim is alike to none.
+func nearest(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) int {
+	best, far := -1, alike
+	for i, k := range classes {
+		if d := math.Abs(math.Log(k.Aim.Seconds() / aim.Seconds())); k.Effect == effect && k.Worth == worth && d <= far {
+			best, far = i, d
+		}
+	}
+	return best
 }
 
-// classOf is the class of a route's requests. Danger: a module that is made anew has forgotten all speeds, so what changes often,
-// the time-out, has no part in it: each request brings the time that it has. What a backend calls is a class of its own: a gate that
-// has no room for clients may have some for it.
-func classOf(r *margherita.Route, inner bool) policy.Class {
-	k := policy.Class{Aim: r.TargetTime, Worth: worthFirst / (1 + float64(r.Rank)), LateWorth: 0.1, Effect: policy.SideEffect}
-	if inner {
-		k.Worth = innerWorth
-	}
+func effectOf(r *margherita.Route) policy.Effect {
 	if r.Kind == margherita.Safe {
-		k.Effect = policy.Pure
+		return policy.Pure
 	}
-	if k.Aim <= 0 {
-		k.Aim = time.Second
+	return policy.SideEffect
+}
+
+func aimOf(r *margherita.Route) time.Duration {
+	if r.TargetTime <= 0 {
+		return usualAim
 	}
-	k.Deadline = 8 * k.Aim
-	return k
+	return r.TargetTime
 }
 
+// classIndex is the class of a route's requests.
 func classIndex(classes []policy.Class, r *margherita.Route, inner bool) int {
-	k := classOf(r, inner)
-	for i := range classes {
-		if sameClass(&classes[i], &k) {
-			return i
-		}
+	worth := 1.0
+	if inner {
+		worth = innerWorth
 	}
-	return 0
+	return max(0, nearest(classes, effectOf(r), worth, aimOf(r)))
+}
+
+// serves says whether all that goes to a service finds a class among these.
+func serves(classes, wanted []policy.Class) bool {
+	return !slices.ContainsFunc(wanted, func(k policy.Class) bool { return nearest(classes, k.Effect, k.Worth, k.Aim) < 0 })
 }
 
 // idOf derives a backend's number from its machine, the same at each agent and in each life.
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -130,7 +130,9 @@
 		s.refuse(w, 200*time.Millisecond)
 		return
 	}
-	s.answer(w, j, s.run(j, left))
+	if !s.answer(w, j, s.run(j, left)) && j.inner {
+		s.host.CallFailed(j.ask.Try)
+	}
 }
 
 func readBody(r *http.Request, most int64) ([]byte, error) {
@@ -242,6 +244,8 @@
 	case at.fail != nil:
 		s.Count.ByReason[at.fail.Reason].Add(1)
 		how, after = outcomeOf(at.fail), max(at.fail.After, leastFull)
+	case at.reply.Status >= 500 && at.reply.Inner:
+		how = policy.Cancelled // danger: were it the backend's fault, a service that is out would take out all that call it
 	case at.reply.Status >= 500:
 		how = policy.Error
 	}
@@ -253,8 +257,9 @@
 		j.last = at
 	}
 	j.mu.Unlock()
-	j.chooser.outcome(j.call, at.n, at.server, how, load, after, j.isDone())
-	return how == policy.OK
+	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
+	j.chooser.outcome(j.call, at.n, at.server, how, load, after, final || j.isDone())
+	return final
 }
 
 // outcomeOf translates a verdict for the module.
@@ -388,8 +393,8 @@
 	}
 }
 
-// answer tells the client what came of its request.
-func (s *Sender) answer(w http.ResponseWriter, j *job, e end) {
+// answer tells the client what came of its request, and says whether that is a success.
+func (s *Sender) answer(w http.ResponseWriter, j *job, e end) bool {
 	at := e.at
 	switch {
 	case e.refused:
@@ -397,7 +402,7 @@
 			e.after = max(e.after, at.fail.After)
 		}
 		s.refuse(w, e.after)
-		return
+		return false
 	case at == nil || at.fail != nil:
 		status, what := http.StatusBadGateway, "no answer"
 		if at != nil {
@@ -408,7 +413,7 @@
 		}
 		s.Count.Failed.Add(1)
 		s.say(w, status, what)
-		return
+		return false
 	}
 	h := w.Header()
 	for i := 0; i+1 < len(at.reply.Header); i += 2 {
@@ -431,6 +436,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(at.body)))
 	w.WriteHeader(status)
 	w.Write(at.body)
+	return status < 500
 }
 
 // refuse promises that the request did not run and tells when to come back.
