The own zone's backends are drawn from first, as far as they are not crowded

Ruled out: half weight for other zones, which still sends a third of the bodies. Heartbeats no longer name the core machines each time.

--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"example.org/micaline/internal/brentei"
@@ -146,7 +147,7 @@
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
 	var index uint64
-	cores := 0
+	var cores []string // as told
 	for {
 		next := make(chan brentei.Down, 1)
 		c.do(func() { next <- c.next(f, &index, &cores) })
@@ -167,7 +168,7 @@
 }
 
 // next is what an agent is told next. Danger: a proof covers the configuration that goes out with it, so it is taken with it.
-func (c *Core) next(f *feed, index *uint64, cores *int) (d brentei.Down) {
+func (c *Core) next(f *feed, index *uint64, cores *[]string) (d brentei.Down) {
 	if s := c.table.now.Load(); s.index > *index {
 		d.Config, d.Index, *index = s.encoded(), s.index, s.index
 	}
@@ -181,8 +182,8 @@
 		}
 		delete(f.dirty, agent)
 	}
-	if len(c.cores) > 0 {
-		d.Cores = c.cores
+	if !slices.Equal(*cores, c.cores) {
+		d.Cores, *cores = c.cores, c.cores
 	}
 	d.Fresh, f.proven = f.proven, 0
 	d.MinLife, f.min = f.min, 0
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -143,7 +143,7 @@
 	if !b.may(r, s) {
 		return false
 	}
-	if l := &r.class.line; b.warmth(s) < 1 {
+	if l := &r.class.line; b.warmth(s) < 1 && !b.set.Gates {
 		if i := slices.Index(l.servers, s); i >= 0 && b.rng.Float64() >= l.pass[i] {
 			return false
 		}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	draws      = 3    // draws before a request has nowhere to go
+	draws      = 3    // draws before a request has nowhere to go,
+	homeDraws  = 2    // after so many in its own zone, where that is asked for
 	crowd      = 2.2  // waiting requests over the root of those served at once: beyond, servers jam,
 	crowdAlone = 3.0  // where this agent is the only one and knows all that is sent
 	reportLife = 6.0  // service times that half of a report's news lasts, as queues do
@@ -48,7 +49,7 @@
 	case s.probing || b.now < max(s.full, s.health[r.class.index].Until): // not even a probe is answered, or no room
 		return true
 	case b.set.Gates: // danger: a gate knows what it has, and what waits there goes by what it is worth
-		return b.now < s.health[r.class.index].Full
+		return b.now < s.health[r.class.index].Full || b.home(r) && held >= width
 	case b.set.Reports == ReportsOff:
 		return held >= b.limit(s)
 	case !s.load.Known || held < width:
@@ -74,7 +75,11 @@
 
 // place sends the request to a server, or lets it wait for a probe, or says that there is no room.
 func (b *Balancer) place(r *request) bool {
-	for ; r.draws < draws; r.draws++ {
+	most := draws
+	if b.set.HomeFirst {
+		most += homeDraws
+	}
+	for ; r.draws < most; r.draws++ {
 		if r.a, r.c = b.draw(r); r.a == nil {
 			return false
 		}
--- a/policy/line.go
+++ b/policy/line.go
@@ -25,16 +25,18 @@
 }
 
 // rebuild makes a class's line, the first open to it on this agent's ring, and the sums that its draws use.
-func (b *Balancer) rebuild(c *class) {
-	l := &c.line
+func (b *Balancer) rebuild(c *class, l *line) {
 	l.epoch, l.next, l.servers = b.epoch, math.MaxInt64, l.servers[:0]
 	// Danger: agents x servers connections fill all tables; many teach little, few are overloaded.
 	size := max(shortestLine, agentsPerServer*len(b.ring)/b.set.Agents,
 		b.budget.Taken(b.now-seconds(retrySpan))/requestsEach)
+	if b.set.Gates {
+		size = len(b.ring) // gates keep few connections to servers, however many agents there are
+	}
 	for _, s := range b.ring {
 		until := s.health[c.index].Until
 		switch {
-		case s.State != Ready || !c.eligible(s):
+		case s.State != Ready || !c.eligible(s) || l == &c.home && s.Zone != b.set.Zone:
 		case until > b.now:
 			l.next = min(l.next, until)
 		case len(l.servers) < size:
@@ -59,7 +61,7 @@
 	l.pairs = weighted.Pairs(l.mu, l.pairs[:0])
 	for j, s := range l.servers {
 		pass := 1.0
-		if w := b.warmth(s); w < 1 {
+		if w := b.warmth(s); w < 1 && !b.set.Gates {
 			// Danger: all agents together push it over. Even if it wins each of its pairs, and what it turns
 			// away comes again, it gets its present share of this agent's traffic.
 			inflow := (dedicated*s.built + (1-dedicated)*l.pairs.Span(j-1, j+1)) / sum
@@ -70,11 +72,21 @@
 	}
 }
 
+// home says whether a request is drawn from its own zone's servers for now.
+func (b *Balancer) home(r *request) bool { return b.set.HomeFirst && r.draws < homeDraws }
+
 // draw picks a dedicated server (c is nil), or a pair. Both are nil when no server is ready.
 func (b *Balancer) draw(r *request) (a, c *server) {
 	of, l := r.class, &r.class.line
+	if b.home(r) {
+		l = &of.home
+	}
 	if l.epoch != b.epoch || b.now >= l.next {
-		b.rebuild(of)
+		b.rebuild(of, l)
+	}
+	if l == &of.home && len(l.servers) == 0 {
+		r.draws = homeDraws
+		return b.draw(r)
 	}
 	switch n := len(l.servers); {
 	case r.remembered(b.now) > 0:
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,6 +69,7 @@
 	first time.Duration // how long a client's first try waits
 	usual weighted.Mean // time of an answer, seconds
 	line  line
+	home  line // of it, those in the agent's own zone
 }
 
 // line is what the requests of one class are drawn from: only servers that are open to it.
--- a/policy/types.go
+++ b/policy/types.go
@@ -66,6 +66,7 @@
 	Rank, Agents   int     // this agent's number, from 0, and how many there are
 	Zone           int     // this agent's
 	CrossZone      float64 // what a request that leaves it costs, as a part of its worth
+	HomeFirst      bool    // servers of this zone are drawn from first, as far as they are not crowded
 	ProbeFee       float64 // what a probe costs, as a part of a request's worth
 	Classes        []Class
 	Tenants        []Tenant // may be empty
