--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -33,6 +33,7 @@
 	queue       = 256 // commands that wait for the owner
 	leaveNotice = 2200 * time.Millisecond
 	mostBody    = 64 << 20
+	roomPart    = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
 )
 
 // Agent is the process. Its fields from table on belong to the goroutine of own.
@@ -69,8 +70,12 @@
 	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: lagazuoi.New(), began: time.Now(),
 		config: margherita.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
 	a.links = &brentei.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
-	a.host = solvay.NewHost(a.rules(), mostBody, a.news)
-	a.sender = vajolet.New(set, a.host, a.links, l)
+	room := brentei.NewRoom(mostBody)
+	if set.MemoryMB > 0 {
+		room = brentei.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
+	}
+	a.host = solvay.NewHost(a.rules(), mostBody, room, a.news)
+	a.sender = vajolet.New(set, a.host, a.links, room, l)
 	return a
 }
 
--- a/internal/konkordia/api.go
+++ b/internal/konkordia/api.go
@@ -8,8 +8,8 @@
 )
 
 var (
-	// ErrNoLeader says that no leader was found, and that the command was not appended and never will be: it may be tried
-	// again, here or at another node.
+	// ErrNoLeader says that no leader was found, and that the command was not appended and never
+	// will be: it may be tried again, here or at another node.
 	ErrNoLeader = errors.New("konkordia: no leader; the command was not appended")
 	// ErrUnknown says that the command may hold, now or later.
 	ErrUnknown = errors.New("konkordia: unknown whether the command holds")
--- a/internal/konkordia/election.go
+++ b/internal/konkordia/election.go
@@ -78,8 +78,8 @@
 	m.changes++
 }
 
-// campaign asks for votes. A preCandidate only asks whether it would get them, so that who is cut off doesn't raise the terms
-// of all when it comes back.
+// campaign asks for votes. A preCandidate only asks whether it would get them, so that who is cut
+// off doesn't raise the terms of all when it comes back.
 func (m *Machine) campaign(as role) {
 	m.resetElection()
 	m.role, m.votes, m.leader = as, nil, Member{}
@@ -164,8 +164,8 @@
 	m.lead()
 }
 
-// lead begins to lead. The entry that opens the term commits what is left of earlier terms, since those are not committed by
-// counting.
+// lead begins to lead. The entry that opens the term commits what is left of earlier terms, since
+// those are not committed by counting.
 func (m *Machine) lead() {
 	m.ledBy(Member{m.self, m.disk})
 	m.role, m.votes = leader, nil
@@ -178,7 +178,8 @@
 	m.askLeader(0)
 }
 
-// HandOver begins to hand leadership to the voter that has most, if we lead. It tells whether it did.
+// HandOver begins to hand leadership to the voter that has most, if we lead. It tells whether it
+// did.
 func (m *Machine) HandOver() bool {
 	if m.role != leader {
 		return false
--- a/internal/konkordia/log.go
+++ b/internal/konkordia/log.go
@@ -14,8 +14,8 @@
 	members Members
 }
 
-// entryLog is the part of the log that is kept, behind a base. Entries are never changed in place: messages that are on
-// their way share them.
+// entryLog is the part of the log that is kept, behind a base. Entries are never changed in place:
+// messages that are on their way share them.
 type entryLog struct {
 	base, baseTerm uint64
 	entries        []Entry
--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -1,30 +1,36 @@
-// Package konkordia is the mesh's agreement: consensus on a replicated log, by an elected leader, as Raft has it. Konkordia
-// is a hut above the Aletsch glacier, where several streams of ice become one.
+// Package konkordia is the mesh's agreement: consensus on a replicated log, by an elected leader,
+// as Raft has it. Konkordia is a hut above the Aletsch glacier, where several streams of ice become
+// one.
 //
-// The model. There are members, each a disk at an address, a log of entries, and a table at every node that the committed
-// entries are applied to in order. A Machine is one node's part. It does no I/O, has no clock and starts no goroutines: it is
-// handed messages, the time and what its disk has synced, and it says what to save, what to send, what to apply and which
-// proposals and reads are done. A Node runs one over a bbolt file.
+// The model. There are members, each a disk at an address, a log of entries, and a table at every
+// node that the committed entries are applied to in order. A Machine is one node's part. It does no
+// I/O, has no clock and starts no goroutines: it is handed messages, the time and what its disk has
+// synced, and it says what to save, what to send, what to apply and which proposals and reads are
+// done. A Node runs one over a bbolt file.
 //
-// What may happen. Messages are lost, doubled, delayed and reordered, in one direction or both. Processes are killed and
-// frozen at any time, also between a sync and an answer. Power goes, and takes what wasn't synced. A disk is lost whole. Clocks
-// are only used to decide when to try something.
+// What may happen. Messages are lost, doubled, delayed and reordered, in one direction or both.
+// Processes are killed and frozen at any time, also between a sync and an answer. Power goes, and
+// takes what wasn't synced. A disk is lost whole. Clocks are only used to decide when to try
+// something.
 //
-// What is promised. An entry is committed once a majority of the members has synced it, and stays at its place for ever. A
-// proposal that was reported as done is committed; one that failed with ErrNoLeader is nowhere and never will be; only
-// ErrUnknown leaves it open. A read that succeeded sees all that was committed before it was asked. All this holds while fewer
-// than a majority of the disks are lost at a time, whoever else is down.
+// What is promised. An entry is committed once a majority of the members has synced it, and stays
+// at its place for ever. A proposal that was reported as done is committed; one that failed with
+// ErrNoLeader is nowhere and never will be; only ErrUnknown leaves it open. A read that succeeded
+// sees all that was committed before it was asked. All this holds while fewer than a majority of
+// the disks are lost at a time, whoever else is down.
 //
-// A disk that is lost is another member. Each store draws a number when it is made; votes and acknowledgements carry it,
-// and count only for the member with that number. So a node that has forgotten what it promised is nobody: it asks to be
-// replicated to as a learner, and when it has caught up, the leader takes the lost disk out of the members and then the new
-// one in, by two entries of the log. Both ways any two majorities in succession have a node in common that forgot nothing. With
-// three members the first of them needs both others. Two entries that are no more than a change of name are the exception:
-// the first members don't know each other's numbers, so disk 0 stands for a disk made at the first start until a leader has
-// heard its number and has it written into the members.
+// A disk that is lost is another member. Each store draws a number when it is made; votes and
+// acknowledgements carry it, and count only for the member with that number. So a node that has
+// forgotten what it promised is nobody: it asks to be replicated to as a learner, and when it has
+// caught up, the leader takes the lost disk out of the members and then the new one in, by two
+// entries of the log. Both ways any two majorities in succession have a node in common that forgot
+// nothing. With three members the first of them needs both others. The first members don't know
+// each other's numbers: disk 0 stands for a disk made at the first start, until a leader has heard
+// its number and has it written into the members, which changes no majority.
 //
-// Members change by one voter at a time, once the change before is committed and the leader has committed an entry of its
-// own term. A voter that is taken out and comes back is told so when it campaigns, and becomes a learner.
+// Members change by one voter at a time, once the change before is committed and the leader has
+// committed an entry of its own term. A voter that is taken out and comes back is told so when it
+// campaigns, and becomes a learner.
 package konkordia
 
 import (
@@ -110,8 +116,8 @@
 	Err   error
 }
 
-// Output is what a Machine wants done, in this order; but Save may be under way while more is handed to the machine, until it
-// is told of it by Saved.
+// Output is what a Machine wants done, in this order; but Save may be under way while more is
+// handed to the machine, until it is told of it by Saved.
 type Output struct {
 	Send    []Message
 	Restore *Snapshot
@@ -153,7 +159,8 @@
 	began      uint64 // the term that this life began in
 	changes    uint64 // of the leader
 
-	// What the disk has. A promise waits in held until a Save that covers it is under way, then in waiting until it is synced.
+	// What the disk has. A promise waits in held until a Save that covers it is under way, then in
+	// waiting until it is synced.
 	hardDirty, baseDirty    bool
 	saving                  bool
 	handed, savedTo, synced uint64 // entries up to here were handed out, are in the Save under way, are on disk
@@ -184,7 +191,8 @@
 	restore *Snapshot
 }
 
-// New makes a machine of what a disk holds. A first member finds the first members in its log: see Found.
+// New makes a machine of what a disk holds. A first member finds the first members in its log: see
+// Found.
 func New(c Config) *Machine {
 	m := &Machine{self: c.Self, seeds: c.Seeds, life: c.Life, replace: c.Replace, rng: c.Rand, disk: c.State.Disk,
 		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, compact: compactAfter}
@@ -215,7 +223,8 @@
 	return m
 }
 
-// Found is the log of a first member: the seeds, by addresses alone, since nobody knows any disk yet.
+// Found is the log of a first member: the seeds, by addresses alone, since nobody knows any disk
+// yet.
 func Found(seeds []string) []Entry {
 	members := &Members{Target: len(seeds)}
 	for _, s := range sorted(seeds) {
--- a/internal/konkordia/machine_test.go
+++ b/internal/konkordia/machine_test.go
@@ -39,7 +39,8 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); ; seed++ {
 				require.Less(t, seed, uint64(500), "not found")
-				// That nothing goes on any more would be a finding too, but not the one that is asked for.
+				// That nothing goes on any more would be a finding too, but not the one that is
+				// asked for.
 				if _, trouble := explore(seed, p); trouble != nil && !strings.Contains(fmt.Sprint(trouble), "after all") {
 					t.Logf("seed %d: %v", seed, trouble)
 					return
@@ -112,8 +113,8 @@
 	require.Equal(t, "acked", w.fate[7])
 }
 
-// A member that comes long after the others at the first start just joins; one that is gone is replaced, and told so
-// when it is back.
+// A member that comes long after the others at the first start just joins; one that is gone is
+// replaced, and told so when it is back.
 func TestReplacedAndBack(t *testing.T) {
 	w := newWorld(1, plant{})
 	w.start(w.host("a"))
@@ -134,8 +135,8 @@
 	w.heal()
 }
 
-// A vote outlives a crash right after it. Planted: the disk forgets it, and two lead in one term. By chance alone this takes
-// thousands of seeds.
+// A vote outlives a crash right after it. Planted: the disk forgets it, and two lead in one term.
+// By chance alone this takes thousands of seeds.
 func TestVoteOutlivesCrash(t *testing.T) {
 	for _, forgets := range []bool{false, true} {
 		w := settled(t)
@@ -162,7 +163,8 @@
 	}
 }
 
-// An answer to an append of an earlier term confirms no round: its sender may lead again, with rounds that begin anew.
+// An answer to an append of an earlier term confirms no round: its sender may lead again, with
+// rounds that begin anew.
 func TestStaleAppendConfirmsNothing(t *testing.T) {
 	b := settled(t).host("b").machine
 	b.Step(Message{Kind: Append, From: "a", To: "b", Term: b.hard.Term - 1, Sequence: 99})
--- a/internal/konkordia/members.go
+++ b/internal/konkordia/members.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// join asks to be replicated to: the leader if it is known, otherwise all addresses that may know it.
+// join asks to be replicated to: the leader if it is known, otherwise all addresses that may know
+// it.
 func (m *Machine) join() {
 	m.joinWait = min(max(2*m.joinWait, joinFirst), joinEvery)
 	m.joinAt = m.now + m.joinWait
@@ -55,8 +56,8 @@
 	m.send(Message{Kind: Join, To: address, MembersAt: m.log.current().at})
 }
 
-// onJoin takes in a learner. Join messages may be old: one that names a disk which is there no more does no harm, since
-// only a learner that answers is taken further.
+// onJoin takes in a learner. Join messages may be old: one that names a disk which is there no more
+// does no harm, since only a learner that answers is taken further.
 func (m *Machine) onJoin(msg Message) {
 	if m.role != leader {
 		m.hint(msg.From)
@@ -118,7 +119,8 @@
 	}
 }
 
-// plan is what a leader does about the members, one change at a time and each only after the one before holds.
+// plan is what a leader does about the members, one change at a time and each only after the one
+// before holds.
 func (m *Machine) plan() {
 	current := m.log.current()
 	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
@@ -198,7 +200,8 @@
 	m.changeIfHealthy(slices.Delete(slices.Clone(voters), i, i+1), target)
 }
 
-// changeIfHealthy changes the members if a majority of the new ones is there: otherwise nothing would be committed after.
+// changeIfHealthy changes the members if a majority of the new ones is there: otherwise nothing
+// would be committed after.
 func (m *Machine) changeIfHealthy(voters []Member, target int) {
 	next := Members{Voters: voters, Target: target}
 	heard := 0
--- a/internal/konkordia/message.go
+++ b/internal/konkordia/message.go
@@ -21,7 +21,8 @@
 	ReadReply                    //
 )
 
-// Entry is one place of the log: a command, a change of members, or nothing but the opening of a term.
+// Entry is one place of the log: a command, a change of members, or nothing but the opening of a
+// term.
 type Entry struct {
 	Index, Term uint64
 	Origin      uint64 // of a command: the life of the process that it was proposed at,
@@ -30,15 +31,16 @@
 	Members     *Members
 }
 
-// Member is a voter. It is a disk at an address: a disk that is gone takes its promises with it, so what comes back empty at
-// the same address is somebody else. Disk 0 stands for the disk of the first start, until its number has been heard.
+// Member is a voter. It is a disk at an address: a disk that is gone takes its promises with it, so
+// what comes back empty at the same address is somebody else. Disk 0 stands for the disk of the
+// first start, until its number has been heard.
 type Member struct {
 	Address string
 	Disk    uint64
 }
 
-// Place is a place of the log as one leader had it. Of two places the one with the later term is newer, whatever their
-// indexes: entries that never held may lie further on.
+// Place is a place of the log as one leader had it. Of two places the one with the later term is
+// newer, whatever their indexes: entries that never held may lie further on.
 type Place struct{ Term, Index uint64 }
 
 func (p Place) before(q Place) bool { return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index }
--- a/internal/konkordia/node.go
+++ b/internal/konkordia/node.go
@@ -48,8 +48,8 @@
 	err    error
 }
 
-// Node runs a Machine over a store. One goroutine owns both and the table; it works through a queue of requests, and what
-// queues while it syncs goes into the next sync together.
+// Node runs a Machine over a store. One goroutine owns both and the table; it works through a queue
+// of requests, and what queues while it syncs goes into the next sync together.
 type Node struct {
 	options          Options
 	requests         chan request
@@ -139,7 +139,8 @@
 	return err
 }
 
-// ask queues a request and waits. An end without an answer is reported as late, by itself and with the context's error.
+// ask queues a request and waits. An end without an answer is reported as late, by itself and with
+// the context's error.
 func (n *Node) ask(ctx context.Context, r request, late error) (Result, error) {
 	r.waiter = &waiter{late: late, done: make(chan outcome, 1)}
 	select {
@@ -220,8 +221,8 @@
 	}
 }
 
-// arm sets the timer, unless it rings earlier anyway: the deadline moves on with each heartbeat, and to look once too often is
-// cheaper than to move the timer with it.
+// arm sets the timer, unless it rings earlier anyway: the deadline moves on with each heartbeat,
+// and to look once too often is cheaper than to move the timer with it.
 func (n *Node) arm() {
 	at := max(n.machine.Deadline(), time.Since(n.begin)+min(n.options.Tick, heartbeat))
 	if n.ringing && n.armed <= at {
@@ -286,7 +287,8 @@
 		if o.Save != nil {
 			began := time.Now()
 			if err := n.store.save(o.Save); err != nil {
-				// What a failed sync left on the disk is unknown, so nothing may be promised from here on.
+				// What a failed sync left on the disk is unknown, so nothing may be promised from
+				// here on.
 				panic(fmt.Sprintf("konkordia: the store can't be written: %v", err))
 			}
 			n.syncs++
--- a/internal/konkordia/propose.go
+++ b/internal/konkordia/propose.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// pending is a proposal of this node. Its fate is known for certain once it is applied, or once an entry of a later term than
-// the one in which it was given to the leader is: what isn't there by then can't come any more, since terms never go back
-// along the log.
+// pending is a proposal of this node. Its fate is known for certain once it is applied, or once an
+// entry of a later term than the one in which it was given to the leader is: what isn't there by
+// then can't come any more, since terms never go back along the log.
 type pending struct {
 	id      uint64
 	term    uint64
@@ -31,8 +31,8 @@
 	need       uint64 // round of heartbeats
 }
 
-// origin remembers which proposals of one process a leader has dealt with, whichever way, so that a message which comes
-// twice has no second effect.
+// origin remembers which proposals of one process a leader has dealt with, whichever way, so that a
+// message which comes twice has no second effect.
 type origin struct {
 	life uint64
 	high uint64
@@ -110,9 +110,10 @@
 	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool { return a.id == id })
 }
 
-// onForward appends what another node proposes, in the term it believes in. A refusal is certain only if no message with this
-// proposal can have been or will be taken: all of this life are remembered, and an earlier life on this disk wasn't a leader in
-// a later term than this one began in. Otherwise there is no answer, and the log will tell.
+// onForward appends what another node proposes, in the term it believes in. A refusal is certain
+// only if no message with this proposal can have been or will be taken: all of this life are
+// remembered, and an earlier life on this disk wasn't a leader in a later term than this one began
+// in. Otherwise there is no answer, and the log will tell.
 func (m *Machine) onForward(msg Message) {
 	if msg.Term > m.hard.Term || !m.fresh(msg.Origin, msg.ID) {
 		return
@@ -182,8 +183,9 @@
 	m.send(msg)
 }
 
-// askLeader gives the leader again what it was given longer ago than this. It tells proposals apart, so they have no second
-// effect; one that was given to a leader of an earlier term waits for the log instead.
+// askLeader gives the leader again what it was given longer ago than this. It tells proposals
+// apart, so they have no second effect; one that was given to a leader of an earlier term waits for
+// the log instead.
 func (m *Machine) askLeader(ago time.Duration) {
 	for i := range m.asks {
 		if a := &m.asks[i]; !a.known && m.now-a.sent >= ago {
@@ -206,8 +208,8 @@
 	})
 }
 
-// onReadAsk takes a read, as a leader. It is answered once a round of heartbeats that begins after it has been
-// acknowledged by a majority: until then there may be another leader by now.
+// onReadAsk takes a read, as a leader. It is answered once a round of heartbeats that begins after
+// it has been acknowledged by a majority: until then there may be another leader by now.
 func (m *Machine) onReadAsk(msg Message) {
 	if m.role != leader || len(m.reads) >= mostReads {
 		m.send(Message{Kind: ReadReply, To: msg.From, Origin: msg.Origin, ID: msg.ID, Reject: true})
@@ -217,8 +219,8 @@
 	m.confirmReads()
 }
 
-// confirmReads answers the reads whose round is acknowledged, with the commit of now, which isn't known to be that of all
-// before an entry of this term is committed.
+// confirmReads answers the reads whose round is acknowledged, with the commit of now, which isn't
+// known to be that of all before an entry of this term is committed.
 func (m *Machine) confirmReads() {
 	if m.role != leader || m.commit < m.opened || len(m.reads) == 0 {
 		return
--- a/internal/konkordia/replicate.go
+++ b/internal/konkordia/replicate.go
@@ -31,7 +31,8 @@
 	installedAt time.Duration
 }
 
-// is tells whether a reply comes from this peer. A member by disk 0 is the first disk that was heard of it.
+// is tells whether a reply comes from this peer. A member by disk 0 is the first disk that was
+// heard of it.
 func (p *progress) is(msg Message) bool {
 	return p.member.is(msg.From, msg.Disk, msg.Founder) && (p.disk == 0 || p.disk == msg.Disk)
 }
@@ -62,8 +63,8 @@
 	m.peers = peers
 }
 
-// beat is a leader's heartbeat. A leader that hasn't heard a majority for long stands back, so that those who ask it go
-// elsewhere.
+// beat is a leader's heartbeat. A leader that hasn't heard a majority for long stands back, so that
+// those who ask it go elsewhere.
 func (m *Machine) beat() {
 	m.beatAt = m.now + heartbeat
 	if !m.majorityHeard(m.log.current().members, electionMax) {
@@ -214,7 +215,8 @@
 // heed tells whether a leader's message counts, and follows it.
 func (m *Machine) heed(msg Message) bool {
 	if msg.Term < m.hard.Term {
-		// Without the round: the sender may lead again by now, in this very term, and would take it for one of today's.
+		// Without the round: the sender may lead again by now, in this very term, and would take it
+		// for one of today's.
 		m.send(Message{Kind: AppendReply, To: msg.From, Reject: true})
 		return false
 	}
--- a/internal/konkordia/sim_test.go
+++ b/internal/konkordia/sim_test.go
@@ -20,7 +20,8 @@
 	localRead    bool // who leads answers reads alone
 }
 
-// world is a few machines in virtual time, with a network and disks that fail by a seed, and a judge.
+// world is a few machines in virtual time, with a network and disks that fail by a seed, and a
+// judge.
 type world struct {
 	rng     *rand.Rand
 	now     time.Duration
@@ -409,7 +410,8 @@
 	}
 }
 
-// calm tells whether all that are up follow one leader, with as many members as there should be and all applied.
+// calm tells whether all that are up follow one leader, with as many members as there should be and
+// all applied.
 func (w *world) calm() bool {
 	var leads *host
 	for _, h := range w.hosts {
@@ -432,7 +434,8 @@
 	return slices.ContainsFunc(voters, func(v Member) bool { return w.lost[v] })
 }
 
-// heal mends all, and demands that the hosts that are up agree, take proposals, and have lost nothing.
+// heal mends all, and demands that the hosts that are up agree, take proposals, and have lost
+// nothing.
 func (w *world) heal() {
 	clear(w.cut)
 	w.rough, w.crashes = 0, 0
--- a/internal/konkordia/store.go
+++ b/internal/konkordia/store.go
@@ -37,16 +37,18 @@
 // base is where the log begins.
 type base struct{ Index, Term uint64 }
 
-// store keeps a machine's state in a bbolt file. Each record carries a checksum over its key and value; one that doesn't fit
-// ends the start with an error, since to go on without it would be to forget a promise.
+// store keeps a machine's state in a bbolt file. Each record carries a checksum over its key and
+// value; one that doesn't fit ends the start with an error, since to go on without it would be to
+// forget a promise.
 type store struct {
 	db   *bbolt.DB
 	hard Hard // as written last
 	base base
 }
 
-// openStore opens the store in a folder, or makes one. A new file is made under another name and gets its own when it is
-// whole: a loss of power then leaves a store, or none that has promised anything.
+// openStore opens the store in a folder, or makes one. A new file is made under another name and
+// gets its own when it is whole: a loss of power then leaves a store, or none that has promised
+// anything.
 func openStore(dir string, founder bool, seeds []string) (*store, State, error) {
 	errs := oops.In("konkordia").With("folder", dir)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -16,11 +16,15 @@
 	failed bool // a call of its own brought no success
 }
 
+// roomAgain is when there may be room for a body again: bodies are held for about so long.
+const roomAgain = 250 * time.Millisecond
+
 // Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
 type Host struct {
 	pool       backendPool
 	mostAnswer int64
 	mostBody   int64
+	room       *brentei.Room // for bodies
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
@@ -34,8 +38,8 @@
 }
 
 // NewHost returns a host whose backend has not been heard.
-func NewHost(r Rules, mostBody int64, news func()) *Host {
-	h := &Host{began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
+func NewHost(r Rules, mostBody int64, room *brentei.Room, news func()) *Host {
+	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
 	h.open.Store(true)
 	return h
@@ -69,14 +73,17 @@
 		}
 		if ask.Hold && c.Send(&brentei.Reply{Go: true}, nil) != nil {
 			h.came(&ask)
+			h.room.Free(ask.Body)
 			return
 		}
 		body, err := c.Body(ask.Body, h.mostBody)
 		h.came(&ask)
 		if err != nil {
+			h.room.Free(ask.Body)
 			return
 		}
 		reply, out := h.Handle(&ask, body)
+		h.room.Free(ask.Body)
 		if c.Send(reply, out) != nil {
 			return
 		}
@@ -91,6 +98,11 @@
 		if f := h.gate.Offer(h.now(), a); f != nil {
 			return f
 		}
+		if !h.room.Take(a.Body) {
+			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: roomAgain}
+		}
+	} else {
+		h.room.Free(-a.Body) // short, and on its way: it is taken, and long ones find less
 	}
 	h.gate.Coming(a.Body)
 	return nil
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -46,6 +46,7 @@
 	set   *nuvolau.Settings
 	host  *solvay.Host // the gate on this machine
 	links *brentei.Pool
+	room  *brentei.Room // for bodies
 	log   log.Interface
 	zones map[string]int
 
@@ -59,8 +60,8 @@
 }
 
 // New returns a sender that knows nothing and refuses all.
-func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, l log.Interface) *Sender {
-	s := &Sender{set: set, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
+	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
 	}
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	leastAfter  = 50 * time.Millisecond
 	leastFull   = 20 * time.Millisecond // that a gate which refused is passed by: it costs a message to ask
 	longBody    = 48 << 10              // bytes from which a body is offered before it is sent: a refusal would have carried it for nothing
+	firstChunk  = 16 << 10              // bytes that a body without a length is given room for at first
 	innerPart   = 2                     // a backend's own call waits for this part of its time
 	mostAfter   = 2 * time.Second
 )
@@ -92,14 +94,19 @@
 		s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
 		return
 	}
-	body, err := readBody(r, most)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
+	body, held, err := s.readBody(r, most)
+	defer s.room.Free(held)
+	switch {
+	case errors.Is(err, errNoRoom):
+		w.Header().Set("Connection", "close") // the rest of the body is not waited for
+		s.refuse(w, leastAfter)
+		return
+	case errors.Is(err, errTooLarge):
+		s.Count.Bad.Add(1)
+		s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
+		return
+	case err != nil:
 		s.Count.Bad.Add(1)
-		if errors.As(err, &tooLarge) {
-			s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
-			return
-		}
 		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
 	}
 	j := &job{route: route, body: body, done: make(chan struct{})}
@@ -136,16 +143,45 @@
 	}
 }
 
-func readBody(r *http.Request, most int64) ([]byte, error) {
+var (
+	errNoRoom   = errors.New("no room for the body")
+	errTooLarge = errors.New("the body is too large")
+)
+
+// readBody reads a request's body whole, and returns how much room it holds, also with an error.
+func (s *Sender) readBody(r *http.Request, most int64) (body []byte, held int64, err error) {
 	switch {
 	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
-		return nil, nil
+		return nil, 0, nil
 	case r.ContentLength > 0:
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+		if !s.room.Take(r.ContentLength) {
+			return nil, 0, errNoRoom
+		}
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+		return body, r.ContentLength, err
+	}
+	// In chunks: room is taken as the buffer grows.
+	for {
+		if len(body) == cap(body) {
+			more := int64(max(cap(body), firstChunk))
+			if !s.room.Take(more) {
+				return nil, held, errNoRoom
+			}
+			held += more
+			body = slices.Grow(body, int(more))
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > most:
+			return nil, held, errTooLarge
+		case err == io.EOF:
+			return body, held, nil
+		case err != nil:
+			return nil, held, err
+		}
 	}
-	return io.ReadAll(http.MaxBytesReader(nil, r.Body, most))
 }
 
 // passedOn lists the headers of a request that go on to the backend.
