Agents and core machines can be asked for their figures over the link

Need: nobody can see how near the mesh is to a rule, nor which agent holds which configuration.

A connection of a new use, stats, brings questions and figures as gob; a core machine tells its link address at GET /api/link, so that who asks needs its control address only. The owner of each table answers, within a bound, so that one that hangs looks silent rather than well. Weighed and left: an HTTP page in each daemon (a listener and a text format on machines whose processor time is priced), and proofs of currency every few seconds so that a configuration's age says more (a read of the agreement for each agent; told instead: when it was last proven, and when a core machine last spoke).

Attempts without an answer are counted by verdict and reason. The retry budget tells what is spent and allowed.

--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -40,7 +40,9 @@
 	node  *konkordia.Node
 	table *table
 	peers *peers
+	count counters
 
+	askers   brentei.Askers
 	commands chan func()
 	began    time.Time
 	registry *lagazuoi.Table
@@ -165,6 +167,8 @@
 				}
 			case brentei.FeedUse:
 				c.feed(hello.From, k)
+			case brentei.Stats:
+				c.askers.Serve(k, c.figures)
 			}
 		}()
 	}
--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -78,6 +78,7 @@
 		}
 		delete(c.feeds, ip)
 		if c.registry.Lost("feeds", ip, f.life) {
+			c.count.lost.Add(1)
 			c.log.WithField("agent", ip).Info("agent lost")
 			c.spread(ip)
 		}
--- a/internal/averau/handlers.go
+++ b/internal/averau/handlers.go
@@ -24,6 +24,7 @@
 	mux.Handle("/api/config", &configs{c})
 	mux.Handle("/api/drain-zone/{zone}", &evacuations{c})
 	mux.Handle("/api/servers/{id}", &servers{c})
+	mux.Handle("/api/link", &links{c})
 	return mux
 }
 
@@ -53,6 +54,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
 	defer cancel()
 	result, err := c.node.Propose(ctx, o.encode())
+	c.count.proposed(result, err)
 	switch {
 	case err != nil:
 		problem(w, statusOf(err), err.Error())
@@ -84,6 +86,7 @@
 			return
 		}
 		if _, err := margherita.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
+			h.c.count.refused.Add(1)
 			problem(w, http.StatusBadRequest, err.Error())
 			return
 		}
--- a/internal/brentei/conn.go
+++ b/internal/brentei/conn.go
@@ -1,11 +1,12 @@
 // Package brentei (Brentei hut) is the link: what passes between the mesh's own processes, over TCP.
 //
-// There are three uses of a connection, told by the Hello that opens it:
+// There are four uses of a connection, told by the Hello that opens it:
 //
 //   - an exchange: the agent beside a caller, the sender, hands requests to the agent beside a backend, the gate, one at a time.
 //     An Ask and its body go, a Reply and its body come. The connection is kept for the next.
 //   - a feed: an agent tells a core machine about itself and its backend, and hears the configuration and all other agents.
 //   - a peer: core machines exchange the messages of their agreement, each direction over a connection of its own.
+//   - stats: a process is asked for its figures.
 //
 // Heads are gob values, each message written at once with the raw bytes that follow it. A connection that breaks proves nothing
 // about what went over it: who must know whether a request ran is told by a Verdict, or takes it that it may have.
--- /dev/null
+++ b/internal/brentei/stats.go
@@ -0,0 +1,121 @@
+package brentei
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Stats is the use of a connection over which a process is asked for its figures: a Question goes,
+// Figures come, and so on until who asks closes it.
+const Stats = "stats"
+
+const (
+	mostAskers  = 8                // connections for figures that a process serves at once
+	askerIdle   = 90 * time.Second // between two questions: longer than figures are usually asked for
+	mostSamples = 8192             // of one answer, which is far above what a process has
+)
+
+// Question asks for the figures as they are now.
+type Question struct {
+	State bool // with the structured state
+}
+
+// Figures are what a process counts, and how it stands.
+type Figures struct {
+	Samples []Sample
+	Agent   *AgentState // of an agent, where the state was asked for
+	Core    *CoreState  // of a core machine, likewise
+}
+
+// Sample is one figure. What names there are, and with which labels, says package fanes.
+type Sample struct {
+	Name   string
+	Labels []string // names and values in turn
+	Value  float64
+}
+
+// AgentState is how an agent stands.
+type AgentState struct {
+	Node, Zone, Service string
+	Ready               bool
+	Index               uint64        // of the configuration that it has; 0: none
+	Proven              time.Duration // since that was known to be current; negative: never
+	Unheard             time.Duration // since any core machine said anything; negative: never
+	Feeds               int           // core machines that it hears
+	Station             Station
+}
+
+// CoreState is how a core machine stands.
+type CoreState struct {
+	Node, Zone    string
+	Self          string // its control address
+	Role, Leader  string // of the agreement; an empty Leader is unknown
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	LeaderChanges uint64
+	Members       []Member
+	Learners      []string
+	Index         uint64   // of the configuration
+	Evacuated     []string // zones
+	Feeds         int      // agents that it hears itself
+	Stations      []Heard
+}
+
+// Member is a core machine that takes part in the agreement.
+type Member struct {
+	Control string // where operators reach it
+	Link    string // where processes of the mesh do
+}
+
+// Askers serves connections for figures. The zero value is ready.
+type Askers struct{ now atomic.Int32 }
+
+// Serve answers questions on a connection until it ends. Answer may be called from several
+// goroutines at once; nil closes.
+func (a *Askers) Serve(c *Conn, answer func(Question) *Figures) {
+	defer a.now.Add(-1)
+	if a.now.Add(1) > mostAskers {
+		return
+	}
+	for {
+		c.SetReadDeadline(time.Now().Add(askerIdle))
+		var q Question
+		if c.Receive(&q) != nil {
+			return
+		}
+		f := answer(q)
+		if f == nil {
+			return
+		}
+		c.SetWriteDeadline(time.Now().Add(unheard))
+		if c.Send(f, nil) != nil {
+			return
+		}
+	}
+}
+
+// AskStats asks the process at a link address once.
+func AskStats(ctx context.Context, link string, q Question) (*Figures, error) {
+	c, err := Dial(ctx, Stats, "", link)
+	if err != nil {
+		return nil, oops.Code("dial").Wrap(err)
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.Send(q, nil); err != nil {
+		return nil, oops.Code("send").Wrap(err)
+	}
+	var f Figures
+	if err := c.Receive(&f); err != nil {
+		return nil, oops.Code("receive").Wrapf(err, "%s gives no figures", link)
+	}
+	if len(f.Samples) > mostSamples {
+		return nil, oops.Code("samples").Errorf("%s gives %d figures, at most %d are taken", link, len(f.Samples), mostSamples)
+	}
+	return &f, nil
+}
--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -44,6 +44,7 @@
 	sender *vajolet.Sender
 	links  *brentei.Pool
 	ready  atomic.Bool
+	askers brentei.Askers
 	went   atomic.Bool // told to end
 
 	commands chan func()
@@ -62,6 +63,8 @@
 	life    uint64
 	seq     uint64
 	changed time.Time // of the settings file
+	shown   time.Time // when the configuration was last known to be current
+	told    time.Time // when a core machine last said anything
 }
 
 // New returns an agent that has not started.
@@ -136,12 +139,19 @@
 			c := brentei.NewConn(raw)
 			var hello brentei.Hello
 			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
-			if err := c.Receive(&hello); err != nil || hello.Version != brentei.Version || hello.Use != brentei.Exchange {
+			err := c.Receive(&hello)
+			raw.SetReadDeadline(time.Time{})
+			switch {
+			case err != nil || hello.Version != brentei.Version:
+				c.Close()
+			case hello.Use == brentei.Exchange:
+				a.host.Serve(c)
+			case hello.Use == brentei.Stats:
+				a.askers.Serve(c, a.figures)
+				c.Close()
+			default:
 				c.Close()
-				return
 			}
-			raw.SetReadDeadline(time.Time{})
-			a.host.Serve(c)
 		}()
 	}
 }
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -25,6 +25,7 @@
 	stop  context.CancelFunc
 	woken chan struct{}
 	up    chan brentei.Up // answers to beats that came over it
+	heard time.Time       // when the core machine last said anything; the owner's
 }
 
 func (f *feed) wake() {
@@ -141,6 +142,8 @@
 	if a.feeds[f.core] != f {
 		return
 	}
+	f.heard = time.Now()
+	a.told = f.heard
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
@@ -160,8 +163,11 @@
 			a.dirty = true
 		}
 	}
-	if d.Fresh != 0 && !a.proven {
-		a.proven, a.dirty = true, true
+	if d.Fresh != 0 {
+		a.shown = f.heard
+		if !a.proven {
+			a.proven, a.dirty = true, true
+		}
 	}
 	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
 		a.cores = slices.Clone(d.Cores)
--- /dev/null
+++ b/internal/brogles/stats.go
@@ -0,0 +1,73 @@
+package brogles
+
+import (
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/fanes"
+)
+
+// answerIn is how long who asks for figures waits for the owner: one that hangs must not look well.
+const answerIn = 2 * time.Second
+
+// figures answers a question for the agent's figures; nil if the owner does not get to it.
+func (a *Agent) figures(q brentei.Question) *brentei.Figures {
+	answer := make(chan *brentei.Figures, 1)
+	late := time.NewTimer(answerIn)
+	defer late.Stop()
+	select {
+	case a.commands <- func() { answer <- a.count(q) }:
+	case <-late.C:
+		return nil
+	}
+	select {
+	case f := <-answer:
+		return f
+	case <-late.C:
+		return nil
+	}
+}
+
+// count is the owner's.
+func (a *Agent) count(q brentei.Question) *brentei.Figures {
+	var f fanes.Set
+	f.Process(a.began, a.set.MemoryMB)
+	a.sender.Figures(&f)
+	a.host.Figures(&f)
+	up := 0
+	for _, feed := range a.feeds {
+		if time.Since(feed.heard) < muteFor {
+			up++
+		}
+	}
+	proven, unheard := since(a.shown), since(a.told)
+	f.Flag("altavia_agent_ready", a.isReady())
+	f.Add("altavia_agent_config_index", float64(a.index))
+	f.Add("altavia_agent_config_proven_seconds", seconds(proven))
+	f.Add("altavia_agent_unheard_seconds", seconds(unheard))
+	f.Add("altavia_agent_feeds_up", float64(up))
+	f.Add("altavia_agent_feeds", float64(len(a.feeds)))
+	answer := &brentei.Figures{Samples: f.Samples}
+	if q.State {
+		answer.Agent = &brentei.AgentState{Node: a.set.NodeName, Zone: a.set.Zone, Service: a.set.Service, Ready: a.isReady(),
+			Index: a.index, Proven: proven, Unheard: unheard, Feeds: up, Station: *a.station.Load()}
+	}
+	return answer
+}
+
+func (a *Agent) isReady() bool { return a.ready.Load() && !a.went.Load() }
+
+// since is negative for what has never been.
+func since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -time.Second
+	}
+	return time.Since(t)
+}
+
+func seconds(d time.Duration) float64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Seconds()
+}
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -27,9 +27,15 @@
 // Allows says whether one more attempt beyond a request's first keeps the budget: in any window at most a floor, and a
 // ratio for each request in it.
 func (b *Budget) Allows(now, window time.Duration, floor, ratio float64) bool {
+	spent, allowed := b.Spent(now, window, floor, ratio)
+	return float64(spent+1) <= allowed
+}
+
+// Spent is how many attempts beyond each request's first there were in the window, and how many the budget allows in it.
+func (b *Budget) Spent(now, window time.Duration, floor, ratio float64) (spent int, allowed float64) {
 	from := now - window
 	taken, extra := b.taken.since(from+1), b.extra.since(from) // an edge counts against us
-	return float64(extra+1) <= min(floor+ratio*float64(taken), mostKnown/2)
+	return extra, min(floor+ratio*float64(taken), mostKnown/2)
 }
 
 // history keeps when things happened, oldest first.
--- a/internal/solvay/gate.go
+++ b/internal/solvay/gate.go
@@ -86,6 +86,7 @@
 	inFlight int
 	waiting  []*Ticket       // by due
 	handed   []time.Duration // to a cold backend, within the span
+	peaks    [2]int          // the most that these were while it was cold, in each of two generations
 	recent   float64         // seconds of work
 	rate     meter
 	errors   meter
@@ -322,6 +323,9 @@
 		}
 	}
 	g.handed = append(g.handed, g.now)
+	if g.cold > g.now {
+		g.peaks[0] = max(g.peaks[0], len(g.handed))
+	}
 	if t.unsafe {
 		g.seen[0][t.try] = struct{}{}
 	}
@@ -355,6 +359,7 @@
 	if g.now-g.aged >= twiceFor {
 		g.aged = g.now
 		g.seen[0], g.seen[1] = map[string]struct{}{}, g.seen[0]
+		g.peaks[0], g.peaks[1] = 0, g.peaks[0]
 	}
 }
 
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -32,7 +32,7 @@
 type Counters struct {
 	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Local atomic.Uint64
 	Attempts, Repeats                                                  atomic.Uint64
-	ByReason                                                           [32]atomic.Uint64 // of attempts that brought no answer
+	Unanswered                                                         [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
 }
 
 // attempt is one that is under way for a request.
@@ -242,7 +242,7 @@
 	how, load, after := policy.OK, policy.Load{}, time.Duration(0)
 	switch {
 	case at.fail != nil:
-		s.Count.ByReason[at.fail.Reason].Add(1)
+		s.Count.unanswered(at.fail)
 		how, after = outcomeOf(at.fail), max(at.fail.After, leastFull)
 	case at.reply.Status >= 500 && at.reply.Inner:
 		how = policy.Cancelled // danger: were it the backend's fault, a service that is out would take out all that call it
--- a/policy/view.go
+++ b/policy/view.go
@@ -65,3 +65,9 @@
 }
 
 func (o Outcome) String() string { return outcomeNames[o] }
+
+// Budget is how many attempts beyond each request's first were made in the window of the retry budget, and how many it allows
+// in it.
+func (b *Balancer) Budget(now time.Duration) (spent int, allowed float64) {
+	return b.budget.Spent(max(b.now, now), b.set.ExtraWindow, b.set.ExtraFloor, b.set.ExtraRatio)
+}
