altavia is the operators' command line too: status, servers, config, evacuate, return, check

Need: calls by hand to the operators' interface, with answers for people and for scripts.

The client side (package lavarella) tries the next core machine after a failure, a 5xx, a 408, a 429 or silence until its time is over, and tells a refusal from what may hold. Exit codes: 0 done, 1 refused, 2 used wrongly, 3 out of reach. check takes settings or a change of the configuration.

--- a/cmd/altavia/main.go
+++ b/cmd/altavia/main.go
@@ -1,77 +1,96 @@
-// Command altavia (Alta Via, the high trail from hut to hut) is the mesh's daemon: the agent beside each application backend, and the
-// control plane on core machines.
+// Command altavia (Alta Via, the high trail from hut to hut) is the mesh's daemon, the agent beside
+// each application backend and the control plane on core machines, and the operators' command line:
+// docs/mesh-tools.md.
 package main
 
 import (
-	"context"
-	"fmt"
+	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"time"
 
-	"example.org/micaline/internal/averau"
-	"example.org/micaline/internal/brogles"
-	"example.org/micaline/internal/nuvolau"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/logfmt"
 	"github.com/integrii/flaggy"
 )
 
 const settingsVariable = "MICALINE_CONFIG"
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "altavia:", err)
-		os.Exit(1)
-	}
+// command is one call of the program.
+type command struct {
+	out      io.Writer
+	settings string
+	cores    string
+	timeout  time.Duration
+	json     bool
+	file     string
+	zone     string
 }
 
-func run() error {
-	flaggy.SetName("altavia")
-	flaggy.SetDescription("the mesh's daemon: an agent beside each backend, and the control plane")
-	flaggy.SetVersion(version())
-	path := os.Getenv(settingsVariable)
-	flaggy.String(&path, "s", "settings", "settings file; "+settingsVariable+" by default")
-	agent := flaggy.NewSubcommand("agent")
-	agent.Description = "run the agent beside a backend"
-	core := flaggy.NewSubcommand("core")
-	core.Description = "run the control plane on a core machine"
-	check := flaggy.NewSubcommand("check")
-	check.Description = "check a settings file and say what it makes of it"
-	flaggy.AttachSubcommand(agent, 1)
-	flaggy.AttachSubcommand(core, 1)
-	flaggy.AttachSubcommand(check, 1)
-	flaggy.Parse()
-	if !agent.Used && !core.Used && !check.Used {
-		flaggy.ShowHelpAndExit("name what to run")
-	}
-	set, err := nuvolau.Load(path)
-	if err != nil {
-		return err
+// verb is a sub-command and what it does.
+type verb struct {
+	sub *flaggy.Subcommand
+	run func() error
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run carries out a call and returns its exit code.
+func run(args []string, out, errs io.Writer) int {
+	c := &command{out: out, settings: os.Getenv(settingsVariable), timeout: 10 * time.Second}
+	p := flaggy.NewParser("altavia")
+	p.Description = "the mesh's daemon, an agent beside each backend and the control plane, and its command line"
+	p.Version = version()
+	p.String(&c.settings, "s", "settings", "settings file; "+settingsVariable+" by default")
+	p.String(&c.cores, "c", "core", "control addresses of core machines, host:port,...")
+	p.Duration(&c.timeout, "t", "timeout", "for the whole call, however many core machines are tried")
+	p.Bool(&c.json, "j", "json", "print JSON")
+	verbs := c.verbs(&p.Subcommand)
+	if err := p.ParseArgs(args); err != nil {
+		return report(errs, &usage{err})
 	}
-	if check.Used {
-		fmt.Printf("%s: %s on %s in %s, seeds %v\n", path, set.Role, set.NodeName, set.Zone, set.Seeds)
-		return nil
+	for _, v := range verbs {
+		if v.sub.Used {
+			return report(errs, v.run())
+		}
 	}
-	l := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
-	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(set.MemoryMB) << 20 * 7 / 10)
+	p.ShowHelpAndExit("name what to do")
+	return wrongUse
+}
+
+// verbs declares the sub-commands, the inner before the outer.
+func (c *command) verbs(top *flaggy.Subcommand) []verb {
+	var verbs []verb
+	add := func(under *flaggy.Subcommand, name, what string, run func() error) *flaggy.Subcommand {
+		sub := flaggy.NewSubcommand(name)
+		sub.Description = what
+		under.AttachSubcommand(sub, 1)
+		if run != nil {
+			verbs = append(verbs, verb{sub, run})
+		}
+		return sub
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	if core.Used {
-		return averau.New(set, l).Run(ctx)
+	add(top, "agent", "run the agent beside a backend", c.agent)
+	add(top, "core", "run the control plane on a core machine", c.core)
+	check := add(top, "check", "check a file: settings, or a change of the configuration", c.check)
+	check.AddPositionalValue(&c.file, "FILE", 1, false, "the settings by default")
+	add(top, "status", "tell who leads, and which agents hold which configuration", c.status)
+	add(top, "servers", "list the backends", c.servers)
+	config := add(top, "config", "read or change the configuration", nil)
+	add(config, "get", "print the items that stand", c.configGet)
+	for _, v := range []struct {
+		name, what string
+		run        func() error
+	}{
+		{"put", "bring a change", c.configPut},
+		{"check", "check a change against the configuration that holds", c.configCheck},
+		{"diff", "tell what a change would change", c.configDiff},
+	} {
+		add(config, v.name, v.what, v.run).AddPositionalValue(&c.file, "FILE", 1, true, "a PATCH body or what get prints; - is standard input")
 	}
-	a := brogles.New(path, set, l)
-	go func() {
-		for range hup {
-			a.Reload()
-		}
-	}()
-	return a.Run(ctx)
+	add(top, "evacuate", "have nothing sent to the backends of a zone", c.evacuate).
+		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
+	add(top, "return", "take the evacuation of a zone back", c.returnZone).
+		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
+	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }})
 }
 
 func version() string {
--- /dev/null
+++ b/cmd/altavia/main_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/micaline/internal/averau"
+	"example.org/micaline/internal/brogles"
+	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/pisciadu"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+const change = `{"add":{"items":[
+ {"item_kind":"routes","metadata":{"name":"r","version":"00000007"},"body":{"domain":"a.example","path_start":"/","kind":"safe","give_up":"5000ms","target_time":"800ms","rank":2,"service":"s","tries":2}},
+ {"item_kind":"services","metadata":{"name":"s","version":"00000007"},"body":{"health_path":"/health","max_conns":120,"warmup":"3s","warmup_per_s":5}}]}}`
+
+// call runs the program, and returns what it printed.
+func call(t *testing.T, code int, args ...string) string {
+	var out, errs bytes.Buffer
+	require.Equal(t, code, run(args, &out, &errs), "%v: %s%s", args, &out, &errs)
+	return out.String() + errs.String()
+}
+
+func file(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestExitCodes(t *testing.T) {
+	var asked []string
+	core := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.Method+" "+r.URL.Path)
+		if strings.HasSuffix(r.URL.Path, "/nowhere") {
+			w.WriteHeader(http.StatusNotFound)
+			fmt.Fprint(w, `{"error":"zone: nowhere is none of the settings' zones"}`)
+		}
+	}))
+	defer core.Close()
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, "busy")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer busy.Close()
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	at := func(servers ...*httptest.Server) string {
+		var list []string
+		for _, s := range servers {
+			list = append(list, s.Listener.Addr().String())
+		}
+		return "--core=" + strings.Join(list, ",")
+	}
+
+	call(t, done, "evacuate", "z", at(dead, busy, core))
+	require.Equal(t, []string{"busy", "POST /api/drain-zone/z"}, asked, "each is tried in turn until one answers")
+	require.Contains(t, call(t, refused, "return", "nowhere", at(core)), "zone: nowhere")
+	call(t, wrongUse, "evacuate", "z")
+	call(t, wrongUse, "evacuate", "z", "--core=noport")
+	call(t, wrongUse, "config", at(core))
+	call(t, wrongUse, "config", "put", "/does/not/exist", at(core))
+	require.Contains(t, call(t, outOfReach, "evacuate", "z", at(dead), "--timeout=50ms"), "out of reach")
+	require.Contains(t, call(t, outOfReach, "evacuate", "z", at(busy, dead), "--timeout=50ms"), "may hold or not")
+	call(t, outOfReach, "status", at(dead), "--timeout=50ms")
+
+	asked = nil
+	bad := strings.Replace(change, `"safe"`, `"sound"`, 1)
+	require.Contains(t, call(t, refused, "config", "put", file(t, bad), at(core)), "routes r kind")
+	require.Empty(t, asked, "what is wrong by itself goes nowhere")
+	call(t, done, "config", "put", file(t, change), at(core))
+	require.Contains(t, call(t, done, "check", file(t, change)), "1 routes, 1 services")
+	require.Contains(t, call(t, refused, "check", file(t, "node_name=x\nfirst_start=perhaps\n")), "first_start")
+}
+
+// The whole way with real processes: a core machine and an agent, on loopback.
+func TestAgainstAMesh(t *testing.T) {
+	ports := make([]int, 6)
+	for i := range ports { // held together, so that they differ
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+		l.Close()
+	}
+	control := fmt.Sprintf("127.0.0.1:%d", ports[0])
+	common := fmt.Sprintf("machine_class=m\nzone=hall-a\nregion=west\nzones.hall-a=west\nspare_ports=%d,%d\nseed_nodes=%s\nfirst_start=true\nlimits.memory_mb=200\n"+
+		"bounds.warmup_excess=1.5\nbounds.warmup_margin=5\nbounds.retry_ratio=0.2\nbounds.extra_tries=62\nbounds.retry_window=10s\n",
+		ports[1], ports[1]+1, control)
+	coreSet, err := nuvolau.Parse([]byte(common + "node_name=core-1\nserves=control_plane\nip=127.0.0.1\naddresses.control=" + control +
+		"\ndata_folder=" + t.TempDir() + "\n"))
+	require.NoError(t, err)
+	path := file(t, common+fmt.Sprintf("node_name=side-1\nserves=sidecar\nip=127.0.0.2\naddresses.control=127.0.0.2:%d\naddresses.outbound=127.0.0.2:%d\n"+
+		"addresses.inbound=127.0.0.2:%d\naddresses.ready=127.0.0.2:%d\nservice=s\napp_address=127.0.0.2:9\n", ports[2], ports[3], ports[4], ports[5]))
+	agentSet, err := nuvolau.Load(path)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &log.Logger{Handler: discard.New()}
+	ended := make(chan error, 2)
+	go func() { ended <- averau.New(coreSet, l).Run(ctx) }()
+	go func() { ended <- brogles.New(path, agentSet, l).Run(ctx) }()
+	defer func() {
+		cancel()
+		require.NoError(t, <-ended)
+		require.NoError(t, <-ended)
+	}()
+
+	at := "--core=" + control
+	call(t, done, "config", "put", file(t, change), at) // asks again until somebody leads
+	got := call(t, done, "config", "get", at)
+	require.JSONEq(t, strings.TrimSuffix(strings.TrimPrefix(change, `{"add":`), "}"), got)
+	require.Contains(t, call(t, done, "config", "diff", file(t, strings.ReplaceAll(change, "00000007", "00000009")), at), "routes r 00000009: changed, was 00000007")
+	require.Contains(t, call(t, refused, "config", "check", file(t, `{"remove":{"services":[{"name":"s","version":"00000009"}]}}`), at), "unknown service")
+	call(t, done, "evacuate", "hall-a", at)
+	var said struct {
+		Index     uint64
+		Evacuated []string
+		Cores     []coreRow
+		Agents    []agentRow
+	}
+	for until := time.Now().Add(20 * time.Second); len(said.Agents) == 0 || !said.Agents[0].Ready || said.Agents[0].Index != said.Index; {
+		require.True(t, time.Now().Before(until), "the agent does not get ready: %+v", said)
+		require.NoError(t, json.Unmarshal([]byte(call(t, done, "status", "--json", at)), &said))
+	}
+	require.Equal(t, "leader", said.Cores[0].Role)
+	require.Equal(t, []string{"hall-a"}, said.Evacuated)
+	require.Contains(t, call(t, done, "status", at), "127.0.0.2")
+	require.Contains(t, call(t, done, "servers", at), "CAPACITY")
+
+	resp, err := http.Get("http://" + agentSet.Outbound + "/nowhere")
+	require.NoError(t, err)
+	resp.Body.Close()
+	w := httptest.NewRecorder()
+	e := &pisciadu.Exporter{Mesh: lavarella.New([]string{control}), Timeout: 5 * time.Second}
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{
+		`altavia_requests_ended_total{machine="127.0.0.2",process="agent",zone="hall-a",result="no_route"} 1`,
+		`altavia_core_role{machine="127.0.0.1",process="core",zone="hall-a",role="leader"} 1`,
+		`altavia_core_zone_evacuated{machine="127.0.0.1",process="core",zone="hall-a",zone_name="hall-a"} 1`,
+		`altavia_core_proposals_total{machine="127.0.0.1",process="core",zone="hall-a",result="agreed"} 2`,
+		`altavia_budget_allowed{machine="127.0.0.2",process="agent",zone="hall-a",service="s"} 31`,
+		`altavia_gate_cold_bound{machine="127.0.0.2",process="agent",zone="hall-a"} 12.5`,
+		`altavia_mesh_config_behind{machine="127.0.0.2",zone="hall-a"} 0`,
+		`altavia_mesh_leaders 1`, `altavia_mesh_dropped 0`,
+	} {
+		require.Contains(t, w.Body.String(), line+"\n")
+	}
+}
--- /dev/null
+++ b/cmd/altavia/zone.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+
+	"example.org/micaline/internal/lavarella"
+)
+
+func (c *command) evacuate() error {
+	return c.order((*lavarella.Mesh).Evacuate, "evacuated")
+}
+
+func (c *command) returnZone() error {
+	return c.order((*lavarella.Mesh).Return, "returned")
+}
+
+// order brings an order about a zone.
+func (c *command) order(call func(*lavarella.Mesh, context.Context, string) error, what string) error {
+	m, ctx, cancel, err := c.mesh()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := call(m, ctx, c.zone); err != nil {
+		return err
+	}
+	return c.say(map[string]string{"zone": c.zone, "order": what}, "%s: %s", c.zone, what)
+}
