--- a/internal/solvay/gate.go
+++ b/internal/solvay/gate.go
@@ -30,6 +30,7 @@
 	gain       = 0.1                     // weight of a sample in the moving means
 	queueSlots = 2                       // requests that wait at most, for each slot: more wait longer than any may
 	deadAfter  = 3                       // beats missed in a row until the backend is taken to be gone
+	mostEnded  = 8                       // lives before the present one that are remembered: their calls are all late
 )
 
 // Rules are what the configuration and the deployment say of the backend's service and zone.
@@ -81,6 +82,8 @@
 	started  time.Duration
 	now      time.Duration
 	backend  *brentei.Backend // nil: none has been heard, or it is gone
+	last     *brentei.Backend // the life heard last, also when it is gone
+	ended    []string         // lives before it
 	heard    time.Duration    // its last beat, or answer
 	cold     time.Duration    // until then
 	inFlight int
@@ -103,13 +106,18 @@
 // Beat takes in what the backend says of itself, and says whether others should hear of it.
 func (g *Gate) Beat(now time.Duration, b brentei.Backend) (news bool) {
 	g.step(now)
-	old := g.backend
-	if old != nil && old.ID == b.ID && b.Calls != 0 && b.Calls < old.Calls {
+	old, last := g.backend, g.last
+	if slices.Contains(g.ended, b.ID) || last != nil && last.ID == b.ID && b.Calls != 0 && b.Calls < last.Calls {
 		return false // a late call
 	}
-	if old != nil && old.ID == b.ID && old.Draining {
-		b.Draining = true // who has left does not come back as the same life
+	if last != nil && last.ID == b.ID {
+		b.Draining = b.Draining || last.Draining // who has left does not come back as the same life
+	} else if last != nil {
+		if g.ended = append(g.ended, last.ID); len(g.ended) > mostEnded {
+			g.ended = slices.Delete(g.ended, 0, 1)
+		}
 	}
+	g.last = &b
 	wasCold := g.cold > now
 	g.backend, g.heard = &b, now
 	g.cold = now + b.ColdLeft
@@ -199,9 +207,9 @@
 	if g.wait(i+1) > a.Patient || i >= most {
 		return nil, g.refuse(full)
 	}
-	if len(g.waiting) >= most { // the last gives way
-		last := g.waiting[most-1]
-		g.waiting, last.waiting = g.waiting[:most-1], false
+	for n := len(g.waiting); n >= most; n = len(g.waiting) { // the last gives way; several if the backend takes fewer now
+		last := g.waiting[n-1]
+		g.waiting, last.waiting = g.waiting[:n-1], false
 		last.Grant(false, g.refuse(full))
 	}
 	t.waiting = true
@@ -296,10 +304,8 @@
 		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
 	}
 	if unsafe {
-		for _, seen := range g.seen {
-			if _, twice := seen[try]; twice {
-				return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
-			}
+		if g.twice(try) {
+			return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
 		}
 		if len(g.seen[0]) >= mostTwice {
 			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own, After: time.Second}
@@ -308,8 +314,21 @@
 	return nil
 }
 
+// twice says whether an id of an unsafe request has been handed over before.
+func (g *Gate) twice(try string) bool {
+	for _, seen := range g.seen {
+		if _, twice := seen[try]; twice {
+			return true
+		}
+	}
+	return false
+}
+
 // hand counts a request that goes to the backend now; the only way there.
 func (g *Gate) hand(t *Ticket) *brentei.Failure {
+	if t.unsafe && g.twice(t.try) { // it came twice while it waited
+		return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
+	}
 	if g.cold > g.now {
 		limit := g.rules.coldLimit()
 		// Danger: what the process before this one handed over within the last second is not known.
