--- a/internal/solvay/exchange.go
+++ b/internal/solvay/exchange.go
@@ -94,7 +94,9 @@
 			continue
 		}
 		var body []byte
-		if n := resp.ContentLength; n >= 0 && n <= most {
+		if n := resp.ContentLength; a.Method == http.MethodHead {
+			// Its length is that of a body which does not come.
+		} else if n >= 0 && n <= most {
 			body = make([]byte, n)
 			_, err = io.ReadFull(resp.Body, body)
 		} else {
@@ -103,7 +105,9 @@
 		if err != nil {
 			return broken(brentei.Broken, err)
 		}
-		if id := resp.Header.Get(TryHeader); id != a.Try && resp.Header.Get(NotRunHeader) == "" && resp.StatusCode != http.StatusMisdirectedRequest {
+		// Only one that turns a request away may lack the id; with another's it proves nothing about this one.
+		away := resp.Header.Get(NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+		if id := resp.Header.Get(TryHeader); id != a.Try && (id != "" || !away) {
 			if strangers++; strangers > mostStrangers || id == "" {
 				return broken(brentei.Spoilt, oops.Errorf("an answer to try %q", id))
 			}
