Registry: an agent that is cut off forgets nobody, and a core that is back takes nobody out

Need: the agent's own word of itself counted as a source that is up, so an agent without a core machine forgot all others after Forget, and with the first core machine back at once whoever that one did not know yet. Time out of touch does not count now. Found by random sources against a plain book of what they said.

--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -267,7 +267,7 @@
 		f.wake()
 	}
 	// Its own backend is known at once, also to an agent that is cut off.
-	if a.table.Hear(a.now(), "self", false, []brentei.Heard{{Station: *s}}) {
+	if a.table.Hear(a.now(), lagazuoi.Self, false, []brentei.Heard{{Station: *s}}) {
 		a.dirty = true
 	}
 }
--- a/internal/lagazuoi/table.go
+++ b/internal/lagazuoi/table.go
@@ -24,6 +24,9 @@
 // Most is how many stations are kept: more than the agents that the mesh is made for.
 const Most = 4096
 
+// Self is the source that an agent is of its own station. It tells of nobody else, so it is no sign of being in touch.
+const Self = "self"
+
 // Table merges the words of sources. It is not safe for concurrent use.
 type Table struct {
 	stations map[string]*entry
@@ -118,12 +121,17 @@
 
 // Step forgets what nobody has told of for long.
 func (t *Table) Step(now time.Duration) (changed bool) {
-	anyUp := false
-	for _, s := range t.sources {
-		anyUp = anyUp || s.up
+	inTouch := false
+	for name, s := range t.sources {
+		inTouch = inTouch || s.up && name != Self
 	}
-	if !anyUp {
-		return false // danger: who is cut off would forget all that it could still use
+	if !inTouch {
+		// Danger: who is cut off would forget all that it could still use, or would as soon as a core machine is back that
+		// does not know all yet: this time does not count.
+		for _, e := range t.stations {
+			e.seen = now
+		}
+		return false
 	}
 	for agent, e := range t.stations {
 		here := false
