--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -56,7 +56,7 @@
 	inner    bool // called by a run of a backend
 	repeated bool // by a run that was a repeat itself
 	attempts int  // started
-	reached  int  // of these, those that reached a backend
+	reached  int  // of these, those that reached a backend, or may yet
 
 	mu     sync.Mutex
 	last   *attempt // the best answer that is no success
@@ -284,15 +284,19 @@
 		at.fail = &brentei.Failure{Verdict: brentei.NotRun, Reason: reason}
 		return at
 	}
-	j.mu.Lock()
-	spent := j.reached >= max(1, j.route.Tries)
-	j.mu.Unlock()
 	if t == nil {
 		return refuse(brentei.Unknown)
 	}
-	if spent {
+	if !j.reach() {
 		return refuse(brentei.Own) // the route's tries are used up
 	}
+	defer func() {
+		if at.fail != nil && at.fail.Verdict == brentei.NotRun {
+			j.mu.Lock()
+			j.reached--
+			j.mu.Unlock()
+		}
+	}()
 	s.Count.Attempts.Add(1)
 	ask := j.ask
 	if ask.Repeat = j.repeated || n > 0; n > 0 {
@@ -312,14 +316,21 @@
 	if at.reply != nil && at.reply.Verdict != brentei.Ran {
 		at.fail = &brentei.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
 	}
-	if at.fail == nil || at.fail.Verdict != brentei.NotRun {
-		j.mu.Lock()
-		j.reached++
-		j.mu.Unlock()
-	}
 	return at
 }
 
+// reach counts a backend that the request is about to be sent to, and says whether the route allows one more. Danger: an attempt
+// that is out may have reached its backend, so it counts until it is proven that it did not.
+func (j *job) reach() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.reached >= max(1, j.route.Tries) {
+		return false
+	}
+	j.reached++
+	return true
+}
+
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
 // that it did not run.
 func (s *Sender) exchange(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
@@ -433,7 +444,9 @@
 		h["Content-Type"] = nil
 	}
 	h["Date"] = nil
-	h.Set("Content-Length", strconv.Itoa(len(at.body)))
+	if j.ask.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(at.body)))
+	}
 	w.WriteHeader(status)
 	w.Write(at.body)
 	return status < 500
--- /dev/null
+++ b/internal/vajolet/serve_test.go
@@ -0,0 +1,261 @@
+package vajolet
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/solvay"
+	"example.org/micaline/policy"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+// gate is one on loopback that says what it is told to. No reply closes the connection.
+func gate(t *testing.T, say func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte)) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer raw.Close()
+				c := brentei.NewConn(raw)
+				var hello brentei.Hello
+				if c.Receive(&hello) != nil || hello.Use != brentei.Exchange {
+					return
+				}
+				for {
+					var a brentei.Ask
+					if c.Receive(&a) != nil {
+						return
+					}
+					body, err := c.Body(a.Body, 1<<20)
+					if err != nil {
+						return
+					}
+					reply, out := say(&a, body)
+					if reply == nil {
+						return
+					}
+					reply.Body = int64(len(out))
+					if c.Send(reply, out) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// sender is one that knows two routes, of which one may not run twice, and the gates given.
+func sender(t *testing.T, gates ...string) *Sender {
+	route := func(name, kind string) string {
+		return fmt.Sprintf(`{"item_kind":"routes","metadata":{"name":"%s","version":"1"},"body":{"domain":"d","path_start":"/%[1]s/",`+
+			`"kind":"%s","give_up":"5s","target_time":"4s","tries":2,"service":"s"}}`, name, kind)
+	}
+	patch, err := margherita.ParsePatch([]byte(`{"add":{"items":[{"item_kind":"services","metadata":{"name":"s","version":"1"},"body":{}},
+		{"item_kind":"limits","metadata":{"version":"1"},"body":{"header_bytes":16384,"body_bytes":1000,"header_wait":"3s","idle":"15s"}},` +
+		route("safe", "safe") + "," + route("unsafe", "unsafe") + `]}}`))
+	require.NoError(t, err)
+	config, _, err := margherita.New().Apply(patch)
+	require.NoError(t, err)
+	set := &nuvolau.Settings{IP: "10.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
+	set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 50
+	links := &brentei.Pool{Connect: time.Second, Idle: time.Minute, Most: 8}
+	s := New(set, solvay.NewHost(solvay.Rules{}, 1<<20, func() {}), links, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	view := &View{Config: config, Index: 1}
+	for i, g := range gates {
+		view.Stations = append(view.Stations, brentei.Heard{Station: brentei.Station{Agent: fmt.Sprint("10.0.1.", i), Gate: g, Zone: "z",
+			Life: 1, Seq: 1, Open: true, Backend: &brentei.Backend{ID: fmt.Sprint("b", i), Service: "s", Zone: "z", Capacity: 4}}})
+	}
+	s.SetView(view)
+	return s
+}
+
+func request(method, path, try string, body io.Reader) *http.Request {
+	r := httptest.NewRequest(method, path, body)
+	r.Host = "d"
+	r.Header.Set(solvay.TryHeader, try)
+	r.Header.Set(solvay.LeftHeader, "4000")
+	return r
+}
+
+// told is what gates were asked for one request and what they said.
+type told struct {
+	asks, ran int // of these, those that ran or may have
+	reply     *brentei.Reply
+	body      string
+}
+
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// TestServe provokes TWICE, REFUSED, MIXED, UNASKED and ROUTE through gates that refuse, break off, and pass on backends which answer
+// with a promise although they ran.
+func TestServe(t *testing.T) {
+	var mu sync.Mutex
+	heard := map[string]*told{}
+	r := rand.New(rand.NewPCG(1, 6))
+	serve := func(n int) string {
+		return gate(t, func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			h := heard[a.Try]
+			if h == nil || a.Target != fmt.Sprint("b", n) || a.Caller != "caller" || string(body) != "asked "+a.Try ||
+				a.Unsafe != strings.HasPrefix(a.URI, "/unsafe/") || h.ran > 0 && !a.Repeat || a.Left >= 4*time.Second {
+				panic(fmt.Sprintf("asked what was not meant: %+v", a))
+			}
+			h.asks++
+			k := r.IntN(20)
+			switch {
+			case k < 3:
+				return &brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Full, After: time.Millisecond}, nil
+			case k < 4:
+				return &brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Cold, After: time.Second}, nil
+			}
+			h.ran++
+			switch {
+			case k < 5:
+				return &brentei.Reply{Reason: brentei.Broken}, nil
+			case k < 6:
+				return nil, nil
+			}
+			status := append(promises, 500, 404, 200, 200, 200, 200, 200, 200, 200, 200)[r.IntN(14)]
+			h.body = fmt.Sprint("said ", a.Try, h.asks)
+			h.reply = &brentei.Reply{Verdict: brentei.Ran, Status: status, Header: []string{solvay.SealHeader, h.body}}
+			return h.reply, []byte(h.body)
+		})
+	}
+	dead, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead.Close()
+	s := sender(t, serve(0), serve(1), dead.Addr().String(), serve(3), serve(4))
+	view, counted := s.View(), map[int]int{}
+	for i := range 1500 {
+		path := []string{"/safe/x", "/unsafe/x"}[i%2]
+		if i%20 == 0 { // with nothing learnt of gates that failed
+			s = New(s.set, s.host, s.links, s.log)
+			s.SetView(view)
+		}
+		try, h := fmt.Sprint("t", i), &told{}
+		mu.Lock()
+		heard[try] = h
+		mu.Unlock()
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, request("POST", path, try, strings.NewReader("asked "+try)))
+		counted[w.Code]++
+		require.LessOrEqual(t, h.ran, 2, "more backends than the route's tries")
+		if path == "/unsafe/x" {
+			require.LessOrEqual(t, h.ran, 1, "TWICE")
+			if h.ran > 0 {
+				require.NotContains(t, promises, w.Code, "REFUSED: it may have run")
+			}
+		}
+		if w.Code/100 == 2 {
+			require.Equal(t, h.reply.Status, w.Code, "MIXED")
+			require.Equal(t, h.body, w.Body.String(), "MIXED")
+			require.Equal(t, h.body, w.Header().Get(solvay.SealHeader), "MIXED")
+		}
+		if w.Code == http.StatusServiceUnavailable {
+			after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.True(t, after > 0 && after <= mostAfter.Seconds())
+		}
+	}
+	for _, status := range []int{200, 404, 502, 503} {
+		require.Greater(t, counted[status], 20, "the load provokes too few: %d", status)
+	}
+	require.Zero(t, s.Held())
+}
+
+// TestOneRequest provokes UNASKED and DENIED: what passes unchanged, what is set whatever was sent, and what the sender says itself.
+func TestOneRequest(t *testing.T) {
+	var got brentei.Ask
+	s := sender(t, gate(t, func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+		got = *a
+		return &brentei.Reply{Verdict: brentei.Ran, Status: 200, Header: []string{solvay.SealHeader, "seal"}}, nil
+	}))
+	say := func(r *http.Request) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		return w
+	}
+	r := request("HEAD", "/safe/%41?q=%42", "t", nil)
+	for name, value := range map[string]string{solvay.CallerHeader: "forged", solvay.TargetHeader: "forged", "X-Kept": "yes", "Cookie": "c",
+		"Connection": "x-hop", "X-Hop": "no", "Te": "trailers"} {
+		r.Header.Set(name, value)
+	}
+	w := say(r)
+	require.Equal(t, 200, w.Code)
+	require.Equal(t, "seal", w.Header().Get(solvay.SealHeader))
+	require.Empty(t, w.Header().Get("Content-Length"), "a HEAD has no body, and its length is not known here")
+	require.Equal(t, []string{"HEAD", "/safe/%41?q=%42", "d", "caller", "b0", "t"}, []string{got.Method, got.URI, got.Host, got.Caller, got.Target, got.Try})
+	require.Less(t, got.Left, 4*time.Second-wayBack+time.Millisecond)
+	require.Greater(t, got.Left, 3*time.Second)
+	require.ElementsMatch(t, []string{"X-Kept", "yes", "Cookie", "c"}, got.Header)
+
+	got = brentei.Ask{}
+	require.Equal(t, 404, say(request("GET", "/none/", "t", nil)).Code)
+	long := strings.Repeat("x", 1001)
+	require.Equal(t, 413, say(request("POST", "/safe/", "t", strings.NewReader(long))).Code)
+	chunked := request("POST", "/safe/", "t", strings.NewReader(long))
+	chunked.ContentLength = -1
+	require.Equal(t, 413, say(chunked).Code)
+	late := request("POST", "/unsafe/", "t", nil)
+	late.Header.Set(solvay.LeftHeader, "0")
+	require.Equal(t, 503, say(late).Code)
+	cut := request("POST", "/unsafe/", "t", strings.NewReader("half"))
+	cut.ContentLength = 8
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { say(cut) }, "half a request has no answer")
+	require.Zero(t, got, "one of these reached a gate")
+	s = New(s.set, s.host, s.links, s.log)
+	w = say(request("GET", "/safe/", "t", nil))
+	require.Equal(t, 503, w.Code, "nothing is known yet")
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
+
+// TestTries: a copy beside one that is out counts as one of the route's tries, also before it has ended.
+func TestTries(t *testing.T) {
+	entered, leave := make(chan bool, 8), make(chan bool)
+	s := sender(t, gate(t, func(*brentei.Ask, []byte) (*brentei.Reply, []byte) {
+		entered <- true
+		<-leave
+		return &brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Full}, nil
+	}))
+	view := s.View()
+	j := &job{route: view.Config.Route("d", "/safe/"), done: make(chan struct{}), deadline: time.Now().Add(2 * time.Second)}
+	only := *j.route
+	only.Tries = 1
+	j.route = &only
+	c := s.chooser("s")
+	to := c.targets[idOf("10.0.1.0")]
+	first := make(chan *attempt)
+	send := func() { first <- s.attempt(j, policy.Action{Server: to.id}, to, 0, false) }
+	go send()
+	<-entered
+	second := s.attempt(j, policy.Action{Server: to.id}, to, 1, false)
+	require.Equal(t, brentei.Own, second.fail.Reason, "sent to a second backend on a route of one try")
+	leave <- true
+	require.Equal(t, brentei.Full, (<-first).fail.Reason)
+	go send() // what did not run is no try
+	<-entered
+	leave <- true
+	require.Equal(t, brentei.Full, (<-first).fail.Reason)
+}
