The connection pool to backends is a package of its own, internal/bertol

Need: the mesh's program is to use the agent's pool, which hung on settings, the attempt's machine and the agent's lateness.

Change: internal/bertol has the pool, targets, connections with their deadlines (stall, overdue, interrupt), the Network and TCP. It is told the network, the connect time-out, when backends close idle connections and how many there may be, and has no goroutine or timer, so that an idle agent costs what it did; that is by construction and not measured here. Reading behind a deadline, which clients' connections need as well, moves to internal/tcp. What is the agent's own, room for streams, the count of what was written, lateness and the attempt, stays in internal/agent as backends. Nothing stands twice; agent.Network is bertol's.

Tests of the pool move with it, counts of what is open and idle among them, on a network that counts for itself, in virtual time, and so need no settings or sockets. Three of the agent's that looked into the pool's fields look at what the backend saw instead (the closes of the old process's connections and of the one that comes back late), at the target being retired, and at a pool of a single socket that failed attempts must not keep.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -18,7 +18,7 @@
 // Figures are what operators' staff read.
 func (a *Agent) Figures(ctx context.Context) (*admin.Figures, error) {
 	l := a.loop
-	f := &admin.Figures{Attempts: l.pool.written.Load(), InFlight: a.server.held.Load() - a.server.coming.Load()}
+	f := &admin.Figures{Attempts: l.backends.written.Load(), InFlight: a.server.held.Load() - a.server.coming.Load()}
 	err := l.do(ctx, func() {
 		for i, c := range l.counts.classes {
 			f.Classes = append(f.Classes, admin.Class{Name: l.set.Classes[i], Served: c.served, Refused: c.refused, Failed: c.failed})
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -121,7 +121,7 @@
 	cfg := config(t, "127.0.0.1:1", testSettings)
 	net := &slowDial{dialing: make(chan string, 10), let: make(chan struct{}, 10)}
 	x, y := newBackend(t, serves), newBackend(t, serves)
-	l, err := newLoop(cfg, newPool(net, &cfg.Settings, 8, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(net, &cfg.Settings, 8, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -54,12 +54,12 @@
 // Read reads. Danger: the deadline of an idle connection may pass while the agent gets no processor, and a request that came
 // in the meantime would be lost with the connection. What has come by then is read.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := readWaiting(c.Conn, b)
+	n, err := tcp.ReadWaiting(c.Conn, b)
 	if first := c.busy.Load(); n == 0 && first > 0 && c.leaving.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		// It was to make room when a part of its request had just been read: it has the time that any has.
 		if until := time.Unix(0, first).Add(slowest); time.Now().Before(until) {
 			c.Conn.SetReadDeadline(until)
-			n, err = readWaiting(c.Conn, b)
+			n, err = tcp.ReadWaiting(c.Conn, b)
 		}
 	}
 	if c.inBody.Load() || n == 0 {
@@ -98,27 +98,6 @@
 	return c.Conn.Write(b)
 }
 
-// waiter is a connection that is no socket and gives what it has received, whatever its deadline.
-type waiter interface{ Waiting(b []byte) int }
-
-// readWaiting reads, behind the deadline too what had come by then.
-func readWaiting(c net.Conn, b []byte) (n int, err error) {
-	if n, err = c.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return n, err
-	}
-	late := 0
-	switch c := c.(type) {
-	case waiter:
-		late = c.Waiting(b)
-	case syscall.Conn:
-		late = tcp.Waiting(c, b)
-	}
-	if late > 0 {
-		return late, nil
-	}
-	return n, err
-}
-
 // CloseWrite ends what the agent sends. Danger: without it net/http can't end a connection behind the answer to a
 // request that it has not read, and the client's next bytes would make a reset of it that destroys the answer.
 func (c *clientConn) CloseWrite() error {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,7 +71,7 @@
 func New(cfg *Config, listener net.Listener, network Network, log *slog.Logger) (*Agent, error) {
 	// Half of the sockets is for backends.
 	half := (cfg.Sockets - reservedSockets) / 2
-	l, err := newLoop(cfg, newPool(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/streamShare, log), log)
+	l, err := newLoop(cfg, newBackends(network, &cfg.Settings, half, int64(cfg.MemoryMB)<<20/streamShare, log), log)
 	if err != nil {
 		return nil, err
 	}
@@ -138,7 +138,7 @@
 			a.handover.Close()
 		}
 		workers.Wait()
-		l.pool.close()
+		l.backends.Close()
 	}()
 	srv := &http.Server{
 		Handler: handler, ReadHeaderTimeout: requestTimeout, IdleTimeout: idleClients, MaxHeaderBytes: maxHeader,
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -8,14 +8,17 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"log/slog"
 	"math"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/life"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
@@ -32,6 +35,38 @@
 // errTooLate says that a request is not to be sent any more: its backend is out, or the backends no longer remember what it repeats.
 var errTooLate = errors.New("too late to send the request")
 
+// backends sends messages to backends over the connections of a pool, and keeps what their answers need.
+type backends struct {
+	*bertol.Pool
+	room    atomic.Int64 // bytes left for streams
+	written atomic.Int64 // attempts whose last byte went out
+	late    *lateness    // the agent's own
+	log     *slog.Logger
+}
+
+// newBackends returns those of a pool of so many connections at most, with room for so many bytes of streams.
+func newBackends(net Network, s *settings.Settings, most int, room int64, log *slog.Logger) *backends {
+	b := &backends{
+		Pool: bertol.New(bertol.Options{Network: net, ConnectTimeout: s.ConnectTimeout, IdleClose: s.Module.IdleClose, Most: most}),
+		late: newLateness(s, net), log: log,
+	}
+	b.room.Store(room)
+	return b
+}
+
+// reserve takes so many bytes of the room for streams, if they are there. Danger: as many streams as there are connections
+// would not fit into the memory.
+func (b *backends) reserve(n int64) bool {
+	if b.room.Add(-n) >= 0 {
+		return true
+	}
+	b.room.Add(n)
+	return false
+}
+
+// free gives them back.
+func (b *backends) free(n int64) { b.room.Add(n) }
+
 // message is a client's request as it goes on to a backend, unchanged but for its budget.
 type message struct {
 	head  []byte // the request line and the headers but for the budget
@@ -88,18 +123,18 @@
 
 // exchange sends a message once and waits for its answer until the context ends. If sendBy is set and has passed
 // when a connection is up, nothing is sent.
-func (p *pool) exchange(ctx context.Context, t *target, m *message, sendBy time.Time, fields []string) result {
+func (b *backends) exchange(ctx context.Context, t *bertol.Target, m *message, sendBy time.Time, fields []string) result {
 	r := result{load: settings.NoLoad()}
 	var a life.Attempt
-	wrote := p.late.time.now()
-	resp, body, rest, err := p.roundTrip(ctx, t, m, sendBy, &a, &wrote)
-	r.seen = p.late.time.now()
-	r.took = max(0, r.seen-p.late.own()-wrote)
+	wrote := b.late.time.now()
+	resp, body, rest, err := b.roundTrip(ctx, t, m, sendBy, &a, &wrote)
+	r.seen = b.late.time.now()
+	r.took = max(0, r.seen-b.late.own()-wrote)
 	if err == nil {
 		r.load = parseLoad(resp.Header.Get(loadHeader), fields)
-		p.on(&a, meaning(resp))
+		b.on(&a, meaning(resp))
 	} else {
-		p.onError(ctx, &a, err)
+		b.onError(ctx, &a, err)
 	}
 	r.outcome = a.State().Outcome()
 	if r.outcome == policy.OK {
@@ -110,32 +145,32 @@
 
 // on takes in what happens to an attempt. Danger: what does not fit would have the attempt end as something that it is not,
 // so it is told; and the attempt stays as it is, which never calls unsent what may have run.
-func (p *pool) on(a *life.Attempt, i life.Input) {
+func (b *backends) on(a *life.Attempt, i life.Input) {
 	if err := a.On(i); err != nil {
-		p.log.Error("attempt", "error", err)
+		b.log.Error("attempt", "error", err)
 	}
 }
 
 // onError takes in why an attempt's I/O has come back without an answer.
-func (p *pool) onError(ctx context.Context, a *life.Attempt, err error) {
+func (b *backends) onError(ctx context.Context, a *life.Attempt, err error) {
 	overdue := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 	switch {
 	case ctx.Err() != nil && !overdue, errors.Is(err, errClient):
-		p.on(a, life.Cancel)
-		p.on(a, life.Back)
+		b.on(a, life.Cancel)
+		b.on(a, life.Back)
 	case errors.Is(err, errTooLate):
-		p.on(a, life.TooLate)
-	case ownShortage(err) && a.State() == life.Connecting:
-		p.on(a, life.NoRoom)
+		b.on(a, life.TooLate)
+	case bertol.IsShortage(err) && a.State() == life.Connecting:
+		b.on(a, life.NoRoom)
 	case overdue, errors.Is(err, errOverdue):
-		p.on(a, life.Deadline)
-		p.on(a, life.Back)
-	case a.State() == life.Connecting && errors.Is(err, os.ErrDeadlineExceeded) && p.late.own() > 0:
-		p.on(a, life.NoRoom) // it may have come up in time while the agent was late
+		b.on(a, life.Deadline)
+		b.on(a, life.Back)
+	case a.State() == life.Connecting && errors.Is(err, os.ErrDeadlineExceeded) && b.late.own() > 0:
+		b.on(a, life.NoRoom) // it may have come up in time while the agent was late
 	case a.State() == life.Connecting:
-		p.on(a, life.NoConnection)
+		b.on(a, life.NoConnection)
 	default:
-		p.on(a, life.Broken)
+		b.on(a, life.Broken)
 	}
 }
 
@@ -154,17 +189,17 @@
 
 // roundTrip returns an answer, the rest of its body if that is too long to be read here, or an error. How far it has come before that the attempt tells, and wrote when its last
 // byte went out, if it did.
-func (p *pool) roundTrip(ctx context.Context, t *target, m *message, sendBy time.Time, a *life.Attempt, wrote *time.Duration) (resp *http.Response, body []byte, rest *download, err error) {
-	p.on(a, life.Begin)
-	c, err := p.get(ctx, t)
+func (b *backends) roundTrip(ctx context.Context, t *bertol.Target, m *message, sendBy time.Time, a *life.Attempt, wrote *time.Duration) (resp *http.Response, body []byte, rest *download, err error) {
+	b.on(a, life.Begin)
+	c, err := b.Get(ctx, t)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	p.on(a, life.Connected)
+	b.on(a, life.Connected)
 	reusable := false
 	stop := context.AfterFunc(ctx, func() {
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			c.overdue()
+			c.Overdue()
 		} else {
 			c.Close() // which also gives the attempt up
 		}
@@ -179,15 +214,15 @@
 			rest.end(false)
 			resp, rest, err = nil, nil, context.Cause(ctx)
 		case on && reusable:
-			p.put(c)
+			b.Put(c)
 		default:
-			p.discard(c)
+			b.Discard(c)
 		}
 	}()
 	// Danger: backends drop a keyed repeat only for a while, and a connection that was slow to come up may outlast
 	// it. What is not sent has not run.
 	// Nor is anything sent to a backend that was called out meanwhile, or has gone.
-	if !sendBy.IsZero() && !time.Now().Before(sendBy) || p.isRetired(t) {
+	if !sendBy.IsZero() && !time.Now().Before(sendBy) || b.Retired(t) {
 		reusable = true
 		return nil, nil, nil, errTooLate
 	}
@@ -198,56 +233,56 @@
 		deadline, _ := ctx.Deadline()
 		left = time.Until(deadline)
 	}
-	p.on(a, life.Write)
+	b.on(a, life.Write)
 	if _, err := c.Write(m.encode(left)); err != nil {
 		return nil, nil, nil, err
 	}
 	whole := true
 	if m.rest != nil {
-		if whole, err = p.passOn(c, m.rest); err != nil {
+		if whole, err = b.passOn(c, m.rest); err != nil {
 			return nil, nil, nil, err
 		}
 	}
 	if whole {
-		p.on(a, life.WroteLast)
+		b.on(a, life.WroteLast)
 		if !m.probe {
-			p.written.Add(1)
+			b.written.Add(1)
 		}
-		*wrote = p.late.time.now()
+		*wrote = b.late.time.now()
 		if m.rest != nil {
-			overdue := time.AfterFunc(m.rest.arrived(), c.overdue)
+			overdue := time.AfterFunc(m.rest.arrived(), c.Overdue)
 			defer overdue.Stop()
 		}
 	}
-	if resp, body, rest, err = p.read(c, a); err != nil {
-		if m.rest != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.isOver() {
+	if resp, body, rest, err = b.read(c, a); err != nil {
+		if m.rest != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.IsOverdue() {
 			err = errOverdue
 		}
 		return nil, nil, nil, err
 	}
 	// Danger: what stands behind an answer, a copy of it or noise, would be taken for the next one's.
-	reusable = whole && !resp.Close && c.br.Buffered() == 0
+	reusable = whole && !resp.Close && c.Reader.Buffered() == 0
 	return resp, body, rest, nil
 }
 
 // passOn passes the rest of a request's body on, until the backend answers: one that does so before the last byte has no
 // use for what is left. It says whether that was all of it.
-func (p *pool) passOn(c *conn, rest *upload) (whole bool, err error) {
-	c.limit.N = maxHeader + keep
-	c.stall = 0
+func (b *backends) passOn(c *bertol.Conn, rest *upload) (whole bool, err error) {
+	c.Limit(maxHeader + keep)
+	c.Stall = 0
 	var early error
 	heard := make(chan struct{})
 	go func() {
 		defer close(heard)
-		if _, early = c.br.Peek(1); !errors.Is(early, os.ErrDeadlineExceeded) {
+		if _, early = c.Reader.Peek(1); !errors.Is(early, os.ErrDeadlineExceeded) {
 			rest.interrupt()
 		}
 	}()
 	err = rest.pump(c)
 	// Nobody else may read the connection until the watch has ended. What it has seen stays to be read.
-	c.interruptRead()
+	c.InterruptRead()
 	<-heard
-	if e := c.resumeRead(); e != nil && err == nil {
+	if e := c.ResumeRead(); e != nil && err == nil {
 		err = e
 	}
 	switch {
@@ -263,19 +298,19 @@
 
 // read reads one answer: to its end if it is short, else its head and what of it has come. One whose end only the closing of
 // the connection shows is whole if that is no reset (RFC 9112, section 6.3).
-func (p *pool) read(c *conn, a *life.Attempt) (*http.Response, []byte, *download, error) {
-	c.limit.N = maxHeader + keep
+func (b *backends) read(c *bertol.Conn, a *life.Attempt) (*http.Response, []byte, *download, error) {
+	c.Limit(maxHeader + keep)
 	for {
-		c.stall = 0 // however long it takes until something comes
-		if _, err := c.br.Peek(1); err != nil {
+		c.Stall = 0 // however long it takes until something comes
+		if _, err := c.Reader.Peek(1); err != nil {
 			return nil, nil, nil, err
 		}
 		if s := a.State(); s == life.Sent || s == life.Writing { // not behind an interim one
-			p.on(a, life.FirstByte)
+			b.on(a, life.FirstByte)
 		}
 		// Danger: an answer that says that it is longer than it is ends on no connection that stays open.
-		c.stall = answerStall
-		resp, err := http.ReadResponse(c.br, nil)
+		c.Stall = answerStall
+		resp, err := http.ReadResponse(c.Reader, nil)
 		if err != nil {
 			return nil, nil, nil, err
 		}
@@ -293,18 +328,19 @@
 			return nil, nil, nil, err
 		}
 		if whole {
-			c.stall = 0
-			return resp, body, nil, c.arm()
+			c.Stall = 0
+			return resp, body, nil, c.Arm()
 		}
 		if !good {
 			return nil, nil, nil, fmt.Errorf("an answer of over %d bytes", len(body))
 		}
-		if !p.reserve(streamRoom) {
+		if !b.reserve(streamRoom) {
 			return nil, nil, nil, errors.New("no room for an answer")
 		}
-		c.limit.N, c.stall = math.MaxInt64, streamStall
+		c.Limit(math.MaxInt64)
+		c.Stall = streamStall
 		return resp, body, &download{
-			pool: p, conn: c, body: resp.Body, size: resp.ContentLength, got: int64(len(body)), reusable: !resp.Close,
+			backends: b, conn: c, body: resp.Body, size: resp.ContentLength, got: int64(len(body)), reusable: !resp.Close,
 		}, nil
 	}
 }
@@ -332,66 +368,18 @@
 	return body, false, nil
 }
 
-// overdue ends all waiting on the connection. What has come by then is still read.
-func (c *conn) overdue() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.over = true
-	c.SetDeadline(time.Unix(1, 0))
-}
-
-// isOver says whether it has.
-func (c *conn) isOver() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.over
-}
-
-// arm gives the next byte as long as is due to it.
-func (c *conn) arm() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.over, c.halted:
-	case c.stall > 0:
-		c.timing = true
-		return c.SetReadDeadline(time.Now().Add(c.stall))
-	case c.timing:
-		c.timing = false
-		return c.SetReadDeadline(time.Time{})
-	}
-	return nil
-}
-
-// interruptRead ends a Read that waits, until resumeRead.
-func (c *conn) interruptRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.halted = true
-	c.SetReadDeadline(time.Unix(1, 0))
-}
-
-func (c *conn) resumeRead() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.halted = false; c.over {
-		return nil
-	}
-	return c.SetReadDeadline(time.Time{})
-}
-
 // probe asks a backend how it does: for its load where probes bring reports, else whether it is alive.
-func (p *pool) probe(ctx context.Context, t *target, s *settings.Settings) result {
+func (b *backends) probe(ctx context.Context, t *bertol.Target, s *settings.Settings) result {
 	path, reports := alivePath, s.Module.Reports != policy.ReportsOff
 	if reports {
 		path = loadPath
 	}
-	m := newMessage(http.MethodGet, path, t.addr, nil, nil, nil)
+	m := newMessage(http.MethodGet, path, t.Addr, nil, nil, nil)
 	m.probe = true
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r := p.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
-	r.answer.drop(p)
+	r := b.exchange(ctx, t, &m, time.Time{}, s.ReportFields)
+	r.answer.drop()
 	if r.outcome == policy.OK && reports {
 		r.load = parseLoad(string(r.answer.body), s.ReportFields)
 	}
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/standin"
 	"example.org/micaline/policy"
 )
@@ -134,7 +135,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=7,recent_ms=12", false
 	})
 	cfg := config(t, "127.0.0.1:1", strings.Replace(testSettings, `"off"`, `"on_probe"`, 1))
-	r := newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)).probe(context.Background(), &target{addr: b.Addr}, &cfg.Settings)
+	r := newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)).probe(context.Background(), &bertol.Target{Addr: b.Addr}, &cfg.Settings)
 	if r.outcome != policy.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
 		t.Errorf("got %+v", r)
 	}
@@ -163,8 +164,8 @@
 func TestLateRepeatIsNotSent(t *testing.T) {
 	b := newBackend(t, serves)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler))
-	to := p.target(b.Addr, 0)
+	p := newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler))
+	to := p.Target(b.Addr, 0)
 	m := newMessage("POST", "/keyed/1", "x", nil, nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
@@ -176,11 +177,12 @@
 	}
 }
 
-// A request that waits for a connection when its client gives up never ran, and one that is cancelled is told so.
+// A request that waits for a connection when its client gives up never ran, and one that is cancelled is told so. Neither
+// keeps the socket.
 func TestConnectionThatNeverComesUp(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler))
-	to := p.target("127.0.0.1:1", 0)
+	p := newBackends(TCP{}, &cfg.Settings, 1, 1<<20, slog.New(slog.DiscardHandler))
+	to := p.Target("127.0.0.1:1", 0)
 	m := newMessage("GET", "/", "x", nil, nil, nil)
 	over, cancel := context.WithDeadline(context.Background(), time.Now())
 	defer cancel()
@@ -192,7 +194,9 @@
 	if r := p.exchange(given, to, &m, time.Time{}, nil); r.outcome != policy.Cancelled {
 		t.Errorf("given up: outcome %d", r.outcome)
 	}
-	if p.open != 0 {
-		t.Errorf("%d connections are counted as open", p.open)
+	ctx, end := context.WithTimeout(context.Background(), wait)
+	defer end()
+	if r := p.exchange(ctx, p.Target(newBackend(t, serves).Addr, 0), &m, time.Time{}, nil); r.outcome != policy.OK {
+		t.Errorf("by the only socket: outcome %d", r.outcome)
 	}
 }
--- a/internal/agent/pool_test.go
+++ b/internal/agent/backends_test.go
@@ -19,7 +19,7 @@
 		return okText, false
 	})
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,14 +33,14 @@
 	m := newMessage("GET", "/", "x", nil, nil, nil)
 	inUse := make(chan result, 1)
 	first := l.targets[l.servers.of("old")]
-	go func() { inUse <- l.pool.exchange(ctx, first, &m, time.Time{}, nil) }()
+	go func() { inUse <- l.backends.exchange(ctx, first, &m, time.Time{}, nil) }()
 	receive(t, "request", b.Got)
 	list(policy.ListDelta, next)
 	goOn <- struct{}{}
 	second := l.targets[l.servers.of("next")]
 	inUse2 := make(chan result, 1)
 	receive(t, "answer of the old one", inUse)
-	go func() { inUse2 <- l.pool.exchange(ctx, second, &m, time.Time{}, nil) }()
+	go func() { inUse2 <- l.backends.exchange(ctx, second, &m, time.Time{}, nil) }()
 	receive(t, "request", b.Got)
 	if n := len(b.Accepted); n != 2 {
 		t.Errorf("%d connections to two backends", n)
@@ -49,18 +49,17 @@
 	receive(t, "answer of the new one", inUse2)
 	old.Phase = "Gone"
 	list(policy.ListDelta, old)
-	if len(first.idle) != 0 || len(second.idle) != 1 || l.pool.open != 1 {
-		t.Errorf("%d idle to the old one, %d to the new one, %d open", len(first.idle), len(second.idle), l.pool.open)
-	}
+	receive(t, "close of the old one's connection", b.Ended)
 	// A restart of the process at the same address is another target as well, and what comes back late closes.
-	go func() { inUse2 <- l.pool.exchange(ctx, second, &m, time.Time{}, nil) }()
+	go func() { inUse2 <- l.backends.exchange(ctx, second, &m, time.Time{}, nil) }()
 	receive(t, "request", b.Got)
 	next.UpSince = 5
 	list(policy.ListDelta, next)
 	goOn <- struct{}{}
 	receive(t, "late answer", inUse2)
-	if len(second.idle) != 0 || l.pool.open != 0 {
-		t.Errorf("after a restart %d are idle, %d open", len(second.idle), l.pool.open)
+	receive(t, "close of the connection that came back late", b.Ended)
+	if n := len(b.Accepted); n != 2 {
+		t.Errorf("%d connections: the new one's went with the old one's", n)
 	}
 }
 
@@ -93,8 +92,8 @@
 func TestPoolIsBounded(t *testing.T) {
 	x, y := newBackend(t, serves), newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 1, 1<<20, slog.New(slog.DiscardHandler))
-	toX, toY := p.target(x.Addr, 0), p.target(y.Addr, 0)
+	p := newBackends(TCP{}, &cfg.Settings, 1, 1<<20, slog.New(slog.DiscardHandler))
+	toX, toY := p.Target(x.Addr, 0), p.Target(y.Addr, 0)
 	m := newMessage("GET", "/", "x", nil, nil, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
@@ -117,53 +116,3 @@
 		t.Errorf("with the socket free again: outcome %d", r.outcome)
 	}
 }
-
-// What may be closed by the backend before a request has crossed is not used, and is swept away; ActClose closes
-// what is idle.
-func TestIdleConnectionsEnd(t *testing.T) {
-	b := newBackend(t, serves)
-	cfg := config(t, "127.0.0.1:1", testSettings)
-	p := newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler))
-	to := p.target(b.Addr, 0)
-	m := newMessage("GET", "/", "x", nil, nil, nil)
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	for i, end := range []func(c *conn){
-		func(c *conn) { // no sweep has come
-			c.since = c.since.Add(-p.idleClose + idleMargin/2)
-		},
-		func(c *conn) {
-			c.since = c.since.Add(-p.idleClose + idleMargin/2)
-			p.sweep()
-			receive(t, "close by the sweep", b.Ended)
-		},
-		func(*conn) {
-			p.closeIdle(to)
-			receive(t, "close of the idle connection", b.Ended)
-		},
-		func(*conn) {},
-	} {
-		if r := p.exchange(ctx, to, &m, time.Time{}, nil); r.outcome != policy.OK {
-			t.Fatalf("exchange %d: outcome %d", i, r.outcome)
-		}
-		if n := len(b.Accepted); n != i+1 {
-			t.Errorf("exchange %d: %d connections", i, n)
-		}
-		end(to.idle[0])
-	}
-	if p.open != 1 {
-		t.Errorf("%d connections are counted as open", p.open)
-	}
-}
-
-// The connection that was used last is the least likely to be closed by the backend.
-func TestNewestConnectionFirst(t *testing.T) {
-	p := newPool(TCP{}, &config(t, "127.0.0.1:1", testSettings).Settings, 4, 1<<20, slog.New(slog.DiscardHandler))
-	x := p.target("x", 0)
-	older, newer := &conn{to: x}, &conn{to: x}
-	p.put(older)
-	p.put(newer)
-	if p.takeIdle(x) != newer || p.takeIdle(x) != older || p.takeIdle(x) != nil {
-		t.Error("not the one used last first")
-	}
-}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -190,7 +190,7 @@
 		InFlight: v.InFlight, Silent: v.Silent, Load: round(v.Held), Full: round(v.Full.Seconds()),
 	}
 	if t := l.targets[v.ID]; t != nil {
-		b.Addr = t.addr
+		b.Addr = t.Addr
 	}
 	if h := l.holds[b.Name]; h.Out {
 		b.Held, b.HeldBy = round((h.Until - now).Seconds()), h.By
--- a/internal/agent/control_test.go
+++ b/internal/agent/control_test.go
@@ -238,7 +238,7 @@
 // A module that ends by an event does not keep the next one from hearing of it: it might be a drain.
 func TestModuleThatEndsByAnEvent(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/holds.go
+++ b/internal/agent/holds.go
@@ -78,8 +78,8 @@
 	if t := l.targets[id]; t != nil {
 		// Once it is out nothing is begun that only waits for its connection; once it is back its connections lead to the
 		// process before.
-		l.pool.retire(t)
-		l.targets[id] = l.pool.target(t.addr, t.start)
+		l.backends.Retire(t)
+		l.targets[id] = l.backends.Target(t.Addr, t.Start)
 	}
 	l.handleAll(ctx, policy.Event{Kind: policy.EventList, ListMode: policy.ListDelta, Servers: []policy.ServerEntry{l.held(l.listed[id])}})
 }
--- a/internal/agent/level_test.go
+++ b/internal/agent/level_test.go
@@ -113,7 +113,7 @@
 	if err := cfg.Levels.Check(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, nil), nil); err == nil || !strings.Contains(err.Error(), "levels.level[0].shed") {
+	if _, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, nil), nil); err == nil || !strings.Contains(err.Error(), "levels.level[0].shed") {
 		t.Errorf("error %v", err)
 	}
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/settings"
@@ -113,7 +114,7 @@
 	current   *module         // gets new requests
 	modules   []*module       // it, and those before it that are not done
 	decisions policy.Settings // of the current one
-	pool      *pool
+	backends  *backends
 	late      *lateness
 	follow    func()       // asks discovery for the list
 	tell      func([]byte) // tells all other agents
@@ -122,7 +123,7 @@
 	ready     atomic.Bool   // a list has come
 
 	servers  serverIDs
-	targets  map[policy.ServerID]*target
+	targets  map[policy.ServerID]*bertol.Target
 	requests map[policy.RequestID]*request
 	callIDs  callIDs
 	lastID   policy.RequestID
@@ -140,21 +141,21 @@
 	actions  []policy.Action
 }
 
-func newLoop(cfg *Config, pool *pool, log *slog.Logger) (*loop, error) {
+func newLoop(cfg *Config, backends *backends, log *slog.Logger) (*loop, error) {
 	decider, err := cfg.decider()
 	if err != nil {
 		return nil, err
 	}
 	first := &module{Decider: decider}
 	l := &loop{
-		set: &cfg.Settings, clock: pool.late.time, late: pool.late, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, pool: pool, log: log,
+		set: &cfg.Settings, clock: backends.late.time, late: backends.late, current: first, modules: []*module{first}, decisions: cfg.Settings.Module, backends: backends, log: log,
 		listed: map[policy.ServerID]policy.ServerEntry{}, holds: handover.Register{}, said: func() {},
 		counts: newCounts(len(cfg.Settings.Classes)),
 		tell:   func([]byte) {},
 		ctx:    context.Background(), wake: time.NewTimer(time.Hour),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}},
-		targets:  map[policy.ServerID]*target{},
+		targets:  map[policy.ServerID]*bertol.Target{},
 		requests: map[policy.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}
@@ -241,7 +242,7 @@
 		case <-l.wake.C:
 		case <-sweep.C:
 			due = func() {
-				l.pool.sweep()
+				l.backends.Sweep()
 				l.callIDs.age()
 				l.endHolds(ctx)
 			}
@@ -322,7 +323,7 @@
 		if r == nil || r.ended { // it crossed the answer, if there was one
 			select {
 			case a := <-in.call.answered:
-				a.drop(l.pool)
+				a.drop()
 			default:
 			}
 			return
@@ -340,7 +341,7 @@
 		r.last = ev.Outcome
 		l.heardOf(r, &ev)
 		if ev.Outcome == policy.OK && !l.end(r, in.answer) {
-			in.answer.drop(l.pool)
+			in.answer.drop()
 		}
 		ev.Closed = r.ended
 		l.handle(ctx, r.module, ev)
@@ -440,13 +441,13 @@
 			continue // forgotten once the module has heard of it
 		}
 		old := l.targets[e.ID]
-		if old != nil && old.addr == m.HostPort && old.start == e.Start {
+		if old != nil && old.Addr == m.HostPort && old.Start == e.Start {
 			continue
 		}
 		if old != nil {
-			l.pool.retire(old)
+			l.backends.Retire(old)
 		}
-		l.targets[e.ID] = l.pool.target(m.HostPort, e.Start)
+		l.targets[e.ID] = l.backends.Target(m.HostPort, e.Start)
 	}
 	return entries
 }
@@ -469,7 +470,7 @@
 			continue
 		}
 		if t := l.targets[id]; t != nil {
-			l.pool.retire(t)
+			l.backends.Retire(t)
 			delete(l.targets, id)
 		}
 		l.servers.free(id)
@@ -579,7 +580,7 @@
 	}
 	call := r.call
 	carryOut := func() {
-		res := l.pool.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
+		res := l.backends.exchange(attemptCtx, t, msg, sendBy, l.set.ReportFields)
 		if rest != nil && rest.hasFailed() {
 			l.send(input{event: policy.Event{Kind: policy.EventHangup}, call: call})
 		}
@@ -604,7 +605,7 @@
 		return
 	}
 	go func() {
-		res := l.pool.probe(ctx, t, l.set)
+		res := l.backends.probe(ctx, t, l.set)
 		l.send(input{seen: res.seen - l.late.own(), event: policy.Event{
 			Kind: policy.EventProbed, Server: server, Outcome: res.outcome, Load: res.load,
 		}})
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -91,7 +91,7 @@
 func TestLoopCarriesOut(t *testing.T) {
 	b := newBackend(t, serves)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -116,9 +116,10 @@
 	if in := receive(t, "outcome", inputs); in.event.Outcome != policy.Moot {
 		t.Errorf("sent too late: outcome %d", in.event.Outcome)
 	}
+	target := l.targets[x]
 	list(policy.ListDelta, "Gone")
 	receive(t, "close of the idle connection", b.Ended)
-	if len(l.targets) > 0 || len(l.pool.targets) > 0 || len(l.servers.ids) > 0 || len(l.servers.names) > 0 {
+	if len(l.targets) > 0 || !l.backends.Retired(target) || len(l.servers.ids) > 0 || len(l.servers.names) > 0 {
 		t.Errorf("still known: %v %v", l.targets, l.servers)
 	}
 	send.Within = 0
@@ -131,7 +132,7 @@
 // A request is answered once: the outcome of an attempt that crosses the hangup of its client changes nothing.
 func TestLateOutcomeIsDropped(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -240,7 +241,7 @@
 	}
 	x, y := newBackend(t, script), newBackend(t, script)
 	cfg := config(t, "127.0.0.1:1", testSettings)
-	l, err := newLoop(cfg, newPool(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	l, err := newLoop(cfg, newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -103,12 +103,12 @@
 		defer rest.stop() // danger: who reads the body must not outlast its handler
 		// What is left of it when there is an answer is not waited for.
 		w.Header().Set("Connection", "close")
-		if !s.loop.pool.reserve(streamRoom) {
+		if !s.loop.backends.reserve(streamRoom) {
 			s.loop.locked(func() { s.loop.counts.turnAway(c.class) })
 			s.respond(w, answer{status: statusRefused, retryAfter: fullAdvice})
 			return
 		}
-		defer s.loop.pool.free(streamRoom)
+		defer s.loop.backends.free(streamRoom)
 		s.coming.Add(1)
 		defer func() {
 			if !rest.ended.Load() {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"example.org/micaline/internal/bertol"
 )
 
 // Bodies that are too long to be kept whole pass through: docs/design/operating.md.
@@ -164,7 +166,7 @@
 }
 
 // pump passes the rest of the body on, each byte as it comes. Its error wraps errClient if it is the client's.
-func (u *upload) pump(c *conn) error {
+func (u *upload) pump(c *bertol.Conn) error {
 	u.begun.Store(true)
 	var to io.Writer = c
 	var chunks io.WriteCloser
@@ -202,8 +204,8 @@
 
 // download is an answer's body on its way from a backend.
 type download struct {
-	pool     *pool
-	conn     *conn
+	backends *backends
+	conn     *bertol.Conn
 	body     io.Reader
 	size     int64 // bytes of the whole body; -1: not known before its end
 	got      int64
@@ -222,14 +224,14 @@
 // end gives back what the answer holds. Its backend hears so that it may stop, if it has not ended.
 func (d *download) end(whole bool) {
 	c := d.conn
-	c.stall = 0
+	c.Stall = 0
 	// Danger: what stands behind an answer, a copy of it or noise, would be taken for the next one's.
-	if whole && d.reusable && c.br.Buffered() == 0 && c.arm() == nil {
-		d.pool.put(c)
+	if whole && d.reusable && c.Reader.Buffered() == 0 && c.Arm() == nil {
+		d.backends.Put(c)
 	} else {
-		d.pool.discard(c)
+		d.backends.Discard(c)
 	}
-	d.pool.free(streamRoom)
+	d.backends.free(streamRoom)
 }
 
 // pass passes an answer on as it comes, and says whether it did to the end, and whose fault it is if not.
@@ -260,7 +262,7 @@
 }
 
 // drop lets go of an answer that nobody gets.
-func (a *answer) drop(p *pool) {
+func (a *answer) drop() {
 	if a.rest != nil {
 		a.rest.end(false)
 	}
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -322,7 +322,7 @@
 		})
 	}
 	readers.Wait()
-	if room := a.agent.loop.pool.room.Load(); room != int64(a.agent.cfg.MemoryMB)<<20/streamShare {
+	if room := a.agent.loop.backends.room.Load(); room != int64(a.agent.cfg.MemoryMB)<<20/streamShare {
 		t.Errorf("%d bytes of room when all is over", room)
 	}
 }
--- a/internal/moiry/moiry.go
+++ b/internal/moiry/moiry.go
@@ -1,10 +1,12 @@
-// Package moiry keeps the records by which servers are ejected and let in again: outlier ejection, as a circuit breaker for
-// each server and class of requests. (A hut above the glacier of that name.)
+// Package moiry keeps the records by which servers are ejected and let in again: outlier ejection,
+// as a circuit breaker for each server and class of requests. (A hut above the glacier of that
+// name.)
 //
-// A record counts failures, each for as much as its caller makes of it, and each answer halves the count. At one it is due:
-// the caller, who knows how many others are out, may eject the server. It is out for a time that doubles while it stays bad,
-// with some chance in it, and comes back half bad: on trial. Beside that stands the share of failures, a moving mean, which
-// tells a server that breaks some of its requests from one that answers nothing.
+// A record counts failures, each for as much as its caller makes of it, and each answer halves the
+// count. At one it is due: the caller, who knows how many others are out, may eject the server. It
+// is out for a time that doubles while it stays bad, with some chance in it, and comes back half
+// bad: on trial. Beside that stands the share of failures, a moving mean, which tells a server that
+// breaks some of its requests from one that answers nothing.
 //
 // It does no I/O and has no clock or source of chance: the caller brings both.
 package moiry
@@ -20,7 +22,8 @@
 	mostFails    = 0.5  // share of failures up to which a server that answers is worth more than none
 )
 
-// Record is what a server's answers to one class say. The zero value is that of a server that was not used yet.
+// Record is what a server's answers to one class say. The zero value is that of a server that was
+// not used yet.
 type Record struct {
 	Bad   float64       // failures of late, halved by each success
 	Fails float64       // share of failures, a moving mean
@@ -37,7 +40,8 @@
 	return 1 - fails
 }
 
-// Enough says whether one more may not be ejected, with which so many servers of so many would be out.
+// Enough says whether one more may not be ejected, with which so many servers of so many would be
+// out.
 func Enough(out, of int) bool { return float64(out) > ejectShare*float64(of) }
 
 // Out says whether the server is ejected.
@@ -64,7 +68,8 @@
 	return r.Bad >= 1 && !r.Out(now)
 }
 
-// Eject ejects the server for about so many seconds as it returns, by u, which is uniform in [0, 1).
+// Eject ejects the server for about so many seconds as it returns, by u, which is uniform in [0,
+// 1).
 func (r *Record) Eject(now, aim time.Duration, u float64) (wait float64) {
 	wait = ejectFor * aim.Seconds() * float64(int(1)<<min(r.Times, ejectDoubles))
 	r.Until = now + time.Duration(wait*(0.75+u/2)*float64(time.Second))
--- a/internal/moiry/moiry_test.go
+++ b/internal/moiry/moiry_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Under any load a server is out for no longer than its time allows, comes back on trial, and is ejected by nothing but a
-// whole failure's worth of blame.
+// Under any load a server is out for no longer than its time allows, comes back on trial, and is
+// ejected by nothing but a whole failure's worth of blame.
 func TestRandomLoad(t *testing.T) {
 	const aim = time.Second
 	rng := rand.New(rand.NewPCG(1, 0))
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -49,6 +49,27 @@
 	return max(n, 0)
 }
 
+// waiter is a connection that is no socket and gives what it has received, whatever its deadline.
+type waiter interface{ Waiting(b []byte) int }
+
+// ReadWaiting reads, behind the deadline too what had come by then.
+func ReadWaiting(c net.Conn, b []byte) (n int, err error) {
+	if n, err = c.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	late := 0
+	switch c := c.(type) {
+	case waiter:
+		late = c.Waiting(b)
+	case syscall.Conn:
+		late = Waiting(c, b)
+	}
+	if late > 0 {
+		return late, nil
+	}
+	return n, err
+}
+
 // Inherit returns a listener on a socket that other processes hold too.
 func Inherit(file *os.File) (net.Listener, error) {
 	l, err := net.FileListener(file)
--- a/internal/tracuit/tracuit.go
+++ b/internal/tracuit/tracuit.go
@@ -1,10 +1,11 @@
-// Package tracuit learns how fast servers are beside one another, by exponentially weighted means that are shrunk towards
-// a prior. (A hut below the Weisshorn.)
+// Package tracuit learns how fast servers are beside one another, by exponentially weighted means
+// that are shrunk towards a prior. (A hut below the Weisshorn.)
 //
-// There are servers, each of one kind of machine. The list of servers gives each a weight; that is the prior. How long
-// answers take, or what servers say that they take, is learnt for each kind, as single servers are seen too seldom, and
-// replaces the prior the more has been seen. A single server is only told from its kind by how many times slower it is, and
-// what was learnt of it is forgotten with time. Speeds mean nothing but beside one another.
+// There are servers, each of one kind of machine. The list of servers gives each a weight; that is
+// the prior. How long answers take, or what servers say that they take, is learnt for each kind, as
+// single servers are seen too seldom, and replaces the prior the more has been seen. A single
+// server is only told from its kind by how many times slower it is, and what was learnt of it is
+// forgotten with time. Speeds mean nothing but beside one another.
 //
 // It does no I/O and has no clock: the caller says when things happened.
 package tracuit
@@ -77,16 +78,18 @@
 	}
 }
 
-// Slower takes in a sample of how many times slower than usual the server is; usual is a usual answer's time in seconds.
+// Slower takes in a sample of how many times slower than usual the server is; usual is a usual
+// answer's time in seconds.
 func (s *Server) Slower(ratio, weight, usual float64, now time.Duration) {
 	s.Slow = 1 + (s.Slow-1)*math.Exp2(-(now-s.learntAt).Seconds()/(forget*usual))
 	s.Slow += weight * (min(max(ratio, 1/MaxSlow), MaxSlow) - s.Slow)
 	s.learntAt = now
 }
 
-// Speed is what a server of a kind can do, where so large a share of its requests does not fail: by the list's weight, then
-// by how long its kind takes. Danger: weights without the cores' speed overload the slow kind; single servers are seen too
-// seldom to mend that. How many are in work has no part in it: who is sent more would look faster and be sent more again.
+// Speed is what a server of a kind can do, where so large a share of its requests does not fail: by
+// the list's weight, then by how long its kind takes. Danger: weights without the cores' speed
+// overload the slow kind; single servers are seen too seldom to mend that. How many are in work has
+// no part in it: who is sent more would look faster and be sent more again.
 func (f *Fleet) Speed(k *Kind, s *Server, sound float64) float64 {
 	known := f.seen / (f.seen + kindDoubt)
 	pace := k.Ratio.V
--- a/internal/tracuit/tracuit_test.go
+++ b/internal/tracuit/tracuit_test.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Speeds follow the list's weights while nothing is known, and how long kinds take as that is learnt.
+// Speeds follow the list's weights while nothing is known, and how long kinds take as that is
+// learnt.
 func TestPriorGivesWay(t *testing.T) {
 	var f Fleet
 	var quick, slow Server
--- a/internal/weighted/mean.go
+++ b/internal/weighted/mean.go
@@ -1,6 +1,7 @@
 package weighted
 
-// Mean is an exponentially weighted moving average; its first sample is taken whole. The zero value knows nothing.
+// Mean is an exponentially weighted moving average; its first sample is taken whole. The zero value
+// knows nothing.
 type Mean struct {
 	V     float64
 	Known bool
--- a/internal/weighted/pairs.go
+++ b/internal/weighted/pairs.go
@@ -1,12 +1,14 @@
 package weighted
 
-// epsilonShare is the part of the bound on epsilon that is used: farthest from both ends, where a pair starves.
+// epsilonShare is the part of the bound on epsilon that is used: farthest from both ends, where a
+// pair starves.
 const epsilonShare = 0.5
 
-// Pairs appends the running sums of the weights of a line's pairs, by the speeds of its servers in the order of the line:
-// He and Down's line variant of limited choice for servers of unequal speed. A pair weighs the speed of its first server
-// plus epsilon, the last pair what remains, so that all weights together are all speeds. Epsilon lies below the bound
-// beyond which a pair would weigh less than nothing. A line of fewer than two servers has no pairs.
+// Pairs appends the running sums of the weights of a line's pairs, by the speeds of its servers in
+// the order of the line: He and Down's line variant of limited choice for servers of unequal speed.
+// A pair weighs the speed of its first server plus epsilon, the last pair what remains, so that all
+// weights together are all speeds. Epsilon lies below the bound beyond which a pair would weigh
+// less than nothing. A line of fewer than two servers has no pairs.
 func Pairs(speeds []float64, sums Sums) Sums {
 	n := len(speeds)
 	if n < 2 {
