--- a/internal/solvay/exchange.go
+++ b/internal/solvay/exchange.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/brentei"
 	"github.com/samber/oops"
 )
@@ -27,9 +28,6 @@
 	mostStrangers = 2 // answers to others' requests that are passed over on one connection
 )
 
-// errClosed says that a kept connection had ended before anything was written to it.
-var errClosed = errors.New("the connection has ended")
-
 // answer is what a backend said to one request.
 type answer struct {
 	status int
@@ -74,7 +72,7 @@
 
 // read reads the answer to a try. Danger: an answer to somebody else's may stand in its place; the id shows it, and the one
 // that is due comes behind it.
-func read(br *bufio.Reader, limit *io.LimitedReader, most int64, a *brentei.Ask) (*answer, *brentei.Failure) {
+func read(br *bufio.Reader, limit func(int64), most int64, a *brentei.Ask) (*answer, *brentei.Failure) {
 	broken := func(reason brentei.Reason, err error) (*answer, *brentei.Failure) {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			reason = brentei.Silent
@@ -82,7 +80,7 @@
 		return nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: reason, Cause: err}
 	}
 	for strangers := 0; ; {
-		limit.N = most
+		limit(most)
 		resp, err := http.ReadResponse(br, &http.Request{Method: a.Method})
 		if err != nil {
 			return broken(brentei.Broken, err)
@@ -160,33 +158,43 @@
 // refused says whether an address answered that nobody listens there.
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// targetOf is where a life of the backend is reached: another life's connections are not its own.
+func (h *Host) targetOf(address, id string) *bertol.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.target == nil || h.targetID != id || h.target.Addr != address {
+		if h.target != nil {
+			h.pool.Retire(h.target)
+		}
+		h.target, h.targetID = h.pool.Target(address, h.now()), id
+	}
+	return h.target
+}
+
 // exchange hands a request to the backend and returns its answer.
 func (h *Host) exchange(ctx context.Context, address string, a *brentei.Ask, body []byte, deadline time.Time) (*answer, *brentei.Failure) {
-	c, err := h.pool.get(ctx, address)
+	c, err := h.pool.Get(ctx, h.targetOf(address, a.Target))
 	if err != nil {
 		f := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
-		if refused(err) {
+		switch {
+		case refused(err):
 			f.Reason = brentei.Unknown
+		case bertol.IsShortage(err):
+			f.Reason = brentei.Own
 		}
 		return nil, f
 	}
 	c.SetDeadline(deadline)
-	c.out = encode(c.out[:0], a, body)
-	if n, err := c.Write(c.out); err != nil {
-		h.pool.discard(c)
-		if n == 0 && c.used {
-			err = errors.Join(errClosed, err)
-		}
+	if _, err := c.Write(encode(make([]byte, 0, 512+len(body)), a, body)); err != nil {
+		h.pool.Discard(c)
 		return nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Broken, Cause: err}
 	}
-	if cap(c.out) > 64<<10 {
-		c.out = nil
-	}
-	ans, f := read(c.br, &c.limit, h.mostAnswer, a)
-	if f != nil || !ans.keep || c.br.Buffered() > 0 {
-		h.pool.discard(c)
+	ans, f := read(c.Reader, c.Limit, h.mostAnswer, a)
+	if f != nil || !ans.keep || c.Reader.Buffered() > 0 {
+		h.pool.Discard(c)
 	} else {
-		h.pool.put(c)
+		c.SetDeadline(time.Time{})
+		h.pool.Put(c)
 	}
 	if f != nil {
 		return nil, f
--- a/internal/solvay/exchange_test.go
+++ b/internal/solvay/exchange_test.go
@@ -71,7 +71,7 @@
 			br := bufio.NewReader(nil)
 			limit := &io.LimitedReader{R: strings.NewReader(c.bytes)}
 			br.Reset(limit)
-			ans, f := read(br, limit, most, &brentei.Ask{Try: "t1", Method: "POST"})
+			ans, f := read(br, func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "POST"})
 			if c.status == 0 {
 				require.Nil(t, ans)
 				require.Equal(t, c.verdict, f.Verdict)
@@ -95,7 +95,7 @@
 	br := bufio.NewReader(nil)
 	limit := &io.LimitedReader{R: strings.NewReader(ok[:len(ok)-4] + ok)}
 	br.Reset(limit)
-	ans, f := read(br, limit, most, &brentei.Ask{Try: "t1", Method: "HEAD"})
+	ans, f := read(br, func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "HEAD"})
 	require.Nil(t, f, "an answer to HEAD has a length and no body: %v", f)
 	require.Empty(t, ans.body)
 }
@@ -133,7 +133,7 @@
 }
 
 func hostOf(address string, news func()) *Host {
-	h := NewHost(Rules{Excess: 1, Margin: 5, WarmupPerS: 5, BeatEvery: time.Minute}, most, news)
+	h := NewHost(Rules{Excess: 1, Margin: 5, WarmupPerS: 5, BeatEvery: time.Minute}, most, brentei.NewRoom(1<<30), news)
 	h.With(func(now time.Duration, g *Gate) bool {
 		g.Beat(now, brentei.Backend{ID: "b", Address: address, Capacity: 2, Calls: 1})
 		return false
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/brentei"
 )
 
@@ -16,21 +17,28 @@
 	failed bool // a call of its own brought no success
 }
 
+const (
+	mostConns = 1024            // to the backend: far above what any takes at once
+	idleClose = 9 * time.Second // backends close what is idle for ten, and some sooner
+)
+
 // roomAgain is when there may be room for a body again: bodies are held for about so long.
 const roomAgain = 250 * time.Millisecond
 
 // Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
 type Host struct {
-	pool       backendPool
+	pool       *bertol.Pool
 	mostAnswer int64
 	mostBody   int64
 	room       *brentei.Room // for bodies
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
-	mu   sync.Mutex
-	gate *Gate
-	runs map[string]*run // what the backend has in work, by try
+	mu       sync.Mutex
+	gate     *Gate
+	target   *bertol.Target // the life of the backend that targetID names
+	targetID string
+	runs     map[string]*run // what the backend has in work, by try
 
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
@@ -41,6 +49,7 @@
 func NewHost(r Rules, mostBody int64, room *brentei.Room, news func()) *Host {
 	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
+	h.pool = bertol.New(bertol.Options{Network: bertol.TCP{}, ConnectTimeout: time.Second, IdleClose: idleClose, Most: mostConns})
 	h.open.Store(true)
 	return h
 }
@@ -255,7 +264,7 @@
 // Tick lets time pass.
 func (h *Host) Tick() {
 	h.With(func(now time.Duration, g *Gate) bool { return g.Tick(now) })
-	h.pool.sweep()
+	h.pool.Sweep()
 }
 
 // Held is how many requests it has in hand.
--- a/internal/vajolet/serve_test.go
+++ b/internal/vajolet/serve_test.go
@@ -80,7 +80,7 @@
 	set := &nuvolau.Settings{IP: "10.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 50
 	links := &brentei.Pool{Connect: time.Second, Idle: time.Minute, Most: 8}
-	s := New(set, solvay.NewHost(solvay.Rules{}, 1<<20, func() {}), links, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	s := New(set, solvay.NewHost(solvay.Rules{}, 1<<20, brentei.NewRoom(1<<30), func() {}), links, brentei.NewRoom(1<<30), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	view := &View{Config: config, Index: 1}
 	for i, g := range gates {
 		view.Stations = append(view.Stations, brentei.Heard{Station: brentei.Station{Agent: fmt.Sprint("10.0.1.", i), Gate: g, Zone: "z",
@@ -151,7 +151,7 @@
 	for i := range 1500 {
 		path := []string{"/safe/x", "/unsafe/x"}[i%2]
 		if i%20 == 0 { // with nothing learnt of gates that failed
-			s = New(s.set, s.host, s.links, s.log)
+			s = New(s.set, s.host, s.links, s.room, s.log)
 			s.SetView(view)
 		}
 		try, h := fmt.Sprint("t", i), &told{}
@@ -225,7 +225,7 @@
 	cut.ContentLength = 8
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { say(cut) }, "half a request has no answer")
 	require.Zero(t, got, "one of these reached a gate")
-	s = New(s.set, s.host, s.links, s.log)
+	s = New(s.set, s.host, s.links, s.room, s.log)
 	w = say(request("GET", "/safe/", "t", nil))
 	require.Equal(t, 503, w.Code, "nothing is known yet")
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
