--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -108,7 +108,6 @@
 
 // onChange tells the agents who the members are.
 func (c *Core) onChange(s konkordia.Status) {
-	c.log.WithField("role", s.Role).WithField("leader", s.Leader).WithField("term", s.Term).WithField("members", s.Members).Info("agreement")
 	members := slices.Clone(s.Members)
 	c.poke(func() {
 		if !slices.Equal(c.cores, members) {
