--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -175,9 +175,9 @@
 func (a *Agent) leave(out *http.Server) {
 	began := time.Now()
 	a.went.Store(true)
-	a.sender.Leave()
 	a.news()
 	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
+	a.sender.Leave(end.Add(-200 * time.Millisecond))
 	for time.Now().Before(end) && (time.Since(began) < leaveNotice || a.sender.Held() > 0 || a.host.Held() > 0) {
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -22,6 +22,20 @@
 	idleClose = 9 * time.Second // backends close what is idle for ten, and some sooner
 )
 
+// lanes is how many long bodies come at once: as many as keep the link busy, and no more of its time than laneTime queued.
+func lanes(linkBps float64) int {
+	if linkBps <= 0 {
+		return mostLanes
+	}
+	return int(min(mostLanes, max(1, linkBps/8*laneTime.Seconds()/laneWindow)))
+}
+
+const (
+	mostLanes  = 64
+	laneTime   = 20 * time.Millisecond
+	laneWindow = 64 << 10 // bytes that one connection has on its way
+)
+
 // roomAgain is when there may be room for a body again: bodies are held for about so long.
 const roomAgain = 250 * time.Millisecond
 
@@ -31,6 +45,7 @@
 	mostAnswer int64
 	mostBody   int64
 	room       *brentei.Room // for bodies
+	lane       chan struct{} // long bodies on their way
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
@@ -49,6 +64,7 @@
 func NewHost(r Rules, mostBody int64, room *brentei.Room, news func()) *Host {
 	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
+	h.lane = make(chan struct{}, lanes(r.LinkBps))
 	h.pool = bertol.New(bertol.Options{Network: bertol.TCP{}, ConnectTimeout: time.Second, IdleClose: idleClose, Most: mostConns})
 	h.open.Store(true)
 	return h
@@ -99,25 +115,50 @@
 	}
 }
 
-// coming takes in that a request's body is on its way, or refuses it where that may still be said.
+// coming takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
+// as far as the link makes them wait anyway: each that comes beside others puts a window of bytes before all that is short.
 func (h *Host) coming(a *brentei.Ask) *brentei.Failure {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if a.Hold {
-		if f := h.gate.Offer(h.now(), a); f != nil {
-			return f
-		}
-		if !h.room.Take(a.Body) {
-			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: roomAgain}
-		}
-	} else {
+	if !a.Hold {
 		h.room.Free(-a.Body) // short, and on its way: it is taken, and long ones find less
+		h.gate.Coming(a.Body)
+		h.mu.Unlock()
+		return nil
 	}
-	h.gate.Coming(a.Body)
-	return nil
+	f := h.gate.Offer(h.now(), a)
+	if f == nil && !h.room.Take(a.Body) {
+		f = &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: roomAgain}
+	}
+	if f == nil {
+		h.gate.Coming(a.Body)
+	}
+	h.mu.Unlock()
+	if f != nil {
+		return f
+	}
+	select {
+	case h.lane <- struct{}{}:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(a.Patient)
+	defer timer.Stop()
+	select {
+	case h.lane <- struct{}{}:
+		return nil
+	case <-timer.C:
+	}
+	h.mu.Lock()
+	h.gate.Came(a.Body)
+	h.mu.Unlock()
+	h.room.Free(a.Body)
+	return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
 }
 
 func (h *Host) came(a *brentei.Ask) {
+	if a.Hold {
+		<-h.lane
+	}
 	h.mu.Lock()
 	h.gate.Came(a.Body)
 	h.mu.Unlock()
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -51,7 +52,9 @@
 	zones map[string]int
 
 	view    atomic.Pointer[View]
-	mu      sync.RWMutex // guards services
+	mu      sync.RWMutex // guards serves, jobs and ended
+	jobs    map[*job]struct{}
+	ended   bool
 	serves  map[string]*chooser
 	agents  int
 	leaving atomic.Bool
@@ -61,7 +64,7 @@
 
 // New returns a sender that knows nothing and refuses all.
 func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
-	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{}}
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
 	}
@@ -80,8 +83,36 @@
 // View returns what the sender knows, nil if it knows nothing.
 func (s *Sender) View() *View { return s.view.Load() }
 
-// Leave has it tell clients to go elsewhere; what comes is still served.
-func (s *Sender) Leave() { s.leaving.Store(true) }
+// Leave has it tell clients to go elsewhere; what comes is still served, until a time at which all that is in hand gets its answer.
+func (s *Sender) Leave(end time.Time) {
+	s.leaving.Store(true)
+	time.AfterFunc(time.Until(end), func() {
+		s.mu.Lock()
+		s.ended = true
+		jobs := slices.Collect(maps.Keys(s.jobs))
+		s.mu.Unlock()
+		for _, j := range jobs {
+			j.expire()
+		}
+	})
+}
+
+// take counts a job in, so that it can be ended.
+func (s *Sender) take(j *job) {
+	s.mu.Lock()
+	s.jobs[j] = struct{}{}
+	ended := s.ended
+	s.mu.Unlock()
+	if ended {
+		j.expire()
+	}
+}
+
+func (s *Sender) drop(j *job) {
+	s.mu.Lock()
+	delete(s.jobs, j)
+	s.mu.Unlock()
+}
 
 // Held is how many requests it has in hand.
 func (s *Sender) Held() int { return int(s.held.Load()) }
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -64,6 +64,7 @@
 	mu     sync.Mutex
 	last   *attempt // the best answer that is no success
 	done   chan struct{}
+	cut    chan struct{} // closed when the process ends: no answer is waited for any more
 	won    *attempt
 	inline *brentei.Conn // of the attempt that the request's own goroutine waits for
 }
@@ -109,7 +110,7 @@
 		s.Count.Bad.Add(1)
 		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
 	}
-	j := &job{route: route, body: body, done: make(chan struct{})}
+	j := &job{route: route, body: body, done: make(chan struct{}), cut: make(chan struct{})}
 	left := route.GiveUp
 	if text := r.Header.Get(solvay.LeftHeader); text != "" {
 		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 && ms < 1e9 {
@@ -219,6 +220,8 @@
 	again := func(a policy.Action, t *target) { go s.again(j, a, t) }
 	j.call = c.begin(classIndex(c.classes, j.route, j.inner), left, again)
 	defer c.forget(j.call)
+	s.take(j)
+	defer s.drop(j)
 	for {
 		a, t, ok := c.take(j.call)
 		if !ok { // nothing to do but to wait for an attempt that another goroutine carries out
@@ -230,6 +233,9 @@
 			case <-j.done:
 				late.Stop()
 				return end{at: j.won}
+			case <-j.cut:
+				late.Stop()
+				return end{at: j.best()}
 			case <-late.C:
 				return end{at: j.best()}
 			}
@@ -258,6 +264,25 @@
 	return j.attempts - 1
 }
 
+// expire ends the wait for an answer: the process is about to end, and what has not run may be said to have not.
+func (j *job) expire() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	close(j.cut)
+	if j.inline != nil {
+		j.inline.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (j *job) isCut() bool {
+	select {
+	case <-j.cut:
+		return true
+	default:
+		return false
+	}
+}
+
 func (j *job) isDone() bool {
 	select {
 	case <-j.done:
@@ -324,6 +349,9 @@
 	if t == nil {
 		return refuse(brentei.Unknown)
 	}
+	if j.isCut() {
+		return refuse(brentei.Late)
+	}
 	if !j.reach() {
 		return refuse(brentei.Own) // the route's tries are used up
 	}
@@ -377,6 +405,7 @@
 	if err != nil {
 		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
 	}
+	c.SetDeadline(j.deadline)
 	if inline {
 		j.mu.Lock()
 		j.inline = c
@@ -394,8 +423,7 @@
 		}
 		return nil, nil, f
 	}
-	c.SetDeadline(j.deadline)
-	if j.isDone() {
+	if j.isDone() || j.isCut() {
 		s.links.Put(gate, c)
 		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
 	}
