--- a/internal/solvay/gate_test.go
+++ b/internal/solvay/gate_test.go
@@ -130,6 +130,13 @@
 	y.gate.Beat(y.at(), y.truth)
 }
 
+func (y *yard) done() {
+	if y.running > 0 {
+		y.running--
+		y.gate.Done(y.at(), time.Duration(y.r.IntN(100))*time.Millisecond, !y.pick(5), !y.pick(4))
+	}
+}
+
 func (y *yard) step() {
 	switch y.r.IntN(24) {
 	case 0, 1, 2:
@@ -160,10 +167,14 @@
 	case 6, 7:
 		back := y.rules.Evacuated
 		y.rules.Evacuated, y.rules.Blind = y.pick(4), y.pick(5)
-		if back && !y.rules.Evacuated {
+		y.gate.Configure(y.at(), y.rules)
+		if back && !y.rules.Evacuated { // a crowd, before the backend has said how cold it is
 			y.cold = max(y.cold, y.now+y.rules.Warmup)
+			for range 40 {
+				y.admit()
+				y.done()
+			}
 		}
-		y.gate.Configure(y.at(), y.rules)
 	case 8:
 		if y.pick(8) {
 			y.counted["restart"]++
@@ -171,10 +182,7 @@
 			y.beat() // at once, which is when it knows least
 		}
 	case 9, 10, 11, 12, 13:
-		if y.running > 0 {
-			y.running--
-			y.gate.Done(y.at(), time.Duration(y.r.IntN(100))*time.Millisecond, !y.pick(5), !y.pick(4))
-		}
+		y.done()
 	default:
 		y.now += time.Duration(y.r.IntN(10)) * time.Millisecond
 		if y.pick(10) {
