--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -52,9 +52,9 @@
 	zones map[string]int
 
 	view    atomic.Pointer[View]
-	mu      sync.RWMutex // guards serves, jobs and ended
+	mu      sync.RWMutex // guards serves, jobs and over
 	jobs    map[*job]struct{}
-	ended   bool
+	over    bool
 	serves  map[string]*chooser
 	agents  int
 	leaving atomic.Bool
@@ -88,7 +88,7 @@
 	s.leaving.Store(true)
 	time.AfterFunc(time.Until(end), func() {
 		s.mu.Lock()
-		s.ended = true
+		s.over = true
 		jobs := slices.Collect(maps.Keys(s.jobs))
 		s.mu.Unlock()
 		for _, j := range jobs {
@@ -101,9 +101,9 @@
 func (s *Sender) take(j *job) {
 	s.mu.Lock()
 	s.jobs[j] = struct{}{}
-	ended := s.ended
+	over := s.over
 	s.mu.Unlock()
-	if ended {
+	if over {
 		j.expire()
 	}
 }
