Feeds carry a change's steps; the whole configuration goes raw, to who asks

Need: each core machine sent the whole configuration to each agent on each change, in the gob head, and each connection's encoder kept a buffer of that size. Now the orders since the agent's index go out, and the agent carries them out and compares the digest of what was agreed on; where they don't lead on, it asks one core machine for the whole, which follows the head as raw bytes, encoded once. A proof names the index that was current. Stations go out 64 a message, and what comes within 10 ms together. Weighed: diffs of items instead of orders (a second meaning of a change to be kept equal); polling by digest (later).

--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -4,21 +4,31 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"example.org/micaline/internal/brentei"
 )
 
+const (
+	gap          = 10 * time.Millisecond // between messages with news
+	mostStations = 64                    // in a message: buffers for larger ones would stay with each connection
+)
+
 // feed is the link from one agent.
 type feed struct {
 	agent   string // ip
 	conn    *brentei.Conn
 	woken   chan struct{}
 	dirty   map[string]bool // stations to be told of; the owner's
-	whole   bool
-	fresh   uint64 // asked for and not answered; the owner's
-	proven  uint64 // to be answered; the owner's
-	min     uint64 // life that the agent's must be above
+	whole   bool            // nothing has been told yet
+	known   bool            // it has said what it has
+	have    uint64          // index of the configuration that it has, or has been told of
+	want    uint64          // not 0: the whole configuration, of this index or a later one
+	cores   []string        // told last
+	fresh   uint64          // asked for and not answered; the owner's
+	proven  uint64          // to be answered; the owner's
+	min     uint64          // life that the agent's must be above
 	life    uint64
 	beats   []waiting
 	last    uint64
@@ -67,7 +77,7 @@
 		if k.Receive(&up) != nil {
 			break
 		}
-		if up.Station != nil || up.Fresh != 0 || up.Handed != 0 {
+		if up.Station != nil || up.Want != 0 || up.Fresh != 0 || up.Handed != 0 {
 			c.do(func() { c.heard(f, &up) })
 		}
 	}
@@ -89,8 +99,16 @@
 	if c.feeds[f.agent] != f {
 		return
 	}
+	if up.Want != 0 {
+		f.want = up.Want
+		f.wake()
+	}
 	if s := up.Station; s != nil {
 		s.Agent = f.agent
+		if !f.known {
+			f.known, f.have = true, up.Have
+			f.wake()
+		}
 		if known := c.registry.Station(f.agent); known != nil && f.life == 0 && known.Life > s.Life {
 			f.min = known.Life
 			f.wake()
@@ -141,21 +159,35 @@
 	})
 }
 
-// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing.
+// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
+// when a zone goes, each of its agents is news to all others.
 func (c *Core) tell(f *feed, ended chan struct{}) {
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
-	var index uint64
-	cores := 0
 	for {
-		next := make(chan brentei.Down, 1)
-		c.do(func() { next <- c.next(f, &index, &cores) })
-		d := <-next
+		type message struct {
+			down brentei.Down
+			raw  []byte
+		}
+		next := make(chan message, 1)
+		c.do(func() {
+			d, raw := c.next(f)
+			next <- message{d, raw}
+		})
+		m := <-next
 		f.conn.SetWriteDeadline(time.Now().Add(muteFor))
-		if f.conn.Send(&d, nil) != nil {
+		if f.conn.Send(&m.down, m.raw) != nil {
 			f.conn.Close()
 			return
 		}
+		if len(m.down.Stations) > 0 {
+			beat.Reset(gap)
+			select {
+			case <-ended:
+				return
+			case <-beat.C:
+			}
+		}
 		beat.Reset(heartbeat)
 		select {
 		case <-ended:
@@ -166,25 +198,46 @@
 	}
 }
 
-// next is what an agent is told next. Danger: a proof covers the configuration that goes out with it, so it is taken with it.
-func (c *Core) next(f *feed, index *uint64, cores *int) (d brentei.Down) {
-	if s := c.table.now.Load(); s.index > *index {
-		d.Config, d.Index, *index = s.encoded(), s.index, s.index
+// next is what an agent is told next. Danger: a proof covers the configuration whose index goes out with it, so it is taken with it;
+// and who is ready is asked for all services, so it waits until all stations are told.
+func (c *Core) next(f *feed) (d brentei.Down, raw []byte) {
+	s := c.table.now.Load()
+	if f.known {
+		d.Index = s.index
+		switch {
+		case f.want != 0 && s.index >= f.want:
+			raw, d.Digest = s.encoded()
+			d.Raw, f.want = int64(len(raw)), 0
+		case s.index > f.have:
+			if d.Steps = s.since(f.have); d.Steps != nil {
+				_, d.Digest = s.encoded()
+			}
+		}
+		f.have = s.index
 	}
 	if f.whole {
-		d.Stations, d.Whole, f.whole = c.registry.All(c.now()), true, false
+		d.Whole, f.whole = true, false
 		clear(f.dirty)
+		for _, agent := range c.registry.Agents() {
+			f.dirty[agent] = true
+		}
 	}
 	for agent := range f.dirty {
+		if len(d.Stations) == mostStations {
+			f.wake()
+			break
+		}
 		if h, ok := c.registry.Of(c.now(), agent); ok {
 			d.Stations = append(d.Stations, h)
 		}
 		delete(f.dirty, agent)
 	}
-	if len(c.cores) > 0 {
-		d.Cores = c.cores
+	if !slices.Equal(f.cores, c.cores) {
+		d.Cores, f.cores = c.cores, c.cores
+	}
+	if len(f.dirty) == 0 {
+		d.Fresh, f.proven = f.proven, 0
 	}
-	d.Fresh, f.proven = f.proven, 0
 	d.MinLife, f.min = f.min, 0
 	if len(f.beats) > 0 {
 		w := f.beats[0]
@@ -194,7 +247,7 @@
 			f.wake()
 		}
 	}
-	return d
+	return d, raw
 }
 
 // pass hands a backend's call to the agent beside it, and returns the agent's answer.
--- a/internal/averau/handlers.go
+++ b/internal/averau/handlers.go
@@ -49,10 +49,10 @@
 }
 
 // agree has an order agreed on and answers the caller.
-func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *order) {
+func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *margherita.Order) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
 	defer cancel()
-	result, err := c.node.Propose(ctx, o.encode())
+	result, err := c.node.Propose(ctx, encodeOrder(o))
 	switch {
 	case err != nil:
 		problem(w, statusOf(err), err.Error())
@@ -87,7 +87,7 @@
 			problem(w, http.StatusBadRequest, err.Error())
 			return
 		}
-		h.c.agree(w, r, &order{Op: opPatch, Body: b})
+		h.c.agree(w, r, &margherita.Order{Op: margherita.OpPatch, Body: b})
 	default:
 		only(w, "GET, PATCH")
 	}
@@ -104,9 +104,9 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.c.agree(w, r, &order{Op: opEvacuate, Zone: zone})
+		h.c.agree(w, r, &margherita.Order{Op: margherita.OpEvacuate, Zone: zone})
 	case http.MethodDelete:
-		h.c.agree(w, r, &order{Op: opReturn, Zone: zone})
+		h.c.agree(w, r, &margherita.Order{Op: margherita.OpReturn, Zone: zone})
 	default:
 		only(w, "POST, DELETE")
 	}
--- a/internal/averau/table.go
+++ b/internal/averau/table.go
@@ -3,28 +3,17 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"slices"
 	"sync"
 	"sync/atomic"
 
+	"example.org/micaline/internal/brentei"
 	"example.org/micaline/internal/margherita"
 	"github.com/samber/oops"
 )
 
-// Ops of an order.
-const (
-	opPatch    = "patch"
-	opEvacuate = "evacuate"
-	opReturn   = "return"
-)
-
-// order is a command of the log: a call of the operator that is to hold.
-type order struct {
-	Op   string
-	Zone string
-	Body []byte
-}
-
-func (o *order) encode() []byte {
+// encodeOrder gives an order as a command of the log.
+func encodeOrder(o *margherita.Order) []byte {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(o); err != nil {
 		panic(err) // plain fields always encode
@@ -36,15 +25,49 @@
 type state struct {
 	index  uint64
 	config *margherita.Config
+	steps  []brentei.Step // that led here, one after the other, the last few
 
-	once sync.Once
-	text []byte
+	once   sync.Once
+	text   []byte
+	digest uint64
 }
 
+// What is kept of steps: an agent that was away for longer is sent the whole.
+const (
+	mostSteps     = 64
+	mostStepBytes = 64 << 10
+)
+
 // encoded is the configuration as it is sent to agents; made once however many there are.
-func (s *state) encoded() []byte {
-	s.once.Do(func() { s.text = s.config.Encode() })
-	return s.text
+func (s *state) encoded() (text []byte, digest uint64) {
+	s.once.Do(func() {
+		s.text = s.config.Encode()
+		s.digest = margherita.Digest(s.text)
+	})
+	return s.text, s.digest
+}
+
+// since returns the steps from an index that an agent has to this state; none if they are not kept.
+func (s *state) since(have uint64) []brentei.Step {
+	for i := range s.steps {
+		if s.steps[i].Before == have {
+			return s.steps[i:]
+		}
+	}
+	return nil
+}
+
+// after returns the state that a step leads to.
+func (s *state) after(index uint64, next *margherita.Config, o *margherita.Order) *state {
+	steps := append(s.steps[:len(s.steps):len(s.steps)], brentei.Step{Before: s.index, Index: index, Order: *o})
+	size := 0
+	for i := len(steps) - 1; i >= 0; i-- {
+		if size += len(steps[i].Order.Body); size > mostStepBytes || len(steps)-i > mostSteps {
+			steps = slices.Clone(steps[i+1:])
+			break
+		}
+	}
+	return &state{index: index, config: next, steps: steps}
 }
 
 // table is the state that the agreement drives.
@@ -62,30 +85,17 @@
 // Apply carries out an order. The reply is empty, or says what is wrong with it: validity is judged here, where the order of all
 // calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
-	var o order
+	var o margherita.Order
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return []byte("command: " + err.Error())
 	}
 	old := t.now.Load()
-	next := old.config
-	switch o.Op {
-	case opPatch:
-		p, err := margherita.ParsePatch(o.Body)
-		if err != nil {
-			return []byte(err.Error())
-		}
-		if next, _, err = next.Apply(p); err != nil {
-			return []byte(err.Error())
-		}
-	case opEvacuate:
-		next = next.Evacuate(o.Zone)
-	case opReturn:
-		next = next.Return(o.Zone)
-	default:
-		return []byte("op: " + o.Op + " is not known")
+	next, err := old.config.Carry(&o)
+	if err != nil {
+		return []byte(err.Error())
 	}
 	if next != old.config {
-		t.now.Store(&state{index: index, config: next})
+		t.now.Store(old.after(index, next, &o))
 		t.changed()
 	}
 	return nil
@@ -100,8 +110,9 @@
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
 	s := t.now.Load()
+	text, _ := s.encoded()
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded()}); err != nil {
+	if err := gob.NewEncoder(&b).Encode(kept{s.index, text}); err != nil {
 		panic(err) // plain fields always encode
 	}
 	return b.Bytes()
--- a/internal/brentei/conn.go
+++ b/internal/brentei/conn.go
@@ -40,7 +40,7 @@
 }
 
 // Version is the version of the messages.
-const Version = 1
+const Version = 2
 
 // keepScratch is how large a buffer for writing is kept, in bytes: one large body must not hold its memory for good.
 const keepScratch = 64 << 10
--- a/internal/brentei/message.go
+++ b/internal/brentei/message.go
@@ -1,6 +1,10 @@
 package brentei
 
-import "time"
+import (
+	"time"
+
+	"example.org/micaline/internal/margherita"
+)
 
 // Ask is a request that a sender hands to a gate. Body raw bytes follow it.
 type Ask struct {
@@ -75,18 +79,27 @@
 // Up is what an agent says to a core machine over its feed; fields that are not set say nothing.
 type Up struct {
 	Station *Station
-	Have    uint64 // index of the configuration that the agent has
+	Have    uint64 // index of the configuration that the agent has; told with every station
+	Want    uint64 // not 0: send the whole configuration, of this index or a later one
 	Fresh   uint64 // not 0: answer with this number once what you have sent is current
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
 }
 
-// Down is what a core machine says to an agent.
+// Step is an order that changed the configuration, and the indexes before and after it.
+type Step struct {
+	Before, Index uint64
+	Order         margherita.Order
+}
+
+// Down is what a core machine says to an agent. Raw bytes follow it: the whole configuration, which an agent gets that wants it.
 type Down struct {
-	Config   []byte // the whole configuration, of
-	Index    uint64 // this index
+	Index    uint64 // of the configuration at the core machine
+	Digest   uint64 // of it as it is encoded, with Steps or Raw
+	Steps    []Step // that lead to it, from one that the agent has
+	Raw      int64
 	Stations []Heard
-	Whole    bool // Stations holds all that there are: who is not among them is gone
+	Whole    bool // what was told before is void: all that there are follow, in this message and the next
 	Fresh    uint64
 	Cores    []string // control addresses of the members of the agreement
 	MinLife  uint64   // the agent's life must be above this: an earlier one of it was heard with it
--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -53,8 +53,14 @@
 	began   time.Time
 	config  *margherita.Config
 	index   uint64
-	proven  bool // what came over a feed was current after the start
-	fresh   bool // proven, and there is a configuration
+	have    atomic.Uint64 // index, for the feeds
+	newest  uint64        // index that a core machine has told of
+	asking  *feed         // for the whole configuration
+	asked   time.Time
+	current bool   // a core machine has proven that
+	least   uint64 // this index was current after the start
+	proven  bool   // and the configuration is of it or a later one
+	fresh   bool   // proven, and there is a configuration
 	dirty   bool
 	feeds   map[string]*feed
 	cores   []string // members of the agreement, as told
--- /dev/null
+++ b/internal/brogles/config.go
@@ -0,0 +1,89 @@
+package brogles
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/margherita"
+)
+
+// errBehind says that steps begin after what the agent has.
+var errBehind = errors.New("the steps begin later")
+
+// take brings the configuration forward by what a core machine sent: steps from one that the agent has, or the whole, which it has
+// to ask for. Danger: what does not have the digest of what was agreed on is never shown to sender and gate.
+func (a *Agent) take(f *feed, d *brentei.Down, whole []byte) {
+	if len(whole) > 0 && a.asking == f {
+		a.asking = nil
+	}
+	a.newest = max(a.newest, d.Index)
+	if d.Index <= a.index {
+		return
+	}
+	config, err := forward(a.config, a.index, d, whole)
+	switch {
+	case err == nil:
+		a.config, a.index, a.dirty = config, d.Index, true
+		a.have.Store(a.index)
+		a.log.WithField("index", a.index).WithField("items", config.Summary()).Info("configuration")
+	case err != errBehind:
+		a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
+	}
+	a.lack()
+}
+
+// forward returns the configuration at the index that a message tells.
+func forward(config *margherita.Config, index uint64, d *brentei.Down, whole []byte) (*margherita.Config, error) {
+	if len(whole) > 0 {
+		if margherita.Digest(whole) != d.Digest {
+			return nil, errors.New("the whole configuration has another digest")
+		}
+		return margherita.Decode(whole)
+	}
+	for i := range d.Steps {
+		s := &d.Steps[i]
+		if s.Index <= index {
+			continue
+		}
+		if s.Before != index {
+			return nil, errBehind
+		}
+		var err error
+		if config, err = config.Carry(&s.Order); err != nil {
+			return nil, err
+		}
+		index = s.Index
+	}
+	if index != d.Index {
+		return nil, errBehind
+	}
+	if margherita.Digest(config.Encode()) != d.Digest {
+		return nil, errors.New("the configuration has another digest after the steps")
+	}
+	return config, nil
+}
+
+// lack asks one core machine for the whole configuration if there is a later one than the agent has; another one if no answer comes.
+func (a *Agent) lack() {
+	if a.newest <= a.index || a.asking != nil && time.Since(a.asked) < askAgain {
+		return
+	}
+	var heard []*feed
+	for _, f := range a.feeds {
+		if f.heard && f != a.asking {
+			heard = append(heard, f)
+		}
+	}
+	if len(heard) == 0 && a.asking != nil && a.asking.heard {
+		heard = append(heard, a.asking)
+	}
+	if len(heard) == 0 {
+		return // the next that is heard is asked
+	}
+	a.asking, a.asked = heard[rand.N(len(heard))], time.Now()
+	a.asking.want.Store(a.newest)
+	a.asking.wake()
+	time.AfterFunc(askAgain, func() { a.do(a.lack) })
+}
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -4,10 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
 )
 
 const (
@@ -17,6 +17,8 @@
 	againLow  = 100 * time.Millisecond // until a feed is opened anew, doubling
 	againHigh = time.Second
 	mostFeeds = 9
+	askAgain  = 500 * time.Millisecond // for the whole configuration, elsewhere
+	mostWhole = 32 << 20               // bytes of a configuration
 )
 
 // feed is the link to one core machine.
@@ -25,6 +27,8 @@
 	stop  context.CancelFunc
 	woken chan struct{}
 	up    chan brentei.Up // answers to beats that came over it
+	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
+	heard bool            // the core machine has been heard over the present connection; the owner's
 }
 
 func (f *feed) wake() {
@@ -71,7 +75,14 @@
 				wait = againLow
 			}
 			c.Close()
-			a.do(func() { a.table.Down(f.core); a.dirty = true })
+			a.do(func() {
+				a.table.Down(f.core)
+				a.dirty, f.heard = true, false
+				if a.asking == f {
+					a.asking = nil
+					a.lack()
+				}
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -93,8 +104,12 @@
 			if c.Receive(&d) != nil {
 				break
 			}
+			whole, err := c.Body(d.Raw, mostWhole)
+			if err != nil {
+				break
+			}
 			any = true
-			a.do(func() { a.hear(f, &d) })
+			a.do(func() { a.hear(f, &d, whole) })
 		}
 		close(ended)
 		done <- any
@@ -111,7 +126,9 @@
 		var up brentei.Up
 		if s := a.station.Load(); s != said {
 			said, up.Station = s, s
+			up.Have = a.have.Load()
 		}
+		up.Want = f.want.Swap(0)
 		if up.Fresh = fresh; fresh != 0 {
 			fresh = 0
 		}
@@ -137,30 +154,26 @@
 }
 
 // hear takes in what a core machine says.
-func (a *Agent) hear(f *feed, d *brentei.Down) {
+func (a *Agent) hear(f *feed, d *brentei.Down, whole []byte) {
 	if a.feeds[f.core] != f {
 		return
 	}
+	f.heard = true
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
 		a.say()
 	}
-	if d.Index > a.index && len(d.Config) > 0 {
-		config, err := margherita.Decode(d.Config)
-		if err != nil {
-			a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
-		} else {
-			a.config, a.index, a.dirty = config, d.Index, true
-			a.log.WithField("index", a.index).WithField("items", config.Summary()).Info("configuration")
-		}
-	}
+	a.take(f, d, whole)
 	if d.Stations != nil || d.Whole {
 		if a.table.Hear(a.now(), f.core, d.Whole, d.Stations) {
 			a.dirty = true
 		}
 	}
-	if d.Fresh != 0 && !a.proven {
+	if d.Fresh != 0 && !a.current {
+		a.current, a.least = true, d.Index
+	}
+	if a.current && !a.proven && a.index >= a.least {
 		a.proven, a.dirty = true, true
 	}
 	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
--- a/internal/lagazuoi/table.go
+++ b/internal/lagazuoi/table.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -175,6 +176,9 @@
 	return all
 }
 
+// Agents names the agents of all stations, in no order.
+func (t *Table) Agents() []string { return slices.Collect(maps.Keys(t.stations)) }
+
 // Of returns one station as All does.
 func (t *Table) Of(now time.Duration, agent string) (brentei.Heard, bool) {
 	e := t.stations[agent]
--- /dev/null
+++ b/internal/margherita/order.go
@@ -0,0 +1,43 @@
+package margherita
+
+import (
+	"fmt"
+	"hash/crc64"
+)
+
+// Ops of an order.
+const (
+	OpPatch    = "patch"
+	OpEvacuate = "evacuate"
+	OpReturn   = "return"
+)
+
+// Order is a call of the operator that is to hold: what the core machines agree on, and what agents are sent of a change.
+type Order struct {
+	Op   string
+	Zone string
+	Body []byte // of a patch
+}
+
+// Carry returns the configuration after the order. It is c itself where the order changes nothing or can't be carried out.
+func (c *Config) Carry(o *Order) (*Config, error) {
+	switch o.Op {
+	case OpPatch:
+		p, err := ParsePatch(o.Body)
+		if err != nil {
+			return c, err
+		}
+		next, _, err := c.Apply(p)
+		return next, err
+	case OpEvacuate:
+		return c.Evacuate(o.Zone), nil
+	case OpReturn:
+		return c.Return(o.Zone), nil
+	}
+	return c, fmt.Errorf("op: %s is not known", o.Op)
+}
+
+var polynomial = crc64.MakeTable(crc64.ECMA)
+
+// Digest tells configurations apart by what Encode gave; never 0, which is none.
+func Digest(encoded []byte) uint64 { return max(1, crc64.Checksum(encoded, polynomial)) }
