--- a/internal/vajolet/chooser.go
+++ b/internal/vajolet/chooser.go
@@ -205,11 +205,6 @@
 	c.arm()
 }
 
-// same says whether the module serves these classes, and backends so wide.
-func (c *chooser) same(classes []policy.Class, width int) bool {
-	return c.width == width && serves(c.classes, classes)
-}
-
 // loadOf translates what a gate knows of its backend.
 func loadOf(l *brentei.Load) policy.Load {
 	if l.Recent <= 0 {
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -103,14 +103,23 @@
 	}
 	s.mu.Lock()
 	s.agents = max(agents, 1)
+	before := s.view.Load()
+	moved := before == nil || before.Config != v.Config
+	var routes map[string][]*margherita.Route // by service; sorted only where they have moved, as stations do far more often
+	if moved {
+		routes = routesOf(v.Config)
+	}
 	for _, name := range v.Config.Services() {
-		classes := classesOf(v.Config, name)
 		c := s.serves[name]
 		wide := width[name]
 		if wide == 0 && c != nil {
 			wide = c.width
 		}
-		if c == nil || !c.same(classes, wide) {
+		if c == nil || c.width != wide || moved && !serves(c.classes, classesOf(routes[name])) {
+			if routes == nil {
+				routes = routesOf(v.Config)
+			}
+			classes := classesOf(routes[name])
 			var err error
 			if c, err = newChooser(name, s.settings(v.Config, name, classes, wide), s.line(name)); err != nil {
 				s.log.WithError(err).Error("decision module")
@@ -154,7 +163,7 @@
 // classesOf lists the kinds of requests that a service gets, by what the module tells apart: whether they may run twice, whether a
 // backend calls, and about how long they may take. Danger: a module that is made anew has forgotten all speeds and failures, so what
 // changes often makes no class of its own: each request brings the time that it has, and aims that are alike are one.
-func classesOf(c *margherita.Config, service string) []policy.Class {
+func classesOf(routes []*margherita.Route) []policy.Class {
 	var classes []policy.Class
 	add := func(effect policy.Effect, aim time.Duration) {
 		for _, worth := range []float64{1, innerWorth} {
@@ -166,16 +175,27 @@
 	}
 	add(policy.Pure, usualAim)
 	add(policy.SideEffect, usualAim)
-	routes := c.Routes()
-	slices.SortFunc(routes, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
 	for _, r := range routes {
-		if slices.ContainsFunc(r.Shares, func(sh margherita.Share) bool { return sh.Service == service }) {
-			add(effectOf(r), aimOf(r))
-		}
+		add(effectOf(r), aimOf(r))
 	}
 	return classes
 }
 
+// routesOf lists the routes to each service in the order of their aims.
+func routesOf(c *margherita.Config) map[string][]*margherita.Route {
+	all := c.Routes()
+	slices.SortFunc(all, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
+	to := map[string][]*margherita.Route{}
+	for _, r := range all {
+		for _, share := range r.Shares {
+			if n := len(to[share.Service]); n == 0 || to[share.Service][n-1] != r {
+				to[share.Service] = append(to[share.Service], r)
+			}
+		}
+	}
+	return to
+}
+
 // nearest finds the class for a request; -1 if its aim is alike to none.
 func nearest(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) int {
 	best, far := -1, alike
