--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -281,7 +281,7 @@
 // rules are what the gate goes by. Danger: until the configuration is known to be current nobody knows whether the zone is evacuated.
 func (a *Agent) rules() solvay.Rules {
 	b := &a.set.Bounds
-	r := solvay.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery,
+	r := solvay.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery, LinkBps: a.set.LinkMbps * 1e6,
 		Evacuated: a.config.Evacuated(a.set.Zone)}
 	if s := a.config.Service(a.set.Service); s != nil {
 		r.Warmup, r.WarmupPerS = s.Warmup, s.WarmupPerS
@@ -294,6 +294,9 @@
 	if a.proven && a.index > 0 && !a.fresh {
 		a.fresh = true
 		defer a.say()
+		if s := a.config.Service(a.set.Service); s != nil && a.station.Load().Backend == nil {
+			go a.probe(s.HealthPath)
+		}
 	}
 	a.host.With(func(now time.Duration, g *solvay.Gate) bool { g.Configure(now, a.rules()); return false })
 	if !a.fresh && a.index == 0 {
