--- /dev/null
+++ b/internal/bivacco/book_test.go
@@ -0,0 +1,22 @@
+package bivacco
+
+import (
+	"testing"
+
+	"example.org/micaline/internal/margherita"
+	"github.com/stretchr/testify/require"
+)
+
+// Each call is valid and each change changes something, however many follow.
+func TestBookIsValid(t *testing.T) {
+	b := newBook(20, 33)
+	config := margherita.New()
+	for n, body := 0, b.first(); n < 100; n, body = n+1, b.change() {
+		next, err := config.Carry(&margherita.Order{Op: margherita.OpPatch, Body: body})
+		require.NoError(t, err)
+		require.NotSame(t, config, next)
+		config = next
+	}
+	require.Len(t, config.Services(), 20)
+	require.Len(t, config.Routes(), 33)
+}
--- a/internal/bivacco/failure.go
+++ b/internal/bivacco/failure.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -9,7 +11,7 @@
 )
 
 // Failures that a run may be asked for.
-var Failures = []string{"die", "power", "restart", "zone", "core-kill", "core-stop"}
+var Failures = []string{"die", "power", "restart", "zone", "core-kill", "core-stop", "minority"}
 
 // fail has something fail, and come back.
 func (r *run) fail(ctx context.Context, what string) (err error) {
@@ -79,6 +81,8 @@
 	case "core-stop":
 		return r.core(ctx, "core stopped", func(p *process) { p.signal(syscall.SIGSTOP) },
 			func(i int, p *process) error { p.signal(syscall.SIGCONT); return nil })
+	case "minority":
+		return r.minority(ctx, last)
 	default:
 		return oops.Errorf("%q is none of the failures %v", what, Failures)
 	}
@@ -117,3 +121,49 @@
 	}
 	return nil
 }
+
+// minority leaves one core process to all agents, as the smaller part of the core is what a region has that is cut off with it: what
+// it goes on to do, and how long what it can't do takes once the others are back.
+func (r *run) minority(ctx context.Context, dying []*hollow) error {
+	for _, p := range r.cores[1:] {
+		p.signal(syscall.SIGSTOP)
+	}
+	pause(ctx, 2*muteFor)
+	r.fleet.look(dying, true)
+	for _, h := range dying {
+		h.mute.Store(true)
+		h.stop()
+	}
+	s, err := r.fleet.learned(ctx)
+	if err != nil {
+		return err
+	}
+	r.say("one core of three", "agent dies, known everywhere: %s", s)
+	r.fleet.look(dying, false)
+	for _, h := range dying {
+		h.start()
+	}
+	if s, err = r.fleet.learned(ctx); err != nil {
+		return err
+	}
+	r.say("one core of three", "agent back, known everywhere: %s", s)
+	change, before := r.book.change(), r.fleet.newest()
+	status, text, err := r.client.call(ctx, http.MethodPatch, "http://"+r.cores[0].address+"/api/config", change)
+	if err == nil && status == http.StatusOK {
+		return oops.Errorf("one core process of three acknowledged a change")
+	}
+	r.say("one core of three", "change: status=%d %s %v", status, strings.TrimSpace(text), err)
+	for _, p := range r.cores[1:] {
+		p.signal(syscall.SIGCONT)
+	}
+	began := time.Now()
+	if err := r.client.patch(ctx, change); err != nil {
+		return err
+	}
+	acked := time.Since(began)
+	if err := r.fleet.settle(ctx, func(h *hollow) bool { return h.index() > before }); err != nil {
+		return err
+	}
+	r.say("all cores again", "acknowledged_ms=%d in_force_ms=%d", acked.Milliseconds(), time.Since(began).Milliseconds())
+	return nil
+}
--- a/internal/bivacco/hollow.go
+++ b/internal/bivacco/hollow.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -198,8 +200,11 @@
 func (h *hollow) hear(core int, d *brentei.Down) {
 	h.mu.Lock()
 	h.feeds[core].up = true
-	if d.Whole {
+	if d.Whole { // what this core machine does not tell of again, it does not hold against anybody's loss
 		clear(h.feeds[core].lost)
+		for _, agent := range h.fleet.watched() {
+			h.feeds[core].lost[agent] = true
+		}
 	}
 	h.take(d)
 	for i := range d.Stations {
@@ -356,6 +361,13 @@
 	}
 }
 
+// watched are the agents that are looked for.
+func (f *fleet) watched() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.watch))
+}
+
 func (f *fleet) learn(h *hollow, agent string) {
 	f.mu.Lock()
 	life, watched := f.watch[agent]
@@ -377,13 +389,20 @@
 
 // learned waits until all agents with power have learnt all that is looked for.
 func (f *fleet) learned(ctx context.Context) (samples, error) {
-	f.mu.Lock()
-	n := len(f.watch)
-	f.mu.Unlock()
+	agents := f.watched()
 	err := f.settle(ctx, func(h *hollow) bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return len(h.learnt) >= n
+		for _, agent := range agents {
+			h.mu.Lock()
+			learnt := h.learnt[agent]
+			h.mu.Unlock()
+			if learnt {
+				continue
+			}
+			if f.learn(h, agent); !h.knows(agent, f.watch[agent], f.lost) {
+				return false // a feed that ends makes no news, so it is looked for as well
+			}
+		}
+		return true
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
