Feeds: news that comes within 50 ms goes out together

Need: when 127 agents of a zone came back, each was a message of its own to each of 760 feeds. The first word still goes at once; only what follows waits, and neither the list after a start nor a proof does.

--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	gap          = 10 * time.Millisecond // between messages with news
+	gap          = 50 * time.Millisecond // after a message with news until the next
 	mostStations = 64                    // in a message: buffers for larger ones would stay with each connection
 )
 
@@ -180,7 +180,7 @@
 			f.conn.Close()
 			return
 		}
-		if len(m.down.Stations) > 0 {
+		if n := len(m.down.Stations); n > 0 && n < mostStations && !m.down.Whole {
 			beat.Reset(gap)
 			select {
 			case <-ended:
