Core: one read of the agreement proves for all agents that asked before it

Need: after a start or a broken core process each of 760 agents had a read of its own under way at each core machine, retried every 100 ms where too many were; followers pass reads on as messages, whose queue holds 512 and loses the rest, heartbeats too.

--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -45,12 +45,14 @@
 	began    time.Time
 	registry *lagazuoi.Table
 	feeds    map[string]*feed // by the agent's control address
+	asking   map[*feed]uint64 // who waits for a proof, and under which number
+	proving  bool             // a read is under way
 	cores    []string
 }
 
 // New returns a core process that has not started.
 func New(set *nuvolau.Settings, l log.Interface) *Core {
-	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: lagazuoi.New(), feeds: map[string]*feed{}}
+	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: lagazuoi.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}}
 	c.table = newTable(func() { c.poke(func() { c.each(func(f *feed) { f.wake() }) }) })
 	c.peers = newPeers(set)
 	return c
--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -26,7 +26,6 @@
 	have    uint64          // index of the configuration that it has, or has been told of
 	want    uint64          // not 0: the whole configuration, of this index or a later one
 	cores   []string        // told last
-	fresh   uint64          // asked for and not answered; the owner's
 	proven  uint64          // to be answered; the owner's
 	min     uint64          // life that the agent's must be above
 	life    uint64
@@ -120,8 +119,8 @@
 		}
 	}
 	if up.Fresh != 0 {
-		f.fresh = up.Fresh
-		go c.prove(f, up.Fresh)
+		c.asking[f] = up.Fresh
+		c.prove()
 	}
 	if up.Handed != 0 {
 		if reply := f.replies[up.Handed]; reply != nil {
@@ -131,24 +130,36 @@
 	}
 }
 
-// prove finds out what is current, and has the agent told.
-func (c *Core) prove(f *feed, number uint64) {
-	for {
+// prove finds out what is current, and has those agents told that asked before. One read serves all who have asked when it begins:
+// after a start each agent asks, and as many reads would crowd out the agreement's own messages.
+func (c *Core) prove() {
+	if c.proving || len(c.asking) == 0 {
+		return
+	}
+	asked := c.asking
+	c.proving, c.asking = true, map[*feed]uint64{}
+	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		err := c.node.Read(ctx)
 		cancel()
-		still := make(chan bool, 1)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
 		c.do(func() {
-			if still <- c.feeds[f.agent] == f; err == nil {
-				f.proven = number
-				f.wake()
+			c.proving = false
+			for f, number := range asked {
+				switch {
+				case c.feeds[f.agent] != f:
+				case err == nil:
+					f.proven = number
+					f.wake()
+				case c.asking[f] == 0:
+					c.asking[f] = number
+				}
 			}
+			c.prove()
 		})
-		if !<-still || err == nil {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
+	}()
 }
 
 // spread has all agents told of one.
