--- a/internal/averau/feed.go
+++ b/internal/averau/feed.go
@@ -10,16 +10,24 @@
 	"example.org/micaline/internal/brentei"
 )
 
+const (
+	gap          = 50 * time.Millisecond // after a message with news until the next
+	mostStations = 64                    // in a message: buffers for larger ones would stay with each connection
+)
+
 // feed is the link from one agent.
 type feed struct {
 	agent   string // ip
 	conn    *brentei.Conn
 	woken   chan struct{}
 	dirty   map[string]bool // stations to be told of; the owner's
-	whole   bool
-	fresh   uint64 // asked for and not answered; the owner's
-	proven  uint64 // to be answered; the owner's
-	min     uint64 // life that the agent's must be above
+	whole   bool            // nothing has been told yet
+	known   bool            // it has said what it has
+	have    uint64          // index of the configuration that it has, or has been told of
+	want    uint64          // not 0: the whole configuration, of this index or a later one
+	cores   []string        // told last
+	proven  uint64          // to be answered; the owner's
+	min     uint64          // life that the agent's must be above
 	life    uint64
 	beats   []waiting
 	last    uint64
@@ -68,7 +76,7 @@
 		if k.Receive(&up) != nil {
 			break
 		}
-		if up.Station != nil || up.Fresh != 0 || up.Handed != 0 {
+		if up.Station != nil || up.Want != 0 || up.Fresh != 0 || up.Handed != 0 {
 			c.do(func() { c.heard(f, &up) })
 		}
 	}
@@ -91,8 +99,16 @@
 	if c.feeds[f.agent] != f {
 		return
 	}
+	if up.Want != 0 {
+		f.want = up.Want
+		f.wake()
+	}
 	if s := up.Station; s != nil {
 		s.Agent = f.agent
+		if !f.known {
+			f.known, f.have = true, up.Have
+			f.wake()
+		}
 		if known := c.registry.Station(f.agent); known != nil && f.life == 0 && known.Life > s.Life {
 			f.min = known.Life
 			f.wake()
@@ -104,8 +120,8 @@
 		}
 	}
 	if up.Fresh != 0 {
-		f.fresh = up.Fresh
-		go c.prove(f, up.Fresh)
+		c.asking[f] = up.Fresh
+		c.prove()
 	}
 	if up.Handed != 0 {
 		if reply := f.replies[up.Handed]; reply != nil {
@@ -115,24 +131,36 @@
 	}
 }
 
-// prove finds out what is current, and has the agent told.
-func (c *Core) prove(f *feed, number uint64) {
-	for {
+// prove finds out what is current, and has those agents told that asked before. One read serves all who have asked when it begins:
+// after a start each agent asks, and as many reads would crowd out the agreement's own messages.
+func (c *Core) prove() {
+	if c.proving || len(c.asking) == 0 {
+		return
+	}
+	asked := c.asking
+	c.proving, c.asking = true, map[*feed]uint64{}
+	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		err := c.node.Read(ctx)
 		cancel()
-		still := make(chan bool, 1)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
 		c.do(func() {
-			if still <- c.feeds[f.agent] == f; err == nil {
-				f.proven = number
-				f.wake()
+			c.proving = false
+			for f, number := range asked {
+				switch {
+				case c.feeds[f.agent] != f:
+				case err == nil:
+					f.proven = number
+					f.wake()
+				case c.asking[f] == 0:
+					c.asking[f] = number
+				}
 			}
+			c.prove()
 		})
-		if !<-still || err == nil {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
+	}()
 }
 
 // spread has all agents told of one.
@@ -143,21 +171,35 @@
 	})
 }
 
-// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing.
+// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
+// when a zone goes, each of its agents is news to all others.
 func (c *Core) tell(f *feed, ended chan struct{}) {
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
-	var index uint64
-	var cores []string // as told
 	for {
-		next := make(chan brentei.Down, 1)
-		c.do(func() { next <- c.next(f, &index, &cores) })
-		d := <-next
+		type message struct {
+			down brentei.Down
+			raw  []byte
+		}
+		next := make(chan message, 1)
+		c.do(func() {
+			d, raw := c.next(f)
+			next <- message{d, raw}
+		})
+		m := <-next
 		f.conn.SetWriteDeadline(time.Now().Add(muteFor))
-		if f.conn.Send(&d, nil) != nil {
+		if f.conn.Send(&m.down, m.raw) != nil {
 			f.conn.Close()
 			return
 		}
+		if n := len(m.down.Stations); n > 0 && n < mostStations && !m.down.Whole {
+			beat.Reset(gap)
+			select {
+			case <-ended:
+				return
+			case <-beat.C:
+			}
+		}
 		beat.Reset(heartbeat)
 		select {
 		case <-ended:
@@ -168,25 +210,46 @@
 	}
 }
 
-// next is what an agent is told next. Danger: a proof covers the configuration that goes out with it, so it is taken with it.
-func (c *Core) next(f *feed, index *uint64, cores *[]string) (d brentei.Down) {
-	if s := c.table.now.Load(); s.index > *index {
-		d.Config, d.Index, *index = s.encoded(), s.index, s.index
+// next is what an agent is told next. Danger: a proof covers the configuration whose index goes out with it, so it is taken with it;
+// and who is ready is asked for all services, so it waits until all stations are told.
+func (c *Core) next(f *feed) (d brentei.Down, raw []byte) {
+	s := c.table.now.Load()
+	if f.known {
+		d.Index = s.index
+		switch {
+		case f.want != 0 && s.index >= f.want:
+			raw, d.Digest = s.encoded()
+			d.Raw, f.want = int64(len(raw)), 0
+		case s.index > f.have:
+			if d.Steps = s.since(f.have); d.Steps != nil {
+				_, d.Digest = s.encoded()
+			}
+		}
+		f.have = s.index
 	}
 	if f.whole {
-		d.Stations, d.Whole, f.whole = c.registry.All(c.now()), true, false
+		d.Whole, f.whole = true, false
 		clear(f.dirty)
+		for _, agent := range c.registry.Agents() {
+			f.dirty[agent] = true
+		}
 	}
 	for agent := range f.dirty {
+		if len(d.Stations) == mostStations {
+			f.wake()
+			break
+		}
 		if h, ok := c.registry.Of(c.now(), agent); ok {
 			d.Stations = append(d.Stations, h)
 		}
 		delete(f.dirty, agent)
 	}
-	if !slices.Equal(*cores, c.cores) {
-		d.Cores, *cores = c.cores, c.cores
+	if !slices.Equal(f.cores, c.cores) {
+		d.Cores, f.cores = c.cores, c.cores
+	}
+	if len(f.dirty) == 0 {
+		d.Fresh, f.proven = f.proven, 0
 	}
-	d.Fresh, f.proven = f.proven, 0
 	d.MinLife, f.min = f.min, 0
 	if len(f.beats) > 0 {
 		w := f.beats[0]
@@ -196,7 +259,7 @@
 			f.wake()
 		}
 	}
-	return d
+	return d, raw
 }
 
 // pass hands a backend's call to the agent beside it, and returns the agent's answer.
--- a/internal/averau/table_test.go
+++ b/internal/averau/table_test.go
@@ -12,10 +12,10 @@
 
 // drawOrders makes calls of the operator: items that are set, dropped, out of date or wrong, and
 // zones emptied and returned.
-func drawOrders(r *rand.Rand) (orders []order) {
+func drawOrders(r *rand.Rand) (orders []margherita.Order) {
 	for range 40 {
-		o := order{Op: []string{opEvacuate, opReturn, opPatch}[min(r.IntN(6), 2)], Zone: fmt.Sprint("z", r.IntN(3))}
-		if o.Op == opPatch {
+		o := margherita.Order{Op: []string{margherita.OpEvacuate, margherita.OpReturn, margherita.OpPatch}[min(r.IntN(6), 2)], Zone: fmt.Sprint("z", r.IntN(3))}
+		if o.Op == margherita.OpPatch {
 			lists := map[string][]string{}
 			for range 1 + r.IntN(4) {
 				kind, n := []string{"services", "routes"}[r.IntN(2)], r.IntN(3)
@@ -55,14 +55,14 @@
 		cut := r.IntN(len(orders))
 		for i, o := range orders {
 			before, woken := one.now.Load(), changes
-			text := string(before.encoded())
-			command := o.encode()
+			text := textOf(before)
+			command := encodeOrder(&o)
 			reply := one.Apply(uint64(i+1), command)
 			after := one.now.Load()
-			require.Equal(t, text, string(before.encoded()), "seed %d: a state that was shown changed", seed)
+			require.Equal(t, text, textOf(before), "seed %d: a state that was shown changed", seed)
 			require.Equal(t, before != after, woken != changes, "seed %d", seed)
-			if p, err := margherita.ParsePatch(o.Body); o.Op != opPatch {
-				require.Equal(t, o.Op == opEvacuate, after.config.Evacuated(o.Zone), "seed %d", seed)
+			if p, err := margherita.ParsePatch(o.Body); o.Op != margherita.OpPatch {
+				require.Equal(t, o.Op == margherita.OpEvacuate, after.config.Evacuated(o.Zone), "seed %d", seed)
 			} else {
 				if err == nil {
 					_, _, err = before.config.Apply(p)
@@ -76,7 +76,7 @@
 			if before != after {
 				counted["changed"]++
 				require.Equal(t, uint64(i+1), after.index)
-				require.NotEqual(t, text, string(after.encoded()), "seed %d: nothing changed, but agents hear of it", seed)
+				require.NotEqual(t, text, textOf(after), "seed %d: nothing changed, but agents hear of it", seed)
 			}
 			if r.IntN(4) == 0 { // a call that got no clear answer comes again
 				require.Equal(t, reply, one.Apply(uint64(i+1), command))
@@ -93,3 +93,9 @@
 	}
 	require.Greater(t, min(counted["invalid"], counted["changed"]), 500)
 }
+
+// textOf is a state as agents get it.
+func textOf(s *state) string {
+	text, _ := s.encoded()
+	return string(text)
+}
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -4,10 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
 )
 
 const (
@@ -17,6 +17,8 @@
 	againLow  = 100 * time.Millisecond // until a feed is opened anew, doubling
 	againHigh = time.Second
 	mostFeeds = 9
+	askAgain  = 500 * time.Millisecond // for the whole configuration, elsewhere
+	mostWhole = 32 << 20               // bytes of a configuration
 )
 
 // feed is the link to one core machine.
@@ -26,6 +28,8 @@
 	woken chan struct{}
 	up    chan brentei.Up // answers to beats that came over it
 	heard time.Time       // when the core machine last said anything; the owner's
+	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
+	alive bool            // the core machine has been heard over the present connection; the owner's
 }
 
 func (f *feed) wake() {
@@ -72,7 +76,14 @@
 				wait = againLow
 			}
 			c.Close()
-			a.do(func() { a.table.Down(f.core); a.dirty = true })
+			a.do(func() {
+				a.table.Down(f.core)
+				a.dirty, f.alive = true, false
+				if a.asking == f {
+					a.asking = nil
+					a.lack()
+				}
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -94,8 +105,12 @@
 			if c.Receive(&d) != nil {
 				break
 			}
+			whole, err := c.Body(d.Raw, mostWhole)
+			if err != nil {
+				break
+			}
 			any = true
-			a.do(func() { a.hear(f, &d) })
+			a.do(func() { a.hear(f, &d, whole) })
 		}
 		close(ended)
 		done <- any
@@ -112,7 +127,9 @@
 		var up brentei.Up
 		if s := a.station.Load(); s != said {
 			said, up.Station = s, s
+			up.Have = a.have.Load()
 		}
+		up.Want = f.want.Swap(0)
 		if up.Fresh = fresh; fresh != 0 {
 			fresh = 0
 		}
@@ -138,26 +155,19 @@
 }
 
 // hear takes in what a core machine says.
-func (a *Agent) hear(f *feed, d *brentei.Down) {
+func (a *Agent) hear(f *feed, d *brentei.Down, whole []byte) {
 	if a.feeds[f.core] != f {
 		return
 	}
 	f.heard = time.Now()
 	a.told = f.heard
+	f.alive = true
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
 		a.say()
 	}
-	if d.Index > a.index && len(d.Config) > 0 {
-		config, err := margherita.Decode(d.Config)
-		if err != nil {
-			a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
-		} else {
-			a.config, a.index, a.dirty = config, d.Index, true
-			a.log.WithField("index", a.index).WithField("items", config.Summary()).Info("configuration")
-		}
-	}
+	a.take(f, d, whole)
 	if d.Stations != nil || d.Whole {
 		if a.table.Hear(a.now(), f.core, d.Whole, d.Stations) {
 			a.dirty = true
@@ -165,10 +175,13 @@
 	}
 	if d.Fresh != 0 {
 		a.shown = f.heard
-		if !a.proven {
-			a.proven, a.dirty = true, true
+		if !a.current {
+			a.current, a.least = true, d.Index
 		}
 	}
+	if a.current && !a.proven && a.index >= a.least {
+		a.proven, a.dirty = true, true
+	}
 	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
 		a.cores = slices.Clone(d.Cores)
 		a.follow()
