--- a/internal/vajolet/path_bench_test.go
+++ b/internal/vajolet/path_bench_test.go
@@ -150,7 +150,7 @@
 	view := &vajolet.View{Config: config, Index: 1}
 	rules := solvay.Rules{BeatEvery: time.Hour}
 	for i := range gates {
-		host := solvay.NewHost(rules, 1<<20, func() {})
+		host := solvay.NewHost(rules, 1<<20, brentei.NewRoom(1<<30), func() {})
 		at := listen(b, func(raw net.Conn) {
 			c := brentei.NewConn(raw)
 			var hello brentei.Hello
@@ -166,7 +166,7 @@
 	set := &nuvolau.Settings{IP: "10.0.1.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryRatio, set.Bounds.RetryWindow, set.Bounds.ExtraTries = 0.2, 10*time.Second, 60
 	links := &brentei.Pool{From: "10.0.1.1:1", Connect: time.Second, Idle: time.Minute, Most: 64}
-	s := vajolet.New(set, solvay.NewHost(rules, 1<<20, func() {}), links, &log.Logger{Handler: discard.New()})
+	s := vajolet.New(set, solvay.NewHost(rules, 1<<20, brentei.NewRoom(1<<30), func() {}), links, brentei.NewRoom(1<<30), &log.Logger{Handler: discard.New()})
 	s.SetView(view)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(b, err)
