--- a/internal/konkordia/election.go
+++ b/internal/konkordia/election.go
@@ -33,7 +33,9 @@
 func (m *Machine) resetElection() {
 	low, high := electionMin, electionMax
 	if m.led == (Hard{}) { // after all were down at once nobody leads before somebody asks; a leader would be heard by those asked
-		low, high = firstMin, firstMax
+		// Danger: on a slow machine several ask at once, again and again, if they don't give one another more time.
+		low, high = min(low, firstMin<<m.tries), min(high, firstMax<<m.tries)
+		m.tries = min(m.tries+1, mostTries)
 	}
 	m.electionAt = m.now + low + time.Duration(m.rng.Int64N(int64(high-low)))
 }
--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -45,6 +45,7 @@
 	electionMax = 1500 * time.Millisecond
 	firstMin    = 60 * time.Millisecond // until a leader has been heard of in this life
 	firstMax    = 350 * time.Millisecond
+	mostTries   = 4 // by then they are as long as all others
 	healthy     = time.Second            // a peer that was heard in this time is there
 	joinFirst   = 125 * time.Millisecond // before a Join is repeated, while nobody replicates to us;
 	joinEvery   = 2 * time.Second        // twice as long each time, up to this
@@ -155,6 +156,7 @@
 	led        Hard          // who was last known to lead, and in which term
 	heard      time.Duration // when a leader was last heard
 	electionAt time.Duration
+	tries      int // elections waited for before any leader was heard of
 	votes      []Member
 	began      uint64 // the term that this life began in
 	changes    uint64 // of the leader
