--- a/cmd/altavia/main.go
+++ b/cmd/altavia/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -23,6 +24,9 @@
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "altavia:", err)
+		if errors.Is(err, errBroken) {
+			os.Exit(3)
+		}
 		os.Exit(1)
 	}
 }
@@ -42,7 +46,12 @@
 	flaggy.AttachSubcommand(agent, 1)
 	flaggy.AttachSubcommand(core, 1)
 	flaggy.AttachSubcommand(check, 1)
+	try := newTrial()
+	flaggy.AttachSubcommand(try.command, 1)
 	flaggy.Parse()
+	if try.command.Used {
+		return try.run()
+	}
 	if !agent.Used && !core.Used && !check.Used {
 		flaggy.ShowHelpAndExit("name what to run")
 	}
