--- a/cmd/altavia/try.go
+++ b/cmd/altavia/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"strings"
@@ -20,7 +21,7 @@
 
 // trial is the command that starts a small mesh on loopback and judges it.
 type trial struct {
-	command *flaggy.Subcommand
+	out     io.Writer
 	agents  int
 	seconds int
 	rate    float64
@@ -28,24 +29,23 @@
 	keep    string
 }
 
-func newTrial() *trial {
-	t := &trial{command: flaggy.NewSubcommand("try"), agents: 6, seconds: 15, rate: 15, trouble: "kill-core"}
-	t.command.Description = "start a small mesh on loopback, send requests through it and judge it"
-	t.command.Int(&t.agents, "n", "agents", "agents beside backends, from 3 on")
-	t.command.Int(&t.seconds, "t", "seconds", "length")
-	t.command.Float64(&t.rate, "r", "rate", "requests a second at each agent")
-	t.command.String(&t.trouble, "x", "trouble", strings.Join(seceda.Troubles, "|"))
-	t.command.String(&t.keep, "k", "keep", "empty folder for settings, disks and logs, which then stay")
-	return t
+func (t *trial) flags(sub *flaggy.Subcommand) {
+	sub.Int(&t.agents, "n", "agents", "agents beside backends, from 3 on")
+	sub.Int(&t.seconds, "l", "seconds", "length")
+	sub.Float64(&t.rate, "r", "rate", "requests a second at each agent")
+	sub.String(&t.trouble, "x", "trouble", strings.Join(seceda.Troubles, "|"))
+	sub.String(&t.keep, "k", "keep", "empty folder for settings, disks and logs, which then stay")
 }
 
 func (t *trial) run() error {
 	errs := oops.In("try")
-	if !seceda.Known(t.trouble) {
-		return errs.Errorf("--trouble %s is none of %s", t.trouble, strings.Join(seceda.Troubles, ", "))
-	}
-	if t.seconds < 3 || t.rate <= 0 {
-		return errs.Errorf("--seconds is 3 at least, and --rate above 0")
+	switch {
+	case !seceda.Known(t.trouble):
+		return misused("--trouble %s is none of %s", t.trouble, strings.Join(seceda.Troubles, ", "))
+	case t.seconds < 3 || t.rate <= 0:
+		return misused("--seconds is 3 at least, and --rate above 0")
+	case t.agents < seceda.LeastAgents || t.agents > seceda.MostAgents:
+		return misused("--agents %d is not from %d to %d", t.agents, seceda.LeastAgents, seceda.MostAgents)
 	}
 	program, err := os.Executable()
 	if err != nil {
@@ -59,7 +59,7 @@
 		return errs.Wrap(err)
 	}
 	defer g.Close()
-	fmt.Printf("3 core machines and %d agents are ready after %.1fs; services %s\n",
+	fmt.Fprintf(t.out, "3 core machines and %d agents are ready after %.1fs; services %s\n",
 		t.agents, time.Since(began).Seconds(), strings.Join(g.Services(), ", "))
 	length := time.Duration(t.seconds) * time.Second
 	playing, cancel := context.WithTimeout(ctx, length+20*time.Second)
@@ -89,7 +89,7 @@
 
 // watch shows a line a second until the time is over and the trouble, too.
 func (t *trial) watch(ctx context.Context, g *seceda.Ground, length time.Duration, lines <-chan string, played <-chan error) error {
-	fmt.Println("  time   sent served refused failed    p50    p99  leads   configuration")
+	fmt.Fprintln(t.out, "  time   sent served refused failed    p50    p99  leads   configuration")
 	began, tick, over := time.Now(), time.NewTicker(time.Second), false
 	defer tick.Stop()
 	g.Since()
@@ -98,7 +98,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case line := <-lines:
-			fmt.Printf("%5.1fs  %s\n", time.Since(began).Seconds(), line)
+			fmt.Fprintf(t.out, "%5.1fs  %s\n", time.Since(began).Seconds(), line)
 		case err := <-played:
 			if err != nil {
 				return err
@@ -110,7 +110,7 @@
 				leads = m.Name
 			}
 			index, have := g.Index()
-			fmt.Printf("%5.1fs %6d %6d %7d %6d %4dms %4dms  %-7s %d at %d of %d\n", time.Since(began).Seconds(), c.Sent, c.Served, c.Refused,
+			fmt.Fprintf(t.out, "%5.1fs %6d %6d %7d %6d %4dms %4dms  %-7s %d at %d of %d\n", time.Since(began).Seconds(), c.Sent, c.Served, c.Refused,
 				c.Failed, c.Quantile(0.5).Milliseconds(), c.Quantile(0.99).Milliseconds(), leads, index, have, len(g.Agents))
 			if over && time.Since(began) >= length {
 				return nil
@@ -121,15 +121,15 @@
 
 // say prints the verdict.
 func (t *trial) say(v *seceda.Verdict) error {
-	fmt.Printf("%d requests: %d served, %d refused, %d failed; p50 %v, p99 %v\n", v.Sent, v.Served, v.Refused, v.Failed,
+	fmt.Fprintf(t.out, "%d requests: %d served, %d refused, %d failed; p50 %v, p99 %v\n", v.Sent, v.Served, v.Refused, v.Failed,
 		v.Quantile(0.5).Round(time.Millisecond), v.Quantile(0.99).Round(time.Millisecond))
-	fmt.Printf("judged from what clients, backends and the operator saw: %d tries, %d runs\n", v.Tries, v.Runs)
+	fmt.Fprintf(t.out, "judged from what clients, backends and the operator saw: %d tries, %d runs\n", v.Tries, v.Runs)
 	for _, b := range v.Breaches {
-		fmt.Println("broken", b)
+		fmt.Fprintln(t.out, "broken", b)
 	}
 	if len(v.Breaches) > 0 {
 		return errBroken
 	}
-	fmt.Println("no rule was broken:", strings.Join(seceda.Rules, ", "))
+	fmt.Fprintln(t.out, "no rule was broken:", strings.Join(seceda.Rules, ", "))
 	return nil
 }
--- a/internal/seceda/backend.go
+++ b/internal/seceda/backend.go
@@ -28,6 +28,8 @@
 )
 
 const (
+	healthPath = "/health"
+
 	capacity    = 6   // requests that a backend works on at once
 	queueRoom   = 2   // that wait beside
 	callShare   = 0.2 // of a backend's runs that call another service
@@ -51,16 +53,16 @@
 
 // life is one process of a backend.
 type life struct {
-	b        *Backend
-	id       string
-	server   *http.Server
-	slots    chan struct{}
-	held     atomic.Int64
-	calls    atomic.Uint64
-	beating  sync.Mutex // one call at a time
-	draining bool       // guarded by beating
-	over     context.Context
-	end      context.CancelFunc
+	b       *Backend
+	id      string
+	server  *http.Server
+	slots   chan struct{}
+	held    atomic.Int64
+	calls   atomic.Uint64
+	beating sync.Mutex // one call at a time
+	leaving atomic.Bool
+	over    context.Context
+	end     context.CancelFunc
 }
 
 func newBackend(g *Ground, m *Machine) *Backend {
@@ -111,9 +113,7 @@
 	if l == nil {
 		return fmt.Errorf("the backend of %s is down", b.m.Name)
 	}
-	l.beating.Lock()
-	l.draining = true
-	l.beating.Unlock()
+	l.leaving.Store(true)
 	for !l.beat(ctx) { // each of which takes its time where nobody answers
 		if ctx.Err() != nil {
 			return fmt.Errorf("the drain of %s was not acknowledged: %w", l.id, ctx.Err())
@@ -164,8 +164,8 @@
 	if l.over.Err() != nil {
 		return false
 	}
-	state := "ready"
-	if l.draining {
+	state, leaving := "ready", l.leaving.Load()
+	if leaving {
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{"service": l.b.m.Service, "address": l.b.m.at(appPort), "zone": l.b.m.Zone, "version": "v1",
@@ -174,7 +174,7 @@
 		panic(err) // plain fields always encode
 	}
 	ok := l.sign(ctx, http.MethodPut, body)
-	if ok && l.draining {
+	if ok && leaving {
 		l.b.g.record.note(func(now time.Duration, s *Story) {
 			if _, known := s.Leaves[l.id]; !known {
 				s.Leaves[l.id] = now
@@ -232,6 +232,12 @@
 		turnAway(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == healthPath {
+		if l.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	left, err := strconv.Atoi(r.Header.Get(leftHeader))
 	if try == "" || err != nil {
 		turnAway(http.StatusBadRequest)
--- a/internal/seceda/client.go
+++ b/internal/seceda/client.go
@@ -48,7 +48,7 @@
 		items = append(items, g.Route(i, g.services[kinds[i].service%len(g.services)], 1))
 	}
 	for _, s := range g.services {
-		items = append(items, Item{Kind: Services, Name: s, Version: version(1), Body: map[string]any{"health_path": "/health",
+		items = append(items, Item{Kind: Services, Name: s, Version: version(1), Body: map[string]any{"health_path": healthPath,
 			"max_conns": 120, "protocol": "h1", "tls": false, "warmup": "500ms", "warmup_per_s": 50}})
 	}
 	return append(items, Item{Kind: Limits, Version: version(1), Body: map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20,
--- a/internal/seceda/judge.go
+++ b/internal/seceda/judge.go
@@ -51,6 +51,7 @@
 	if s.Over {
 		j.breach("CANT-TELL", "more happened than is kept")
 	}
+	j.readBack() // first: what is lost counts for more than who noticed it
 	runs := map[string][]*Run{}
 	for _, r := range s.Runs {
 		runs[r.Try] = append(runs[r.Try], r)
@@ -64,7 +65,6 @@
 	for _, t := range tries {
 		j.try(t, runs[t.ID])
 	}
-	j.readBack()
 	return j.found
 }
 
--- a/internal/seceda/seceda.go
+++ b/internal/seceda/seceda.go
@@ -41,12 +41,17 @@
 
 const (
 	cores     = 3
-	MostAgent = 60 // agents that a machine is asked to bear
 	beatEvery = 400 * time.Millisecond
 	startFor  = 15 * time.Second // until a mesh must be ready
 	host      = "mesh.example"
 )
 
+// So many agents may be had: one for each zone, and what a machine bears.
+const (
+	LeastAgents = len(zones)
+	MostAgents  = 60
+)
+
 var zones = [...]string{"zone-a", "zone-b", "zone-c"}
 
 // Options say what a ground is like.
@@ -84,8 +89,8 @@
 // Start starts a mesh, gives it its first configuration, and returns once all agents are ready and
 // clients have begun.
 func Start(ctx context.Context, o Options) (g *Ground, err error) {
-	if o.Agents < len(zones) || o.Agents > MostAgent {
-		return nil, fmt.Errorf("%d agents: from %d to %d can be had", o.Agents, len(zones), MostAgent)
+	if o.Agents < LeastAgents || o.Agents > MostAgents {
+		return nil, fmt.Errorf("%d agents: from %d to %d can be had", o.Agents, LeastAgents, MostAgents)
 	}
 	g = &Ground{opt: o, dir: o.Dir, record: newRecord(terms)}
 	defer func() {
--- a/internal/seceda/seceda_test.go
+++ b/internal/seceda/seceda_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+var keepFlag = flag.String("keep", "", "empty folder for the processes' settings, disks and logs")
+
 // build builds the program, once.
 var build = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "altavia-ground")
@@ -56,7 +58,12 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(t.Context(), 35*time.Second)
 			defer cancel()
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "altavia"), Dir: t.TempDir(), Agents: 6, Rate: 10, Work: 20 * time.Millisecond})
+			at := t.TempDir()
+			if *keepFlag != "" {
+				at = filepath.Join(*keepFlag, filepath.Base(t.Name()))
+				require.NoError(t, os.MkdirAll(at, 0o700))
+			}
+			g, err := Start(ctx, Options{Program: filepath.Join(dir, "altavia"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond})
 			require.NoError(t, err)
 			defer g.Close()
 			story(t, ctx, g)
--- a/internal/solvay/gate.go
+++ b/internal/solvay/gate.go
@@ -30,6 +30,7 @@
 	gain       = 0.1                     // weight of a sample in the moving means
 	queueSlots = 2                       // requests that wait at most, for each slot: more wait longer than any may
 	deadAfter  = 3                       // beats missed in a row until the backend is taken to be gone
+	mostEnded  = 8                       // lives before the present one that are remembered: their calls are all late
 )
 
 // Rules are what the configuration and the deployment say of the backend's service and zone.
@@ -41,6 +42,7 @@
 	Excess     float64 // the bound in a second is WarmupPerS x Excess + Margin
 	Margin     float64
 	BeatEvery  time.Duration
+	LinkBps    float64 // of the machine's link, bits a second; 0: unknown
 }
 
 // coldLimit is how many requests a cold backend gets in a second. It bears WarmupPerS; the bound above that is for what is
@@ -81,11 +83,16 @@
 	started  time.Duration
 	now      time.Duration
 	backend  *brentei.Backend // nil: none has been heard, or it is gone
+	last     *brentei.Backend // the life heard last, also when it is gone
+	ended    []string         // lives before it
 	heard    time.Duration    // its last beat, or answer
 	cold     time.Duration    // until then
 	inFlight int
+	coming   int             // requests of which the body is still on its way here,
+	bytes    int64           // and how much of them there is in all
 	waiting  []*Ticket       // by due
 	handed   []time.Duration // to a cold backend, within the span
+	peaks    [2]int          // the most that these were while it was cold, in each of two generations
 	recent   float64         // seconds of work
 	rate     meter
 	errors   meter
@@ -103,13 +110,18 @@
 // Beat takes in what the backend says of itself, and says whether others should hear of it.
 func (g *Gate) Beat(now time.Duration, b brentei.Backend) (news bool) {
 	g.step(now)
-	old := g.backend
-	if old != nil && old.ID == b.ID && b.Calls != 0 && b.Calls < old.Calls {
+	old, last := g.backend, g.last
+	if slices.Contains(g.ended, b.ID) || last != nil && last.ID == b.ID && b.Calls != 0 && b.Calls < last.Calls {
 		return false // a late call
 	}
-	if old != nil && old.ID == b.ID && old.Draining {
-		b.Draining = true // who has left does not come back as the same life
+	if last != nil && last.ID == b.ID {
+		b.Draining = b.Draining || last.Draining // who has left does not come back as the same life
+	} else if last != nil {
+		if g.ended = append(g.ended, last.ID); len(g.ended) > mostEnded {
+			g.ended = slices.Delete(g.ended, 0, 1)
+		}
 	}
+	g.last = &b
 	wasCold := g.cold > now
 	g.backend, g.heard = &b, now
 	g.cold = now + b.ColdLeft
@@ -199,9 +211,9 @@
 	if g.wait(i+1) > a.Patient || i >= most {
 		return nil, g.refuse(full)
 	}
-	if len(g.waiting) >= most { // the last gives way
-		last := g.waiting[most-1]
-		g.waiting, last.waiting = g.waiting[:most-1], false
+	for n := len(g.waiting); n >= most; n = len(g.waiting) { // the last gives way; several if the backend takes fewer now
+		last := g.waiting[n-1]
+		g.waiting, last.waiting = g.waiting[:n-1], false
 		last.Grant(false, g.refuse(full))
 	}
 	t.waiting = true
@@ -209,6 +221,34 @@
 	return t, nil
 }
 
+// Offer decides whether a body may come. What is refused here has not been carried for nothing: a body behind so many that it would
+// be late fares better at another gate.
+func (g *Gate) Offer(now time.Duration, a *brentei.Ask) *brentei.Failure {
+	g.step(now)
+	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
+		return g.refuse(f)
+	}
+	if g.rules.LinkBps <= 0 {
+		return nil
+	}
+	before := time.Duration(float64(g.bytes) * 8 / g.rules.LinkBps * float64(time.Second))
+	if before > a.Patient {
+		return g.refuse(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: before - a.Patient})
+	}
+	return nil
+}
+
+// Coming counts a body that begins to come, and Came one that has come or never will: a link that is full of them is as good as a
+// backend that is.
+func (g *Gate) Coming(bytes int64) { g.coming, g.bytes = g.coming+1, g.bytes+bytes }
+
+// Came is the end of Coming.
+func (g *Gate) Came(bytes int64) {
+	if g.coming, g.bytes = g.coming-1, g.bytes-bytes; g.coming < 0 || g.bytes < 0 {
+		panic("solvay: more bodies came than had begun to")
+	}
+}
+
 // Abandon takes a ticket back that has waited for too long. It says false if its turn has come meanwhile.
 func (g *Gate) Abandon(now time.Duration, t *Ticket) bool {
 	g.step(now)
@@ -260,7 +300,7 @@
 // Load is what others are told of the backend.
 func (g *Gate) Load(now time.Duration) brentei.Load {
 	return brentei.Load{
-		InFlight: g.inFlight + len(g.waiting), Waiting: len(g.waiting),
+		InFlight: g.inFlight + len(g.waiting) + g.coming, Waiting: len(g.waiting),
 		Recent: time.Duration(g.recent * float64(time.Second)), Rate: g.rate.perSecond(now), Errors: g.errors.perSecond(now),
 	}
 }
@@ -296,10 +336,8 @@
 		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
 	}
 	if unsafe {
-		for _, seen := range g.seen {
-			if _, twice := seen[try]; twice {
-				return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
-			}
+		if g.twice(try) {
+			return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
 		}
 		if len(g.seen[0]) >= mostTwice {
 			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own, After: time.Second}
@@ -308,8 +346,21 @@
 	return nil
 }
 
+// twice says whether an id of an unsafe request has been handed over before.
+func (g *Gate) twice(try string) bool {
+	for _, seen := range g.seen {
+		if _, twice := seen[try]; twice {
+			return true
+		}
+	}
+	return false
+}
+
 // hand counts a request that goes to the backend now; the only way there.
 func (g *Gate) hand(t *Ticket) *brentei.Failure {
+	if t.unsafe && g.twice(t.try) { // it came twice while it waited
+		return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
+	}
 	if g.cold > g.now {
 		limit := g.rules.coldLimit()
 		// Danger: what the process before this one handed over within the last second is not known.
@@ -322,6 +373,9 @@
 		}
 	}
 	g.handed = append(g.handed, g.now)
+	if g.cold > g.now {
+		g.peaks[0] = max(g.peaks[0], len(g.handed))
+	}
 	if t.unsafe {
 		g.seen[0][t.try] = struct{}{}
 	}
@@ -355,6 +409,7 @@
 	if g.now-g.aged >= twiceFor {
 		g.aged = g.now
 		g.seen[0], g.seen[1] = map[string]struct{}{}, g.seen[0]
+		g.peaks[0], g.peaks[1] = 0, g.peaks[0]
 	}
 }
 
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -46,6 +46,7 @@
 	set   *nuvolau.Settings
 	host  *solvay.Host // the gate on this machine
 	links *brentei.Pool
+	room  *brentei.Room // for bodies
 	log   log.Interface
 	zones map[string]int
 
@@ -59,8 +60,8 @@
 }
 
 // New returns a sender that knows nothing and refuses all.
-func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, l log.Interface) *Sender {
-	s := &Sender{set: set, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
+	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
 	}
@@ -140,7 +141,7 @@
 func (s *Sender) settings(c *margherita.Config, name string, classes []policy.Class, width int) policy.Settings {
 	b := &s.set.Bounds
 	set := policy.Settings{
-		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline, Gates: true, Width: float64(width),
+		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline, Gates: true, HomeFirst: true, Width: float64(width),
 		Tick: time.Millisecond, MaxAttempts: 6, SecondCopies: true,
 		ColdFrom: coldFrom, OverloadFactor: 2,
 		ExtraWindow: b.RetryWindow, ExtraFloor: floorShare * b.ExtraTries / float64(s.agents), ExtraRatio: budgetShare * b.RetryRatio,
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	patientPart = 4 // a request waits for a slot for this part of its aim at most: held longer for nothing it is priced
 	leastAfter  = 50 * time.Millisecond
 	leastFull   = 20 * time.Millisecond // that a gate which refused is passed by: it costs a message to ask
+	longBody    = 48 << 10              // bytes from which a body is offered before it is sent: a refusal would have carried it for nothing
+	firstChunk  = 16 << 10              // bytes that a body without a length is given room for at first
 	innerPart   = 2                     // a backend's own call waits for this part of its time
 	mostAfter   = 2 * time.Second
 )
@@ -32,7 +35,7 @@
 type Counters struct {
 	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Local atomic.Uint64
 	Attempts, Repeats                                                  atomic.Uint64
-	ByReason                                                           [32]atomic.Uint64 // of attempts that brought no answer
+	Unanswered                                                         [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
 }
 
 // attempt is one that is under way for a request.
@@ -56,7 +59,7 @@
 	inner    bool // called by a run of a backend
 	repeated bool // by a run that was a repeat itself
 	attempts int  // started
-	reached  int  // of these, those that reached a backend
+	reached  int  // of these, those that reached a backend, or may yet
 
 	mu     sync.Mutex
 	last   *attempt // the best answer that is no success
@@ -91,14 +94,19 @@
 		s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
 		return
 	}
-	body, err := readBody(r, most)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
+	body, held, err := s.readBody(r, most)
+	defer s.room.Free(held)
+	switch {
+	case errors.Is(err, errNoRoom):
+		w.Header().Set("Connection", "close") // the rest of the body is not waited for
+		s.refuse(w, leastAfter)
+		return
+	case errors.Is(err, errTooLarge):
+		s.Count.Bad.Add(1)
+		s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
+		return
+	case err != nil:
 		s.Count.Bad.Add(1)
-		if errors.As(err, &tooLarge) {
-			s.say(w, http.StatusRequestEntityTooLarge, "the body is longer than limits.body_bytes")
-			return
-		}
 		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
 	}
 	j := &job{route: route, body: body, done: make(chan struct{})}
@@ -135,16 +143,45 @@
 	}
 }
 
-func readBody(r *http.Request, most int64) ([]byte, error) {
+var (
+	errNoRoom   = errors.New("no room for the body")
+	errTooLarge = errors.New("the body is too large")
+)
+
+// readBody reads a request's body whole, and returns how much room it holds, also with an error.
+func (s *Sender) readBody(r *http.Request, most int64) (body []byte, held int64, err error) {
 	switch {
 	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
-		return nil, nil
+		return nil, 0, nil
 	case r.ContentLength > 0:
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+		if !s.room.Take(r.ContentLength) {
+			return nil, 0, errNoRoom
+		}
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+		return body, r.ContentLength, err
+	}
+	// In chunks: room is taken as the buffer grows.
+	for {
+		if len(body) == cap(body) {
+			more := int64(max(cap(body), firstChunk))
+			if !s.room.Take(more) {
+				return nil, held, errNoRoom
+			}
+			held += more
+			body = slices.Grow(body, int(more))
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > most:
+			return nil, held, errTooLarge
+		case err == io.EOF:
+			return body, held, nil
+		case err != nil:
+			return nil, held, err
+		}
 	}
-	return io.ReadAll(http.MaxBytesReader(nil, r.Body, most))
 }
 
 // passedOn lists the headers of a request that go on to the backend.
@@ -242,7 +279,7 @@
 	how, load, after := policy.OK, policy.Load{}, time.Duration(0)
 	switch {
 	case at.fail != nil:
-		s.Count.ByReason[at.fail.Reason].Add(1)
+		s.Count.unanswered(at.fail)
 		how, after = outcomeOf(at.fail), max(at.fail.After, leastFull)
 	case at.reply.Status >= 500 && at.reply.Inner:
 		how = policy.Cancelled // danger: were it the backend's fault, a service that is out would take out all that call it
@@ -284,15 +321,19 @@
 		at.fail = &brentei.Failure{Verdict: brentei.NotRun, Reason: reason}
 		return at
 	}
-	j.mu.Lock()
-	spent := j.reached >= max(1, j.route.Tries)
-	j.mu.Unlock()
 	if t == nil {
 		return refuse(brentei.Unknown)
 	}
-	if spent {
+	if !j.reach() {
 		return refuse(brentei.Own) // the route's tries are used up
 	}
+	defer func() {
+		if at.fail != nil && at.fail.Verdict == brentei.NotRun {
+			j.mu.Lock()
+			j.reached--
+			j.mu.Unlock()
+		}
+	}()
 	s.Count.Attempts.Add(1)
 	ask := j.ask
 	if ask.Repeat = j.repeated || n > 0; n > 0 {
@@ -312,14 +353,21 @@
 	if at.reply != nil && at.reply.Verdict != brentei.Ran {
 		at.fail = &brentei.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
 	}
-	if at.fail == nil || at.fail.Verdict != brentei.NotRun {
-		j.mu.Lock()
-		j.reached++
-		j.mu.Unlock()
-	}
 	return at
 }
 
+// reach counts a backend that the request is about to be sent to, and says whether the route allows one more. Danger: an attempt
+// that is out may have reached its backend, so it counts until it is proven that it did not.
+func (j *job) reach() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.reached >= max(1, j.route.Tries) {
+		return false
+	}
+	j.reached++
+	return true
+}
+
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
 // that it did not run.
 func (s *Sender) exchange(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
@@ -334,9 +382,13 @@
 		j.inline = c
 		j.mu.Unlock()
 	}
+	held := len(j.body) > longBody // nothing can have run before its body has gone out
 	broken := func(err error) (*brentei.Reply, []byte, *brentei.Failure) {
 		s.links.Discard(c)
 		f := &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Broken, Cause: err}
+		if held {
+			f.Verdict = brentei.NotRun
+		}
 		if isTimeout(err) {
 			f.Reason = brentei.Silent
 		}
@@ -347,14 +399,27 @@
 		s.links.Put(gate, c)
 		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
 	}
-	if err := c.Send(ask, j.body); err != nil {
+	body := j.body
+	if ask.Hold = held; held {
+		body = nil
+	}
+	if err := c.Send(ask, body); err != nil {
 		return broken(err)
 	}
 	var reply brentei.Reply
 	if err := c.Receive(&reply); err != nil {
 		return broken(err)
 	}
-	body, err := c.Body(reply.Body, mostAnswer)
+	if held = false; reply.Go {
+		if err := c.SendRaw(j.body); err != nil {
+			return broken(err)
+		}
+		reply = brentei.Reply{}
+		if err := c.Receive(&reply); err != nil {
+			return broken(err)
+		}
+	}
+	text, err := c.Body(reply.Body, mostAnswer)
 	if err != nil {
 		return broken(err)
 	}
@@ -365,7 +430,7 @@
 	}
 	c.SetDeadline(time.Time{})
 	s.links.Put(gate, c)
-	return &reply, body, nil
+	return &reply, text, nil
 }
 
 // mostAnswer bounds a backend's answer, in bytes.
@@ -433,7 +498,9 @@
 		h["Content-Type"] = nil
 	}
 	h["Date"] = nil
-	h.Set("Content-Length", strconv.Itoa(len(at.body)))
+	if j.ask.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(at.body)))
+	}
 	w.WriteHeader(status)
 	w.Write(at.body)
 	return status < 500
