The agent's warning of its own lateness no longer races with the next beat's

Cause: the next beat may come while the one before still waits for a processor to tell, and both read and wrote when that was told last. The race detector found it in TestFiftyManaged on a machine with a load of 40 to 60 on eight cores (agent/loop.go, newLoop). The time is atomic now, and one of two that come together tells. Ruled out: telling under the lateness's lock, which requests wait for.

go test -race -short -run 'Late|Replace|Outcome' ./internal/agent: green. The race itself was not provoked again.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -160,10 +160,11 @@
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}
 	l.send = l.receive
-	var told time.Time
+	var told atomic.Int64 // Unix nanoseconds
 	l.late.tell = func(by time.Duration) {
-		if now := time.Now(); now.Sub(told) >= lateEvery { // one beat at a time comes here
-			told = now
+		// Danger: the next beat may come while this one still waits for a processor.
+		last, now := told.Load(), time.Now().UnixNano()
+		if now-last >= int64(lateEvery) && told.CompareAndSwap(last, now) {
 			l.log.Warn("the agent itself was late", "by", by.Round(time.Millisecond))
 		}
 	}
