test.sh runs what only computes beside the race detector's tests; not yet measured on a quiet machine

Need: ./test.sh takes 7:48 on eight cores, and five minutes at most are wanted with no check lost.

Cause, by go test -json on two processors at a load of 8: of the race detector's stage internal/fleet takes 218 s (TestSlowWave 52, the managed fifty 22), group 59, cmd/micaline 49, agent 41, lease 30, quota 20; the explorers in full, which came last and one machine after the other, 193 s of processor time, most of it in one thread of rollout and one of change; 200 seeds 2.4 s of processor time each; an hour and the large fleet 30 s.

Jobs' output is printed if they fail; a job that is killed or never ends in order fails the run. Seeds, tests and checks are what they were: -skip here has the same pattern as -run there.

--- a/internal/fleet/level_test.go
+++ b/internal/fleet/level_test.go
@@ -165,7 +165,12 @@
 	if err := levels.Check(); err != nil {
 		t.Fatal(err)
 	}
-	with, without := playWave(t, *seedFlag, &levels), playWave(t, *seedFlag, nil)
+	t.Parallel()
+	var with, without *waved
+	t.Run("play", func(t *testing.T) { // which ends when both have
+		t.Run("with", func(t *testing.T) { t.Parallel(); with = playWave(t, *seedFlag, &levels) })
+		t.Run("without", func(t *testing.T) { t.Parallel(); without = playWave(t, *seedFlag, nil) })
+	})
 	if t.Failed() {
 		return
 	}
--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
-# Everything that must hold before a change lands: format, vet, build, all tests with the race detector, and each
-# scenario over 200 seeds in virtual time, which needs no race detector and has one process for each core. The days with
-# agents as processes have the machine to themselves, and a program without the race detector.
+# Everything that must hold before a change lands: format, vet, build, all tests with the race detector, each scenario over
+# 200 seeds in virtual time, and the explorers in full, which need no race detector. Those that only compute run beside the
+# others on half of the cores, and on all once the race detector's are done. What is judged by the machine's own time comes last
+# and has the machine to itself: instances over real sockets, and the days with agents as processes, without the race detector.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -10,28 +11,61 @@
 	exit 1
 fi
 export GOFLAGS="${GOFLAGS:-} -buildvcs=false"
-go vet ./...
 go build ./...
-go test -race -short -count=1 -timeout 5m $(go list ./... | grep -v /internal/ground)
-go test -count=1 -timeout 5m ./internal/ground
 
-seeds=200
-workers=$(nproc)
-each=$(((seeds + workers - 1) / workers))
-tmp=$(mktemp -d)
-trap 'rm -rf "$tmp"' EXIT
+export tmp=$(mktemp -d)
+trap 'kill $(jobs -p) 2>/dev/null || true; rm -rf "$tmp"' EXIT
 go test -c -o "$tmp/fleet.test" ./internal/fleet
-cd internal/fleet
-pids=()
-for ((i = 0; i < workers; i++)); do
-	GOMAXPROCS=1 "$tmp/fleet.test" -test.run TestShippedScenarios -seed $((1 + i * each)) -seeds "$each" >"$tmp/$i" 2>&1 &
-	pids+=($!)
-done
+cores=$(nproc)
+beside=$(((cores + 1) / 2))
+virtual='InVirtualTime|TestPlanted'         # of the ground's tests: those without processes
+timed='TestFiftyManaged|TestDataUnderFlood' # of the fleet's: those that go by the machine's own time and judge by it
+
+# The jobs beside, each a line, the longest first.
+seeds=200
+shard=8
+{
+	for package in rollout change group lease site work; do
+		echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted' ./internal/$package"
+	done
+	echo "GOMAXPROCS=1 go test -count=1 -run '$virtual' ./internal/ground"
+	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestAnHour"
+	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestLargeFleet"
+	echo "go vet ./..."
+	for ((seed = 1; seed <= seeds; seed += shard)); do
+		echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestShippedScenarios -seed $seed -seeds $shard"
+	done
+} >"$tmp/jobs"
+# do_job runs one; its output stays in a file until all are done, and its file's name says how it ended.
+do_job() {
+	local out
+	out=$(mktemp "$tmp/job.XXXXXX")
+	echo "$1" >"$out"
+	if (eval "$1") >>"$out" 2>&1; then mv "$out" "$out.passed"; else mv "$out" "$out.failed"; fi
+}
+export -f do_job
+xargs -d '\n' -P "$beside" -I JOB bash -c 'do_job "$1"' _ JOB <"$tmp/jobs" &
+jobs=$!
+
 failed=0
-for i in "${!pids[@]}"; do
-	wait "${pids[$i]}" || { failed=1; cat "$tmp/$i"; }
+go test -race -short -count=1 -timeout 10m -skip "$timed" $(go list ./... | grep -v /internal/ground) || failed=1
+for ((i = beside; i < cores; i++)); do
+	kill -USR1 "$jobs" 2>/dev/null || true # one more at a time (GNU xargs)
 done
-"$tmp/fleet.test" -test.run 'TestAnHour|TestLargeFleet' || failed=1
-(cd ../.. && go test -count=1 -run 'Explore|Planted' ./internal/change ./internal/rollout ./internal/site ./internal/lease ./internal/group ./internal/work) || failed=1
-[ "$failed" = 0 ] && echo "every scenario holds the rules over $((each * workers)) seeds"
+wait "$jobs" || failed=1
+for out in "$tmp"/job.*; do
+	[ "${out##*.}" = passed ] || { failed=1 && echo "failed: $(cat "$out")"; }
+done
+if [ "$(ls "$tmp"/job.*.passed 2>/dev/null | wc -l)" != "$(wc -l <"$tmp/jobs")" ]; then
+	echo "not all jobs passed" >&2
+	failed=1
+fi
+
+go test -race -short -count=1 -timeout 10m -run "$timed" ./internal/fleet || failed=1
+go test -count=1 -timeout 10m -skip "$virtual" ./internal/ground || failed=1
+if [ "$failed" = 0 ]; then
+	echo "every scenario holds the rules over $seeds seeds"
+else
+	echo "failed, see above" >&2
+fi
 exit "$failed"
