--- a/internal/brentei/message.go
+++ b/internal/brentei/message.go
@@ -35,6 +35,7 @@
 	Header  []string
 	Body    int64
 	Load    Load
+	Arrived bool // it reached the backend, which did not run it
 	Go      bool // no answer yet: the body may come
 	Inner   bool // the backend failed after a call of its own had
 }
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -209,7 +209,9 @@
 	}
 	if f != nil {
 		h.Failed.Add(1)
-		return h.reply(f), nil
+		r := h.reply(f)
+		r.Arrived = meant != nil
+		return r, nil
 	}
 	h.Answered.Add(1)
 	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body))}
--- a/internal/vajolet/chooser.go
+++ b/internal/vajolet/chooser.go
@@ -120,10 +120,10 @@
 }
 
 // outcome says how an attempt ended, and whether the request has its answer already.
-func (c *chooser) outcome(k *call, attempt int, s policy.ServerID, how policy.Outcome, load policy.Load, after time.Duration, closed bool) {
+func (c *chooser) outcome(k *call, attempt int, s policy.ServerID, how policy.Outcome, load policy.Load, after time.Duration, arrived, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handle(policy.Event{Kind: policy.EventOutcome, Request: k.id, Attempt: attempt, Server: s, Outcome: how, Load: load, After: after, Closed: closed})
+	c.handle(policy.Event{Kind: policy.EventOutcome, Request: k.id, Attempt: attempt, Server: s, Outcome: how, Load: load, After: after, Arrived: arrived, Closed: closed})
 }
 
 // forget ends a call's orders: it has its answer. Attempts that are out are still told to the module.
--- a/internal/vajolet/chooser_test.go
+++ b/internal/vajolet/chooser_test.go
@@ -19,6 +19,7 @@
 	sent          []policy.ServerID
 	out           []int // attempts under way
 	ran           int   // attempts that ran, or may have
+	turnedAway    int   // arrivals that the backend itself did not run
 }
 
 // load drives a chooser with the decision module as it is, and checks each order.
@@ -51,7 +52,7 @@
 	l.True(t != nil && l.targets[t.id], "ROUTE, DRAIN: sent to who is not there, or no longer ready")
 	l.False(k.unsafe && k.ran+len(k.out) > 0, "TWICE: sent again although it may have run")
 	l.False(k.ended || len(k.out) > 1 || len(k.sent) == l.set.MaxAttempts, "sent after its end, or too often")
-	if k.ran+len(k.out) > 0 {
+	if k.ran+k.turnedAway+len(k.out) > 0 {
 		l.counted["repeated"]++
 		l.extra = append(l.extra, time.Now())
 		w := l.set.ExtraWindow
@@ -88,9 +89,13 @@
 	if how != policy.Full && how != policy.ConnectFailed && how != policy.Moot {
 		k.ran++
 	}
+	arrived := how == policy.Full && l.r.IntN(3) == 0 // the backend itself had no room
+	if arrived {
+		k.turnedAway++
+	}
 	l.counted[how.String()]++
 	final := how == policy.OK || how == policy.Cancelled
-	l.c.outcome(k.call, n, k.sent[n], how, policy.Load{}, after, final || k.ended)
+	l.c.outcome(k.call, n, k.sent[n], how, policy.Load{}, after, arrived, final || k.ended)
 	if !final && !k.ended {
 		l.obey(k)
 	} else if !k.ended { // or it is a copy beside the one that won
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -320,7 +320,7 @@
 	}
 	j.mu.Unlock()
 	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
-	j.chooser.outcome(j.call, at.n, at.server, how, load, after, final || j.isDone())
+	j.chooser.outcome(j.call, at.n, at.server, how, load, after, at.reply != nil && at.reply.Arrived, final || j.isDone())
 	return final
 }
 
@@ -356,7 +356,7 @@
 		return refuse(brentei.Own) // the route's tries are used up
 	}
 	defer func() {
-		if at.fail != nil && at.fail.Verdict == brentei.NotRun {
+		if at.fail != nil && at.fail.Verdict == brentei.NotRun && (at.reply == nil || !at.reply.Arrived) {
 			j.mu.Lock()
 			j.reached--
 			j.mu.Unlock()
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -115,7 +115,7 @@
 
 // extra says whether the next attempt is one beyond the request's first. What a gate refuses has not arrived.
 func (b *Balancer) extra(r *request) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ran || !b.set.Gates })
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.spent || a.ran || !b.set.Gates })
 }
 
 // remembered is how long the servers go on to drop a repeat of the request, 0 if they need not.
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -21,7 +21,7 @@
 	}
 	a := &r.attempts[ev.Attempt]
 	s := a.server
-	a.out, a.ran = false, ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot
+	a.out, a.spent, a.ran = false, ev.Arrived, ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot
 	r.out--
 	s.inFlight -= r.held
 	if a.checks > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,7 @@
 	checks int     // for it
 	out    bool
 	ran    bool // may have run
+	spent  bool // arrived: one more is one beyond the request's first
 }
 
 // lost says that its server, which has reported since, holds less than this agent alone has sent it.
--- a/policy/types.go
+++ b/policy/types.go
@@ -154,7 +154,7 @@
 	EventList    EventKind = iota // the server list [ListMode, Servers]
 	EventRequest                  // a request, owed one answer [Request, Class, Tenant, Left, Retry, Coming]
 	EventBegun                    // a streamed answer has started [Request, Attempt, Server]
-	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, After, Late, Closed, Load]
+	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Arrived, After, Late, Closed, Load]
 	EventHangup                   // the client has gone [Request]: nothing more is owed
 	EventTimer                    // an ActTimer fell due [Token, Late]
 	EventProbed                   // a probe ended [Server, Outcome, Late, Load]
@@ -175,6 +175,7 @@
 	Retry    bool          // the client marks this as a repeat
 	Coming   bool          // its last byte is to come, within Left; none begins it before
 	Outcome  Outcome
+	Arrived  bool          // behind a gate: it was the server itself that did not run it
 	After    time.Duration // Full, behind gates: when the server has room again
 	Late     time.Duration // what the agent itself may have been late with: of the time since it sent, or was due
 	Closed   bool          // the request has its final answer, by this outcome or before
