--- a/policy/types.go
+++ b/policy/types.go
@@ -154,7 +154,7 @@
 	EventList    EventKind = iota // the server list [ListMode, Servers]
 	EventRequest                  // a request, owed one answer [Request, Class, Tenant, Left, Retry, Coming]
 	EventBegun                    // a streamed answer has started [Request, Attempt, Server]
-	EventOutcome                  // an attempt ended [Request, Attempt, Server, Outcome, Arrived, After, Late, Closed, Load]
+	EventOutcome                  // an attempt ended [Attempt, Outcome, Arrived, After, Late, Closed, Load]
 	EventHangup                   // the client has gone [Request]: nothing more is owed
 	EventTimer                    // an ActTimer fell due [Token, Late]
 	EventProbed                   // a probe ended [Server, Outcome, Late, Load]
