--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -40,7 +40,9 @@
 	node  *konkordia.Node
 	table *table
 	peers *peers
+	count counters
 
+	askers   brentei.Askers
 	commands chan func()
 	began    time.Time
 	registry *lagazuoi.Table
@@ -108,7 +110,6 @@
 
 // onChange tells the agents who the members are.
 func (c *Core) onChange(s konkordia.Status) {
-	c.log.WithField("role", s.Role).WithField("leader", s.Leader).WithField("term", s.Term).WithField("members", s.Members).Info("agreement")
 	members := slices.Clone(s.Members)
 	c.poke(func() {
 		if !slices.Equal(c.cores, members) {
@@ -167,6 +168,8 @@
 				}
 			case brentei.FeedUse:
 				c.feed(hello.From, k)
+			case brentei.Stats:
+				c.askers.Serve(k, c.figures)
 			}
 		}()
 	}
--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -33,6 +33,7 @@
 	queue       = 256 // commands that wait for the owner
 	leaveNotice = 2200 * time.Millisecond
 	mostBody    = 64 << 20
+	roomPart    = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
 )
 
 // Agent is the process. Its fields from table on belong to the goroutine of own.
@@ -44,6 +45,7 @@
 	sender *vajolet.Sender
 	links  *brentei.Pool
 	ready  atomic.Bool
+	askers brentei.Askers
 	went   atomic.Bool // told to end
 
 	commands chan func()
@@ -57,10 +59,10 @@
 	newest  uint64        // index that a core machine has told of
 	asking  *feed         // for the whole configuration
 	asked   time.Time
-	current bool   // a core machine has proven that
-	least   uint64 // this index was current after the start
-	proven  bool   // and the configuration is of it or a later one
-	fresh   bool   // proven, and there is a configuration
+	proof   time.Time // when one came that is not met yet:
+	least   uint64    // this index was current then
+	proven  bool      // after the start, and the configuration is of that index or a later one
+	fresh   bool      // proven, and there is a configuration
 	dirty   bool
 	feeds   map[string]*feed
 	cores   []string // members of the agreement, as told
@@ -68,6 +70,8 @@
 	life    uint64
 	seq     uint64
 	changed time.Time // of the settings file
+	shown   time.Time // when the configuration was last known to be current
+	told    time.Time // when a core machine last said anything
 }
 
 // New returns an agent that has not started.
@@ -75,8 +79,12 @@
 	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: lagazuoi.New(), began: time.Now(),
 		config: margherita.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
 	a.links = &brentei.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
-	a.host = solvay.NewHost(a.rules(), mostBody, a.news)
-	a.sender = vajolet.New(set, a.host, a.links, l)
+	room := brentei.NewRoom(mostBody)
+	if set.MemoryMB > 0 {
+		room = brentei.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
+	}
+	a.host = solvay.NewHost(a.rules(), mostBody, room, a.news)
+	a.sender = vajolet.New(set, a.host, a.links, room, l)
 	return a
 }
 
@@ -142,12 +150,19 @@
 			c := brentei.NewConn(raw)
 			var hello brentei.Hello
 			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
-			if err := c.Receive(&hello); err != nil || hello.Version != brentei.Version || hello.Use != brentei.Exchange {
+			err := c.Receive(&hello)
+			raw.SetReadDeadline(time.Time{})
+			switch {
+			case err != nil || hello.Version != brentei.Version:
+				c.Close()
+			case hello.Use == brentei.Exchange:
+				a.host.Serve(c)
+			case hello.Use == brentei.Stats:
+				a.askers.Serve(c, a.figures)
+				c.Close()
+			default:
 				c.Close()
-				return
 			}
-			raw.SetReadDeadline(time.Time{})
-			a.host.Serve(c)
 		}()
 	}
 }
@@ -166,9 +181,9 @@
 func (a *Agent) leave(out *http.Server) {
 	began := time.Now()
 	a.went.Store(true)
-	a.sender.Leave()
 	a.news()
 	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
+	a.sender.Leave(end.Add(-200 * time.Millisecond))
 	for time.Now().Before(end) && (time.Since(began) < leaveNotice || a.sender.Held() > 0 || a.host.Held() > 0) {
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -273,7 +288,7 @@
 		f.wake()
 	}
 	// Its own backend is known at once, also to an agent that is cut off.
-	if a.table.Hear(a.now(), "self", false, []brentei.Heard{{Station: *s}}) {
+	if a.table.Hear(a.now(), lagazuoi.Self, false, []brentei.Heard{{Station: *s}}) {
 		a.dirty = true
 	}
 }
--- a/internal/brogles/config.go
+++ b/internal/brogles/config.go
@@ -72,11 +72,11 @@
 	}
 	var heard []*feed
 	for _, f := range a.feeds {
-		if f.heard && f != a.asking {
+		if f.open && f != a.asking {
 			heard = append(heard, f)
 		}
 	}
-	if len(heard) == 0 && a.asking != nil && a.asking.heard {
+	if len(heard) == 0 && a.asking != nil && a.asking.open {
 		heard = append(heard, a.asking)
 	}
 	if len(heard) == 0 {
--- a/internal/brogles/config_test.go
+++ b/internal/brogles/config_test.go
@@ -15,7 +15,7 @@
 func TestConfigurationIsTakenByItsDigest(t *testing.T) {
 	a := New("", &nuvolau.Settings{SparePorts: [2]int{7600, 7615}}, &log.Logger{Handler: discard.New()})
 	f := &feed{core: "one", woken: make(chan struct{}, 1)}
-	other := &feed{core: "two", woken: make(chan struct{}, 1), heard: true}
+	other := &feed{core: "two", woken: make(chan struct{}, 1), open: true}
 	a.feeds = map[string]*feed{"one": f, "two": other}
 	first := margherita.New().Evacuate("a")
 	second := first.Evacuate("b")
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -28,7 +28,8 @@
 	woken chan struct{}
 	up    chan brentei.Up // answers to beats that came over it
 	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
-	heard bool            // the core machine has been heard over the present connection; the owner's
+	heard time.Time       // when the core machine last said anything; the owner's
+	open  bool            // it has over the present connection; the owner's
 }
 
 func (f *feed) wake() {
@@ -77,7 +78,7 @@
 			c.Close()
 			a.do(func() {
 				a.table.Down(f.core)
-				a.dirty, f.heard = true, false
+				a.dirty, f.open = true, false
 				if a.asking == f {
 					a.asking = nil
 					a.lack()
@@ -158,7 +159,8 @@
 	if a.feeds[f.core] != f {
 		return
 	}
-	f.heard = true
+	f.heard, f.open = time.Now(), true
+	a.told = f.heard
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
@@ -170,11 +172,14 @@
 			a.dirty = true
 		}
 	}
-	if d.Fresh != 0 && !a.current {
-		a.current, a.least = true, d.Index
+	if d.Fresh != 0 {
+		a.proof, a.least = f.heard, max(a.least, d.Index)
 	}
-	if a.current && !a.proven && a.index >= a.least {
-		a.proven, a.dirty = true, true
+	if !a.proof.IsZero() && a.index >= a.least {
+		a.shown, a.proof = a.proof, time.Time{}
+		if !a.proven {
+			a.proven, a.dirty = true, true
+		}
 	}
 	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
 		a.cores = slices.Clone(d.Cores)
--- /dev/null
+++ b/internal/solvay/exchange_test.go
@@ -0,0 +1,161 @@
+package solvay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"github.com/stretchr/testify/require"
+)
+
+const most = 4 << 10 // bytes of an answer in these tests
+
+// said builds an answer: the status line, headers divided by bars, and the body.
+func said(status, headers, body string) string {
+	return "HTTP/1.1 " + status + "\r\n" + strings.ReplaceAll(headers, "|", "\r\n") + "\r\n\r\n" + body
+}
+
+// TestAnswers provokes MIXED and, through what proves that a request did not run, TWICE and
+// REFUSED.
+func TestAnswers(t *testing.T) {
+	seal := "Try-Id: t1|Server-Seal: s"
+	ok := said("200 OK", seal+"|Content-Length: 4", "body")
+	other := said("200 OK", "Try-Id: t0|Server-Seal: s|Content-Length: 4", "else")
+	full := said("503 Full", "Try-Id: t1|Not-Run: full|Content-Length: 0", "")
+	othersFull := said("503 Full", "Try-Id: t0|Not-Run: full|Content-Length: 0", "")
+	for _, c := range []struct {
+		name, bytes string
+		status      int // of an answer; 0: there is none that can be trusted
+		verdict     brentei.Verdict
+		reason      brentei.Reason
+		keep        bool
+	}{
+		{"right", ok, 200, brentei.Ran, 0, true},
+		{"another's first", other + ok, 200, brentei.Ran, 0, false},
+		{"another's only", other, 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"others' for ever", strings.Repeat(other, 9) + ok, 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"no id", said("200 OK", "Server-Seal: s|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"bytes behind", ok + "x", 200, brentei.Ran, 0, false},
+		{"another's behind", ok + other, 200, brentei.Ran, 0, false},
+		{"half", ok[:len(ok)-2], 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"nothing", "", 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"no answer", "\x00\x01 nonsense\r\n\r\n", 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"no seal", said("200 OK", "Try-Id: t1|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"encoded", said("200 OK", seal+"|Content-Encoding: gzip|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"chunked", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), 200, brentei.Ran, 0, true},
+		{"chunked, cut", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n"), 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"no length", said("200 OK", seal, "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"too long", said("200 OK", seal+"|Content-Length: 9999", strings.Repeat("x", 9999)), 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"1xx first", said("103 Early", "Try-Id: t1", "") + ok, 200, brentei.Ran, 0, true},
+		{"other protocol", said("101 Switching", "Try-Id: t1|Upgrade: x|Connection: upgrade", "") + ok, 0, brentei.MayHaveRun, brentei.Spoilt, false},
+		{"leaving", said("200 OK", seal+"|Connection: close|Content-Length: 4", "body"), 200, brentei.Ran, 0, false},
+		{"failure", said("500 Oh", "Try-Id: t1|Content-Length: 4", "body"), 500, brentei.Ran, 0, true},
+		{"503 that ran", said("503 Oh", "Try-Id: t1|Content-Length: 4", "body"), 503, brentei.Ran, 0, true},
+		{"full", full, 503, brentei.NotRun, brentei.Full, true},
+		{"not run, without id", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 400, brentei.NotRun, brentei.Broken, true},
+		{"another life", said("421 No", "Try-Id: t1|Server-Id: b2|Content-Length: 0", ""), 421, brentei.NotRun, brentei.Unknown, true},
+		{"another's not run", othersFull, 0, brentei.MayHaveRun, brentei.Broken, false},
+		{"another's not run first", othersFull + ok, 200, brentei.Ran, 0, false},
+		{"another's 421 first", said("421 No", "Try-Id: t0|Content-Length: 0", "") + ok, 200, brentei.Ran, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			limit := &io.LimitedReader{R: strings.NewReader(c.bytes)}
+			br := bufio.NewReader(limit)
+			ans, f := read(br, func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "POST"})
+			if c.status == 0 {
+				require.Nil(t, ans)
+				require.Equal(t, c.verdict, f.Verdict)
+				require.Equal(t, c.reason, f.Reason)
+				return
+			}
+			require.Nil(t, f)
+			require.Equal(t, c.status, ans.status)
+			require.Equal(t, c.keep, ans.keep && br.Buffered() == 0)
+			require.Equal(t, c.status == 200, string(ans.body) == "body" && c.status < 400)
+			if f = ans.meaning(); f == nil {
+				f = &brentei.Failure{Verdict: brentei.Ran}
+			}
+			require.Equal(t, c.verdict, f.Verdict)
+			require.Equal(t, c.reason, f.Reason)
+		})
+	}
+	limit := &io.LimitedReader{R: strings.NewReader(ok[:len(ok)-4] + ok)}
+	ans, f := read(bufio.NewReader(limit), func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "HEAD"})
+	require.Nil(t, f, "an answer to HEAD has a length and no body: %v", f)
+	require.Empty(t, ans.body)
+}
+
+// TestHost provokes TWICE and ROUTE where the backend breaks off or is gone, and the care for a
+// backend whose own calls fail.
+func TestHost(t *testing.T) {
+	var h *Host
+	news, calls := 0, uint64(0)
+	handle := func(try string) *brentei.Reply {
+		r, _ := h.Handle(&brentei.Ask{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
+			Left: 5 * time.Second, Aim: time.Second, Patient: time.Second}, nil)
+		return r
+	}
+	beat := func(address string) {
+		calls++
+		b := brentei.Backend{ID: "b", Address: address, Capacity: 2, Calls: calls}
+		h.With(func(now time.Duration, g *Gate) bool { return g.Beat(now, b) && false })
+	}
+	gone := func(r *brentei.Reply) {
+		for range 2 { // the second time without being asked: it is gone until its next beat
+			require.Equal(t, []any{brentei.NotRun, brentei.Unknown}, []any{r.Verdict, r.Reason})
+			r = handle("later")
+		}
+	}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		try := r.Header.Get(TryHeader)
+		w.Header().Set(TryHeader, try)
+		w.Header().Set(SealHeader, "s")
+		switch try {
+		case "reset":
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		case "moved":
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case "run", "well": // a run makes a call of its own, and fails or not
+			inner, repeat := h.Parent(try + ".1")
+			deep, _ := h.Parent(try + ".1.2")
+			if !inner || !deep || repeat {
+				panic("a call of a run is not known as one")
+			}
+			h.CallFailed(try + ".1")
+			w.WriteHeader(map[string]int{"run": 500, "well": 200}[try])
+		default:
+			w.WriteHeader(500)
+		}
+	}))
+	defer backend.Close()
+	address := backend.Listener.Addr().String()
+	h = NewHost(Rules{BeatEvery: time.Minute}, most, brentei.NewRoom(1<<30), func() { news++ })
+	beat(address)
+	for _, try := range []string{"reset", "run", "well", "plain", "reset"} {
+		r := handle(try)
+		require.Equal(t, []any{try != "reset", try == "run"}, []any{r.Verdict == brentei.Ran, r.Inner}, try)
+		require.NotEqual(t, brentei.NotRun, r.Verdict, try)
+	}
+	inner, _ := h.Parent("run.1")
+	require.False(t, inner, "a run that has ended calls nothing")
+	gone(handle("moved"))
+	require.Equal(t, 1, news)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close() // nobody listens there
+	beat(l.Addr().String())
+	gone(handle("refused"))
+	require.Equal(t, 2, news)
+	beat(address)
+	require.Equal(t, brentei.Ran, handle("back").Verdict)
+	h.Close()
+	require.Equal(t, brentei.NotRun, handle("closed").Verdict)
+}
--- /dev/null
+++ b/internal/solvay/gate_test.go
@@ -0,0 +1,226 @@
+package solvay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/micaline/internal/brentei"
+	"github.com/stretchr/testify/require"
+)
+
+// yard is a backend's machine as it truly is: what the backend said and was told, and what its gate
+// handed over. It brings a random load to the gate and checks at each hand-over what the rules
+// allow. Clocks of gates start at 0, the yard's goes on.
+type yard struct {
+	*require.Assertions
+	r                     *rand.Rand
+	now, base             time.Duration // base: when the present gate started
+	gate                  *Gate
+	rules                 Rules
+	truth                 brentei.Backend // the present life
+	known                 bool            // the present gate has heard it, and nothing that says it is gone
+	left                  map[string]bool // lives that said that they leave, and were acknowledged
+	cold                  time.Duration   // until then, by what the gate was told
+	heard                 []brentei.Backend
+	toCold                []time.Duration
+	waiting               []*queued
+	past                  *queued         // one that is settled
+	unsafe                map[string]bool // handed over by this gate
+	running, lives, tries int
+	counted               map[string]int // what the load came to: a test that provokes nothing proves nothing
+}
+
+type queued struct {
+	ask     brentei.Ask
+	ticket  *Ticket
+	settled bool
+}
+
+func (y *yard) at() time.Duration { return y.now - y.base }
+
+func (y *yard) start() {
+	y.base, y.gate, y.known, y.heard, y.running = y.now, New(0, y.rules), false, nil, 0
+	y.waiting, y.past, y.unsafe = nil, nil, map[string]bool{}
+}
+
+func (y *yard) pick(n int) bool { return y.r.IntN(n) == 0 }
+
+// handed checks a hand-over: the one place where a request reaches the backend.
+func (y *yard) handed(a *brentei.Ask) {
+	y.counted["handed"]++
+	y.True(y.known && y.truth.ID == a.Target, "ROUTE: handed to another life, to one not heard, or to one that is gone")
+	y.False(y.left[a.Target], "DRAIN: handed over after the backend left")
+	y.False(y.rules.Evacuated || y.rules.Blind, "EVAC: handed over in an evacuated zone, or without a configuration")
+	y.False(a.Unsafe && y.unsafe[a.Try], "TWICE: %s handed over again", a.Try)
+	y.unsafe[a.Try] = y.unsafe[a.Try] || a.Unsafe
+	y.running++
+	y.LessOrEqual(y.running, max(1, y.truth.Capacity), "more handed over than the backend works on")
+	if y.now < y.cold {
+		y.counted["cold"]++
+		y.toCold = append(y.toCold, y.now)
+		y.toCold = slices.DeleteFunc(y.toCold, func(at time.Duration) bool { return at <= y.now-time.Second })
+		y.LessOrEqual(float64(len(y.toCold)), y.rules.WarmupPerS*y.rules.Excess+y.rules.Margin, "FAILBACK")
+	}
+}
+
+func (y *yard) refused(f *brentei.Failure) {
+	y.counted[f.Reason.String()]++
+	y.Equal(f.Reason == brentei.Twice, f.Verdict != brentei.NotRun, "REFUSED: only an id that was handed over is no promise")
+}
+
+func (y *yard) admit() {
+	a := brentei.Ask{Target: y.truth.ID, Unsafe: y.pick(2), Inner: y.pick(4), Left: 5 * time.Second,
+		Aim: time.Duration(y.r.IntN(1000)) * time.Millisecond, Patient: time.Duration(1+y.r.IntN(300)) * time.Millisecond}
+	if y.pick(10) {
+		a.Target = fmt.Sprint("b", y.r.IntN(y.lives+1))
+	}
+	y.tries++
+	a.Try = fmt.Sprint(max(0, y.tries-y.r.IntN(7)*y.r.IntN(2))) // some come again
+	clear := len(y.waiting) == 0
+	ticket, f := y.gate.Admit(y.at(), &a)
+	if f != nil {
+		y.refused(f)
+	} else if ticket == nil {
+		y.True(clear, "handed over past those who wait")
+		y.handed(&a)
+	} else {
+		q := &queued{ask: a, ticket: ticket}
+		y.waiting = append(y.waiting, q)
+		ticket.Grant = func(ok bool, f *brentei.Failure) { y.granted(q, ok, f) }
+	}
+}
+
+func (y *yard) settle(q *queued) {
+	y.False(q.settled, "a ticket was settled twice")
+	q.settled, y.past = true, q
+	y.waiting = slices.DeleteFunc(y.waiting, func(o *queued) bool { return o == q })
+}
+
+func (y *yard) granted(q *queued, ok bool, f *brentei.Failure) {
+	y.settle(q)
+	y.Equal(ok, f == nil)
+	other := slices.ContainsFunc(y.waiting, func(o *queued) bool { return o.ask.Inner != q.ask.Inner })
+	if !ok {
+		y.False(f.Reason == brentei.Full && q.ask.Inner && other, "a backend's own call gave way to a client's")
+		y.refused(f)
+		return
+	}
+	y.counted["granted"]++
+	y.False(!q.ask.Inner && other, "a client's request went before a backend's own call")
+	y.handed(&q.ask)
+}
+
+// beat is the present life's next call; what it says holds from now on.
+func (y *yard) beat() {
+	y.truth.Calls++
+	if y.truth.ColdLeft = max(0, y.cold-y.now); y.pick(6) {
+		y.truth.ColdLeft = time.Duration(y.r.IntN(3000)) * time.Millisecond
+	}
+	if y.pick(3) {
+		y.truth.Capacity = y.r.IntN(7)
+	}
+	if y.truth.Draining = y.truth.Draining || y.pick(12); y.truth.Draining {
+		y.left[y.truth.ID] = true
+	}
+	y.cold, y.known = y.now+y.truth.ColdLeft, true
+	y.heard = append(y.heard, y.truth)
+	y.gate.Beat(y.at(), y.truth)
+}
+
+func (y *yard) done() {
+	if y.running > 0 {
+		y.running--
+		y.gate.Done(y.at(), time.Duration(y.r.IntN(100))*time.Millisecond, !y.pick(5), !y.pick(4))
+	}
+}
+
+func (y *yard) step() {
+	switch y.r.IntN(24) {
+	case 0, 1, 2:
+		y.beat()
+	case 3: // a late call: this gate has heard later ones
+		if n := len(y.heard); n > 1 {
+			y.counted["late call"]++
+			late := y.heard[y.r.IntN(n-1)]
+			if y.truth.Draining {
+				late.Calls = 0 // nor can what is not counted bring it back
+			}
+			y.gate.Beat(y.at(), late)
+		}
+	case 4: // the next life
+		if y.pick(3) {
+			y.lives++
+			y.truth = brentei.Backend{ID: fmt.Sprint("b", y.lives), Capacity: 1 + y.r.IntN(6)}
+			y.cold = y.now + time.Duration(y.r.IntN(3000))*time.Millisecond
+			y.beat()
+		}
+	case 5: // it is gone: it says so, its address refuses, or it is mute for long
+		if y.known = y.known && !y.pick(2); !y.known && y.pick(2) {
+			y.now += 6 * y.rules.BeatEvery
+			y.gate.Tick(y.at())
+		} else if !y.known {
+			y.gate.Left(y.at(), y.truth.ID)
+		}
+	case 6, 7:
+		back := y.rules.Evacuated
+		y.rules.Evacuated, y.rules.Blind = y.pick(4), y.pick(5)
+		y.gate.Configure(y.at(), y.rules)
+		if back && !y.rules.Evacuated { // a crowd, before the backend has said how cold it is
+			y.cold = max(y.cold, y.now+y.rules.Warmup)
+			for range 40 {
+				y.admit()
+				y.done()
+			}
+		}
+	case 8:
+		if y.pick(8) {
+			y.counted["restart"]++
+			y.start()
+			y.beat() // at once, which is when it knows least
+		}
+	case 9, 10, 11, 12, 13:
+		y.done()
+	default:
+		y.now += time.Duration(y.r.IntN(10)) * time.Millisecond
+		if y.pick(10) {
+			y.now += time.Duration(y.r.IntN(400)) * time.Millisecond
+		}
+		y.admit()
+	}
+	for _, q := range slices.Clone(y.waiting) {
+		if q.ticket.began+q.ask.Patient <= y.at() {
+			y.True(y.gate.Abandon(y.at(), q.ticket), "a ticket was lost")
+			y.settle(q)
+			y.counted["abandoned"]++
+		}
+	}
+	y.False(y.past != nil && y.gate.Abandon(y.at(), y.past.ticket), "a ticket was taken back after its turn")
+	y.Len(y.gate.waiting, len(y.waiting))
+	y.True(len(y.waiting) == 0 || y.running > 0, "tickets wait though nothing is under way")
+	y.Equal(y.running, y.gate.inFlight)
+}
+
+// TestGate provokes ROUTE, DRAIN, EVAC, FAILBACK, TWICE, REFUSED and "never answers what it can't
+// queue" at the gate.
+func TestGate(t *testing.T) {
+	counted := map[string]int{}
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			y := &yard{Assertions: require.New(t), r: r, now: time.Hour, counted: counted, left: map[string]bool{}, lives: 1,
+				truth: brentei.Backend{ID: "b1", Capacity: 4}, rules: Rules{Warmup: 3 * time.Second, WarmupPerS: 1 + 8*r.Float64(),
+					Excess: 1 + r.Float64(), Margin: 2 + 4*r.Float64(), BeatEvery: 1300 * time.Millisecond}}
+			y.start()
+			y.beat()
+			for range 600 {
+				y.step()
+			}
+		})
+	}
+	for _, what := range []string{"handed", "granted", "cold", "draining", "evacuated", "unknown", "own", "full", "twice", "late call", "restart", "abandoned"} {
+		require.Greater(t, counted[what], 100, "the load provokes too few: %s", what)
+	}
+}
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/brentei"
 )
 
@@ -16,17 +17,43 @@
 	failed bool // a call of its own brought no success
 }
 
+const (
+	mostConns = 1024            // to the backend: far above what any takes at once
+	idleClose = 9 * time.Second // backends close what is idle for ten, and some sooner
+)
+
+// lanes is how many long bodies come at once: as many as keep the link busy, and no more of its time than laneTime queued.
+func lanes(linkBps float64) int {
+	if linkBps <= 0 {
+		return mostLanes
+	}
+	return int(min(mostLanes, max(1, linkBps/8*laneTime.Seconds()/laneWindow)))
+}
+
+const (
+	mostLanes  = 64
+	laneTime   = 20 * time.Millisecond
+	laneWindow = 64 << 10 // bytes that one connection has on its way
+)
+
+// roomAgain is when there may be room for a body again: bodies are held for about so long.
+const roomAgain = 250 * time.Millisecond
+
 // Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
 type Host struct {
-	pool       backendPool
+	pool       *bertol.Pool
 	mostAnswer int64
 	mostBody   int64
+	room       *brentei.Room // for bodies
+	lane       chan struct{} // long bodies on their way
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
-	mu   sync.Mutex
-	gate *Gate
-	runs map[string]*run // what the backend has in work, by try
+	mu       sync.Mutex
+	gate     *Gate
+	target   *bertol.Target // the life of the backend that targetID names
+	targetID string
+	runs     map[string]*run // what the backend has in work, by try
 
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
@@ -34,9 +61,11 @@
 }
 
 // NewHost returns a host whose backend has not been heard.
-func NewHost(r Rules, mostBody int64, news func()) *Host {
-	h := &Host{began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
+func NewHost(r Rules, mostBody int64, room *brentei.Room, news func()) *Host {
+	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
+	h.lane = make(chan struct{}, lanes(r.LinkBps))
+	h.pool = bertol.New(bertol.Options{Network: bertol.TCP{}, ConnectTimeout: time.Second, IdleClose: idleClose, Most: mostConns})
 	h.open.Store(true)
 	return h
 }
@@ -69,34 +98,67 @@
 		}
 		if ask.Hold && c.Send(&brentei.Reply{Go: true}, nil) != nil {
 			h.came(&ask)
+			h.room.Free(ask.Body)
 			return
 		}
 		body, err := c.Body(ask.Body, h.mostBody)
 		h.came(&ask)
 		if err != nil {
+			h.room.Free(ask.Body)
 			return
 		}
 		reply, out := h.Handle(&ask, body)
+		h.room.Free(ask.Body)
 		if c.Send(reply, out) != nil {
 			return
 		}
 	}
 }
 
-// coming takes in that a request's body is on its way, or refuses it where that may still be said.
+// coming takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
+// as far as the link makes them wait anyway: each that comes beside others puts a window of bytes before all that is short.
 func (h *Host) coming(a *brentei.Ask) *brentei.Failure {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if a.Hold {
-		if f := h.gate.Offer(h.now(), a); f != nil {
-			return f
-		}
+	if !a.Hold {
+		h.room.Free(-a.Body) // short, and on its way: it is taken, and long ones find less
+		h.gate.Coming(a.Body)
+		h.mu.Unlock()
+		return nil
 	}
-	h.gate.Coming(a.Body)
-	return nil
+	f := h.gate.Offer(h.now(), a)
+	if f == nil && !h.room.Take(a.Body) {
+		f = &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: roomAgain}
+	}
+	if f == nil {
+		h.gate.Coming(a.Body)
+	}
+	h.mu.Unlock()
+	if f != nil {
+		return f
+	}
+	select {
+	case h.lane <- struct{}{}:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(a.Patient)
+	defer timer.Stop()
+	select {
+	case h.lane <- struct{}{}:
+		return nil
+	case <-timer.C:
+	}
+	h.mu.Lock()
+	h.gate.Came(a.Body)
+	h.mu.Unlock()
+	h.room.Free(a.Body)
+	return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
 }
 
 func (h *Host) came(a *brentei.Ask) {
+	if a.Hold {
+		<-h.lane
+	}
 	h.mu.Lock()
 	h.gate.Came(a.Body)
 	h.mu.Unlock()
@@ -243,7 +305,7 @@
 // Tick lets time pass.
 func (h *Host) Tick() {
 	h.With(func(now time.Duration, g *Gate) bool { return g.Tick(now) })
-	h.pool.sweep()
+	h.pool.Sweep()
 }
 
 // Held is how many requests it has in hand.
