--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -59,10 +59,10 @@
 	newest  uint64        // index that a core machine has told of
 	asking  *feed         // for the whole configuration
 	asked   time.Time
-	proof   time.Time // when one came that is not met yet:
-	least   uint64    // this index was current then
-	proven  bool      // after the start, and the configuration is of that index or a later one
-	fresh   bool      // proven, and there is a configuration
+	current bool   // a core machine has proven that
+	least   uint64 // this index was current after the start
+	proven  bool   // and the configuration is of it or a later one
+	fresh   bool   // proven, and there is a configuration
 	dirty   bool
 	feeds   map[string]*feed
 	cores   []string // members of the agreement, as told
--- a/internal/brogles/config.go
+++ b/internal/brogles/config.go
@@ -72,11 +72,11 @@
 	}
 	var heard []*feed
 	for _, f := range a.feeds {
-		if f.open && f != a.asking {
+		if f.alive && f != a.asking {
 			heard = append(heard, f)
 		}
 	}
-	if len(heard) == 0 && a.asking != nil && a.asking.open {
+	if len(heard) == 0 && a.asking != nil && a.asking.alive {
 		heard = append(heard, a.asking)
 	}
 	if len(heard) == 0 {
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -27,9 +27,9 @@
 	stop  context.CancelFunc
 	woken chan struct{}
 	up    chan brentei.Up // answers to beats that came over it
-	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
 	heard time.Time       // when the core machine last said anything; the owner's
-	open  bool            // it has over the present connection; the owner's
+	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
+	alive bool            // the core machine has been heard over the present connection; the owner's
 }
 
 func (f *feed) wake() {
@@ -78,7 +78,7 @@
 			c.Close()
 			a.do(func() {
 				a.table.Down(f.core)
-				a.dirty, f.open = true, false
+				a.dirty, f.alive = true, false
 				if a.asking == f {
 					a.asking = nil
 					a.lack()
@@ -159,8 +159,9 @@
 	if a.feeds[f.core] != f {
 		return
 	}
-	f.heard, f.open = time.Now(), true
+	f.heard = time.Now()
 	a.told = f.heard
+	f.alive = true
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
@@ -173,14 +174,14 @@
 		}
 	}
 	if d.Fresh != 0 {
-		a.proof, a.least = f.heard, max(a.least, d.Index)
-	}
-	if !a.proof.IsZero() && a.index >= a.least {
-		a.shown, a.proof = a.proof, time.Time{}
-		if !a.proven {
-			a.proven, a.dirty = true, true
+		a.shown = f.heard
+		if !a.current {
+			a.current, a.least = true, d.Index
 		}
 	}
+	if a.current && !a.proven && a.index >= a.least {
+		a.proven, a.dirty = true, true
+	}
 	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
 		a.cores = slices.Clone(d.Cores)
 		a.follow()
