--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -374,7 +374,7 @@
 	}
 	if t.local {
 		s.Count.Local.Add(1)
-		at.reply, at.body = s.host.Handle(&ask, j.body)
+		at.reply, at.body, at.fail = s.here(j, &ask)
 	} else {
 		at.reply, at.body, at.fail = s.exchange(j, t.gate, &ask, inline)
 	}
@@ -384,6 +384,26 @@
 	return at
 }
 
+// here hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
+// unanswered, so it is waited for only until then.
+func (s *Sender) here(j *job, ask *brentei.Ask) (*brentei.Reply, []byte, *brentei.Failure) {
+	type answer struct {
+		reply *brentei.Reply
+		body  []byte
+	}
+	came := make(chan answer, 1)
+	go func() {
+		reply, body := s.host.Handle(ask, j.body)
+		came <- answer{reply, body}
+	}()
+	select {
+	case a := <-came:
+		return a.reply, a.body, nil
+	case <-j.cut:
+		return nil, nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Silent}
+	}
+}
+
 // reach counts a backend that the request is about to be sent to, and says whether the route allows one more. Danger: an attempt
 // that is out may have reached its backend, so it counts until it is proven that it did not.
 func (j *job) reach() bool {
--- a/internal/vajolet/serve_test.go
+++ b/internal/vajolet/serve_test.go
@@ -240,3 +240,30 @@
 		require.Equal(t, map[string]int{"100": 504, "2000": 200}[left], w.Code)
 	}
 }
+
+// TestLeave provokes LOST: what a silent gate, or the silent backend on this machine, holds when the
+// process ends is answered before, and without a promise.
+func TestLeave(t *testing.T) {
+	silent, err := net.Listen("tcp4", "127.0.0.1:0") // takes connections and says nothing
+	require.NoError(t, err)
+	defer silent.Close()
+	for _, local := range []bool{false, true} {
+		s := sender(t, silent.Addr().String())
+		if local {
+			view := *s.View()
+			view.Stations[0].Station.Agent = s.set.IP
+			s.host.With(func(now time.Duration, g *solvay.Gate) bool {
+				return g.Beat(now, brentei.Backend{ID: "b0", Service: "s", Address: silent.Addr().String(), Capacity: 4})
+			})
+			s.SetView(&view)
+		}
+		s.Leave(time.Now().Add(30 * time.Millisecond))
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, request("POST", "/unsafe/", "t", nil))
+		require.Equal(t, 504, w.Code, "local: %v", local)
+		require.Equal(t, "close", w.Header().Get("Connection"))
+		w = httptest.NewRecorder()
+		s.ServeHTTP(w, request("POST", "/unsafe/", "u", nil))
+		require.Equal(t, 503, w.Code, "what comes after the end is not begun")
+	}
+}
