--- a/policy/choose.go
+++ b/policy/choose.go
@@ -49,7 +49,7 @@
 	case s.probing || b.now < max(s.full, s.health[r.class.index].Until): // not even a probe is answered, or no room
 		return true
 	case b.set.Gates: // danger: a gate knows what it has, and what waits there goes by what it is worth
-		return b.now < s.health[r.class.index].Full || b.home(r) && held >= width
+		return b.now < s.health[r.class.index].Full || b.home(r) && (held >= width || r.tried(s))
 	case b.set.Reports == ReportsOff:
 		return held >= b.limit(s)
 	case !s.load.Known || held < width:
@@ -59,6 +59,11 @@
 	return b.tellsCrowd(s) && held >= width+b.crowd*math.Sqrt(width) || wait > left
 }
 
+// tried says whether a server has had the request: what failed it once is likelier to again.
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
 // limit is how many attempts may be out at a server that reports nothing, those of other agents among them. Danger: an
 // agent that sends little learns late; were its limit its own, it would give way to all the others. Who has not told
 // of a limit yet is like the others, and before the first answer of all nothing is refused for one.
