Records of requests that did not simply succeed; altavia requests why, last

Need: an operator asks why one request ended as it did; counters only tell how many.

Weighed: a log line a failure (the house has lines only for changes of state, and overload would flood it); records at core machines (bytes between zones); rings at each side, asked for over the link's stats use (chosen). The gate tells in Reply.Waited how long a request waited, sent only when it did. The rings are read past the agent's owner, as one that hangs is when they are wanted.

--- a/cmd/altavia/main.go
+++ b/cmd/altavia/main.go
@@ -23,6 +23,10 @@
 	json     bool
 	file     string
 	zone     string
+	request  string
+	agentIP  string
+	reason   string
+	number   int
 }
 
 // verb is a sub-command and what it does.
@@ -35,7 +39,7 @@
 
 // run carries out a call and returns its exit code.
 func run(args []string, out, errs io.Writer) int {
-	c := &command{out: out, settings: os.Getenv(settingsVariable), timeout: 10 * time.Second}
+	c := &command{out: out, settings: os.Getenv(settingsVariable), timeout: 10 * time.Second, number: 20}
 	p := flaggy.NewParser("altavia")
 	p.Description = "the mesh's daemon, an agent beside each backend and the control plane, and its command line"
 	p.Version = version()
@@ -86,11 +90,19 @@
 	} {
 		add(config, v.name, v.what, v.run).AddPositionalValue(&c.file, "FILE", 1, true, "a PATCH body or what get prints; - is standard input")
 	}
+	requests := add(top, "requests", "tell what became of requests that did not simply succeed", nil)
+	why := add(requests, "why", "tell the way of one request", c.requestsWhy)
+	why.AddPositionalValue(&c.request, "ID", 1, true, "its Try-Id")
+	last := add(requests, "last", "list the last of them", c.requestsLast)
+	last.String(&c.agentIP, "a", "agent", "only of the agent with this ip")
+	last.String(&c.reason, "r", "reason", "only with an attempt that ended for this reason, or with this result")
+	last.Int(&c.number, "n", "number", "how many")
 	add(top, "evacuate", "have nothing sent to the backends of a zone", c.evacuate).
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
 	add(top, "return", "take the evacuation of a zone back", c.returnZone).
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
-	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }})
+	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }},
+		verb{requests, func() error { return misused("requests: why or last?") }})
 }
 
 func version() string {
--- a/internal/brentei/message.go
+++ b/internal/brentei/message.go
@@ -31,8 +31,9 @@
 	Header  []string
 	Body    int64
 	Load    Load
-	Go      bool // no answer yet: the body may come
-	Inner   bool // the backend failed after a call of its own had
+	Go      bool          // no answer yet: the body may come
+	Inner   bool          // the backend failed after a call of its own had
+	Waited  time.Duration // at the gate, for a slot
 }
 
 // Load is what a gate knows of its backend: all that reaches it passes the gate.
--- a/internal/brentei/stats.go
+++ b/internal/brentei/stats.go
@@ -20,7 +20,8 @@
 
 // Question asks for the figures as they are now.
 type Question struct {
-	State bool // with the structured state
+	State bool         // with the structured state
+	Ways  *WayQuestion // only these; nil: none
 }
 
 // Figures are what a process counts, and how it stands.
@@ -28,6 +29,7 @@
 	Samples []Sample
 	Agent   *AgentState // of an agent, where the state was asked for
 	Core    *CoreState  // of a core machine, likewise
+	Ways    []Way       // of an agent, where they were asked for
 }
 
 // Sample is one figure. What names there are, and with which labels, says package fanes.
--- a/internal/brogles/stats.go
+++ b/internal/brogles/stats.go
@@ -12,6 +12,11 @@
 
 // figures answers a question for the agent's figures; nil if the owner does not get to it.
 func (a *Agent) figures(q brentei.Question) *brentei.Figures {
+	if q.Ways != nil { // the rings stand by themselves: an owner that hangs is when they are wanted
+		now := time.Now()
+		ways := append(a.sender.Ways.Ask(now, q.Ways), a.host.Ways.Ask(now, q.Ways)...)
+		return &brentei.Figures{Ways: ways}
+	}
 	answer := make(chan *brentei.Figures, 1)
 	late := time.NewTimer(answerIn)
 	defer late.Stop()
--- a/internal/lavarella/survey.go
+++ b/internal/lavarella/survey.go
@@ -88,7 +88,7 @@
 	s.Agents = merge(s.Cores)
 	if agents {
 		parallel(s.Agents, func(a *Agent) {
-			if a.Figures, a.Err = ask(ctx, a.Heard.Station.Gate); a.Err == nil && a.Figures.Agent == nil {
+			if a.Figures, a.Err = ask(ctx, a.Heard.Station.Gate, brentei.Question{State: true}); a.Err == nil && a.Figures.Agent == nil {
 				a.Figures, a.Err = nil, errors.New("what answers is no agent")
 			}
 		})
@@ -159,15 +159,15 @@
 		}
 		link = said.Address
 	}
-	if c.Figures, c.Err = ask(ctx, link); c.Err == nil && c.Figures.Core == nil {
+	if c.Figures, c.Err = ask(ctx, link, brentei.Question{State: true}); c.Err == nil && c.Figures.Core == nil {
 		c.Figures, c.Err = nil, errors.New("what answers is no core machine")
 	}
 }
 
-func ask(ctx context.Context, link string) (*brentei.Figures, error) {
+func ask(ctx context.Context, link string, q brentei.Question) (*brentei.Figures, error) {
 	ctx, cancel := context.WithTimeout(ctx, eachFigure)
 	defer cancel()
-	return brentei.AskStats(ctx, link, brentei.Question{State: true})
+	return brentei.AskStats(ctx, link, q)
 }
 
 // parallel runs a function on each element, a bounded number at once.
--- a/internal/solvay/exchange_test.go
+++ b/internal/solvay/exchange_test.go
@@ -158,4 +158,13 @@
 	require.Equal(t, brentei.Ran, handle("back").Verdict)
 	h.Close()
 	require.Equal(t, brentei.NotRun, handle("closed").Verdict)
+	for try, reasons := range map[string][]brentei.Reason{"reset": {brentei.Twice, brentei.Broken}, "moved": {brentei.Unknown},
+		"closed": {brentei.Draining}, "plain": nil} {
+		ways := h.Ways.Ask(time.Now(), &brentei.WayQuestion{Try: try, Most: 9})
+		require.Len(t, ways, len(reasons), try)
+		for i, w := range ways {
+			result := map[bool]string{true: "failed", false: "refused"}[try == "reset"]
+			require.Equal(t, []any{result, reasons[i], "b"}, []any{w.Result, w.Steps[0].Reason, w.Steps[0].Backend}, try)
+		}
+	}
 }
--- a/internal/solvay/host.go
+++ b/internal/solvay/host.go
@@ -9,6 +9,7 @@
 
 	"example.org/micaline/internal/bertol"
 	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/scoiattoli"
 )
 
 // run is a request that the backend has in work.
@@ -40,6 +41,8 @@
 	targetID string
 	runs     map[string]*run // what the backend has in work, by try
 
+	Ways scoiattoli.Ring // of what was refused or broke here
+
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
 	open                     atomic.Bool
@@ -75,6 +78,7 @@
 			return
 		}
 		if f := h.coming(&ask); f != nil {
+			h.note(&ask, f, 0, 0)
 			if c.Send(h.reply(f), nil) != nil {
 				return
 			}
@@ -126,9 +130,12 @@
 // Handle brings a request to the backend and returns its answer, or why there is none.
 func (h *Host) Handle(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
 	arrived := time.Now()
-	address, f := h.admit(a)
+	address, waited, f := h.admit(a)
 	if f != nil {
-		return h.reply(f), nil
+		h.note(a, f, waited, time.Since(arrived))
+		r := h.reply(f)
+		r.Waited = waited
+		return r, nil
 	}
 	h.Handed.Add(1)
 	working := &run{repeat: a.Repeat}
@@ -168,31 +175,36 @@
 	}
 	if f != nil {
 		h.Failed.Add(1)
-		return h.reply(f), nil
+		h.note(a, f, waited, waited+took)
+		r := h.reply(f)
+		r.Waited = waited
+		return r, nil
 	}
 	h.Answered.Add(1)
-	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body))}
+	h.Ways.Plain()
+	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited}
 	r.Load = h.load()
 	r.Inner = working.failed && ans.status >= 500
 	return r, ans.body
 }
 
-// admit waits for a slot.
-func (h *Host) admit(a *brentei.Ask) (address string, f *brentei.Failure) {
+// admit waits for a slot, and says how long.
+func (h *Host) admit(a *brentei.Ask) (address string, waited time.Duration, f *brentei.Failure) {
 	if !h.open.Load() {
-		return "", &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
+		return "", 0, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
 	}
 	h.mu.Lock()
 	t, f := h.gate.Admit(h.now(), a)
 	if f != nil {
 		h.mu.Unlock()
-		return "", f
+		return "", 0, f
 	}
 	address = h.gate.backend.Address
 	if t == nil {
 		h.mu.Unlock()
-		return address, nil
+		return address, 0, nil
 	}
+	began := time.Now()
 	granted := make(chan *brentei.Failure, 1)
 	t.Grant = func(ok bool, f *brentei.Failure) { granted <- f }
 	h.mu.Unlock()
@@ -200,16 +212,17 @@
 	defer timer.Stop()
 	select {
 	case f := <-granted:
-		return address, f
+		return address, time.Since(began), f
 	case <-timer.C:
 	}
 	h.mu.Lock()
 	abandoned := h.gate.Abandon(h.now(), t)
 	h.mu.Unlock()
 	if abandoned {
-		return "", &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
+		return "", time.Since(began), &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
 	}
-	return address, <-granted
+	f = <-granted
+	return address, time.Since(began), f
 }
 
 func (h *Host) reply(f *brentei.Failure) *brentei.Reply {
--- a/internal/vajolet/chooser.go
+++ b/internal/vajolet/chooser.go
@@ -31,6 +31,7 @@
 // call is a request that the chooser decides about.
 type call struct {
 	id    policy.RequestID
+	open  int           // backends to choose from at its begin
 	ready chan struct{} // signalled when there is an order
 	order []policy.Action
 	again func(policy.Action, *target) // starts an attempt beside one that is out; the chooser's lock is held
@@ -98,7 +99,7 @@
 	defer c.mu.Unlock()
 	for c.next++; c.calls[c.next] != nil || c.next == 0; c.next++ {
 	}
-	k := &call{id: c.next, ready: make(chan struct{}, 1), again: again}
+	k := &call{id: c.next, open: len(c.targets), ready: make(chan struct{}, 1), again: again}
 	c.calls[k.id] = k
 	c.handle(policy.Event{Kind: policy.EventRequest, Request: k.id, Class: class, Left: left})
 	return k
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -19,6 +19,7 @@
 	"example.org/micaline/internal/brentei"
 	"example.org/micaline/internal/margherita"
 	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/scoiattoli"
 	"example.org/micaline/internal/solvay"
 	"example.org/micaline/policy"
 	"github.com/apex/log"
@@ -57,6 +58,7 @@
 	leaving atomic.Bool
 	held    atomic.Int64
 	Count   Counters
+	Ways    scoiattoli.Ring // of what did not simply succeed
 }
 
 // New returns a sender that knows nothing and refuses all.
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -42,6 +42,8 @@
 type attempt struct {
 	n      int
 	server policy.ServerID
+	to     *target // nil: it went nowhere
+	began  time.Time
 	reply  *brentei.Reply
 	body   []byte
 	fail   *brentei.Failure
@@ -49,6 +51,7 @@
 
 // job is a request on its way.
 type job struct {
+	began    time.Time
 	route    *margherita.Route
 	ask      brentei.Ask
 	body     []byte
@@ -62,14 +65,17 @@
 	reached  int  // of these, those that reached a backend, or may yet
 
 	mu     sync.Mutex
-	last   *attempt // the best answer that is no success
+	steps  []brentei.Step // attempts that have ended, but for one that was all and succeeded
+	last   *attempt       // the best answer that is no success
 	done   chan struct{}
 	won    *attempt
 	inline *brentei.Conn // of the attempt that the request's own goroutine waits for
 }
 
 // ServeHTTP takes a request of a client, or of the backend on this machine.
-func (s *Sender) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Sender) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w := &answered{ResponseWriter: out, began: time.Now()}
+	defer s.note(w, r)
 	s.held.Add(1)
 	defer s.held.Add(-1)
 	s.Count.Taken.Add(1)
@@ -83,7 +89,7 @@
 	}
 	path := r.URL.EscapedPath()
 	route := v.Config.Route(r.Host, path)
-	if route == nil {
+	if w.view, w.route = v, route; route == nil {
 		s.Count.NoRoute.Add(1)
 		s.say(w, http.StatusNotFound, "no route for this host and path")
 		return
@@ -109,7 +115,8 @@
 		s.Count.Bad.Add(1)
 		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
 	}
-	j := &job{route: route, body: body, done: make(chan struct{})}
+	j := &job{began: w.began, route: route, body: body, done: make(chan struct{})}
+	w.job = j
 	left := route.GiveUp
 	if text := r.Header.Get(solvay.LeftHeader); text != "" {
 		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 && ms < 1e9 {
@@ -132,8 +139,8 @@
 	if j.inner, j.repeated = s.host.Parent(j.ask.Try); j.inner {
 		j.ask.Inner, j.ask.Patient = true, left/innerPart
 	}
-	service := route.Pick(rand.Float64())
-	j.chooser = s.chooser(service)
+	w.service = route.Pick(rand.Float64())
+	j.chooser = s.chooser(w.service)
 	if j.chooser == nil {
 		s.refuse(w, 200*time.Millisecond)
 		return
@@ -293,6 +300,9 @@
 	if how != policy.OK && (j.last == nil || j.last.fail != nil && (at.fail == nil || j.last.fail.Verdict == brentei.NotRun)) {
 		j.last = at
 	}
+	if how != policy.OK || j.attempts > 1 {
+		j.step(at)
+	}
 	j.mu.Unlock()
 	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
 	j.chooser.outcome(j.call, at.n, at.server, how, load, after, final || j.isDone())
@@ -316,7 +326,7 @@
 
 // attempt hands the request to a gate and waits for what comes of it.
 func (s *Sender) attempt(j *job, a policy.Action, t *target, n int, inline bool) *attempt {
-	at := &attempt{n: n, server: a.Server}
+	at := &attempt{n: n, server: a.Server, to: t, began: time.Now()}
 	refuse := func(reason brentei.Reason) *attempt {
 		at.fail = &brentei.Failure{Verdict: brentei.NotRun, Reason: reason}
 		return at
@@ -339,7 +349,7 @@
 	if ask.Repeat = j.repeated || n > 0; n > 0 {
 		s.Count.Repeats.Add(1)
 	}
-	now := time.Now()
+	now := at.began
 	ask.Target, ask.Left, ask.Aim = t.backend, j.deadline.Sub(now), j.aim.Sub(now)
 	if ask.Left <= 0 {
 		return refuse(brentei.Late)
@@ -459,7 +469,7 @@
 }
 
 // answer tells the client what came of its request, and says whether that is a success.
-func (s *Sender) answer(w http.ResponseWriter, j *job, e end) bool {
+func (s *Sender) answer(w *answered, j *job, e end) bool {
 	at := e.at
 	switch {
 	case e.refused:
@@ -507,14 +517,16 @@
 }
 
 // refuse promises that the request did not run and tells when to come back.
-func (s *Sender) refuse(w http.ResponseWriter, after time.Duration) {
+func (s *Sender) refuse(w *answered, after time.Duration) {
 	s.Count.Refused.Add(1)
 	after = min(max(after, leastAfter), mostAfter)
+	w.after = after
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	s.say(w, http.StatusServiceUnavailable, "no room; the request did not run")
 }
 
-func (s *Sender) say(w http.ResponseWriter, status int, what string) {
+func (s *Sender) say(w *answered, status int, what string) {
+	w.why = what
 	h := w.Header()
 	h["Date"] = nil
 	h.Set("Content-Type", "text/plain")
