--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -47,6 +47,7 @@
 	set   *nuvolau.Settings
 	host  *solvay.Host // the gate on this machine
 	links *brentei.Pool
+	send  func(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure)
 	room  *brentei.Room // for bodies
 	log   log.Interface
 	zones map[string]int
@@ -64,6 +65,7 @@
 // New returns a sender that knows nothing and refuses all.
 func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
 	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
 	}
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -358,7 +358,7 @@
 		s.Count.Local.Add(1)
 		at.reply, at.body = s.host.Handle(&ask, j.body)
 	} else {
-		at.reply, at.body, at.fail = s.exchange(j, t.gate, &ask, inline)
+		at.reply, at.body, at.fail = s.send(j, t.gate, &ask, inline)
 	}
 	if at.reply != nil && at.reply.Verdict != brentei.Ran {
 		at.fail = &brentei.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
