--- a/cmd/altavia/main.go
+++ b/cmd/altavia/main.go
@@ -97,6 +97,8 @@
 	last.String(&c.agentIP, "a", "agent", "only of the agent with this ip")
 	last.String(&c.reason, "r", "reason", "only with an attempt that ended for this reason, or with this result")
 	last.Int(&c.number, "n", "number", "how many")
+	t := &trial{out: c.out, agents: 6, seconds: 15, rate: 15, trouble: "kill-core"}
+	t.flags(add(top, "try", "start a small mesh on loopback, send requests through it and judge it", t.run))
 	add(top, "evacuate", "have nothing sent to the backends of a zone", c.evacuate).
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
 	add(top, "return", "take the evacuation of a zone back", c.returnZone).
--- a/cmd/altavia/output.go
+++ b/cmd/altavia/output.go
@@ -18,6 +18,7 @@
 	refused    = 1 // by the mesh, or by a check; also a daemon that can't run
 	wrongUse   = 2
 	outOfReach = 3
+	broken     = 4 // a rule, in a trial
 )
 
 // usage is a call that was made wrongly.
@@ -40,6 +41,8 @@
 		return wrongUse
 	case errors.As(err, &away):
 		return outOfReach
+	case errors.Is(err, errBroken):
+		return broken
 	}
 	return refused
 }
--- a/internal/brentei/way.go
+++ b/internal/brentei/way.go
@@ -24,7 +24,7 @@
 	Inner   bool // called by a run of a backend
 	Repeat  bool // called by a run that was a repeat
 	Open    int  // backends to choose from when it came
-	Steps   []Step
+	Steps   []Attempt
 	Started int    // attempts, also those that are not in Steps, being too many or still out
 	Result  string // what it is counted as, one of fanes.Results; at a gate refused or failed
 	Status  int    // of the final answer; 0: there was none
@@ -32,8 +32,8 @@
 	After   time.Duration // that the client was told to come back in
 }
 
-// Step is an attempt.
-type Step struct {
+// Attempt is one of a Way.
+type Attempt struct {
 	N        int
 	Backend  string // id of its life
 	Agent    string // beside it
--- a/internal/scoiattoli/scoiattoli.go
+++ b/internal/scoiattoli/scoiattoli.go
@@ -95,5 +95,5 @@
 		return false
 	}
 	return reason == "" || w.Result == reason ||
-		slices.ContainsFunc(w.Steps, func(s brentei.Step) bool { return s.Verdict != brentei.Ran && s.Reason.String() == reason })
+		slices.ContainsFunc(w.Steps, func(s brentei.Attempt) bool { return s.Verdict != brentei.Ran && s.Reason.String() == reason })
 }
--- a/internal/scoiattoli/scoiattoli_test.go
+++ b/internal/scoiattoli/scoiattoli_test.go
@@ -16,9 +16,9 @@
 	require.Empty(t, r.Ask(at, &brentei.WayQuestion{}))
 	long := strings.Repeat("x", 1000)
 	for i := range 3*Most + 7 {
-		w := brentei.Way{Try: fmt.Sprint("t", i), Result: "refused", Steps: make([]brentei.Step, i%(2*MostSteps))}
+		w := brentei.Way{Try: fmt.Sprint("t", i), Result: "refused", Steps: make([]brentei.Attempt, i%(2*MostSteps))}
 		for n := range w.Steps {
-			w.Steps[n] = brentei.Step{N: n, Backend: long, Reason: brentei.Cold}
+			w.Steps[n] = brentei.Attempt{N: n, Backend: long, Reason: brentei.Cold}
 		}
 		if i%10 == 3 {
 			w.Try += ".1"
--- a/internal/solvay/note.go
+++ b/internal/solvay/note.go
@@ -20,6 +20,6 @@
 	}
 	h.Ways.Add(time.Now(), brentei.Way{Side: brentei.AtGate, Try: a.Try, Took: took, Caller: a.Caller, Service: service, Unsafe: a.Unsafe,
 		Inner: a.Inner, Repeat: a.Repeat, Started: 1, Result: result, Why: f.Error(), After: f.After,
-		Steps: []brentei.Step{{Backend: a.Target, Verdict: f.Verdict, Reason: f.Reason, AtGate: waited, Took: took, After: f.After,
+		Steps: []brentei.Attempt{{Backend: a.Target, Verdict: f.Verdict, Reason: f.Reason, AtGate: waited, Took: took, After: f.After,
 			InFlight: load.InFlight, Waiting: load.Waiting}}})
 }
--- a/internal/vajolet/note.go
+++ b/internal/vajolet/note.go
@@ -30,7 +30,7 @@
 
 // step records an attempt that has ended. The lock is held.
 func (j *job) step(at *attempt) {
-	s := brentei.Step{N: at.n, Begun: at.began.Sub(j.began), Took: time.Since(at.began), Verdict: brentei.Ran}
+	s := brentei.Attempt{N: at.n, Begun: at.began.Sub(j.began), Took: time.Since(at.began), Verdict: brentei.Ran}
 	if at.to != nil {
 		s.Backend, s.Agent = at.to.backend, at.to.agent
 	}
@@ -91,7 +91,7 @@
 }
 
 // cause says why a request got no backend's answer.
-func cause(w *answered, steps []brentei.Step) string {
+func cause(w *answered, steps []brentei.Attempt) string {
 	switch {
 	case w.view == nil:
 		return "no configuration is known yet"
--- a/internal/vajolet/note_test.go
+++ b/internal/vajolet/note_test.go
@@ -33,13 +33,13 @@
 		say    []brentei.Reply
 		status int
 		result string
-		steps  []brentei.Step
+		steps  []brentei.Attempt
 	}{
 		{"/safe/", []brentei.Reply{ran}, 200, "", nil},
-		{"/unsafe/", []brentei.Reply{full, ran}, 200, "served", []brentei.Step{{Verdict: brentei.NotRun, Reason: brentei.Full, After: full.After,
+		{"/unsafe/", []brentei.Reply{full, ran}, 200, "served", []brentei.Attempt{{Verdict: brentei.NotRun, Reason: brentei.Full, After: full.After,
 			InFlight: 9, Waiting: 5}, {N: 1, Verdict: brentei.Ran, Status: 200, AtGate: ran.Waited}}},
-		{"/safe/", []brentei.Reply{failed}, 500, "backend_failed", []brentei.Step{{Verdict: brentei.Ran, Status: 500, Inner: true}}},
-		{"/unsafe/", []brentei.Reply{{Reason: brentei.Broken}}, 502, "failed", []brentei.Step{{Reason: brentei.Broken}}},
+		{"/safe/", []brentei.Reply{failed}, 500, "backend_failed", []brentei.Attempt{{Verdict: brentei.Ran, Status: 500, Inner: true}}},
+		{"/unsafe/", []brentei.Reply{{Reason: brentei.Broken}}, 502, "failed", []brentei.Attempt{{Reason: brentei.Broken}}},
 		{"/none/", nil, 404, "no_route", nil},
 	} {
 		say = c.say
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -53,7 +54,9 @@
 	zones map[string]int
 
 	view    atomic.Pointer[View]
-	mu      sync.RWMutex // guards services
+	mu      sync.RWMutex // guards serves, jobs and over
+	jobs    map[*job]struct{}
+	over    bool
 	serves  map[string]*chooser
 	agents  int
 	leaving atomic.Bool
@@ -65,7 +68,7 @@
 
 // New returns a sender that knows nothing and refuses all.
 func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
-	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, serves: map[string]*chooser{}}
+	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{}}
 	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
@@ -85,8 +88,36 @@
 // View returns what the sender knows, nil if it knows nothing.
 func (s *Sender) View() *View { return s.view.Load() }
 
-// Leave has it tell clients to go elsewhere; what comes is still served.
-func (s *Sender) Leave() { s.leaving.Store(true) }
+// Leave has it tell clients to go elsewhere; what comes is still served, until a time at which all that is in hand gets its answer.
+func (s *Sender) Leave(end time.Time) {
+	s.leaving.Store(true)
+	time.AfterFunc(time.Until(end), func() {
+		s.mu.Lock()
+		s.over = true
+		jobs := slices.Collect(maps.Keys(s.jobs))
+		s.mu.Unlock()
+		for _, j := range jobs {
+			j.expire()
+		}
+	})
+}
+
+// take counts a job in, so that it can be ended.
+func (s *Sender) take(j *job) {
+	s.mu.Lock()
+	s.jobs[j] = struct{}{}
+	over := s.over
+	s.mu.Unlock()
+	if over {
+		j.expire()
+	}
+}
+
+func (s *Sender) drop(j *job) {
+	s.mu.Lock()
+	delete(s.jobs, j)
+	s.mu.Unlock()
+}
 
 // Held is how many requests it has in hand.
 func (s *Sender) Held() int { return int(s.held.Load()) }
@@ -109,14 +140,23 @@
 	}
 	s.mu.Lock()
 	s.agents = max(agents, 1)
+	before := s.view.Load()
+	moved := before == nil || before.Config != v.Config
+	var routes map[string][]*margherita.Route // by service; sorted only where they have moved, as stations do far more often
+	if moved {
+		routes = routesOf(v.Config)
+	}
 	for _, name := range v.Config.Services() {
-		classes := classesOf(v.Config, name)
 		c := s.serves[name]
 		wide := width[name]
 		if wide == 0 && c != nil {
 			wide = c.width
 		}
-		if c == nil || !c.same(classes, wide) {
+		if c == nil || c.width != wide || moved && !serves(c.classes, classesOf(routes[name])) {
+			if routes == nil {
+				routes = routesOf(v.Config)
+			}
+			classes := classesOf(routes[name])
 			var err error
 			if c, err = newChooser(name, s.settings(v.Config, name, classes, wide), s.line(name)); err != nil {
 				s.log.WithError(err).Error("decision module")
@@ -160,7 +200,7 @@
 // classesOf lists the kinds of requests that a service gets, by what the module tells apart: whether they may run twice, whether a
 // backend calls, and about how long they may take. Danger: a module that is made anew has forgotten all speeds and failures, so what
 // changes often makes no class of its own: each request brings the time that it has, and aims that are alike are one.
-func classesOf(c *margherita.Config, service string) []policy.Class {
+func classesOf(routes []*margherita.Route) []policy.Class {
 	var classes []policy.Class
 	add := func(effect policy.Effect, aim time.Duration) {
 		for _, worth := range []float64{1, innerWorth} {
@@ -172,16 +212,27 @@
 	}
 	add(policy.Pure, usualAim)
 	add(policy.SideEffect, usualAim)
-	routes := c.Routes()
-	slices.SortFunc(routes, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
 	for _, r := range routes {
-		if slices.ContainsFunc(r.Shares, func(sh margherita.Share) bool { return sh.Service == service }) {
-			add(effectOf(r), aimOf(r))
-		}
+		add(effectOf(r), aimOf(r))
 	}
 	return classes
 }
 
+// routesOf lists the routes to each service in the order of their aims.
+func routesOf(c *margherita.Config) map[string][]*margherita.Route {
+	all := c.Routes()
+	slices.SortFunc(all, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
+	to := map[string][]*margherita.Route{}
+	for _, r := range all {
+		for _, share := range r.Shares {
+			if n := len(to[share.Service]); n == 0 || to[share.Service][n-1] != r {
+				to[share.Service] = append(to[share.Service], r)
+			}
+		}
+	}
+	return to
+}
+
 // nearest finds the class for a request; -1 if its aim is alike to none.
 func nearest(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) int {
 	best, far := -1, alike
--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -65,9 +65,10 @@
 	reached  int  // of these, those that reached a backend, or may yet
 
 	mu     sync.Mutex
-	steps  []brentei.Step // attempts that have ended, but for one that was all and succeeded
-	last   *attempt       // the best answer that is no success
+	steps  []brentei.Attempt // attempts that have ended, but for one that was all and succeeded
+	last   *attempt          // the best answer that is no success
 	done   chan struct{}
+	cut    chan struct{} // closed when the process ends: no answer is waited for any more
 	won    *attempt
 	inline *brentei.Conn // of the attempt that the request's own goroutine waits for
 }
@@ -115,7 +116,7 @@
 		s.Count.Bad.Add(1)
 		panic(http.ErrAbortHandler) // the client broke off: there is no whole request to answer
 	}
-	j := &job{began: w.began, route: route, body: body, done: make(chan struct{})}
+	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), cut: make(chan struct{})}
 	w.job = j
 	left := route.GiveUp
 	if text := r.Header.Get(solvay.LeftHeader); text != "" {
@@ -228,6 +229,8 @@
 	again := func(a policy.Action, t *target) { go s.again(j, a, t) }
 	j.call = c.begin(classIndex(c.classes, j.route, j.inner), left, again)
 	defer c.forget(j.call)
+	s.take(j)
+	defer s.drop(j)
 	for {
 		a, t, ok := c.take(j.call)
 		if !ok { // nothing to do but to wait for an attempt that another goroutine carries out
@@ -239,6 +242,9 @@
 			case <-j.done:
 				late.Stop()
 				return end{at: j.won}
+			case <-j.cut:
+				late.Stop()
+				return end{at: j.best()}
 			case <-late.C:
 				return end{at: j.best()}
 			}
@@ -267,6 +273,25 @@
 	return j.attempts - 1
 }
 
+// expire ends the wait for an answer: the process is about to end, and what has not run may be said to have not.
+func (j *job) expire() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	close(j.cut)
+	if j.inline != nil {
+		j.inline.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (j *job) isCut() bool {
+	select {
+	case <-j.cut:
+		return true
+	default:
+		return false
+	}
+}
+
 func (j *job) isDone() bool {
 	select {
 	case <-j.done:
@@ -307,7 +332,7 @@
 	}
 	j.mu.Unlock()
 	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
-	j.chooser.outcome(j.call, at.n, at.server, how, load, after, final || j.isDone())
+	j.chooser.outcome(j.call, at.n, at.server, how, load, after, at.reply != nil && at.reply.Arrived, final || j.isDone())
 	return final
 }
 
@@ -336,11 +361,14 @@
 	if t == nil {
 		return refuse(brentei.Unknown)
 	}
+	if j.isCut() {
+		return refuse(brentei.Late)
+	}
 	if !j.reach() {
 		return refuse(brentei.Own) // the route's tries are used up
 	}
 	defer func() {
-		if at.fail != nil && at.fail.Verdict == brentei.NotRun {
+		if at.fail != nil && at.fail.Verdict == brentei.NotRun && (at.reply == nil || !at.reply.Arrived) {
 			j.mu.Lock()
 			j.reached--
 			j.mu.Unlock()
@@ -358,7 +386,7 @@
 	}
 	if t.local {
 		s.Count.Local.Add(1)
-		at.reply, at.body = s.host.Handle(&ask, j.body)
+		at.reply, at.body, at.fail = s.here(j, &ask)
 	} else {
 		at.reply, at.body, at.fail = s.send(j, t.gate, &ask, inline)
 	}
@@ -368,6 +396,26 @@
 	return at
 }
 
+// here hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
+// unanswered, so it is waited for only until then.
+func (s *Sender) here(j *job, ask *brentei.Ask) (*brentei.Reply, []byte, *brentei.Failure) {
+	type answer struct {
+		reply *brentei.Reply
+		body  []byte
+	}
+	came := make(chan answer, 1)
+	go func() {
+		reply, body := s.host.Handle(ask, j.body)
+		came <- answer{reply, body}
+	}()
+	select {
+	case a := <-came:
+		return a.reply, a.body, nil
+	case <-j.cut:
+		return nil, nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Silent}
+	}
+}
+
 // reach counts a backend that the request is about to be sent to, and says whether the route allows one more. Danger: an attempt
 // that is out may have reached its backend, so it counts until it is proven that it did not.
 func (j *job) reach() bool {
@@ -389,6 +437,7 @@
 	if err != nil {
 		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
 	}
+	c.SetDeadline(j.deadline)
 	if inline {
 		j.mu.Lock()
 		j.inline = c
@@ -406,8 +455,7 @@
 		}
 		return nil, nil, f
 	}
-	c.SetDeadline(j.deadline)
-	if j.isDone() {
+	if j.isDone() || j.isCut() {
 		s.links.Put(gate, c)
 		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
 	}
