--- a/internal/vajolet/order_test.go
+++ b/internal/vajolet/order_test.go
@@ -380,6 +380,8 @@
 			time.Sleep(time.Duration(arrivals.ExpFloat64() / perS * float64(time.Second)))
 		}
 		time.Sleep(10 * time.Second)
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.Equal(m.asked, m.ended, "a request has no answer")
 		for name, p := range m.spots {
 			m.Zero(p.gate.Load(m.now()).InFlight, "%s has work that nobody waits for", name)
