--- a/internal/brentei/message.go
+++ b/internal/brentei/message.go
@@ -35,9 +35,10 @@
 	Header  []string
 	Body    int64
 	Load    Load
-	Arrived bool // it reached the backend, which did not run it
-	Go      bool // no answer yet: the body may come
-	Inner   bool // the backend failed after a call of its own had
+	Arrived bool          // it reached the backend, which did not run it
+	Go      bool          // no answer yet: the body may come
+	Inner   bool          // the backend failed after a call of its own had
+	Waited  time.Duration // at the gate, for a slot
 }
 
 // Load is what a gate knows of its backend: all that reaches it passes the gate.
--- a/internal/vajolet/sender.go
+++ b/internal/vajolet/sender.go
@@ -20,6 +20,7 @@
 	"example.org/micaline/internal/brentei"
 	"example.org/micaline/internal/margherita"
 	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/scoiattoli"
 	"example.org/micaline/internal/solvay"
 	"example.org/micaline/policy"
 	"github.com/apex/log"
@@ -47,6 +48,7 @@
 	set   *nuvolau.Settings
 	host  *solvay.Host // the gate on this machine
 	links *brentei.Pool
+	send  func(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure)
 	room  *brentei.Room // for bodies
 	log   log.Interface
 	zones map[string]int
@@ -59,12 +61,15 @@
 	agents  int
 	leaving atomic.Bool
 	held    atomic.Int64
+	ages    ages
 	Count   Counters
+	Ways    scoiattoli.Ring // of what did not simply succeed
 }
 
 // New returns a sender that knows nothing and refuses all.
 func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
 	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{}}
+	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
 	}
