--- a/internal/solvay/gate.go
+++ b/internal/solvay/gate.go
@@ -64,7 +64,7 @@
 }
 
 // order is who goes first: what backends call, as a run of another waits for it and holds a slot; then what may yet be in time, then
-// what is late, which takes a slot that is free and waits for none; of each the one that is due first.
+// what is late; of each the one that is due first.
 type order uint8
 
 const (
@@ -195,10 +195,6 @@
 	} else if a.Aim.Seconds() < g.recent {
 		t.order = late
 	}
-	patient := a.Patient
-	if t.order == late { // danger: a slot that it waits for is one less for who may be in time, who then comes back late too
-		patient = 0
-	}
 	if len(g.waiting) == 0 && g.room() {
 		if f := g.hand(t); f != nil {
 			return nil, g.refuse(f)
@@ -211,8 +207,8 @@
 		i--
 	}
 	most := queueSlots * max(1, g.backend.Capacity)
-	full := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: max(g.wait(1), g.wait(i+1)-patient)}
-	if g.wait(i+1) > patient || i >= most {
+	full := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: max(g.wait(1), g.wait(i+1)-a.Patient)}
+	if g.wait(i+1) > a.Patient || i >= most {
 		return nil, g.refuse(full)
 	}
 	for n := len(g.waiting); n >= most; n = len(g.waiting) { // the last gives way; several if the backend takes fewer now
