Agreement: a disk that fails, is slow, torn or another's is told so and loses nothing

Need: a failed write panicked, a slow sync held the whole node up (a leader with 2 s a sync lost its lead, heartbeats waited), pages cut off came to a fault of the process, and a file of another address or format 1 was not told apart.

The node writes in a second goroutine; on an error it answers who waits, ends, and Close and the process's exit tell what to do. What a failed sync left gets another name and is written anew at the next start, since the system may show pages that never reach the disk; the weighed alternative, to write anew at each start, would cost every restart. Files are read whole and read-only first, where faults can be caught. Format 2 holds the node's address; format 1 is rewritten. Acknowledgements that wait for one sync are kept as one, so a hung disk holds no growing queue.

--- a/internal/averau/core.go
+++ b/internal/averau/core.go
@@ -96,7 +96,10 @@
 	server := &http.Server{Handler: c.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
 	go server.Serve(l)
 	c.log.WithField("zone", c.set.Zone).WithField("seeds", c.set.Seeds).Info("core started")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-c.node.Done(): // its disk failed: Close tells
+	}
 	leaving, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	c.node.Leave(leaving)
--- a/internal/konkordia/api.go
+++ b/internal/konkordia/api.go
@@ -44,6 +44,8 @@
 	Tick       time.Duration // the coarseness of timers; 0: 50 ms
 	Replace    time.Duration // how long a voter is unheard before a caught-up learner takes its place; 0: 8 s
 	OnChange   func(Status)  // leader or membership changed; called from the node's goroutine, must not block
+
+	disk func(disk) disk // stands between the node and its store, for tests
 }
 
 // Status is how a node stands. It is a copy that never changes.
--- a/internal/konkordia/node.go
+++ b/internal/konkordia/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,9 @@
 const (
 	mostQueued    = 512 // messages and requests; a message that finds it full is lost
 	mostProposals = 256 // in flight at one node, of proposals and of reads each
+
+	slowSync  = time.Second            // a sync that takes longer is told of,
+	quickSync = 200 * time.Millisecond // and once more when one takes less
 )
 
 // request is what the node's goroutine is asked.
@@ -48,8 +52,10 @@
 	err    error
 }
 
-// Node runs a Machine over a store. One goroutine owns both and the table; it works through a queue
-// of requests, and what queues while it syncs goes into the next sync together.
+// Node runs a Machine over a store. One goroutine owns the machine and the table, and works through
+// a queue of requests. Another one writes, so that a slow disk holds up promises and nothing else;
+// what queues while it syncs goes into the next sync together. A disk that fails ends the node:
+// Done is closed, and Close tells why.
 type Node struct {
 	options          Options
 	requests         chan request
@@ -61,7 +67,7 @@
 	closed           error
 
 	// Of the goroutine alone.
-	store    *store
+	disk     disk
 	machine  *Machine
 	begin    time.Time
 	next     uint64
@@ -73,6 +79,16 @@
 	ringing  bool
 	syncs    uint64
 	syncMost time.Duration
+	slow     bool
+	saving   bool
+	saves    chan *Save // to the goroutine that writes; one is under way at most
+	saved    chan syncing
+}
+
+// syncing is how a save went.
+type syncing struct {
+	took time.Duration
+	err  error
 }
 
 // Start opens the store in o.Dir, and runs.
@@ -85,7 +101,7 @@
 	}
 	seeds := sorted(o.Seeds)
 	founder := o.FirstStart && slices.Contains(seeds, o.Self)
-	store, state, err := openStore(o.Dir, founder, seeds)
+	store, state, err := openStore(o.Dir, o.Self, founder, seeds)
 	if err != nil {
 		return nil, err
 	}
@@ -98,13 +114,17 @@
 	life := randomNumber()
 	n := &Node{options: o, requests: make(chan request, mostQueued), proposals: make(chan struct{}, mostProposals),
 		reads: make(chan struct{}, mostProposals), stopping: make(chan struct{}), stopped: make(chan struct{}),
-		store: store, begin: time.Now(), waiters: map[uint64]*waiter{}, replies: map[uint64][]byte{}}
+		disk: store, saves: make(chan *Save, 1), saved: make(chan syncing, 1), begin: time.Now(), waiters: map[uint64]*waiter{}, replies: map[uint64][]byte{}}
 	n.machine = New(Config{Self: o.Self, Seeds: seeds, Life: life, Replace: o.Replace,
 		Rand: rand.New(rand.NewPCG(life, randomNumber())), State: state})
+	if o.disk != nil {
+		n.disk = o.disk(store)
+	}
 	n.status.Store(new(Status))
 	n.timer = time.NewTimer(0)
 	n.ringing = true
 	go n.run()
+	go n.write()
 	return n, nil
 }
 
@@ -192,7 +212,11 @@
 	}
 }
 
-// Close stops the node. Proposals that are in flight end with ErrUnknown.
+// Done is closed when the node has ended, by Close or because its disk failed.
+func (n *Node) Done() <-chan struct{} { return n.stopped }
+
+// Close stops the node, and tells what ended it if it had ended by itself. Proposals that are in
+// flight end with ErrUnknown.
 func (n *Node) Close() error {
 	n.stop.Do(func() { close(n.stopping) })
 	<-n.stopped
@@ -201,26 +225,58 @@
 
 func (n *Node) run() {
 	defer close(n.stopped)
-	for {
-		n.settle()
+	for err := n.settle(); ; err = n.settle() {
+		if err != nil {
+			n.end(err)
+			return
+		}
 		n.arm()
 		select {
 		case r := <-n.requests:
 			n.machine.Clock(time.Since(n.begin))
 			n.handle(r)
-			for i := 0; i < mostQueued && len(n.requests) > 0; i++ {
-				n.handle(<-n.requests)
+		case s := <-n.saved:
+			if n.saving = false; s.err != nil {
+				// What a failed sync left on the disk is unknown, so nothing may be promised from
+				// here on.
+				n.end(s.err)
+				return
 			}
+			n.noteSync(s.took)
+			n.machine.Saved()
 		case <-n.timer.C:
 			n.ringing = false
 		case <-n.stopping:
-			n.end()
+			n.end(nil)
 			return
 		}
+		// Before the timers: what has come tells that the leader is there.
+		n.machine.Clock(time.Since(n.begin))
+		for i := 0; i < mostQueued && len(n.requests) > 0; i++ {
+			n.handle(<-n.requests)
+		}
 		n.machine.Advance(time.Since(n.begin))
 	}
 }
 
+// write is the goroutine that writes.
+func (n *Node) write() {
+	for s := range n.saves {
+		began := time.Now()
+		err := n.disk.save(s)
+		n.saved <- syncing{time.Since(began), err}
+	}
+}
+
+func (n *Node) noteSync(took time.Duration) {
+	n.syncs++
+	n.syncMost = max(n.syncMost, took)
+	if !n.slow && took >= slowSync || n.slow && took < quickSync {
+		n.slow = !n.slow
+		n.options.Log.WithFields(log.Fields{"slow": n.slow, "took": took}).Warn("disk")
+	}
+}
+
 // arm sets the timer, unless it rings earlier anyway: the deadline moves on with each heartbeat,
 // and to look once too often is cheaper than to move the timer with it.
 func (n *Node) arm() {
@@ -254,7 +310,7 @@
 }
 
 // settle carries out what the machine wants until it wants no more.
-func (n *Node) settle() {
+func (n *Node) settle() error {
 	n.leave()
 	for o := n.machine.Take(); !o.Empty(); o = n.machine.Take() {
 		for _, m := range o.Send {
@@ -262,7 +318,7 @@
 		}
 		if s := o.Restore; s != nil {
 			if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
-				panic(fmt.Sprintf("konkordia: the table can't take the leader's snapshot as of %d: %v", s.Index, err))
+				return oops.In("konkordia").Wrapf(err, "the table can't take the leader's snapshot as of %d", s.Index)
 			}
 		}
 		for _, e := range o.Apply {
@@ -285,19 +341,13 @@
 			n.machine.Compact(n.options.Table.Snapshot())
 		}
 		if o.Save != nil {
-			began := time.Now()
-			if err := n.store.save(o.Save); err != nil {
-				// What a failed sync left on the disk is unknown, so nothing may be promised from
-				// here on.
-				panic(fmt.Sprintf("konkordia: the store can't be written: %v", err))
-			}
-			n.syncs++
-			n.syncMost = max(n.syncMost, time.Since(began))
-			n.machine.Saved()
+			n.saving = true
+			n.saves <- o.Save
 		}
 	}
 	n.leave()
 	n.report()
+	return nil
 }
 
 // leave hands leadership over while somebody wants that.
@@ -329,8 +379,9 @@
 	}
 }
 
-// end answers who still waits.
-func (n *Node) end() {
+// end answers who still waits, and says why the node ends if nobody asked for it.
+func (n *Node) end(why error) {
+	n.stop.Do(func() { close(n.stopping) })
 	for _, w := range n.waiters {
 		w.done <- outcome{err: w.late}
 	}
@@ -340,7 +391,17 @@
 		}
 	}
 	n.timer.Stop()
-	if err := n.store.close(); err != nil {
-		n.closed = oops.In("konkordia").Wrapf(err, "closing the store")
+	close(n.saves)
+	if n.saving {
+		if s := <-n.saved; why == nil {
+			why = s.err
+		}
+	}
+	closing := n.disk.close()
+	switch {
+	case why != nil:
+		n.closed = oops.In("konkordia").Wrapf(errors.Join(why, closing), "the node can't go on as a member")
+	case closing != nil:
+		n.closed = oops.In("konkordia").Wrapf(closing, "closing the store")
 	}
 }
--- a/internal/konkordia/replicate.go
+++ b/internal/konkordia/replicate.go
@@ -240,9 +240,17 @@
 	return true
 }
 
-// acknowledge promises that the log agrees with the leader's up to an index.
+// acknowledge promises that the log agrees with the leader's up to an index. It stands for what it
+// promised this leader before and waits for the same sync: however long that takes, one is kept.
 func (m *Machine) acknowledge(msg Message, index uint64) {
-	m.promise(Message{Kind: AppendReply, To: msg.From, Index: index, Sequence: msg.Sequence})
+	reply := Message{Kind: AppendReply, To: msg.From, Term: m.hard.Term, Index: index, Sequence: msg.Sequence}
+	if i := len(m.held) - 1; i >= 0 {
+		if last := m.held[i]; last.Kind == AppendReply && last.To == reply.To && last.Term == reply.Term {
+			reply.Index, reply.Sequence = max(last.Index, index), max(last.Sequence, msg.Sequence)
+			m.held = m.held[:i]
+		}
+	}
+	m.promise(reply)
 }
 
 // disagree tells the leader where to look next: at our end, or before the term that doesn't fit.
--- a/internal/konkordia/store.go
+++ b/internal/konkordia/store.go
@@ -16,7 +16,9 @@
 
 const (
 	storeName   = "konkordia.db"
-	storeFormat = 1
+	suspectName = storeName + ".suspect" // what a failed save left: see rewrite
+	storeFormat = 2                      // 1 had no address in the identity
+	oldFormat   = 1                      // the oldest that is read, and rewritten
 )
 
 var (
@@ -28,10 +30,17 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// identity is what a store is told apart by.
+// identity is what a store is told apart by. The address is where its promises were made.
 type identity struct {
 	Disk    uint64
 	Founder bool
+	Address string
+}
+
+// disk is what a Node needs of its store. Nothing is known of what a failed save left.
+type disk interface {
+	save(*Save) error
+	close() error
 }
 
 // base is where the log begins.
@@ -39,40 +48,86 @@
 
 // store keeps a machine's state in a bbolt file. Each record carries a checksum over its key and
 // value; one that doesn't fit ends the start with an error, since to go on without it would be to
-// forget a promise.
+// forget a promise. Of a write that power cut short, bbolt takes back what isn't whole.
 type store struct {
-	db   *bbolt.DB
-	hard Hard // as written last
-	base base
+	db     *bbolt.DB
+	dir    string
+	failed bool
+	hard   Hard // as written last
+	base   base
 }
 
 // openStore opens the store in a folder, or makes one. A new file is made under another name and
 // gets its own when it is whole: a loss of power then leaves a store, or none that has promised
 // anything.
-func openStore(dir string, founder bool, seeds []string) (*store, State, error) {
+func openStore(dir, self string, founder bool, seeds []string) (*store, State, error) {
 	errs := oops.In("konkordia").With("folder", dir)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, State{}, errs.Wrapf(err, "making the data folder")
 	}
 	path := filepath.Join(dir, storeName)
-	if _, err := os.Stat(path); os.IsNotExist(err) {
-		if err := makeStore(dir, founder, seeds); err != nil {
-			return nil, State{}, errs.Wrapf(err, "making the store")
-		}
-	} else if err != nil {
+	there, err := exists(path)
+	if err != nil {
 		return nil, State{}, errs.Wrapf(err, "looking for the store")
 	}
+	if !there {
+		if err := rewriteOrMake(dir, self, founder, seeds); err != nil {
+			return nil, State{}, errs.Wrapf(diskError(dir, err), "making the store")
+		}
+	}
+	// The file is read whole before anything is written to it, by who can bear damage.
+	c, err := readStore(path)
+	if err != nil {
+		return nil, State{}, errs.Wrapf(err, "reading %s", path)
+	}
+	if c.id.Address != "" && c.id.Address != self {
+		return nil, State{}, errs.Errorf("%s is the store of %s, and this node is %s, which must not take over its promises: "+
+			"mend the node's address or data folder in the settings, or take the file away, and the node recovers from the others",
+			path, c.id.Address, self)
+	}
+	if c.format != storeFormat {
+		if err := makeStore(dir, identity{c.id.Disk, c.id.Founder, self}, c.whole()); err != nil {
+			return nil, State{}, errs.Wrapf(diskError(dir, err), "bringing %s from format %d to %d", path, c.format, storeFormat)
+		}
+	}
+	if err := os.Remove(filepath.Join(dir, suspectName)); err != nil && !os.IsNotExist(err) {
+		return nil, State{}, errs.Wrapf(err, "removing what was rewritten")
+	}
 	db, err := openFile(path)
 	if err != nil {
-		return nil, State{}, errs.Wrapf(err, "opening %s", path)
+		return nil, State{}, errs.Wrapf(diskError(dir, err), "opening %s", path)
 	}
-	s := &store{db: db}
-	state, err := s.load()
+	return &store{db: db, dir: dir, hard: c.state.Hard, base: base{c.state.Base, c.state.BaseTerm}}, c.state, nil
+}
+
+func exists(path string) (bool, error) {
+	_, err := os.Stat(path)
+	if os.IsNotExist(err) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// rewriteOrMake makes the store of what a failed save left, or an empty one. After a failed sync
+// the system may show what is not on the disk, and never write it: so all of it is written anew.
+func rewriteOrMake(dir, self string, founder bool, seeds []string) error {
+	suspect := filepath.Join(dir, suspectName)
+	there, err := exists(suspect)
 	if err != nil {
-		db.Close()
-		return nil, State{}, errs.Wrapf(err, "reading %s", path)
+		return err
 	}
-	return s, state, nil
+	if there {
+		c, err := readStore(suspect)
+		if err != nil {
+			return oops.Wrapf(err, "reading %s", suspect)
+		}
+		return makeStore(dir, c.id, c.whole())
+	}
+	save := &Save{First: 1}
+	if founder {
+		save.Hard.Term, save.Entries = 1, Found(seeds)
+	}
+	return makeStore(dir, identity{randomNumber(), founder, self}, save)
 }
 
 func openFile(path string) (*bbolt.DB, error) {
@@ -80,7 +135,8 @@
 		FreelistType: bbolt.FreelistMapType})
 }
 
-func makeStore(dir string, founder bool, seeds []string) error {
+// makeStore makes a whole store, in place of one that is there.
+func makeStore(dir string, id identity, save *Save) error {
 	path := filepath.Join(dir, storeName)
 	if err := os.Remove(path + ".new"); err != nil && !os.IsNotExist(err) {
 		return err
@@ -101,13 +157,9 @@
 		if err := put(meta, formatKey, binary.BigEndian.AppendUint32(nil, storeFormat)); err != nil {
 			return err
 		}
-		if err := putGob(meta, identityKey, identity{randomNumber(), founder}); err != nil {
+		if err := putGob(meta, identityKey, id); err != nil {
 			return err
 		}
-		save := &Save{First: 1}
-		if founder {
-			save.Hard.Term, save.Entries = 1, Found(seeds)
-		}
 		return s.write(tx, save)
 	})
 	if closing := db.Close(); err == nil {
@@ -144,12 +196,26 @@
 // save writes in one transaction, which is synced when it returns.
 func (s *store) save(save *Save) error {
 	if err := s.db.Update(func(tx *bbolt.Tx) error { return s.write(tx, save) }); err != nil {
-		return err
+		s.failed = true
+		return diskError(s.dir, err)
 	}
 	s.hard, s.base = save.Hard, base{save.Base, save.BaseTerm}
 	return nil
 }
 
+// close closes the file. After a failed save it gets a name that has the next start rewrite it;
+// that needs no sync, since what a loss of power leaves can be trusted again.
+func (s *store) close() error {
+	err := s.db.Close()
+	if s.failed {
+		path := filepath.Join(s.dir, storeName)
+		if renaming := os.Rename(path, filepath.Join(s.dir, suspectName)); err == nil && renaming != nil {
+			err = oops.Wrapf(renaming, "take %s away, and the node recovers from the others", path)
+		}
+	}
+	return err
+}
+
 func (s *store) write(tx *bbolt.Tx, save *Save) error {
 	meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
 	if save.Hard != s.hard || meta.Get(hardKey) == nil {
@@ -189,69 +255,6 @@
 	return nil
 }
 
-func (s *store) load() (State, error) {
-	var state State
-	err := s.db.View(func(tx *bbolt.Tx) error {
-		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
-		if meta == nil || log == nil {
-			return oops.Errorf("this is no store of the agreement")
-		}
-		format, err := get(meta, formatKey)
-		if err != nil {
-			return err
-		}
-		if len(format) != 4 || binary.BigEndian.Uint32(format) != storeFormat {
-			return oops.Errorf("the store has format %x, and this program knows %d alone: start the program that wrote it",
-				format, storeFormat)
-		}
-		var id identity
-		if err := getGob(meta, identityKey, &id); err != nil {
-			return err
-		}
-		var at base
-		if err := getGob(meta, baseKey, &at); err != nil {
-			return err
-		}
-		if err := getGob(meta, hardKey, &state.Hard); err != nil {
-			return err
-		}
-		s.hard, s.base = state.Hard, at
-		state.Disk, state.Founder, state.Base, state.BaseTerm = id.Disk, id.Founder, at.Index, at.Term
-		if meta.Get(snapshotKey) != nil {
-			state.Snapshot = new(Snapshot)
-			if err := getGob(meta, snapshotKey, state.Snapshot); err != nil {
-				return err
-			}
-		}
-		next := at.Index + 1
-		if err := log.ForEach(func(k, _ []byte) error {
-			if !bytes.Equal(k, indexKey(next)) {
-				return oops.Errorf("the log lacks entry %d", next)
-			}
-			value, err := get(log, k)
-			if err != nil {
-				return err
-			}
-			e, err := decodeEntry(next, value)
-			if err != nil {
-				return err
-			}
-			state.Entries = append(state.Entries, e)
-			next++
-			return nil
-		}); err != nil {
-			return err
-		}
-		if s := state.Snapshot; s != nil && s.Index >= next || s == nil && at.Index > 0 {
-			return oops.Errorf("the log from %d to %d doesn't fit its snapshot", at.Index, next-1)
-		}
-		return nil
-	})
-	return state, err
-}
-
-func (s *store) close() error { return s.db.Close() }
-
 func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
 
 func checksum(key, value []byte) uint32 {
@@ -267,8 +270,7 @@
 func get(b *bbolt.Bucket, key []byte) ([]byte, error) {
 	record := b.Get(key)
 	if len(record) < 4 || binary.BigEndian.Uint32(record) != checksum(key, record[4:]) {
-		return nil, oops.Errorf("record %q is missing, or its checksum doesn't fit: the disk is damaged; take the file away, "+
-			"and the node recovers from the others", key)
+		return nil, oops.Errorf("record %q is missing, or its checksum doesn't fit: %s", key, damaged)
 	}
 	return record[4:], nil
 }
@@ -286,7 +288,10 @@
 	if err != nil {
 		return err
 	}
-	return gob.NewDecoder(bytes.NewReader(data)).Decode(value)
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(value); err != nil {
+		return oops.Wrapf(err, "record %q can't be decoded", key)
+	}
+	return nil
 }
 
 // Entries have an encoding of their own, since gob repeats the types in each record.
