--- /dev/null
+++ b/internal/konkordia/history_test.go
@@ -0,0 +1,166 @@
+package konkordia
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+// history is what operators saw of some items with versions: a set takes if its version is newer
+// than what stands, and a get shows what stands at the node that it is asked of.
+type history struct {
+	clock int64
+	open  map[asker]*porcupine.Operation
+	ended []porcupine.Operation
+}
+
+// asker is a call at one life of a process.
+type asker struct{ life, id uint64 }
+
+// items is how many items there are: the fewer, the harder the check.
+const items = 8
+
+// item is what stands of one; as a call, what is to stand, or nothing of a get.
+type item struct{ number, version uint64 }
+
+type input struct {
+	item
+	get bool
+}
+
+type output struct {
+	stands  item // of a get
+	took    bool // of a set,
+	unknown bool // if that is known
+}
+
+// setOf tells what a value of the world sets. Versions go up with the values, but not in order.
+func setOf(value uint64) item { return item{value % items, value + value*37%41 + 1} }
+
+// standing is what stands of an item after some commands, and whether the last of them took.
+func standing(table []Entry, number uint64) (stands item, took bool) {
+	stands.number = number
+	for _, e := range table {
+		if i := setOf(valueOf(e.Command)); i.number == number {
+			if took = i.version > stands.version; took {
+				stands = i
+			}
+		}
+	}
+	return stands, took
+}
+
+func (y *history) call(h *host, in input) {
+	y.clock++
+	y.open[asker{h.life, h.next}] = &porcupine.Operation{Input: in, Call: y.clock, Return: math.MaxInt64, Output: output{unknown: true}}
+}
+
+func (y *history) set(h *host, value uint64) {
+	if y != nil {
+		y.call(h, input{item: setOf(value)})
+	}
+}
+
+func (y *history) get(h *host) bool {
+	if y != nil {
+		y.call(h, input{item: item{number: h.next % items}, get: true})
+	}
+	return y != nil
+}
+
+// answer notes the end of a call. What was refused for certain is no part of the history; of what
+// may hold, the end stays open, as of what a crash left without an answer.
+func (y *history) answer(h *host, d Done) {
+	if y == nil || errors.Is(d.Err, ErrUnknown) {
+		return
+	}
+	at := asker{h.life, d.ID}
+	op := y.open[at]
+	delete(y.open, at)
+	if d.Err != nil {
+		return
+	}
+	y.clock++
+	op.Return = y.clock
+	out := output{unknown: true}
+	if in := op.Input.(input); in.get {
+		out.stands, _ = standing(h.table, in.number)
+	} else {
+		for i, e := range h.table {
+			if e.Index == d.Index {
+				_, out.took = standing(h.table[:i+1], in.number)
+				out.unknown = false
+			}
+		}
+	}
+	op.Output = out
+	y.ended = append(y.ended, *op)
+}
+
+var registers = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		parts := make([][]porcupine.Operation, items)
+		for _, op := range all {
+			n := op.Input.(input).number
+			parts[n] = append(parts[n], op)
+		}
+		return parts
+	},
+	Init: func() any { return uint64(0) },
+	Step: func(state, in, out any) (bool, any) {
+		version, call, answer := state.(uint64), in.(input), out.(output)
+		if call.get {
+			return answer.stands.version == version, version
+		}
+		return answer.unknown || answer.took == (call.version > version), max(version, call.version)
+	},
+}
+
+// linearizable plays a seed and checks what operators saw.
+func linearizable(seed uint64, p plant) (porcupine.CheckResult, int, any) {
+	w := newWorld(seed, p)
+	w.history = &history{open: map[asker]*porcupine.Operation{}}
+	trouble := w.play()
+	all := w.history.ended
+	for _, op := range w.history.open {
+		if !op.Input.(input).get { // a get that nobody saw the answer of says nothing
+			all = append(all, *op)
+		}
+	}
+	for i := range all {
+		all[i].ClientId = i
+	}
+	return porcupine.CheckOperationsTimeout(registers, all, 10*time.Second), len(w.history.ended), trouble
+}
+
+func TestHistories(t *testing.T) {
+	answered := 0
+	for seed := range uint64(60) {
+		result, n, trouble := linearizable(seed, plant{})
+		require.Nil(t, trouble, "seed %d", seed)
+		require.Equal(t, porcupine.Ok, result, "seed %d", seed)
+		answered += n
+	}
+	t.Logf("%d calls answered", answered)
+	require.Greater(t, answered, 60*100)
+}
+
+// Planted faults are found by what operators saw alone.
+func TestHistoriesFindPlanted(t *testing.T) {
+	for name, p := range map[string]plant{"reads unconfirmed": {localRead: true}, "acks come too early": {earlyAck: true}} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); ; seed++ {
+				require.Less(t, seed, uint64(300), "not found")
+				if result, _, trouble := linearizable(seed, p); result == porcupine.Illegal {
+					t.Log(fmt.Sprint("seed ", seed, ", the judge's own word: ", trouble))
+					return
+				}
+			}
+		})
+	}
+}
--- a/internal/konkordia/sim_test.go
+++ b/internal/konkordia/sim_test.go
@@ -44,6 +44,7 @@
 	acks      int
 	reads     int
 	lost      map[Member]bool // disks
+	history   *history        // of what operators saw; nil: not kept
 }
 
 type host struct {
@@ -361,6 +362,7 @@
 	w.touch(h, h.life, func(m *Machine) {
 		h.next++
 		h.asked[h.next] = value
+		w.history.set(h, value)
 		if m.role == leader {
 			h.early = append(h.early, h.next)
 		}
@@ -373,6 +375,9 @@
 	w.touch(h, h.life, func(m *Machine) {
 		h.next++
 		h.asked[h.next], h.isRead[h.next] = uint64(len(w.committed)), true
+		if w.history.get(h) {
+			h.asked[h.next] = 0 // the history is to tell
+		}
 		m.Read(h.next)
 		if w.plant.localRead && m.role == leader {
 			w.done(h, Done{ID: h.next})
@@ -386,6 +391,7 @@
 		return
 	}
 	delete(h.asked, d.ID)
+	w.history.answer(h, d)
 	switch {
 	case h.isRead[d.ID]:
 		if d.Err == nil {
@@ -474,6 +480,10 @@
 // explore plays one seed.
 func explore(seed uint64, p plant) (w *world, trouble any) {
 	w = newWorld(seed, p)
+	return w, w.play()
+}
+
+func (w *world) play() (trouble any) {
 	defer func() {
 		if r := recover(); r != nil {
 			trouble = fmt.Sprint(r)
@@ -552,7 +562,7 @@
 	w.after(3*time.Second, harm)
 	w.run(end)
 	w.heal()
-	return w, nil
+	return nil
 }
 
 func (w *world) revive(h *host) {
