--- a/internal/brogles/agent.go
+++ b/internal/brogles/agent.go
@@ -55,8 +55,14 @@
 	began   time.Time
 	config  *margherita.Config
 	index   uint64
-	proven  bool // what came over a feed was current after the start
-	fresh   bool // proven, and there is a configuration
+	have    atomic.Uint64 // index, for the feeds
+	newest  uint64        // index that a core machine has told of
+	asking  *feed         // for the whole configuration
+	asked   time.Time
+	current bool   // a core machine has proven that
+	least   uint64 // this index was current after the start
+	proven  bool   // and the configuration is of it or a later one
+	fresh   bool   // proven, and there is a configuration
 	dirty   bool
 	feeds   map[string]*feed
 	cores   []string // members of the agreement, as told
@@ -175,9 +181,9 @@
 func (a *Agent) leave(out *http.Server) {
 	began := time.Now()
 	a.went.Store(true)
-	a.sender.Leave()
 	a.news()
 	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
+	a.sender.Leave(end.Add(-200 * time.Millisecond))
 	for time.Now().Before(end) && (time.Since(began) < leaveNotice || a.sender.Held() > 0 || a.host.Held() > 0) {
 		time.Sleep(50 * time.Millisecond)
 	}
