--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -28,6 +28,9 @@
 // each other's numbers: disk 0 stands for a disk made at the first start, until a leader has heard
 // its number and has it written into the members, which changes no majority.
 //
+// A mesh that was founded from a backup is another mesh, at the same addresses and perhaps with the
+// same indexes. Its number stands in its members, and nodes don't heed messages of another number.
+//
 // Members change by one voter at a time, once the change before is committed and the leader has
 // committed an entry of its own term. A voter that is taken out and comes back is told so when it
 // campaigns, and becomes a learner.
