--- a/cmd/altavia/main.go
+++ b/cmd/altavia/main.go
@@ -88,6 +88,8 @@
 	} {
 		add(config, v.name, v.what, v.run).AddPositionalValue(&c.file, "FILE", 1, true, "a PATCH body or what get prints; - is standard input")
 	}
+	t := &trial{out: c.out, agents: 6, seconds: 15, rate: 15, trouble: "kill-core"}
+	t.flags(add(top, "try", "start a small mesh on loopback, send requests through it and judge it", t.run))
 	add(top, "evacuate", "have nothing sent to the backends of a zone", c.evacuate).
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
 	add(top, "return", "take the evacuation of a zone back", c.returnZone).
