Agreement: a node with an empty disk that hears two meshes takes neither's terms for the other's

TestNewMesh panicked about once in 30 runs: messages of the mesh before, still under way, reached a node that had been emptied, and the new mesh led in the same term. Who knows no members turns to whichever mesh speaks, and forgets who led the other.

--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -164,6 +164,7 @@
 	began      uint64 // the term that this life began in
 	changes    uint64 // of the leader
 	foreign    uint64 // messages of another mesh
+	met        uint64 // the mesh that was heard last, while we belong to none
 
 	// What the disk has. A promise waits in held until a Save that covers it is under way, then in
 	// waiting until it is synced.
@@ -277,7 +278,11 @@
 	if msg.To != m.self || msg.From == "" {
 		return
 	}
-	if mine := m.log.mesh(); msg.Mesh != mine && msg.Mesh != 0 && mine != 0 {
+	switch mine := m.log.mesh(); {
+	case msg.Mesh == 0:
+	case mine == 0 && msg.Mesh != m.met:
+		m.meet(msg.Mesh)
+	case mine != 0 && msg.Mesh != mine:
 		m.foreign++ // indexes and terms of another mesh mean nothing here
 		return
 	}
@@ -311,6 +316,17 @@
 	}
 }
 
+// meet turns to another mesh. Who knows no members has an empty log, and no vote that counts: it
+// belongs to none, and hears whichever speaks. Who led the other one leads nobody here.
+func (m *Machine) meet(mesh uint64) {
+	m.met, m.led, m.leader = mesh, Hard{}, Member{}
+	for _, p := range m.pending {
+		m.done = append(m.done, Done{ID: p.id, Err: ErrUnknown})
+	}
+	m.pending = nil
+	m.failReads(ErrNoLeader)
+}
+
 // Take says what is to be done. It is to be called again until there is nothing.
 func (m *Machine) Take() Output {
 	if m.role == leader {
--- a/internal/konkordia/story_test.go
+++ b/internal/konkordia/story_test.go
@@ -112,3 +112,21 @@
 	require.Equal(t, uint64(6), m.Take().Send[0].Index)
 	require.Less(t, m.now, time.Second)
 }
+
+// A node with an empty disk that hears an old mesh, and then the one that was founded from its
+// backup: terms of the two may be alike, and have nothing to do with each other.
+func TestTwoMeshesSpeak(t *testing.T) {
+	m := New(Config{Self: "c", Seeds: seedNames, Life: 1, Rand: rand.New(rand.NewPCG(1, 1)), State: State{Disk: 9}})
+	m.Step(Message{Kind: Append, From: "b", To: "c", Disk: 2, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
+	carryOut(m)
+	m.Propose(1, []byte("x"))
+	m.Step(Message{Kind: Append, From: "a", To: "c", Disk: 5, Term: 3, Mesh: 77, Index: 9, LogTerm: 3})
+	require.Equal(t, []Done{{ID: 1, Err: ErrUnknown}}, m.Take().Done)
+	require.Equal(t, "a", m.leader.Address)
+	members := Members{Voters: []Member{{"a", 5}}, Target: 3, Mesh: 77}
+	m.Step(Message{Kind: Install, From: "a", To: "c", Disk: 5, Term: 3, Mesh: 77, Snapshot: &Snapshot{Index: 9, Term: 3, Members: members, MembersAt: Place{3, 9}}})
+	carryOut(m)
+	m.Step(Message{Kind: Append, From: "b", To: "c", Disk: 2, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
+	require.Equal(t, "a", m.leader.Address)
+	require.Equal(t, uint64(1), m.Status().Foreign)
+}
