--- a/internal/konkordia/machine.go
+++ b/internal/konkordia/machine.go
@@ -28,6 +28,9 @@
 // each other's numbers: disk 0 stands for a disk made at the first start, until a leader has heard
 // its number and has it written into the members, which changes no majority.
 //
+// A mesh that was founded from a backup is another mesh, at the same addresses and perhaps with the
+// same indexes. Its number stands in its members, and nodes don't heed messages of another number.
+//
 // Members change by one voter at a time, once the change before is committed and the leader has
 // committed an entry of its own term. A voter that is taken out and comes back is told so when it
 // campaigns, and becomes a learner.
@@ -160,6 +163,8 @@
 	votes      []Member
 	began      uint64 // the term that this life began in
 	changes    uint64 // of the leader
+	foreign    uint64 // messages of another mesh
+	met        uint64 // the mesh that was heard last, while we belong to none
 
 	// What the disk has. A promise waits in held until a Save that covers it is under way, then in
 	// waiting until it is synced.
@@ -273,6 +278,14 @@
 	if msg.To != m.self || msg.From == "" {
 		return
 	}
+	switch mine := m.log.mesh(); {
+	case msg.Mesh == 0:
+	case mine == 0 && msg.Mesh != m.met:
+		m.meet(msg.Mesh)
+	case mine != 0 && msg.Mesh != mine:
+		m.foreign++ // indexes and terms of another mesh mean nothing here
+		return
+	}
 	switch msg.Kind {
 	case PreVote, Vote:
 		m.onVote(msg)
@@ -303,6 +316,17 @@
 	}
 }
 
+// meet turns to another mesh. Who knows no members has an empty log, and no vote that counts: it
+// belongs to none, and hears whichever speaks. Who led the other one leads nobody here.
+func (m *Machine) meet(mesh uint64) {
+	m.met, m.led, m.leader = mesh, Hard{}, Member{}
+	for _, p := range m.pending {
+		m.done = append(m.done, Done{ID: p.id, Err: ErrUnknown})
+	}
+	m.pending = nil
+	m.failReads(ErrNoLeader)
+}
+
 // Take says what is to be done. It is to be called again until there is nothing.
 func (m *Machine) Take() Output {
 	if m.role == leader {
@@ -393,11 +417,16 @@
 	return m.applied-from >= m.compact || m.log.bytes(from, m.applied) >= compactBytes
 }
 
-// Compact hands over the table's snapshot as of the last entry that was applied.
-func (m *Machine) Compact(data []byte) {
+// asOfApplied is a snapshot as of the last entry that was applied.
+func (m *Machine) asOfApplied(data []byte) *Snapshot {
 	term, _ := m.log.term(m.applied)
 	members := m.log.at(m.applied)
-	m.snapshot = &Snapshot{Index: m.applied, Term: term, Members: members.members, MembersAt: members.at, Data: data}
+	return &Snapshot{Index: m.applied, Term: term, Members: members.members, MembersAt: members.at, Data: data}
+}
+
+// Compact hands over the table's snapshot as of the last entry that was applied.
+func (m *Machine) Compact(data []byte) {
+	m.snapshot = m.asOfApplied(data)
 	to := m.applied
 	for to > m.log.base && m.applied-to < m.compact/2 && m.log.bytes(to-1, m.applied) <= compactBytes/2 {
 		to--
@@ -413,7 +442,7 @@
 func (m *Machine) promise(msg Message) { m.held = append(m.held, m.signed(msg)) }
 
 func (m *Machine) signed(msg Message) Message {
-	msg.From, msg.Disk, msg.Founder = m.self, m.disk, m.founder
+	msg.From, msg.Disk, msg.Founder, msg.Mesh = m.self, m.disk, m.founder, m.log.mesh()
 	if msg.Term == 0 {
 		msg.Term = m.hard.Term
 	}
@@ -422,7 +451,7 @@
 
 // Status is how the machine stands.
 func (m *Machine) Status() Status {
-	s := Status{Leader: m.leader.Address, Term: m.hard.Term, Commit: m.commit, Applied: m.applied, LeaderChanges: m.changes}
+	s := Status{Leader: m.leader.Address, Term: m.hard.Term, Commit: m.commit, Applied: m.applied, LeaderChanges: m.changes, Foreign: m.foreign}
 	members := m.log.current().members
 	for _, v := range members.Voters {
 		s.Members = append(s.Members, v.Address)
