--- a/internal/brentei/way.go
+++ b/internal/brentei/way.go
@@ -8,7 +8,8 @@
 	AtGate   = "gate"
 )
 
-// Way is the record of a request that did not simply succeed at its first attempt, as one side of it saw it.
+// Way is the record of a request that did not simply succeed at its first attempt, as one side of
+// it saw it.
 type Way struct {
 	Side    string
 	Agent   string // ip of its machine; set when it is asked for
--- a/internal/lavarella/ways.go
+++ b/internal/lavarella/ways.go
@@ -8,9 +8,9 @@
 	"example.org/micaline/internal/brentei"
 )
 
-// Ways asks agents for their records, the one with this ip or, where that is empty, all that the core machines know. They come the
-// newest first, by the ages that the agents tell, as clocks differ. Silent are the agents that gave no answer: what they know is
-// missing.
+// Ways asks agents for their records, the one with this ip or, where that is empty, all that the
+// core machines know. They come the newest first, by the ages that the agents tell, as clocks
+// differ. Silent are the agents that gave no answer: what they know is missing.
 func (m *Mesh) Ways(ctx context.Context, s *Survey, ip string, q brentei.WayQuestion) (ways []brentei.Way, silent []Agent) {
 	agents := slices.DeleteFunc(slices.Clone(s.Agents), func(a Agent) bool { return ip != "" && a.Heard.Station.Agent != ip })
 	parallel(agents, func(a *Agent) {
--- a/internal/scoiattoli/scoiattoli.go
+++ b/internal/scoiattoli/scoiattoli.go
@@ -1,8 +1,10 @@
-// Package scoiattoli (Scoiattoli hut) is the flight recorder: the ways of the last requests that did not simply succeed.
+// Package scoiattoli (Scoiattoli hut) is the flight recorder: the ways of the last requests that
+// did not simply succeed.
 //
-// There is a Ring at each side of a request, the sender and the gate. What succeeded at its first attempt is only counted. All else
-// leaves a Way, which takes the place of the oldest. Promised: a Ring never holds more than Most ways of MostSteps steps each, its
-// strings are short and its own, and it keeps nobody waiting but for another that adds or reads at the same moment.
+// There is a Ring at each side of a request, the sender and the gate. What succeeded at its first
+// attempt is only counted. All else leaves a Way, which takes the place of the oldest. Promised: a
+// Ring never holds more than Most ways of MostSteps steps each, its strings are short and its own,
+// and it keeps nobody waiting but for another that adds or reads at the same moment.
 package scoiattoli
 
 import (
--- a/internal/vajolet/age.go
+++ b/internal/vajolet/age.go
@@ -5,12 +5,14 @@
 	"time"
 )
 
-// ages tells how long a client has waited for a request already, over its tries before this one. A client names its tries anew, so each
-// looks like a new request but for the time that it still has: a first try of a route has the most. Danger: without it those that come
-// back after a refusal, past their aim, take the slots of those that may yet be in time, who then come back late too.
+// ages tells how long a client has waited for a request already, over its tries before this one. A
+// client names its tries anew, so each looks like a new request but for the time that it still has:
+// a first try of a route has the most. Danger: without it those that come back after a refusal,
+// past their aim, take the slots of those that may yet be in time, who then come back late too.
 //
-// It holds two generations of the routes that were asked for. A client that never waits as long as others of its route is taken for
-// an old one: it waits for no slot where there is none free, no more.
+// It holds two generations of the routes that were asked for. A client that never waits as long as
+// others of its route is taken for an old one: it waits for no slot where there is none free, no
+// more.
 type ages struct {
 	mu     sync.Mutex
 	turned time.Time
@@ -19,7 +21,8 @@
 
 const generation = 10 * time.Second
 
-// of takes in how much time a try of a route has left, and returns for how long its client has waited.
+// of takes in how much time a try of a route has left, and returns for how long its client has
+// waited.
 func (a *ages) of(now time.Time, route string, left time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/vajolet/order_test.go
+++ b/internal/vajolet/order_test.go
@@ -25,7 +25,8 @@
 	orderPlot  = flag.String("order-plot", "", "file, as SVG, for the course of that table")
 )
 
-// order is who goes first at a gate. It is tried by telling the gate something else of a request, so that the gate stays as it is.
+// order is who goes first at a gate. It is tried by telling the gate something else of a request,
+// so that the gate stays as it is.
 type order struct {
 	name string
 	tell func(a *brentei.Ask, now time.Duration)
@@ -91,7 +92,8 @@
 	backed string
 }
 
-// meshModel is a mesh in virtual time: real senders with their decision modules, and real gates; links, backends and clients are sleeps.
+// meshModel is a mesh in virtual time: real senders with their decision modules, and real gates;
+// links, backends and clients are sleeps.
 type meshModel struct {
 	*require.Assertions
 	began time.Time
@@ -270,7 +272,8 @@
 	return time.Duration(mean / p.speed * math.Exp(spread*r.NormFloat64()-spread*spread/2) * float64(time.Second))
 }
 
-// request is what a sender does with a request that has come whole: its status, and when to come back.
+// request is what a sender does with a request that has come whole: its status, and when to come
+// back.
 func (m *meshModel) request(p *spot, k *sort, left time.Duration, inner bool) (status int, after time.Duration) {
 	s := p.agent
 	v := s.View()
@@ -363,7 +366,8 @@
 // figures are of one run. Shares are weighted by worth.
 type figures struct{ worth, inAim, broken, lostWorth, held float64 }
 
-// playOrder offers a load, as a part of what the called service can work on, and returns what came of it.
+// playOrder offers a load, as a part of what the called service can work on, and returns what came
+// of it.
 func playOrder(t *testing.T, o order, offered float64, seed uint64) (f figures) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMeshModel(t, o, seed)
@@ -391,13 +395,14 @@
 	return f
 }
 
-// TestOrder plays a mesh of two levels of which a third is lost for 8 s. By itself it is one load and the order as it is, where each
-// request must get its answer and each slot be given back; the gates check themselves.
+// TestOrder plays a mesh of two levels of which a third is lost for 8 s. By itself it is one load
+// and the order as it is, where each request must get its answer and each slot be given back; the
+// gates check themselves.
 //
-//	go test ./internal/vajolet -v -run TestOrder -order-table -order-plot docs/mesh-overload.svg
+//	go test ./internal/vajolet -v -run TestOrder -order-table -order-plot $PWD/docs/mesh-overload.svg
 func TestOrder(t *testing.T) {
 	if !*orderTable {
-		f := playOrder(t, orders[0], 1, 1) // 0.62 where those that come back are taken for new
+		f := playOrder(t, orders[0], 1, 1) // 0.59 where those that come back are taken for new
 		require.Greater(t, f.inAim, 0.75, "%+v", f)
 		require.Less(t, f.broken, 0.1, "%+v", f)
 		return
