The age of a client's request is by its own Time-Left alone

Found in reading: time left is cut to the route's give_up, so where operators shorten that, first tries would have been taken for old ones until the longest that was told is forgotten, 10 to 20 s.

--- a/internal/vajolet/serve.go
+++ b/internal/vajolet/serve.go
@@ -118,11 +118,11 @@
 	}
 	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), cut: make(chan struct{})}
 	w.job = j
-	left := route.GiveUp
+	left, told := route.GiveUp, time.Duration(0)
 	if text := r.Header.Get(solvay.LeftHeader); text != "" {
 		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 && ms < 1e9 {
-			if l := time.Duration(ms * float64(time.Millisecond)); left <= 0 || l-wayBack < left {
-				left = l - wayBack
+			if told = time.Duration(ms * float64(time.Millisecond)); left <= 0 || told-wayBack < left {
+				left = told - wayBack
 			}
 		}
 	}
@@ -139,8 +139,8 @@
 	}
 	if j.inner, j.repeated = s.host.Parent(j.ask.Try); j.inner {
 		j.ask.Inner, j.ask.Patient = true, left/innerPart
-	} else {
-		j.aim = j.aim.Add(-s.ages.of(now, route.Name, left))
+	} else if told > 0 { // not left, which falls for first tries too when the operators shorten give_up
+		j.aim = j.aim.Add(-s.ages.of(now, route.Name, told))
 	}
 	w.service = route.Pick(rand.Float64())
 	j.chooser = s.chooser(w.service)
