A whole configuration on its way is not asked for again for 1.5 s

Cause: each agent asked another core machine after 0.5 s while the first was sending over a busy link, up to four times the bytes.

--- a/internal/brogles/config_test.go
+++ b/internal/brogles/config_test.go
@@ -54,3 +54,22 @@
 	a.hear(other, &brentei.Down{Index: 5, Digest: margherita.Digest(whole), Raw: int64(len(whole))}, whole)
 	has(9, second)
 }
+
+// TestWholeIsAskedForOnce provokes CONFIG on thin links: a whole configuration that is on its way is
+// not asked for at another core machine as well.
+func TestWholeIsAskedForOnce(t *testing.T) {
+	a := &Agent{feeds: map[string]*feed{}, newest: 5, commands: make(chan func(), queue)}
+	for _, core := range []string{"a", "b", "c"} {
+		a.feeds[core] = &feed{core: core, alive: true, woken: make(chan struct{}, 1)}
+	}
+	for range 9 { // whoever tells of the change next
+		a.lack()
+	}
+	asked := 0
+	for _, f := range a.feeds {
+		if f.want.Load() != 0 {
+			asked++
+		}
+	}
+	require.Equal(t, 1, asked)
+}
--- a/internal/brogles/feed.go
+++ b/internal/brogles/feed.go
@@ -17,8 +17,8 @@
 	againLow  = 100 * time.Millisecond // until a feed is opened anew, doubling
 	againHigh = time.Second
 	mostFeeds = 9
-	askAgain  = 500 * time.Millisecond // for the whole configuration, elsewhere
-	mostWhole = 32 << 20               // bytes of a configuration
+	askAgain  = 1500 * time.Millisecond // for the whole configuration, elsewhere: sooner, one on its way over a busy link is sent twice
+	mostWhole = 32 << 20                // bytes of a configuration
 )
 
 // feed is the link to one core machine.
