--- a/cmd/pisciadu/main.go
+++ b/cmd/micaline-exporter/main.go
@@ -1,4 +1,4 @@
-// Command pisciadu (Pisciadù hut) is the exporter of the mesh's metrics, beside the daemons: it
+// Command micaline-exporter is the exporter of the mesh's metrics, beside the daemons: it
 // asks the core machines that it is told of, and all agents that these know, and serves what they
 // say at /metrics for Prometheus.
 package main
@@ -13,10 +13,10 @@
 	"syscall"
 	"time"
 
-	"example.org/micaline/internal/fanes"
-	"example.org/micaline/internal/lavarella"
-	"example.org/micaline/internal/pisciadu"
-	"example.org/micaline/internal/tissi"
+	"example.org/micaline/internal/mesh/alerting"
+	"example.org/micaline/internal/mesh/exporter"
+	"example.org/micaline/internal/mesh/meshclient"
+	"example.org/micaline/internal/mesh/meshmetrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
 	"github.com/integrii/flaggy"
@@ -27,7 +27,7 @@
 
 func main() {
 	listen, cores, timeout := "127.0.0.1:9469", "", 8*time.Second
-	flaggy.SetName("pisciadu")
+	flaggy.SetName("exporter")
 	flaggy.SetDescription("exporter of the mesh's metrics")
 	flaggy.String(&cores, "c", "core", "control addresses of core machines, host:port,...")
 	flaggy.String(&listen, "l", "listen", "address to serve /metrics at")
@@ -41,25 +41,25 @@
 	flaggy.Parse()
 	switch {
 	case rules.Used:
-		fmt.Print(tissi.YAML())
+		fmt.Print(alerting.YAML())
 		return
 	case metrics.Used:
-		fmt.Print(fanes.Table())
+		fmt.Print(meshmetrics.Table())
 		return
 	}
-	list, err := lavarella.Addresses(cores)
+	list, err := meshclient.Addresses(cores)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pisciadu:", err)
+		fmt.Fprintln(os.Stderr, "exporter:", err)
 		os.Exit(2)
 	}
-	if err := serve(listen, &pisciadu.Exporter{Mesh: lavarella.New(list), Timeout: timeout}); err != nil {
-		fmt.Fprintln(os.Stderr, "pisciadu:", err)
+	if err := serve(listen, &exporter.Exporter{Mesh: meshclient.New(list), Timeout: timeout}); err != nil {
+		fmt.Fprintln(os.Stderr, "exporter:", err)
 		os.Exit(1)
 	}
 }
 
 // serve serves until the process is told to end.
-func serve(listen string, e *pisciadu.Exporter) error {
+func serve(listen string, e *exporter.Exporter) error {
 	l := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
 	server := &http.Server{Addr: listen, Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/cmd/altavia/check.go
+++ b/cmd/micaline-mesh/check.go
@@ -6,8 +6,8 @@
 	"io"
 	"os"
 
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/meshconfig"
 )
 
 const mostFile = 8 << 20 // bytes, as core machines take at most
@@ -25,7 +25,7 @@
 		return err
 	}
 	if !bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
-		set, err := nuvolau.Parse(text)
+		set, err := bootstrap.Parse(text)
 		if err != nil {
 			return fmt.Errorf("%s: %w", c.file, err)
 		}
@@ -37,7 +37,7 @@
 		return fmt.Errorf("%s: %w", c.file, err)
 	}
 	// By itself it need not be whole: what it names may stand already.
-	first, _, err := margherita.New().Apply(patch)
+	first, _, err := meshconfig.New().Apply(patch)
 	if err != nil {
 		return c.say(map[string]any{"file": c.file, "is": "change", "needs": err.Error()},
 			"%s: a change that needs items which are not in it (%v); config check asks the mesh", c.file, err)
--- a/cmd/altavia/config.go
+++ b/cmd/micaline-mesh/config.go
@@ -5,17 +5,17 @@
 	"encoding/json"
 	"fmt"
 
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
 )
 
 // parse reads a change: a PATCH body, or the list that get prints, which is a change that adds all
 // of it.
-func parse(text []byte) (p *margherita.Patch, body []byte, err error) {
+func parse(text []byte) (p *meshconfig.Patch, body []byte, err error) {
 	var list map[string]json.RawMessage
 	if json.Unmarshal(text, &list) == nil && list["items"] != nil && list["add"] == nil && list["remove"] == nil {
 		text = fmt.Appendf(nil, `{"add":%s}`, text)
 	}
-	p, err = margherita.ParsePatch(text)
+	p, err = meshconfig.ParsePatch(text)
 	return p, text, err
 }
 
@@ -54,7 +54,7 @@
 }
 
 // change reads the change that was named; what is wrong with it by itself no mesh needs to say.
-func (c *command) change() (*margherita.Patch, []byte, error) {
+func (c *command) change() (*meshconfig.Patch, []byte, error) {
 	text, err := c.read()
 	if err != nil {
 		return nil, nil, err
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("what the mesh calls its configuration can't be read: %w", err)
 	}
-	now, _, err := margherita.New().Apply(standing)
+	now, _, err := meshconfig.New().Apply(standing)
 	if err != nil {
 		return nil, fmt.Errorf("what the mesh calls its configuration is not whole: %w", err)
 	}
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", c.file, err)
 	}
-	return margherita.Diff(now, next), nil
+	return meshconfig.Diff(now, next), nil
 }
 
 func (c *command) configCheck() error {
--- a/cmd/altavia/daemon.go
+++ b/cmd/micaline-mesh/daemon.go
@@ -7,17 +7,17 @@
 	"runtime/debug"
 	"syscall"
 
-	"example.org/micaline/internal/averau"
-	"example.org/micaline/internal/brogles"
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/controlplane"
+	"example.org/micaline/internal/mesh/sidecar"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
 )
 
 // agent runs the agent until the process is told to end.
 func (c *command) agent() error {
-	return c.daemon(func(ctx context.Context, set *nuvolau.Settings, l log.Interface) error {
-		a := brogles.New(c.settings, set, l)
+	return c.daemon(func(ctx context.Context, set *bootstrap.Settings, l log.Interface) error {
+		a := sidecar.New(c.settings, set, l)
 		hup := make(chan os.Signal, 1)
 		signal.Notify(hup, syscall.SIGHUP)
 		go func() {
@@ -31,14 +31,14 @@
 
 // core runs the control plane likewise.
 func (c *command) core() error {
-	return c.daemon(func(ctx context.Context, set *nuvolau.Settings, l log.Interface) error {
+	return c.daemon(func(ctx context.Context, set *bootstrap.Settings, l log.Interface) error {
 		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) // it has nothing to read again, and must not end of it
-		return averau.New(set, l).Run(ctx)
+		return controlplane.New(set, l).Run(ctx)
 	})
 }
 
-func (c *command) daemon(run func(context.Context, *nuvolau.Settings, log.Interface) error) error {
-	set, err := nuvolau.Load(c.settings)
+func (c *command) daemon(run func(context.Context, *bootstrap.Settings, log.Interface) error) error {
+	set, err := bootstrap.Load(c.settings)
 	if err != nil {
 		return err
 	}
--- a/cmd/altavia/main.go
+++ b/cmd/micaline-mesh/main.go
@@ -1,4 +1,4 @@
-// Command altavia (Alta Via, the high trail from hut to hut) is the mesh's daemon, the agent beside
+// Command micaline-mesh is the mesh's daemon, the agent beside
 // each application backend and the control plane on core machines, and the operators' command line:
 // docs/mesh-tools.md.
 package main
@@ -42,7 +42,7 @@
 // run carries out a call and returns its exit code.
 func run(args []string, out, errs io.Writer) int {
 	c := &command{out: out, settings: os.Getenv(settingsVariable), timeout: 10 * time.Second, number: 20}
-	p := flaggy.NewParser("altavia")
+	p := flaggy.NewParser("micaline-mesh")
 	p.Description = "the mesh's daemon, an agent beside each backend and the control plane, and its command line"
 	p.Version = version()
 	p.String(&c.settings, "s", "settings", "settings file; "+settingsVariable+" by default")
--- a/cmd/altavia/main_test.go
+++ b/cmd/micaline-mesh/main_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/averau"
-	"example.org/micaline/internal/brogles"
-	"example.org/micaline/internal/lavarella"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/pisciadu"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/controlplane"
+	"example.org/micaline/internal/mesh/exporter"
+	"example.org/micaline/internal/mesh/meshclient"
+	"example.org/micaline/internal/mesh/sidecar"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
@@ -90,12 +90,12 @@
 func TestRestore(t *testing.T) {
 	l := &log.Logger{Handler: discard.New()}
 	core := func(folder, settings string, then func(at string)) {
-		set, err := nuvolau.Load(settings)
+		set, err := bootstrap.Load(settings)
 		require.NoError(t, err)
 		set.DataFolder = folder
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
-		go func() { ended <- averau.New(set, l).Run(ctx) }()
+		go func() { ended <- controlplane.New(set, l).Run(ctx) }()
 		then("--core=" + set.Control)
 		cancel()
 		require.NoError(t, <-ended)
@@ -130,8 +130,8 @@
 	call(t, wrongUse, "restore", copied, "--new-mesh", "--data", next, "--settings=/does/not/exist")
 	require.Contains(t, call(t, refused, "restore", copied, "--data", next, at), "would undo what it has acknowledged after index")
 	require.Contains(t, call(t, refused, "restore", copied, "--data", old, "--new-mesh", at), "an empty folder alone")
-	require.Contains(t, call(t, refused, "verify", file(t, "altavia backup")), "no backup")
-	require.Contains(t, call(t, refused, "verify", "--data", t.TempDir()), "has no konkordia.db")
+	require.Contains(t, call(t, refused, "verify", file(t, "micaline-mesh backup")), "no backup")
+	require.Contains(t, call(t, refused, "verify", "--data", t.TempDir()), "has no consensus.db")
 	require.NoDirExists(t, next)
 	require.Contains(t, call(t, done, "restore", copied, "--data", next, "--new-mesh", at), "is given up")
 	core(next, settings, func(at string) {
@@ -155,18 +155,18 @@
 	common := fmt.Sprintf("machine_class=m\nzone=hall-a\nregion=west\nzones.hall-a=west\nspare_ports=%d,%d\nseed_nodes=%s\nfirst_start=true\nlimits.memory_mb=200\n"+
 		"bounds.warmup_excess=1.5\nbounds.warmup_margin=5\nbounds.retry_ratio=0.2\nbounds.extra_tries=62\nbounds.retry_window=10s\n",
 		ports[1], ports[1]+1, control)
-	coreSet, err := nuvolau.Parse([]byte(common + "node_name=core-1\nserves=control_plane\nip=127.0.0.1\naddresses.control=" + control +
+	coreSet, err := bootstrap.Parse([]byte(common + "node_name=core-1\nserves=control_plane\nip=127.0.0.1\naddresses.control=" + control +
 		"\ndata_folder=" + t.TempDir() + "\n"))
 	require.NoError(t, err)
 	path := file(t, common+fmt.Sprintf("node_name=side-1\nserves=sidecar\nip=127.0.0.2\naddresses.control=127.0.0.2:%d\naddresses.outbound=127.0.0.2:%d\n"+
 		"addresses.inbound=127.0.0.2:%d\naddresses.ready=127.0.0.2:%d\nservice=s\napp_address=127.0.0.2:9\n", ports[2], ports[3], ports[4], ports[5]))
-	agentSet, err := nuvolau.Load(path)
+	agentSet, err := bootstrap.Load(path)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &log.Logger{Handler: discard.New()}
 	ended := make(chan error, 2)
-	go func() { ended <- averau.New(coreSet, l).Run(ctx) }()
-	go func() { ended <- brogles.New(path, agentSet, l).Run(ctx) }()
+	go func() { ended <- controlplane.New(coreSet, l).Run(ctx) }()
+	go func() { ended <- sidecar.New(path, agentSet, l).Run(ctx) }()
 	defer func() {
 		cancel()
 		require.NoError(t, <-ended)
@@ -205,17 +205,17 @@
 	require.NoError(t, err)
 	resp.Body.Close()
 	w := httptest.NewRecorder()
-	e := &pisciadu.Exporter{Mesh: lavarella.New([]string{control}), Timeout: 5 * time.Second}
+	e := &exporter.Exporter{Mesh: meshclient.New([]string{control}), Timeout: 5 * time.Second}
 	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{
-		`altavia_requests_ended_total{machine="127.0.0.2",process="agent",zone="hall-a",result="no_route"} 1`,
-		`altavia_core_role{machine="127.0.0.1",process="core",zone="hall-a",role="leader"} 1`,
-		`altavia_core_zone_evacuated{machine="127.0.0.1",process="core",zone="hall-a",zone_name="hall-a"} 1`,
-		`altavia_core_proposals_total{machine="127.0.0.1",process="core",zone="hall-a",result="agreed"} 2`,
-		`altavia_budget_allowed{machine="127.0.0.2",process="agent",zone="hall-a",service="s"} 31`,
-		`altavia_gate_cold_bound{machine="127.0.0.2",process="agent",zone="hall-a"} 12.5`,
-		`altavia_mesh_config_behind{machine="127.0.0.2",zone="hall-a"} 0`,
-		`altavia_mesh_leaders 1`, `altavia_mesh_dropped 0`,
+		`micaline_mesh_requests_ended_total{machine="127.0.0.2",process="agent",zone="hall-a",result="no_route"} 1`,
+		`micaline_mesh_core_role{machine="127.0.0.1",process="core",zone="hall-a",role="leader"} 1`,
+		`micaline_mesh_core_zone_evacuated{machine="127.0.0.1",process="core",zone="hall-a",zone_name="hall-a"} 1`,
+		`micaline_mesh_core_proposals_total{machine="127.0.0.1",process="core",zone="hall-a",result="agreed"} 2`,
+		`micaline_mesh_budget_allowed{machine="127.0.0.2",process="agent",zone="hall-a",service="s"} 31`,
+		`micaline_mesh_gate_cold_bound{machine="127.0.0.2",process="agent",zone="hall-a"} 12.5`,
+		`micaline_mesh_config_behind{machine="127.0.0.2",zone="hall-a"} 0`,
+		`micaline_mesh_leaders 1`, `micaline_mesh_dropped 0`,
 	} {
 		require.Contains(t, w.Body.String(), line+"\n")
 	}
--- a/cmd/altavia/output.go
+++ b/cmd/micaline-mesh/output.go
@@ -9,7 +9,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/mesh/meshclient"
 )
 
 // Exit codes.
@@ -33,9 +33,9 @@
 	if err == nil {
 		return done
 	}
-	fmt.Fprintln(errs, "altavia:", err)
+	fmt.Fprintln(errs, "micaline-mesh:", err)
 	var use *usage
-	var away *lavarella.Unreachable
+	var away *meshclient.Unreachable
 	switch {
 	case errors.As(err, &use):
 		return wrongUse
@@ -48,13 +48,13 @@
 }
 
 // mesh is the mesh that the flags name, and a context that ends with the call's time.
-func (c *command) mesh() (*lavarella.Mesh, context.Context, context.CancelFunc, error) {
-	cores, err := lavarella.Addresses(c.cores)
+func (c *command) mesh() (*meshclient.Mesh, context.Context, context.CancelFunc, error) {
+	cores, err := meshclient.Addresses(c.cores)
 	if err != nil {
 		return nil, nil, nil, &usage{err}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
-	return lavarella.New(cores), ctx, cancel, nil
+	return meshclient.New(cores), ctx, cancel, nil
 }
 
 // say prints a value as JSON, or else as text.
--- a/cmd/altavia/requests.go
+++ b/cmd/micaline-mesh/requests.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/fanes"
-	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/mesh/meshclient"
+	"example.org/micaline/internal/mesh/meshmetrics"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const mostWays = 512 // shown of one request, or listed
@@ -55,14 +55,14 @@
 	Waiting  int     `json:"waiting"`
 }
 
-func rowOf(w *brentei.Way) wayRow {
+func rowOf(w *transport.Way) wayRow {
 	r := wayRow{Side: w.Side, Agent: w.Agent, Request: w.Try, AgoMs: ms(w.Age), TookMs: ms(w.Took), Result: w.Result, Status: w.Status,
 		Why: w.Why, AfterMs: ms(w.After), Route: w.Route, Version: w.Version, Index: w.Index, Caller: w.Caller, Service: w.Service,
 		Unsafe: w.Unsafe, Inner: w.Inner, Repeat: w.Repeat, Open: w.Open, Started: w.Started, Attempts: []stepRow{}}
 	for _, s := range w.Steps {
 		row := stepRow{N: s.N, Backend: s.Backend, Gate: s.Agent, Verdict: s.Verdict.String(), Status: s.Status, Inner: s.Inner, BegunMs: ms(s.Begun),
 			AtGateMs: ms(s.AtGate), TookMs: ms(s.Took), AfterMs: ms(s.After), InFlight: s.InFlight, Waiting: s.Waiting}
-		if s.Verdict != brentei.Ran {
+		if s.Verdict != transport.Ran {
 			row.Reason = s.Reason.String()
 		}
 		r.Attempts = append(r.Attempts, row)
@@ -98,12 +98,12 @@
 }
 
 // ways asks the mesh.
-func (c *command) ways(q brentei.WayQuestion) (rows []wayRow, silent []lavarella.Agent, err error) {
+func (c *command) ways(q transport.WayQuestion) (rows []wayRow, silent []meshclient.Agent, err error) {
 	s, err := c.survey(false)
 	if err != nil {
 		return nil, nil, err
 	}
-	if c.agentIP != "" && !slices.ContainsFunc(s.Agents, func(a lavarella.Agent) bool { return a.Heard.Station.Agent == c.agentIP }) {
+	if c.agentIP != "" && !slices.ContainsFunc(s.Agents, func(a meshclient.Agent) bool { return a.Heard.Station.Agent == c.agentIP }) {
 		return nil, nil, misused("--agent: the core machines know no agent %s", c.agentIP)
 	}
 	m, ctx, cancel, err := c.mesh()
@@ -120,7 +120,7 @@
 }
 
 // mute names agents that gave no answer: a record that is not found may be theirs.
-func mute(silent []lavarella.Agent) []string {
+func mute(silent []meshclient.Agent) []string {
 	list := []string{}
 	for _, a := range silent {
 		list = append(list, a.Heard.Station.Agent)
@@ -129,7 +129,7 @@
 }
 
 func (c *command) requestsWhy() error {
-	rows, silent, err := c.ways(brentei.WayQuestion{Try: c.request, Most: mostWays})
+	rows, silent, err := c.ways(transport.WayQuestion{Try: c.request, Most: mostWays})
 	if err != nil {
 		return err
 	}
@@ -137,7 +137,7 @@
 		none := fmt.Errorf("no agent has a record of %s: it succeeded at its first attempt, or is older than the last %d that did not, "+
 			"or its agent was started anew", c.request, mostWays)
 		if len(silent) > 0 {
-			return &lavarella.Unreachable{Cause: fmt.Errorf("%w; silent: %s", none, strings.Join(mute(silent), " "))}
+			return &meshclient.Unreachable{Cause: fmt.Errorf("%w; silent: %s", none, strings.Join(mute(silent), " "))}
 		}
 		return none
 	}
@@ -160,7 +160,7 @@
 		fmt.Fprintf(c.out, "; come back in %s", span(r.AfterMs))
 	}
 	fmt.Fprintf(c.out, "\n  %s, from %s to %s", r.class(), orDash(r.Caller), orDash(r.Service))
-	if r.Side == brentei.AtSender {
+	if r.Side == transport.AtSender {
 		fmt.Fprintf(c.out, ", route %s %d of configuration %d, %d candidates, %d attempts", orDash(r.Route), r.Version, r.Index, r.Open, r.Started)
 	}
 	fmt.Fprintln(c.out)
@@ -185,10 +185,10 @@
 	if c.number < 1 || c.number > mostWays {
 		return misused("--number: %d is not in 1 to %d", c.number, mostWays)
 	}
-	if known := append(slices.Clone(brentei.Reasons()), fanes.Results...); c.reason != "" && !slices.Contains(known, c.reason) {
+	if known := append(slices.Clone(transport.Reasons()), meshmetrics.Results...); c.reason != "" && !slices.Contains(known, c.reason) {
 		return misused("--reason: %q is none of %s", c.reason, strings.Join(known, " "))
 	}
-	rows, silent, err := c.ways(brentei.WayQuestion{Reason: c.reason, Most: c.number})
+	rows, silent, err := c.ways(transport.WayQuestion{Reason: c.reason, Most: c.number})
 	if err != nil {
 		return err
 	}
@@ -206,7 +206,7 @@
 	return nil
 }
 
-func (c *command) tellSilent(silent []lavarella.Agent) {
+func (c *command) tellSilent(silent []meshclient.Agent) {
 	if len(silent) > 0 {
 		fmt.Fprintln(c.out, "silent, so what they know is missing:", strings.Join(mute(silent), " "))
 	}
--- a/cmd/altavia/servers.go
+++ b/cmd/micaline-mesh/servers.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // server is what there is to tell of a backend.
@@ -22,7 +22,7 @@
 }
 
 // serverOf is the backend of a station, nil if it has none.
-func serverOf(h *brentei.Heard) *server {
+func serverOf(h *transport.Heard) *server {
 	b := h.Station.Backend
 	if b == nil {
 		return nil
--- a/cmd/altavia/state.go
+++ b/cmd/micaline-mesh/state.go
@@ -8,9 +8,9 @@
 	"os"
 	"path/filepath"
 
-	"example.org/micaline/internal/averau"
-	"example.org/micaline/internal/konkordia"
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/controlplane"
 	"github.com/integrii/flaggy"
 )
 
@@ -50,8 +50,8 @@
 }
 
 // examine replays a backup.
-func examine(from string, b *konkordia.Backup) (*stand, konkordia.Table, error) {
-	table, config, err := averau.Replay(b)
+func examine(from string, b *consensus.Backup) (*stand, consensus.Table, error) {
+	table, config, err := controlplane.Replay(b)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", from, err)
 	}
@@ -90,11 +90,11 @@
 	if _, err := os.Lstat(c.file); !os.IsNotExist(err) {
 		return misused("FILE: %s is there already; name a new file", c.file)
 	}
-	var b *konkordia.Backup
+	var b *consensus.Backup
 	var text []byte
 	if c.data != "" {
 		var err error
-		if b, err = konkordia.BackupOf(c.data); err != nil {
+		if b, err = consensus.BackupOf(c.data); err != nil {
 			return fmt.Errorf("--data: %w", err)
 		}
 		if text, err = b.Encode(); err != nil {
@@ -111,7 +111,7 @@
 		}
 	}
 	// Read again as it will be one day: a backup that can't be read is found out now.
-	b, err := konkordia.DecodeBackup(text)
+	b, err := consensus.DecodeBackup(text)
 	if err != nil {
 		return fmt.Errorf("what came is no good: %w", err)
 	}
@@ -149,7 +149,7 @@
 }
 
 // readBackup reads the file that was named.
-func (c *command) readBackup() (*konkordia.Backup, error) {
+func (c *command) readBackup() (*consensus.Backup, error) {
 	f, err := os.Open(c.file)
 	if err != nil {
 		return nil, &usage{fmt.Errorf("FILE: %w", err)}
@@ -162,7 +162,7 @@
 	if len(text) > mostBackup {
 		return nil, fmt.Errorf("%s: more than %d bytes", c.file, mostBackup)
 	}
-	b, err := konkordia.DecodeBackup(text)
+	b, err := consensus.DecodeBackup(text)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", c.file, err)
 	}
@@ -173,10 +173,10 @@
 	if (c.data == "") == (c.file == "") {
 		return misused("FILE or --data: name a backup, or a stopped node's folder")
 	}
-	from, b := c.file, (*konkordia.Backup)(nil)
+	from, b := c.file, (*consensus.Backup)(nil)
 	if c.data != "" {
 		from = c.data
-		if b, err = konkordia.BackupOf(c.data); err != nil {
+		if b, err = consensus.BackupOf(c.data); err != nil {
 			return fmt.Errorf("--data: %w", err)
 		}
 	} else if b, err = c.readBackup(); err != nil {
@@ -209,7 +209,7 @@
 			"after index %d; start the machine with an empty folder, and it recovers from the others. If a majority of the core "+
 			"machines' disks is lost for good, stop all of them and found a new mesh by --new-mesh", s.Index)
 	}
-	set, err := nuvolau.Load(c.settings)
+	set, err := bootstrap.Load(c.settings)
 	if err != nil {
 		return &usage{fmt.Errorf("--settings: the machine's address and the number of seeds are needed: %w", err)}
 	}
--- a/cmd/altavia/status.go
+++ b/cmd/micaline-mesh/status.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/mesh/meshclient"
 )
 
 // coreRow is what there is to tell of a core machine.
@@ -42,7 +42,7 @@
 }
 
 // survey asks the mesh.
-func (c *command) survey(agents bool) (*lavarella.Survey, error) {
+func (c *command) survey(agents bool) (*meshclient.Survey, error) {
 	m, ctx, cancel, err := c.mesh()
 	if err != nil {
 		return nil, err
@@ -50,7 +50,7 @@
 	defer cancel()
 	s := m.Look(ctx, agents)
 	if s.Newest() == nil {
-		return nil, &lavarella.Unreachable{Cause: fmt.Errorf("no core machine gives its figures; %s: %w", s.Cores[0].Control, s.Cores[0].Err)}
+		return nil, &meshclient.Unreachable{Cause: fmt.Errorf("no core machine gives its figures; %s: %w", s.Cores[0].Control, s.Cores[0].Err)}
 	}
 	return s, nil
 }
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func coreRows(s *lavarella.Survey) (rows []coreRow) {
+func coreRows(s *meshclient.Survey) (rows []coreRow) {
 	for _, core := range s.Cores {
 		if core.Figures == nil {
 			rows = append(rows, coreRow{Core: core.Control, Error: core.Err.Error()})
@@ -110,7 +110,7 @@
 	return rows
 }
 
-func agentRows(s *lavarella.Survey) []agentRow {
+func agentRows(s *meshclient.Survey) []agentRow {
 	rows, newest := []agentRow{}, s.Newest().Index
 	for i := range s.Agents {
 		a := &s.Agents[i]
--- a/cmd/altavia/try.go
+++ b/cmd/micaline-mesh/try.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"example.org/micaline/internal/seceda"
+	"example.org/micaline/internal/mesh/meshtest"
 	"github.com/integrii/flaggy"
 	"github.com/samber/oops"
 )
@@ -33,19 +33,19 @@
 	sub.Int(&t.agents, "n", "agents", "agents beside backends, from 3 on")
 	sub.Int(&t.seconds, "l", "seconds", "length")
 	sub.Float64(&t.rate, "r", "rate", "requests a second at each agent")
-	sub.String(&t.trouble, "x", "trouble", strings.Join(seceda.Troubles, "|"))
+	sub.String(&t.trouble, "x", "trouble", strings.Join(meshtest.Troubles, "|"))
 	sub.String(&t.keep, "k", "keep", "empty folder for settings, disks and logs, which then stay")
 }
 
 func (t *trial) run() error {
 	errs := oops.In("try")
 	switch {
-	case !seceda.Known(t.trouble):
-		return misused("--trouble %s is none of %s", t.trouble, strings.Join(seceda.Troubles, ", "))
+	case !meshtest.Known(t.trouble):
+		return misused("--trouble %s is none of %s", t.trouble, strings.Join(meshtest.Troubles, ", "))
 	case t.seconds < 3 || t.rate <= 0:
 		return misused("--seconds is 3 at least, and --rate above 0")
-	case t.agents < seceda.LeastAgents || t.agents > seceda.MostAgents:
-		return misused("--agents %d is not from %d to %d", t.agents, seceda.LeastAgents, seceda.MostAgents)
+	case t.agents < meshtest.LeastAgents || t.agents > meshtest.MostAgents:
+		return misused("--agents %d is not from %d to %d", t.agents, meshtest.LeastAgents, meshtest.MostAgents)
 	}
 	program, err := os.Executable()
 	if err != nil {
@@ -54,7 +54,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	began := time.Now()
-	g, err := seceda.Start(ctx, seceda.Options{Program: program, Dir: t.keep, Agents: t.agents, Rate: t.rate, Work: 50 * time.Millisecond})
+	g, err := meshtest.Start(ctx, meshtest.Options{Program: program, Dir: t.keep, Agents: t.agents, Rate: t.rate, Work: 50 * time.Millisecond})
 	if err != nil {
 		return errs.Wrap(err)
 	}
@@ -88,7 +88,7 @@
 }
 
 // watch shows a line a second until the time is over and the trouble, too.
-func (t *trial) watch(ctx context.Context, g *seceda.Ground, length time.Duration, lines <-chan string, played <-chan error) error {
+func (t *trial) watch(ctx context.Context, g *meshtest.Ground, length time.Duration, lines <-chan string, played <-chan error) error {
 	fmt.Fprintln(t.out, "  time   sent served refused failed    p50    p99  leads   configuration")
 	began, tick, over := time.Now(), time.NewTicker(time.Second), false
 	defer tick.Stop()
@@ -120,7 +120,7 @@
 }
 
 // say prints the verdict.
-func (t *trial) say(v *seceda.Verdict) error {
+func (t *trial) say(v *meshtest.Verdict) error {
 	fmt.Fprintf(t.out, "%d requests: %d served, %d refused, %d failed; p50 %v, p99 %v\n", v.Sent, v.Served, v.Refused, v.Failed,
 		v.Quantile(0.5).Round(time.Millisecond), v.Quantile(0.99).Round(time.Millisecond))
 	fmt.Fprintf(t.out, "judged from what clients, backends and the operator saw: %d tries, %d runs\n", v.Tries, v.Runs)
@@ -130,6 +130,6 @@
 	if len(v.Breaches) > 0 {
 		return errBroken
 	}
-	fmt.Fprintln(t.out, "no rule was broken:", strings.Join(seceda.Rules, ", "))
+	fmt.Fprintln(t.out, "no rule was broken:", strings.Join(meshtest.Rules, ", "))
 	return nil
 }
--- a/cmd/altavia/zone.go
+++ b/cmd/micaline-mesh/zone.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 
-	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/mesh/meshclient"
 )
 
 func (c *command) evacuate() error {
-	return c.order((*lavarella.Mesh).Evacuate, "evacuated")
+	return c.order((*meshclient.Mesh).Evacuate, "evacuated")
 }
 
 func (c *command) returnZone() error {
-	return c.order((*lavarella.Mesh).Return, "returned")
+	return c.order((*meshclient.Mesh).Return, "returned")
 }
 
 // order brings an order about a zone.
-func (c *command) order(call func(*lavarella.Mesh, context.Context, string) error, what string) error {
+func (c *command) order(call func(*meshclient.Mesh, context.Context, string) error, what string) error {
 	m, ctx, cancel, err := c.mesh()
 	if err != nil {
 		return err
--- a/cmd/bivacco/main.go
+++ b/cmd/micaline-scale/main.go
@@ -1,4 +1,4 @@
-// Command bivacco is the scale run: hollow agents against real core processes on this machine. See package bivacco.
+// Command scaletest is the scale run: hollow agents against real core processes on this machine. See package scaletest.
 package main
 
 import (
@@ -10,21 +10,21 @@
 	"syscall"
 	"time"
 
-	"example.org/micaline/internal/bivacco"
+	"example.org/micaline/internal/mesh/scaletest"
 	"github.com/integrii/flaggy"
 )
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "bivacco:", err)
+		fmt.Fprintln(os.Stderr, "scaletest:", err)
 		os.Exit(1)
 	}
 }
 
 func run() error {
-	o := bivacco.Options{Program: "target/altavia", Agents: 760, Real: 2, Services: 150, Routes: 1200}
+	o := scaletest.Options{Program: "target/micaline-mesh", Agents: 760, Real: 2, Services: 150, Routes: 1200}
 	seconds, changes, perMinute, failures := 30, 5, 6.0, ""
-	flaggy.SetName("bivacco")
+	flaggy.SetName("scaletest")
 	flaggy.SetDescription("the scale run: hollow agents against real core processes on loopback addresses")
 	flaggy.String(&o.Program, "", "program", "path of the daemon")
 	flaggy.Int(&o.Agents, "", "agents", "hollow agents, up to 4000")
@@ -34,7 +34,7 @@
 	flaggy.Int(&seconds, "", "seconds", "how long nothing happens, for what rest costs")
 	flaggy.Int(&changes, "", "changes", "changes of the configuration")
 	flaggy.Float64(&perMinute, "", "changes-per-minute", "how often it changes")
-	flaggy.String(&failures, "", "failures", "what fails after that, joined by commas: "+strings.Join(bivacco.Failures, ","))
+	flaggy.String(&failures, "", "failures", "what fails after that, joined by commas: "+strings.Join(scaletest.Failures, ","))
 	flaggy.Bool(&o.Keep, "", "keep", "keep the folder with settings, logs and data")
 	flaggy.Parse()
 	if o.Agents < 1 || o.Agents > 4000 || o.Services < 1 || perMinute <= 0 || o.Real > 50 || o.Real < 0 {
@@ -46,5 +46,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return bivacco.Run(ctx, o, os.Stdout)
+	return scaletest.Run(ctx, o, os.Stdout)
 }
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/bertol"
+	"example.org/micaline/internal/connpool"
 	"example.org/micaline/internal/life"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
@@ -37,7 +37,7 @@
 
 // backends sends messages to backends over the connections of a pool, and keeps what their answers need.
 type backends struct {
-	*bertol.Pool
+	*connpool.Pool
 	room    atomic.Int64 // bytes left for streams
 	written atomic.Int64 // attempts whose last byte went out
 	late    *lateness    // the agent's own
@@ -47,7 +47,7 @@
 // newBackends returns those of a pool of so many connections at most, with room for so many bytes of streams.
 func newBackends(net Network, s *settings.Settings, most int, room int64, log *slog.Logger) *backends {
 	b := &backends{
-		Pool: bertol.New(bertol.Options{Network: net, ConnectTimeout: s.ConnectTimeout, IdleClose: s.Module.IdleClose, Most: most}),
+		Pool: connpool.New(connpool.Options{Network: net, ConnectTimeout: s.ConnectTimeout, IdleClose: s.Module.IdleClose, Most: most}),
 		late: newLateness(s, net), log: log,
 	}
 	b.room.Store(room)
@@ -123,7 +123,7 @@
 
 // exchange sends a message once and waits for its answer until the context ends. If sendBy is set and has passed
 // when a connection is up, nothing is sent.
-func (b *backends) exchange(ctx context.Context, t *bertol.Target, m *message, sendBy time.Time, fields []string) result {
+func (b *backends) exchange(ctx context.Context, t *connpool.Target, m *message, sendBy time.Time, fields []string) result {
 	r := result{load: settings.NoLoad()}
 	var a life.Attempt
 	wrote := b.late.time.now()
@@ -160,7 +160,7 @@
 		b.on(a, life.Back)
 	case errors.Is(err, errTooLate):
 		b.on(a, life.TooLate)
-	case bertol.IsShortage(err) && a.State() == life.Connecting:
+	case connpool.IsShortage(err) && a.State() == life.Connecting:
 		b.on(a, life.NoRoom)
 	case overdue, errors.Is(err, errOverdue):
 		b.on(a, life.Deadline)
@@ -189,7 +189,7 @@
 
 // roundTrip returns an answer, the rest of its body if that is too long to be read here, or an error. How far it has come before that the attempt tells, and wrote when its last
 // byte went out, if it did.
-func (b *backends) roundTrip(ctx context.Context, t *bertol.Target, m *message, sendBy time.Time, a *life.Attempt, wrote *time.Duration) (resp *http.Response, body []byte, rest *download, err error) {
+func (b *backends) roundTrip(ctx context.Context, t *connpool.Target, m *message, sendBy time.Time, a *life.Attempt, wrote *time.Duration) (resp *http.Response, body []byte, rest *download, err error) {
 	b.on(a, life.Begin)
 	c, err := b.Get(ctx, t)
 	if err != nil {
@@ -267,7 +267,7 @@
 
 // passOn passes the rest of a request's body on, until the backend answers: one that does so before the last byte has no
 // use for what is left. It says whether that was all of it.
-func (b *backends) passOn(c *bertol.Conn, rest *upload) (whole bool, err error) {
+func (b *backends) passOn(c *connpool.Conn, rest *upload) (whole bool, err error) {
 	c.Limit(maxHeader + keep)
 	c.Stall = 0
 	var early error
@@ -298,7 +298,7 @@
 
 // read reads one answer: to its end if it is short, else its head and what of it has come. One whose end only the closing of
 // the connection shows is whole if that is no reset (RFC 9112, section 6.3).
-func (b *backends) read(c *bertol.Conn, a *life.Attempt) (*http.Response, []byte, *download, error) {
+func (b *backends) read(c *connpool.Conn, a *life.Attempt) (*http.Response, []byte, *download, error) {
 	c.Limit(maxHeader + keep)
 	for {
 		c.Stall = 0 // however long it takes until something comes
@@ -369,7 +369,7 @@
 }
 
 // probe asks a backend how it does: for its load where probes bring reports, else whether it is alive.
-func (b *backends) probe(ctx context.Context, t *bertol.Target, s *settings.Settings) result {
+func (b *backends) probe(ctx context.Context, t *connpool.Target, s *settings.Settings) result {
 	path, reports := alivePath, s.Module.Reports != policy.ReportsOff
 	if reports {
 		path = loadPath
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/bertol"
+	"example.org/micaline/internal/connpool"
 	"example.org/micaline/internal/standin"
 	"example.org/micaline/policy"
 )
@@ -135,7 +135,7 @@
 		return "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\noutstanding=7,recent_ms=12", false
 	})
 	cfg := config(t, "127.0.0.1:1", strings.Replace(testSettings, `"off"`, `"on_probe"`, 1))
-	r := newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)).probe(context.Background(), &bertol.Target{Addr: b.Addr}, &cfg.Settings)
+	r := newBackends(TCP{}, &cfg.Settings, 4, 1<<20, slog.New(slog.DiscardHandler)).probe(context.Background(), &connpool.Target{Addr: b.Addr}, &cfg.Settings)
 	if r.outcome != policy.OK || r.load.InFlight != 7 || r.load.Recent != 12*time.Millisecond || r.load.Queue != -1 {
 		t.Errorf("got %+v", r)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/bertol"
+	"example.org/micaline/internal/connpool"
 	"example.org/micaline/internal/handover"
 	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/settings"
@@ -123,7 +123,7 @@
 	ready     atomic.Bool   // a list has come
 
 	servers  serverIDs
-	targets  map[policy.ServerID]*bertol.Target
+	targets  map[policy.ServerID]*connpool.Target
 	requests map[policy.RequestID]*request
 	callIDs  callIDs
 	lastID   policy.RequestID
@@ -155,7 +155,7 @@
 		ctx:    context.Background(), wake: time.NewTimer(time.Hour),
 		done:     make(chan struct{}),
 		servers:  serverIDs{ids: map[string]policy.ServerID{}, names: map[policy.ServerID]string{}},
-		targets:  map[policy.ServerID]*bertol.Target{},
+		targets:  map[policy.ServerID]*connpool.Target{},
 		requests: map[policy.RequestID]*request{},
 		callIDs:  callIDs{open: map[string]struct{}{}, recent: map[string]struct{}{}},
 	}
--- a/internal/agent/network.go
+++ b/internal/agent/network.go
@@ -4,11 +4,11 @@
 	"net"
 	"net/netip"
 
-	"example.org/micaline/internal/bertol"
+	"example.org/micaline/internal/connpool"
 )
 
 // Network is what the agent reaches backends and discovery through.
-type Network = bertol.Network
+type Network = connpool.Network
 
 // PacketNetwork is a Network that carries datagrams between agents.
 type PacketNetwork interface {
@@ -24,7 +24,7 @@
 }
 
 // TCP is the Network of the machine, and its PacketNetwork.
-type TCP struct{ bertol.TCP }
+type TCP struct{ connpool.TCP }
 
 // ListenPacket opens a UDP socket.
 func (TCP) ListenPacket(addr netip.AddrPort) (PacketConn, error) {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/bertol"
+	"example.org/micaline/internal/connpool"
 )
 
 // Bodies that are too long to be kept whole pass through: docs/design/operating.md.
@@ -150,8 +150,8 @@
 // stop ends reading, and returns when nobody reads any more.
 func (u *upload) stop() {
 	u.interrupt()
-	u.mu.Lock()
-	u.mu.Unlock() //nolint:staticcheck // to wait for a reader is all that it is for
+	u.mu.Lock() // held by whoever reads: once it is had, nobody does
+	defer u.mu.Unlock()
 }
 
 // interrupt ends reading.
@@ -166,7 +166,7 @@
 }
 
 // pump passes the rest of the body on, each byte as it comes. Its error wraps errClient if it is the client's.
-func (u *upload) pump(c *bertol.Conn) error {
+func (u *upload) pump(c *connpool.Conn) error {
 	u.begun.Store(true)
 	var to io.Writer = c
 	var chunks io.WriteCloser
@@ -205,7 +205,7 @@
 // download is an answer's body on its way from a backend.
 type download struct {
 	backends *backends
-	conn     *bertol.Conn
+	conn     *connpool.Conn
 	body     io.Reader
 	size     int64 // bytes of the whole body; -1: not known before its end
 	got      int64
--- a/internal/coldai/coldai.go
+++ b/internal/childprocess/childprocess.go
@@ -1,11 +1,11 @@
-// Package coldai (Coldai hut) runs child processes: programs of ours that a ground starts on this
+// Package childprocess runs child processes: programs of ours that a ground starts on this
 // machine.
 //
 // A Process is one life of a program, with its output in a file of its own. It may be told to end,
 // killed, stopped and continued, each by its own id. What it promises: no process outlives the one
 // that started it, whatever ends that one, and who waits for the end of a process that has ended
 // already does not wait.
-package coldai
+package childprocess
 
 import (
 	"fmt"
--- a/internal/bertol/bertol.go
+++ b/internal/connpool/connpool.go
@@ -1,5 +1,5 @@
-// Package bertol is a connection pool to backends, for requests of which it matters whether they
-// may have run. (A hut on the way from Arolla to the Haute Route.)
+// Package connpool is a connection pool to backends, for requests of which it matters whether they
+// may have run.
 //
 // There is a pool, which has so many sockets at most; targets, each a backend's process at an
 // address; and connections, each to one target, which carry one request at a time. A connection is
@@ -13,7 +13,7 @@
 // by itself. net/http's own transport is no match for it: that sends again on a stale connection
 // and does not tell whether a request's last byte went out, on which it hangs whether the request
 // may have run.
-package bertol
+package connpool
 
 import (
 	"bufio"
--- a/internal/bertol/network.go
+++ b/internal/connpool/network.go
@@ -1,4 +1,4 @@
-package bertol
+package connpool
 
 import (
 	"context"
--- a/internal/duty/link_test.go
+++ b/internal/duty/link_test.go
@@ -12,11 +12,10 @@
 	"example.org/micaline/internal/lease"
 )
 
-// table is a group in this process, and mute a member of it that hears the others and is not heard.
+// table is a group in this process.
 type table struct {
 	mu    sync.Mutex
 	lease lease.Table
-	mute  bool
 }
 
 func (t *table) Words(context.Context) (*Words, error) {
--- a/internal/tracuit/tracuit.go
+++ b/internal/ewma/ewma.go
@@ -1,5 +1,5 @@
-// Package tracuit learns how fast servers are beside one another, by exponentially weighted means
-// that are shrunk towards a prior. (A hut below the Weisshorn.)
+// Package ewma learns how fast servers are beside one another, by exponentially weighted means
+// that are shrunk towards a prior.
 //
 // There are servers, each of one kind of machine. The list of servers gives each a weight; that is
 // the prior. How long answers take, or what servers say that they take, is learnt for each kind, as
@@ -8,7 +8,7 @@
 // forgotten with time. Speeds mean nothing but beside one another.
 //
 // It does no I/O and has no clock: the caller says when things happened.
-package tracuit
+package ewma
 
 import (
 	"math"
--- a/internal/tracuit/tracuit_test.go
+++ b/internal/ewma/ewma_test.go
@@ -1,4 +1,4 @@
-package tracuit
+package ewma
 
 import (
 	"math"
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -15,7 +15,7 @@
 	"sync"
 	"syscall"
 
-	"example.org/micaline/internal/coldai"
+	"example.org/micaline/internal/childprocess"
 	"example.org/micaline/internal/fleet"
 )
 
@@ -73,7 +73,7 @@
 	cmd := exec.Command(filepath.Join(build, "micaline"))
 	cmd.Dir, cmd.Env = dir, append(os.Environ(), "GW_CONFIG="+pr.config)
 	var err error
-	if pr.Process, err = coldai.Start(cmd, filepath.Join(dir, fmt.Sprintf("log.%d", life))); err != nil {
+	if pr.Process, err = childprocess.Start(cmd, filepath.Join(dir, fmt.Sprintf("log.%d", life))); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	return pr, nil
@@ -81,7 +81,7 @@
 
 // process is an agent of its own.
 type process struct {
-	*coldai.Process
+	*childprocess.Process
 	config string
 }
 
--- a/internal/ground/managers.go
+++ b/internal/ground/managers.go
@@ -12,7 +12,7 @@
 	"sync"
 
 	"example.org/micaline/internal/api"
-	"example.org/micaline/internal/coldai"
+	"example.org/micaline/internal/childprocess"
 	"example.org/micaline/internal/standin/authority"
 	"example.org/micaline/internal/standin/network"
 )
@@ -33,7 +33,7 @@
 	instances []fleetEntry
 	relays    []*network.Relay
 	lives     map[string]int
-	procs     map[string]*coldai.Process
+	procs     map[string]*childprocess.Process
 	hash      string
 
 	members, memberHash string // with which they come to one another
@@ -46,7 +46,7 @@
 // NewManagers returns so many managers that are not started yet, of instances with these names at these addresses or
 // sockets.
 func NewManagers(build, dir string, n *network.Network, count int, names, addrs []string) (*Managers, error) {
-	m := &Managers{Build: build, Dir: dir, Net: n, addrs: map[string]string{}, lives: map[string]int{}, procs: map[string]*coldai.Process{}, ways: map[[2]string]string{}}
+	m := &Managers{Build: build, Dir: dir, Net: n, addrs: map[string]string{}, lives: map[string]int{}, procs: map[string]*childprocess.Process{}, ways: map[[2]string]string{}}
 	var err error
 	if m.ca, err = authority.New(dir); err != nil {
 		return nil, err
@@ -196,7 +196,7 @@
 	}
 	cmd := exec.Command(filepath.Join(build, "micaline-manage"), "--file", filepath.Join(dir, "manage.toml"))
 	cmd.Dir = dir
-	p, err := coldai.Start(cmd, filepath.Join(dir, fmt.Sprintf("log.%d", life)))
+	p, err := childprocess.Start(cmd, filepath.Join(dir, fmt.Sprintf("log.%d", life)))
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
@@ -207,7 +207,7 @@
 }
 
 // Process is the present one of a manager.
-func (m *Managers) Process(name string) *coldai.Process {
+func (m *Managers) Process(name string) *childprocess.Process {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.procs[name]
--- a/internal/ground/managers_test.go
+++ b/internal/ground/managers_test.go
@@ -70,7 +70,6 @@
 	mu    sync.Mutex
 	done  int // orders that were told as done
 	given int
-	fence uint64
 	log   []string
 }
 
--- a/internal/group/explore_test.go
+++ b/internal/group/explore_test.go
@@ -47,7 +47,6 @@
 	epoch  uint64 // that it holds the duty under
 	seq    uint64
 	open   *command
-	value  string
 	wrong  bool // its disk is not what it was
 	id     uint64
 	copied []uint64 // starts of which the copy knows
--- a/internal/journal/disk/disk.go
+++ b/internal/journal/disk/disk.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"example.org/micaline/internal/journal"
 )
@@ -39,7 +40,7 @@
 	}
 	err = guarded(func() error {
 		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout, FreelistType: bbolt.FreelistMapType})
-		if errors.Is(err, bbolt.ErrTimeout) {
+		if errors.Is(err, bbolterrors.ErrTimeout) {
 			return fmt.Errorf("%s: another process has it open", path)
 		}
 		if err != nil {
@@ -76,7 +77,7 @@
 	}
 	return guarded(func() error {
 		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout, ReadOnly: true})
-		if errors.Is(err, bbolt.ErrTimeout) {
+		if errors.Is(err, bbolterrors.ErrTimeout) {
 			return fmt.Errorf("%s: another process has it open", path)
 		}
 		if err != nil {
--- a/internal/tissi/rule.go
+++ b/internal/mesh/alerting/rule.go
@@ -1,9 +1,9 @@
-// Package tissi (Tissi hut) is the list of alerts on the mesh's metrics.
+// Package alerting is the list of alerts on the mesh's metrics.
 //
 // There is one table, Rules: what an alert compares, for how long, and which rule of the mesh it
 // warns of. deploy/alerts.yaml is printed from it, and each alert has its section in
-// docs/alerts.md. What it may ask for stands in the table of package fanes.
-package tissi
+// docs/alerts.md. What it may ask for stands in the table of package meshmetrics.
+package alerting
 
 import (
 	"fmt"
@@ -103,7 +103,7 @@
 // YAML is all alerts as a file of rules.
 func YAML() string {
 	var b strings.Builder
-	b.WriteString("# Printed by `pisciadu rules` from internal/tissi; change it there.\ngroups:\n  - name: altavia\n    rules:\n")
+	b.WriteString("# Printed by `exporter rules` from internal/mesh/alerting; change it there.\ngroups:\n  - name: micaline-mesh\n    rules:\n")
 	for i := range Rules {
 		r := &Rules[i]
 		fmt.Fprintf(&b, "      - alert: %s\n        expr: %s\n", r.Alert, strconv.Quote(r.Expr()))
--- a/internal/nuvolau/nuvolau.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -1,4 +1,4 @@
-// Package nuvolau (Rifugio Nuvolau) reads the settings of a process: the file that the machine
+// Package bootstrap reads the settings of a process: the file that the machine
 // gives it, checked, as a plain struct.
 //
 // The file has a line `a.b=value` for each field, and commas join lists. Fields that aren't known
@@ -7,7 +7,7 @@
 // reads it again: settings are never altered, only replaced. What Load returns is whole (all that
 // the process needs for what it serves is there, every address is one, every time is one);
 // otherwise there is an error, which names the field and its line.
-package nuvolau
+package bootstrap
 
 import (
 	"io"
@@ -19,7 +19,7 @@
 	"github.com/samber/oops"
 )
 
-//go:generate protoc -I../.. --go_out=../.. --go_opt=paths=source_relative internal/nuvolau/nuvolau.proto
+//go:generate protoc -I../../.. --go_out=../../.. --go_opt=paths=source_relative internal/mesh/bootstrap/bootstrap.proto
 
 // What a process may serve; it needs other settings for each.
 const (
--- a/internal/nuvolau/lines.go
+++ b/internal/mesh/bootstrap/lines.go
@@ -1,4 +1,4 @@
-package nuvolau
+package bootstrap
 
 import (
 	"encoding/json"
--- a/internal/konkordia/api.go
+++ b/internal/mesh/consensus/api.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"errors"
@@ -10,13 +10,13 @@
 var (
 	// ErrNoLeader says that no leader was found, and that the command was not appended and never
 	// will be: it may be tried again, here or at another node.
-	ErrNoLeader = errors.New("konkordia: no leader; the command was not appended")
+	ErrNoLeader = errors.New("consensus: no leader; the command was not appended")
 	// ErrUnknown says that the command may hold, now or later.
-	ErrUnknown = errors.New("konkordia: unknown whether the command holds")
+	ErrUnknown = errors.New("consensus: unknown whether the command holds")
 	// ErrBusy says that too much is queued; the command did not run.
-	ErrBusy = errors.New("konkordia: busy; the command did not run")
+	ErrBusy = errors.New("consensus: busy; the command did not run")
 	// ErrClosed says that the node was closed before the command was taken up.
-	ErrClosed = errors.New("konkordia: closed; the command did not run")
+	ErrClosed = errors.New("consensus: closed; the command did not run")
 )
 
 // Result is what a command that holds came to.
--- a/internal/konkordia/backup.go
+++ b/internal/mesh/consensus/backup.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 )
 
 const (
-	backupMagic  = "altavia backup\n"
+	backupMagic  = "micaline-mesh backup\n"
 	backupFormat = 1
 
 	newMeshGap = 1_000_000 // indexes, more than the mesh of before can have used after the backup
@@ -33,7 +33,7 @@
 func (b *Backup) Encode() ([]byte, error) {
 	var body bytes.Buffer
 	if err := gob.NewEncoder(&body).Encode(b); err != nil {
-		return nil, oops.In("konkordia").Wrapf(err, "encoding a backup")
+		return nil, oops.In("consensus").Wrapf(err, "encoding a backup")
 	}
 	file := binary.BigEndian.AppendUint32([]byte(backupMagic), backupFormat)
 	file = binary.BigEndian.AppendUint32(file, crc32.Checksum(body.Bytes(), castagnoli))
--- a/internal/konkordia/election.go
+++ b/internal/mesh/consensus/election.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"fmt"
@@ -48,7 +48,7 @@
 // follow enters a term as a follower, or stays in it as one. Who leads may be unknown yet.
 func (m *Machine) follow(term uint64, by Member) {
 	if term < m.hard.Term {
-		panic(fmt.Sprintf("konkordia: term goes from %d to %d", m.hard.Term, term))
+		panic(fmt.Sprintf("consensus: term goes from %d to %d", m.hard.Term, term))
 	}
 	if term > m.hard.Term {
 		m.hard, m.hardDirty = Hard{Term: term}, true
@@ -73,7 +73,7 @@
 // ledBy notes who leads. That there is one leader a term at most is what all else hangs on.
 func (m *Machine) ledBy(by Member) {
 	if m.led.Term == m.hard.Term && m.led.Vote != by {
-		panic(fmt.Sprintf("konkordia: two leaders in term %d: %v and %v", m.hard.Term, m.led.Vote, by))
+		panic(fmt.Sprintf("consensus: two leaders in term %d: %v and %v", m.hard.Term, m.led.Vote, by))
 	}
 	m.led = Hard{Term: m.hard.Term, Vote: by}
 	m.leader = by
--- a/internal/konkordia/log.go
+++ b/internal/mesh/consensus/log.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"fmt"
@@ -50,7 +50,7 @@
 // append adds the entry that comes next.
 func (l *entryLog) append(e Entry) {
 	if e.Index != l.last()+1 || e.Term < l.lastTerm() {
-		panic(fmt.Sprintf("konkordia: entry %d of term %d behind entry %d of term %d",
+		panic(fmt.Sprintf("consensus: entry %d of term %d behind entry %d of term %d",
 			e.Index, e.Term, l.last(), l.lastTerm()))
 	}
 	l.sums = append(l.sums, l.sum(l.last())+entryOverhead+uint64(len(e.Command)))
--- a/internal/konkordia/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -1,6 +1,5 @@
-// Package konkordia is the mesh's agreement: consensus on a replicated log, by an elected leader,
-// as Raft has it. Konkordia is a hut above the Aletsch glacier, where several streams of ice become
-// one.
+// Package consensus is the mesh's agreement: consensus on a replicated log, by an elected leader,
+// as Raft has it.
 //
 // The model. There are members, each a disk at an address, a log of entries, and a table at every
 // node that the committed entries are applied to in order. A Machine is one node's part. It does no
@@ -34,7 +33,7 @@
 // Members change by one voter at a time, once the change before is committed and the leader has
 // committed an entry of its own term. A voter that is taken out and comes back is told so when it
 // campaigns, and becomes a learner.
-package konkordia
+package consensus
 
 import (
 	"fmt"
@@ -222,7 +221,7 @@
 		m.log.append(e)
 	}
 	if m.log.last() < m.commit {
-		panic(fmt.Sprintf("konkordia: the log ends at %d, before the snapshot at %d", m.log.last(), m.commit))
+		panic(fmt.Sprintf("consensus: the log ends at %d, before the snapshot at %d", m.log.last(), m.commit))
 	}
 	m.handed, m.savedTo, m.synced = m.log.last(), m.log.last(), m.log.last()
 	m.learnAddresses(c.Seeds)
@@ -396,7 +395,7 @@
 // cut drops entries in favour of a leader's.
 func (m *Machine) cut(from uint64) {
 	if from <= m.commit {
-		panic(fmt.Sprintf("konkordia: a committed entry overwritten, at %d of %d", from, m.commit))
+		panic(fmt.Sprintf("consensus: a committed entry overwritten, at %d of %d", from, m.commit))
 	}
 	m.log.cut(from)
 	m.handed, m.savedTo, m.synced = min(m.handed, from-1), min(m.savedTo, from-1), min(m.synced, from-1)
@@ -404,7 +403,7 @@
 
 func (m *Machine) commitTo(index uint64) {
 	if index < m.commit || index > m.log.last() {
-		panic(fmt.Sprintf("konkordia: commit goes from %d to %d, and the log ends at %d", m.commit, index, m.log.last()))
+		panic(fmt.Sprintf("consensus: commit goes from %d to %d, and the log ends at %d", m.commit, index, m.log.last()))
 	}
 	m.commit = index
 }
--- a/internal/konkordia/message.go
+++ b/internal/mesh/consensus/message.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 // Kind is what a message is about.
 type Kind uint8
--- a/internal/konkordia/node.go
+++ b/internal/mesh/consensus/node.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"context"
@@ -96,7 +96,7 @@
 // Start opens the store in o.Dir, and runs.
 func Start(o Options) (*Node, error) {
 	if o.Self == "" || o.Dir == "" || o.Table == nil || o.Send == nil || o.Log == nil {
-		return nil, oops.In("konkordia").Errorf("Self, Dir, Table, Send and Log have to be set")
+		return nil, oops.In("consensus").Errorf("Self, Dir, Table, Send and Log have to be set")
 	}
 	if o.Tick == 0 {
 		o.Tick = 50 * time.Millisecond
@@ -110,7 +110,7 @@
 	if s := state.Snapshot; s != nil {
 		if err := o.Table.Restore(s.Index, s.Data); err != nil {
 			store.close()
-			return nil, oops.In("konkordia").Wrapf(err, "restoring the table as of %d", s.Index)
+			return nil, oops.In("consensus").Wrapf(err, "restoring the table as of %d", s.Index)
 		}
 	}
 	life := randomNumber()
@@ -343,7 +343,7 @@
 		}
 		if s := o.Restore; s != nil {
 			if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
-				return oops.In("konkordia").Wrapf(err, "the table can't take the leader's snapshot as of %d", s.Index)
+				return oops.In("consensus").Wrapf(err, "the table can't take the leader's snapshot as of %d", s.Index)
 			}
 		}
 		for _, e := range o.Apply {
@@ -428,8 +428,8 @@
 	closing := n.disk.close()
 	switch {
 	case why != nil:
-		n.closed = oops.In("konkordia").Wrapf(errors.Join(why, closing), "the node can't go on as a member")
+		n.closed = oops.In("consensus").Wrapf(errors.Join(why, closing), "the node can't go on as a member")
 	case closing != nil:
-		n.closed = oops.In("konkordia").Wrapf(closing, "closing the store")
+		n.closed = oops.In("consensus").Wrapf(closing, "closing the store")
 	}
 }
--- a/internal/konkordia/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"fmt"
@@ -221,7 +221,7 @@
 		return false
 	}
 	if m.role == leader && msg.Term == m.hard.Term {
-		panic(fmt.Sprintf("konkordia: two leaders in term %d: %s and we", msg.Term, msg.From))
+		panic(fmt.Sprintf("consensus: two leaders in term %d: %s and we", msg.Term, msg.From))
 	}
 	m.follow(msg.Term, Member{msg.From, msg.Disk})
 	m.heard = m.now
@@ -291,7 +291,7 @@
 		return
 	}
 	if msg.Index > m.log.last() {
-		panic(fmt.Sprintf("konkordia: %v acknowledges %d, and the log ends at %d", p.member, msg.Index, m.log.last()))
+		panic(fmt.Sprintf("consensus: %v acknowledges %d, and the log ends at %d", p.member, msg.Index, m.log.last()))
 	}
 	p.match = max(p.match, msg.Index)
 	p.next = max(p.next, p.match+1)
--- a/internal/konkordia/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"bytes"
--- a/internal/konkordia/store.go
+++ b/internal/mesh/consensus/store.go
@@ -1,4 +1,4 @@
-package konkordia
+package consensus
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 )
 
 const (
-	storeName   = "konkordia.db"
+	storeName   = "consensus.db"
 	suspectName = storeName + ".suspect" // what a failed save left: see rewrite
 	storeFormat = 2                      // 1 had no address in the identity
 	oldFormat   = 1                      // the oldest that is read, and rewritten
@@ -61,7 +61,7 @@
 // gets its own when it is whole: a loss of power then leaves a store, or none that has promised
 // anything.
 func openStore(dir, self string, founder bool, seeds []string) (*store, State, error) {
-	errs := oops.In("konkordia").With("folder", dir)
+	errs := oops.In("consensus").With("folder", dir)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, State{}, errs.Wrapf(err, "making the data folder")
 	}
--- a/internal/averau/backup.go
+++ b/internal/mesh/controlplane/backup.go
@@ -1,11 +1,11 @@
-package averau
+package controlplane
 
 import (
 	"context"
 	"net/http"
 
-	"example.org/micaline/internal/konkordia"
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/meshconfig"
 )
 
 // backups is the state as of now, as a file.
@@ -33,7 +33,7 @@
 }
 
 // Replay is the state that a backup holds: as the agreement's table, and its configuration.
-func Replay(b *konkordia.Backup) (konkordia.Table, *margherita.Config, error) {
+func Replay(b *consensus.Backup) (consensus.Table, *meshconfig.Config, error) {
 	t := newTable(func() {})
 	if err := b.Replay(t); err != nil {
 		return nil, nil, err
--- a/internal/averau/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -1,12 +1,12 @@
-// Package averau (Averau hut) is the control plane's process on a core machine.
+// Package controlplane is the control plane's process on a core machine.
 //
-// It takes the operators' calls, has them agreed on (package konkordia) before it answers, and feeds all agents with the
-// configuration that holds and with what the agents say of themselves (package lagazuoi). A core machine that is no member of the
+// It takes the operators' calls, has them agreed on (package consensus) before it answers, and feeds all agents with the
+// configuration that holds and with what the agents say of themselves (package registry). A core machine that is no member of the
 // agreement, or does not lead it, serves all the same: it passes on what must be agreed.
 //
 // What it promises: a call is answered 200 once a majority has it on disk; nothing that is not agreed reaches an agent; a read
 // holds all that was acknowledged before it.
-package averau
+package controlplane
 
 import (
 	"context"
@@ -17,11 +17,11 @@
 	"sync"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/brogles"
-	"example.org/micaline/internal/konkordia"
-	"example.org/micaline/internal/lagazuoi"
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/registry"
+	"example.org/micaline/internal/mesh/sidecar"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/samber/oops"
 )
@@ -35,17 +35,17 @@
 
 // Core is the process. Its fields from registry on belong to the goroutine of own.
 type Core struct {
-	set   *nuvolau.Settings
+	set   *bootstrap.Settings
 	log   log.Interface
-	node  *konkordia.Node
+	node  *consensus.Node
 	table *table
 	peers *peers
 	count counters
 
-	askers   brentei.Askers
+	askers   transport.Askers
 	commands chan func()
 	began    time.Time
-	registry *lagazuoi.Table
+	registry *registry.Table
 	feeds    map[string]*feed // by the agent's control address
 	asking   map[*feed]uint64 // who waits for a proof, and under which number
 	proving  bool             // a read is under way
@@ -53,8 +53,8 @@
 }
 
 // New returns a core process that has not started.
-func New(set *nuvolau.Settings, l log.Interface) *Core {
-	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: lagazuoi.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}}
+func New(set *bootstrap.Settings, l log.Interface) *Core {
+	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}}
 	c.table = newTable(func() { c.poke(func() { c.each(func(f *feed) { f.wake() }) }) })
 	c.peers = newPeers(set)
 	return c
@@ -75,7 +75,7 @@
 
 // Run serves until the context ends, hands leadership over and returns.
 func (c *Core) Run(ctx context.Context) error {
-	inner, err := net.Listen("tcp4", brogles.Inner(c.set, c.set.Control))
+	inner, err := net.Listen("tcp4", sidecar.Inner(c.set, c.set.Control))
 	if err != nil {
 		return oops.In("listen").Wrap(err)
 	}
@@ -83,7 +83,7 @@
 	owner, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.own(owner)
-	c.node, err = konkordia.Start(konkordia.Options{
+	c.node, err = consensus.Start(consensus.Options{
 		Self: c.set.Control, Seeds: c.set.Seeds, FirstStart: c.set.FirstStart, Dir: c.set.DataFolder, Table: c.table,
 		Send: c.peers.send, Log: c.log, OnChange: c.onChange,
 	})
@@ -112,7 +112,7 @@
 }
 
 // onChange tells the agents who the members are.
-func (c *Core) onChange(s konkordia.Status) {
+func (c *Core) onChange(s consensus.Status) {
 	members := slices.Clone(s.Members)
 	c.poke(func() {
 		if !slices.Equal(c.cores, members) {
@@ -151,27 +151,27 @@
 			return
 		}
 		go func() {
-			brentei.Bound(raw)
-			k := brentei.NewConn(raw)
+			transport.Bound(raw)
+			k := transport.NewConn(raw)
 			defer k.Close()
-			var hello brentei.Hello
+			var hello transport.Hello
 			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
-			if err := k.Receive(&hello); err != nil || hello.Version != brentei.Version {
+			if err := k.Receive(&hello); err != nil || hello.Version != transport.Version {
 				return
 			}
 			raw.SetReadDeadline(time.Time{})
 			switch hello.Use {
-			case brentei.Peer:
+			case transport.Peer:
 				for {
-					var m konkordia.Message
+					var m consensus.Message
 					if k.Receive(&m) != nil {
 						return
 					}
 					c.node.Receive(m)
 				}
-			case brentei.FeedUse:
+			case transport.FeedUse:
 				c.feed(hello.From, k)
-			case brentei.Stats:
+			case transport.Stats:
 				c.askers.Serve(k, c.figures)
 			}
 		}()
@@ -180,7 +180,7 @@
 
 // statusOf is the answer to a caller whose call was not agreed on: it goes on to another core machine with it.
 func statusOf(err error) int {
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, konkordia.ErrUnknown) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, consensus.ErrUnknown) {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusServiceUnavailable
@@ -188,23 +188,23 @@
 
 // peers carries messages to other core machines, each over a connection of its own that is opened when there is something to send.
 type peers struct {
-	set *nuvolau.Settings
+	set *bootstrap.Settings
 	mu  sync.Mutex
-	to  map[string]chan konkordia.Message
+	to  map[string]chan consensus.Message
 }
 
 const mostPeers = 16
 
-func newPeers(set *nuvolau.Settings) *peers {
-	return &peers{set: set, to: map[string]chan konkordia.Message{}}
+func newPeers(set *bootstrap.Settings) *peers {
+	return &peers{set: set, to: map[string]chan consensus.Message{}}
 }
 
 // send queues a message; where the queue is full it is lost, which the agreement bears.
-func (p *peers) send(m konkordia.Message) {
+func (p *peers) send(m consensus.Message) {
 	p.mu.Lock()
 	q := p.to[m.To]
 	if q == nil && len(p.to) < mostPeers {
-		q = make(chan konkordia.Message, 64)
+		q = make(chan consensus.Message, 64)
 		p.to[m.To] = q
 		go p.carry(m.To, q)
 	}
@@ -215,8 +215,8 @@
 	}
 }
 
-func (p *peers) carry(to string, q chan konkordia.Message) {
-	var c *brentei.Conn
+func (p *peers) carry(to string, q chan consensus.Message) {
+	var c *transport.Conn
 	var failed time.Time
 	for m := range q {
 		if c == nil {
@@ -225,7 +225,7 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			var err error
-			c, err = brentei.Dial(ctx, brentei.Peer, p.set.Control, brogles.Inner(p.set, to))
+			c, err = transport.Dial(ctx, transport.Peer, p.set.Control, sidecar.Inner(p.set, to))
 			cancel()
 			if err != nil {
 				c, failed = nil, time.Now()
@@ -234,7 +234,7 @@
 				}
 				continue
 			}
-			go func(c *brentei.Conn) { // nothing comes on it but its end
+			go func(c *transport.Conn) { // nothing comes on it but its end
 				var b [1]byte
 				c.Read(b[:])
 				c.Close()
--- a/internal/averau/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -1,4 +1,4 @@
-package averau
+package controlplane
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -18,7 +18,7 @@
 // feed is the link from one agent.
 type feed struct {
 	agent   string // ip
-	conn    *brentei.Conn
+	conn    *transport.Conn
 	woken   chan struct{}
 	dirty   map[string]bool // stations to be told of; the owner's
 	whole   bool            // nothing has been told yet
@@ -37,7 +37,7 @@
 // waiting is a backend's call that is to be told to the agent beside it.
 type waiting struct {
 	number uint64
-	beat   brentei.Beat
+	beat   transport.Beat
 }
 
 func (f *feed) wake() {
@@ -48,7 +48,7 @@
 }
 
 // feed serves one agent until its connection ends.
-func (c *Core) feed(from string, k *brentei.Conn) {
+func (c *Core) feed(from string, k *transport.Conn) {
 	ip, _, err := net.SplitHostPort(from)
 	if err != nil {
 		return
@@ -72,7 +72,7 @@
 	go c.tell(f, ended)
 	for {
 		k.SetReadDeadline(time.Now().Add(muteFor))
-		var up brentei.Up
+		var up transport.Up
 		if k.Receive(&up) != nil {
 			break
 		}
@@ -95,7 +95,7 @@
 }
 
 // heard takes in what an agent says.
-func (c *Core) heard(f *feed, up *brentei.Up) {
+func (c *Core) heard(f *feed, up *transport.Up) {
 	if c.feeds[f.agent] != f {
 		return
 	}
@@ -114,7 +114,7 @@
 			f.wake()
 		} else {
 			f.life = s.Life
-			if c.registry.Hear(c.now(), "feeds", false, []brentei.Heard{{Station: *s}}) {
+			if c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: *s}}) {
 				c.spread(f.agent)
 			}
 		}
@@ -178,7 +178,7 @@
 	defer beat.Stop()
 	for {
 		type message struct {
-			down brentei.Down
+			down transport.Down
 			raw  []byte
 		}
 		next := make(chan message, 1)
@@ -212,7 +212,7 @@
 
 // next is what an agent is told next. Danger: a proof covers the configuration whose index goes out with it, so it is taken with it;
 // and who is ready is asked for all services, so it waits until all stations are told.
-func (c *Core) next(f *feed) (d brentei.Down, raw []byte) {
+func (c *Core) next(f *feed) (d transport.Down, raw []byte) {
 	s := c.table.now.Load()
 	if f.known {
 		d.Index = s.index
@@ -263,7 +263,7 @@
 }
 
 // pass hands a backend's call to the agent beside it, and returns the agent's answer.
-func (c *Core) pass(ctx context.Context, agent string, b brentei.Beat) int {
+func (c *Core) pass(ctx context.Context, agent string, b transport.Beat) int {
 	reply := make(chan int, 1)
 	c.do(func() {
 		f := c.feeds[agent]
--- a/internal/averau/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -1,4 +1,4 @@
-package averau
+package controlplane
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -51,7 +51,7 @@
 }
 
 // agree has an order agreed on and answers the caller.
-func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *margherita.Order) {
+func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *meshconfig.Order) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
 	defer cancel()
 	result, err := c.node.Propose(ctx, encodeOrder(o))
@@ -86,12 +86,12 @@
 		if !ok {
 			return
 		}
-		if _, err := margherita.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
+		if _, err := meshconfig.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
 			h.c.count.refused.Add(1)
 			problem(w, http.StatusBadRequest, err.Error())
 			return
 		}
-		h.c.agree(w, r, &margherita.Order{Op: margherita.OpPatch, Body: b})
+		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpPatch, Body: b})
 	default:
 		only(w, "GET, PATCH")
 	}
@@ -108,9 +108,9 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.c.agree(w, r, &margherita.Order{Op: margherita.OpEvacuate, Zone: zone})
+		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone})
 	case http.MethodDelete:
-		h.c.agree(w, r, &margherita.Order{Op: margherita.OpReturn, Zone: zone})
+		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpReturn, Zone: zone})
 	default:
 		only(w, "POST, DELETE")
 	}
@@ -121,7 +121,7 @@
 
 func (h *servers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	b := brentei.Beat{ID: id}
+	b := transport.Beat{ID: id}
 	var agent string
 	switch r.Method {
 	case http.MethodPut:
--- a/internal/averau/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -1,4 +1,4 @@
-package averau
+package controlplane
 
 import (
 	"encoding/json"
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/brogles"
-	"example.org/micaline/internal/fanes"
-	"example.org/micaline/internal/konkordia"
+	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/meshmetrics"
+	"example.org/micaline/internal/mesh/sidecar"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // counters count what became of the operators' calls, and agents that were lost.
@@ -20,9 +20,9 @@
 }
 
 // proposed counts what became of a proposal.
-func (c *counters) proposed(result konkordia.Result, err error) {
+func (c *counters) proposed(result consensus.Result, err error) {
 	switch {
-	case errors.Is(err, konkordia.ErrNoLeader), errors.Is(err, konkordia.ErrBusy), errors.Is(err, konkordia.ErrClosed):
+	case errors.Is(err, consensus.ErrNoLeader), errors.Is(err, consensus.ErrBusy), errors.Is(err, consensus.ErrClosed):
 		c.notTaken.Add(1)
 	case err != nil:
 		c.unknown.Add(1)
@@ -43,13 +43,13 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(map[string]string{"address": brogles.Inner(h.c.set, h.c.set.Control)})
+	json.NewEncoder(w).Encode(map[string]string{"address": sidecar.Inner(h.c.set, h.c.set.Control)})
 }
 
 // figures answers a question for the core machine's figures; nil if the owner does not get to it in
 // time.
-func (c *Core) figures(q brentei.Question) *brentei.Figures {
-	answer := make(chan *brentei.Figures, 1)
+func (c *Core) figures(q transport.Question) *transport.Figures {
+	answer := make(chan *transport.Figures, 1)
 	late := time.NewTimer(2 * answerIn)
 	defer late.Stop()
 	select {
@@ -66,25 +66,25 @@
 }
 
 // counted is the owner's.
-func (c *Core) counted(q brentei.Question) *brentei.Figures {
+func (c *Core) counted(q transport.Question) *transport.Figures {
 	status, state := c.node.Status(), c.table.now.Load()
-	var f fanes.Set
+	var f meshmetrics.Set
 	f.Process(c.began, c.set.MemoryMB)
-	f.OneOf("altavia_core_role", status.Role, fanes.Roles)
-	f.Flag("altavia_core_leader_known", status.Leader != "")
-	f.Add("altavia_core_leader_changes_total", float64(status.LeaderChanges))
-	f.Add("altavia_core_term", float64(status.Term))
-	f.Add("altavia_core_commit_index", float64(status.Commit))
-	f.Add("altavia_core_applied_index", float64(status.Applied))
-	f.Add("altavia_core_members", float64(len(status.Members)))
-	f.Add("altavia_core_syncs_total", float64(status.Syncs))
-	f.Add("altavia_core_sync_longest_seconds", status.SyncMax.Seconds())
+	f.OneOf("micaline_mesh_core_role", status.Role, meshmetrics.Roles)
+	f.Flag("micaline_mesh_core_leader_known", status.Leader != "")
+	f.Add("micaline_mesh_core_leader_changes_total", float64(status.LeaderChanges))
+	f.Add("micaline_mesh_core_term", float64(status.Term))
+	f.Add("micaline_mesh_core_commit_index", float64(status.Commit))
+	f.Add("micaline_mesh_core_applied_index", float64(status.Applied))
+	f.Add("micaline_mesh_core_members", float64(len(status.Members)))
+	f.Add("micaline_mesh_core_syncs_total", float64(status.Syncs))
+	f.Add("micaline_mesh_core_sync_longest_seconds", status.SyncMax.Seconds())
 	for i, n := range []*atomic.Uint64{&c.count.agreed, &c.count.refused, &c.count.unknown, &c.count.notTaken} {
-		f.Add("altavia_core_proposals_total", float64(n.Load()), fanes.Proposals[i])
+		f.Add("micaline_mesh_core_proposals_total", float64(n.Load()), meshmetrics.Proposals[i])
 	}
-	f.Add("altavia_core_config_index", float64(state.index))
-	f.Add("altavia_core_feeds", float64(len(c.feeds)))
-	f.Add("altavia_core_agents_lost_total", float64(c.count.lost.Load()))
+	f.Add("micaline_mesh_core_config_index", float64(state.index))
+	f.Add("micaline_mesh_core_feeds", float64(len(c.feeds)))
+	f.Add("micaline_mesh_core_agents_lost_total", float64(c.count.lost.Load()))
 	stations := c.registry.All(c.now())
 	by, draining := map[string]int{}, 0
 	for i := range stations {
@@ -101,21 +101,21 @@
 			draining++
 		}
 	}
-	for _, word := range fanes.Stations {
-		f.Add("altavia_core_stations", float64(by[word]), word)
+	for _, word := range meshmetrics.Stations {
+		f.Add("micaline_mesh_core_stations", float64(by[word]), word)
 	}
-	f.Add("altavia_core_backends_draining", float64(draining))
+	f.Add("micaline_mesh_core_backends_draining", float64(draining))
 	evacuated := state.config.EvacuatedZones()
 	for zone := range c.set.Zones {
-		f.Flag("altavia_core_zone_evacuated", slices.Contains(evacuated, zone), zone)
+		f.Flag("micaline_mesh_core_zone_evacuated", slices.Contains(evacuated, zone), zone)
 	}
-	answer := &brentei.Figures{Samples: f.Samples}
+	answer := &transport.Figures{Samples: f.Samples}
 	if q.State {
-		answer.Core = &brentei.CoreState{Node: c.set.NodeName, Zone: c.set.Zone, Self: c.set.Control, Role: status.Role,
+		answer.Core = &transport.CoreState{Node: c.set.NodeName, Zone: c.set.Zone, Self: c.set.Control, Role: status.Role,
 			Leader: status.Leader, Term: status.Term, Commit: status.Commit, Applied: status.Applied, LeaderChanges: status.LeaderChanges,
 			Learners: status.Learners, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
 		for _, m := range status.Members {
-			answer.Core.Members = append(answer.Core.Members, brentei.Member{Control: m, Link: brogles.Inner(c.set, m)})
+			answer.Core.Members = append(answer.Core.Members, transport.Member{Control: m, Link: sidecar.Inner(c.set, m)})
 		}
 	}
 	return answer
--- a/internal/averau/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -1,11 +1,11 @@
-package averau
+package controlplane
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
 	"github.com/stretchr/testify/require"
 )
 
@@ -16,12 +16,12 @@
 	had := []*state{table.now.Load()}
 	followed := 0
 	for index := uint64(1); index < 600; index++ {
-		o := margherita.Order{Op: margherita.OpEvacuate, Zone: fmt.Sprint("zone", r.IntN(3))}
+		o := meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: fmt.Sprint("zone", r.IntN(3))}
 		switch r.IntN(6) {
 		case 0:
-			o.Op = margherita.OpReturn
+			o.Op = meshconfig.OpReturn
 		case 1:
-			o = margherita.Order{Op: "none"}
+			o = meshconfig.Order{Op: "none"}
 		case 2, 3, 4:
 			filler := make([]byte, r.IntN(100))
 			if r.IntN(20) == 0 {
@@ -30,7 +30,7 @@
 			for i := range filler {
 				filler[i] = 'x'
 			}
-			o = margherita.Order{Op: margherita.OpPatch, Body: fmt.Appendf(nil, `{"add":{"items":[{"item_kind":"services","metadata":`+
+			o = meshconfig.Order{Op: meshconfig.OpPatch, Body: fmt.Appendf(nil, `{"add":{"items":[{"item_kind":"services","metadata":`+
 				`{"name":"s%d","version":"%08x"},"body":{"health_path":"/%s"}}]}}`, r.IntN(9), r.IntN(600), filler)}
 		}
 		table.Apply(index, encodeOrder(&o))
@@ -64,7 +64,7 @@
 		}
 		require.Equal(t, now.index, at)
 		_, digest := now.encoded()
-		require.Equal(t, digest, margherita.Digest(config.Encode()))
+		require.Equal(t, digest, meshconfig.Digest(config.Encode()))
 	}
 	require.Greater(t, followed, 200)
 }
--- a/internal/averau/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -1,4 +1,4 @@
-package averau
+package controlplane
 
 import (
 	"bytes"
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
 )
 
 // encodeOrder gives an order as a command of the log.
-func encodeOrder(o *margherita.Order) []byte {
+func encodeOrder(o *meshconfig.Order) []byte {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(o); err != nil {
 		panic(err) // plain fields always encode
@@ -24,8 +24,8 @@
 // state is the configuration after an index of the log. It never changes.
 type state struct {
 	index  uint64
-	config *margherita.Config
-	steps  []brentei.Step // that led here, one after the other, the last few
+	config *meshconfig.Config
+	steps  []transport.Step // that led here, one after the other, the last few
 
 	once   sync.Once
 	text   []byte
@@ -42,13 +42,13 @@
 func (s *state) encoded() (text []byte, digest uint64) {
 	s.once.Do(func() {
 		s.text = s.config.Encode()
-		s.digest = margherita.Digest(s.text)
+		s.digest = meshconfig.Digest(s.text)
 	})
 	return s.text, s.digest
 }
 
 // since returns the steps from an index that an agent has to this state; none if they are not kept.
-func (s *state) since(have uint64) []brentei.Step {
+func (s *state) since(have uint64) []transport.Step {
 	for i := range s.steps {
 		if s.steps[i].Before == have {
 			return s.steps[i:]
@@ -58,8 +58,8 @@
 }
 
 // after returns the state that a step leads to.
-func (s *state) after(index uint64, next *margherita.Config, o *margherita.Order) *state {
-	steps := append(s.steps[:len(s.steps):len(s.steps)], brentei.Step{Before: s.index, Index: index, Order: *o})
+func (s *state) after(index uint64, next *meshconfig.Config, o *meshconfig.Order) *state {
+	steps := append(s.steps[:len(s.steps):len(s.steps)], transport.Step{Before: s.index, Index: index, Order: *o})
 	size := 0
 	for i := len(steps) - 1; i >= 0; i-- {
 		if size += len(steps[i].Order.Body); size > mostStepBytes || len(steps)-i > mostSteps {
@@ -78,14 +78,14 @@
 
 func newTable(changed func()) *table {
 	t := &table{changed: changed}
-	t.now.Store(&state{config: margherita.New()})
+	t.now.Store(&state{config: meshconfig.New()})
 	return t
 }
 
 // Apply carries out an order. The reply is empty, or says what is wrong with it: validity is judged here, where the order of all
 // calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
-	var o margherita.Order
+	var o meshconfig.Order
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return []byte("command: " + err.Error())
 	}
@@ -124,7 +124,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&k); err != nil {
 		return oops.In("snapshot").Wrap(err)
 	}
-	config, err := margherita.Decode(k.Config)
+	config, err := meshconfig.Decode(k.Config)
 	if err != nil {
 		return oops.In("snapshot").Wrap(err)
 	}
--- a/internal/averau/table_test.go
+++ b/internal/mesh/controlplane/table_test.go
@@ -1,4 +1,4 @@
-package averau
+package controlplane
 
 import (
 	"fmt"
@@ -6,16 +6,16 @@
 	"strings"
 	"testing"
 
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
 	"github.com/stretchr/testify/require"
 )
 
 // drawOrders makes calls of the operator: items that are set, dropped, out of date or wrong, and
 // zones emptied and returned.
-func drawOrders(r *rand.Rand) (orders []margherita.Order) {
+func drawOrders(r *rand.Rand) (orders []meshconfig.Order) {
 	for range 40 {
-		o := margherita.Order{Op: []string{margherita.OpEvacuate, margherita.OpReturn, margherita.OpPatch}[min(r.IntN(6), 2)], Zone: fmt.Sprint("z", r.IntN(3))}
-		if o.Op == margherita.OpPatch {
+		o := meshconfig.Order{Op: []string{meshconfig.OpEvacuate, meshconfig.OpReturn, meshconfig.OpPatch}[min(r.IntN(6), 2)], Zone: fmt.Sprint("z", r.IntN(3))}
+		if o.Op == meshconfig.OpPatch {
 			lists := map[string][]string{}
 			for range 1 + r.IntN(4) {
 				kind, n := []string{"services", "routes"}[r.IntN(2)], r.IntN(3)
@@ -61,8 +61,8 @@
 			after := one.now.Load()
 			require.Equal(t, text, textOf(before), "seed %d: a state that was shown changed", seed)
 			require.Equal(t, before != after, woken != changes, "seed %d", seed)
-			if p, err := margherita.ParsePatch(o.Body); o.Op != margherita.OpPatch {
-				require.Equal(t, o.Op == margherita.OpEvacuate, after.config.Evacuated(o.Zone), "seed %d", seed)
+			if p, err := meshconfig.ParsePatch(o.Body); o.Op != meshconfig.OpPatch {
+				require.Equal(t, o.Op == meshconfig.OpEvacuate, after.config.Evacuated(o.Zone), "seed %d", seed)
 			} else {
 				if err == nil {
 					_, _, err = before.config.Apply(p)
--- a/internal/pisciadu/exporter.go
+++ b/internal/mesh/exporter/exporter.go
@@ -1,14 +1,14 @@
-// Package pisciadu (Pisciadù hut) is the exporter of metrics: it asks all processes of a mesh for
+// Package exporter is the exporter of metrics: it asks all processes of a mesh for
 // their figures and gives them out in Prometheus' text format.
 //
 // It keeps nothing between two scrapes but the last answer, which two who ask at the same time
 // share. It asks the core machines that it is told of, and who these tell of, a bounded number at
-// once, each with a time-out; what stays silent is a figure too (altavia_up).
+// once, each with a time-out; what stays silent is a figure too (micaline_mesh_up).
 //
-// Promised: it gives out only what is in the table of package fanes, with the labels that stand
+// Promised: it gives out only what is in the table of package meshmetrics, with the labels that stand
 // there and values of bounded length, at most mostSeries of one metric for each process, and no
-// series twice; what it left out it counts (altavia_mesh_dropped).
-package pisciadu
+// series twice; what it left out it counts (micaline_mesh_dropped).
+package exporter
 
 import (
 	"cmp"
@@ -20,9 +20,9 @@
 	"sync"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/fanes"
-	"example.org/micaline/internal/lavarella"
+	"example.org/micaline/internal/mesh/meshclient"
+	"example.org/micaline/internal/mesh/meshmetrics"
+	"example.org/micaline/internal/mesh/transport"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"google.golang.org/protobuf/proto"
@@ -36,7 +36,7 @@
 
 // Exporter serves the metrics of a mesh. All fields are set before its first use.
 type Exporter struct {
-	Mesh    *lavarella.Mesh
+	Mesh    *meshclient.Mesh
 	Timeout time.Duration // for one scrape
 
 	mu   sync.Mutex // guards what follows, and lets one scrape run at a time
@@ -89,9 +89,9 @@
 }
 
 // families turns a survey into metrics.
-func families(s *lavarella.Survey, took time.Duration) []*dto.MetricFamily {
+func families(s *meshclient.Survey, took time.Duration) []*dto.MetricFamily {
 	p := &page{families: map[string]*dto.MetricFamily{}}
-	var own fanes.Set
+	var own meshmetrics.Set
 	leaders, silent := 0, 0
 	for _, c := range s.Cores {
 		host, zone := c.Control, ""
@@ -107,21 +107,21 @@
 				leaders++
 			}
 		}
-		own.Flag("altavia_up", c.Figures != nil, host, zone, "core")
+		own.Flag("micaline_mesh_up", c.Figures != nil, host, zone, "core")
 	}
 	newest := s.Newest()
 	for _, a := range s.Agents {
 		st := &a.Heard.Station
 		if a.Figures != nil {
 			p.process(a.Figures, st.Agent, st.Zone, "agent")
-			own.Flag("altavia_mesh_config_behind", a.Figures.Agent.Index < newest.Index, st.Agent, st.Zone)
+			own.Flag("micaline_mesh_config_behind", a.Figures.Agent.Index < newest.Index, st.Agent, st.Zone)
 		}
-		own.Flag("altavia_up", a.Figures != nil, st.Agent, st.Zone, "agent")
+		own.Flag("micaline_mesh_up", a.Figures != nil, st.Agent, st.Zone, "agent")
 	}
-	own.Add("altavia_mesh_leaders", float64(leaders))
-	own.Add("altavia_mesh_cores_silent", float64(silent))
-	own.Add("altavia_mesh_scrape_seconds", took.Seconds())
-	own.Add("altavia_mesh_dropped", float64(p.dropped))
+	own.Add("micaline_mesh_leaders", float64(leaders))
+	own.Add("micaline_mesh_cores_silent", float64(silent))
+	own.Add("micaline_mesh_scrape_seconds", took.Seconds())
+	own.Add("micaline_mesh_dropped", float64(p.dropped))
 	for i := range own.Samples {
 		p.add(&own.Samples[i], nil)
 	}
@@ -135,7 +135,7 @@
 
 // process takes in the figures of one process. Danger: they come from another process, perhaps of
 // another version.
-func (p *page) process(f *brentei.Figures, machine, zone, process string) {
+func (p *page) process(f *transport.Figures, machine, zone, process string) {
 	p.seen, p.counts = map[string]bool{}, map[string]int{}
 	common := []string{"machine", machine, "process", process, "zone", zone}
 	for i := range f.Samples {
@@ -150,12 +150,12 @@
 	}
 }
 
-func seriesOf(s *brentei.Sample) string { return s.Name + "\x00" + strings.Join(s.Labels, "\x00") }
+func seriesOf(s *transport.Sample) string { return s.Name + "\x00" + strings.Join(s.Labels, "\x00") }
 
 // known says whether a sample is what the table says of its metric.
-func known(s *brentei.Sample) bool {
-	m := fanes.Find(s.Name)
-	if m == nil || m.Source == fanes.Exporter || len(s.Labels) != 2*len(m.Labels) {
+func known(s *transport.Sample) bool {
+	m := meshmetrics.Find(s.Name)
+	if m == nil || m.Source == meshmetrics.Exporter || len(s.Labels) != 2*len(m.Labels) {
 		return false
 	}
 	for i, name := range m.Labels {
@@ -167,12 +167,12 @@
 }
 
 // add adds a series.
-func (p *page) add(s *brentei.Sample, common []string) {
-	m := fanes.Find(s.Name)
+func (p *page) add(s *transport.Sample, common []string) {
+	m := meshmetrics.Find(s.Name)
 	family := p.families[s.Name]
 	if family == nil {
 		kind := dto.MetricType_GAUGE
-		if m.Kind == fanes.Counter {
+		if m.Kind == meshmetrics.Counter {
 			kind = dto.MetricType_COUNTER
 		}
 		family = &dto.MetricFamily{Name: proto.String(m.Name), Help: proto.String(m.Help + " (" + m.Unit + ")"), Type: kind.Enum()}
@@ -185,7 +185,7 @@
 			one.Label = append(one.Label, &dto.LabelPair{Name: proto.String(labels[i]), Value: proto.String(value)})
 		}
 	}
-	if m.Kind == fanes.Counter {
+	if m.Kind == meshmetrics.Counter {
 		one.Counter = &dto.Counter{Value: proto.Float64(s.Value)}
 	} else {
 		one.Gauge = &dto.Gauge{Value: proto.Float64(s.Value)}
--- a/internal/scoiattoli/scoiattoli.go
+++ b/internal/mesh/flightrecorder/flightrecorder.go
@@ -1,11 +1,11 @@
-// Package scoiattoli (Scoiattoli hut) is the flight recorder: the ways of the last requests that
+// Package flightrecorder is the flight recorder: the ways of the last requests that
 // did not simply succeed.
 //
 // There is a Ring at each side of a request, the sender and the gate. What succeeded at its first
 // attempt is only counted. All else leaves a Way, which takes the place of the oldest. Promised: a
 // Ring never holds more than Most ways of MostSteps steps each, its strings are short and its own,
 // and it keeps nobody waiting but for another that adds or reads at the same moment.
-package scoiattoli
+package flightrecorder
 
 import (
 	"slices"
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 type entry struct {
 	at  time.Time
-	way brentei.Way
+	way transport.Way
 }
 
 // Plain counts a request that succeeded at its first attempt.
@@ -47,7 +47,7 @@
 func (r *Ring) Plains() uint64 { return r.plain.Load() }
 
 // Add takes a way in. Its steps are copied.
-func (r *Ring) Add(now time.Time, w brentei.Way) {
+func (r *Ring) Add(now time.Time, w transport.Way) {
 	w.Try, w.Caller = short(w.Try), short(w.Caller)
 	if len(w.Steps) > MostSteps {
 		// The first tell how it began, the last why it ended.
@@ -72,9 +72,9 @@
 func short(s string) string { return strings.Clone(s[:min(len(s), mostText)]) }
 
 // Ask returns the ways that a question is about, the newest first.
-func (r *Ring) Ask(now time.Time, q *brentei.WayQuestion) []brentei.Way {
+func (r *Ring) Ask(now time.Time, q *transport.WayQuestion) []transport.Way {
 	most, try := min(max(q.Most, 1), Most), short(q.Try)
-	var found []brentei.Way
+	var found []transport.Way
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.list {
@@ -92,10 +92,10 @@
 }
 
 // about says whether a way is of a request or of what its runs called, and has a reason.
-func about(w *brentei.Way, try, reason string) bool {
+func about(w *transport.Way, try, reason string) bool {
 	if try != "" && w.Try != try && !(strings.HasPrefix(w.Try, try) && w.Try[len(try)] == '.') {
 		return false
 	}
 	return reason == "" || w.Result == reason ||
-		slices.ContainsFunc(w.Steps, func(s brentei.Attempt) bool { return s.Verdict != brentei.Ran && s.Reason.String() == reason })
+		slices.ContainsFunc(w.Steps, func(s transport.Attempt) bool { return s.Verdict != transport.Ran && s.Reason.String() == reason })
 }
--- a/internal/solvay/exchange.go
+++ b/internal/mesh/inbound/exchange.go
@@ -1,4 +1,4 @@
-package solvay
+package inbound
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"example.org/micaline/internal/bertol"
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/connpool"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
 )
 
@@ -44,7 +44,7 @@
 func Passes(name string) bool { return !hop[name] }
 
 // encode writes the request as the backend gets it.
-func encode(b []byte, a *brentei.Ask, body []byte) []byte {
+func encode(b []byte, a *transport.Ask, body []byte) []byte {
 	b = append(b, a.Method...)
 	b = append(b, ' ')
 	b = append(b, a.URI...)
@@ -72,22 +72,22 @@
 
 // read reads the answer to a try. Danger: an answer to somebody else's may stand in its place; the id shows it, and the one
 // that is due comes behind it.
-func read(br *bufio.Reader, limit func(int64), most int64, a *brentei.Ask) (*answer, *brentei.Failure) {
-	broken := func(reason brentei.Reason, err error) (*answer, *brentei.Failure) {
+func read(br *bufio.Reader, limit func(int64), most int64, a *transport.Ask) (*answer, *transport.Failure) {
+	broken := func(reason transport.Reason, err error) (*answer, *transport.Failure) {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			reason = brentei.Silent
+			reason = transport.Silent
 		}
-		return nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: reason, Cause: err}
+		return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: reason, Cause: err}
 	}
 	for strangers := 0; ; {
 		limit(most)
 		resp, err := http.ReadResponse(br, &http.Request{Method: a.Method})
 		if err != nil {
-			return broken(brentei.Broken, err)
+			return broken(transport.Broken, err)
 		}
 		if resp.StatusCode/100 == 1 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return broken(brentei.Spoilt, oops.Errorf("an answer in another protocol"))
+				return broken(transport.Spoilt, oops.Errorf("an answer in another protocol"))
 			}
 			continue
 		}
@@ -101,22 +101,22 @@
 			body, err = io.ReadAll(resp.Body)
 		}
 		if err != nil {
-			return broken(brentei.Broken, err)
+			return broken(transport.Broken, err)
 		}
 		// Only one that turns a request away may lack the id; with another's it proves nothing about this one.
 		away := resp.Header.Get(NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 		if id := resp.Header.Get(TryHeader); id != a.Try && (id != "" || !away) {
 			if strangers++; strangers > mostStrangers || id == "" {
-				return broken(brentei.Spoilt, oops.Errorf("an answer to try %q", id))
+				return broken(transport.Spoilt, oops.Errorf("an answer to try %q", id))
 			}
 			continue
 		}
 		if resp.StatusCode/100 == 2 && (resp.Header.Get(SealHeader) == "" || resp.Header.Get("Content-Encoding") != "") {
-			return broken(brentei.Spoilt, oops.Errorf("an answer without a seal, or with an encoding"))
+			return broken(transport.Spoilt, oops.Errorf("an answer without a seal, or with an encoding"))
 		}
 		// One whose end only the end of the connection shows may have been cut.
 		if resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && resp.StatusCode/100 == 2 {
-			return broken(brentei.Spoilt, oops.Errorf("an answer without a length"))
+			return broken(transport.Spoilt, oops.Errorf("an answer without a length"))
 		}
 		out := &answer{status: resp.StatusCode, body: body, keep: !resp.Close && strangers == 0}
 		for name, values := range resp.Header {
@@ -132,7 +132,7 @@
 
 // meaning reads a whole answer: a failure if the backend did not run the request. Danger: only its own word proves that; a 503
 // without it may have run.
-func (a *answer) meaning() *brentei.Failure {
+func (a *answer) meaning() *transport.Failure {
 	notRun := a.status == http.StatusMisdirectedRequest
 	id := ""
 	for i := 0; i+1 < len(a.header); i += 2 {
@@ -148,18 +148,18 @@
 	}
 	switch a.status {
 	case http.StatusMisdirectedRequest:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown, Cause: oops.Errorf("%s is here", id)}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown, Cause: oops.Errorf("%s is here", id)}
 	case http.StatusBadRequest:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Broken}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Broken}
 	}
-	return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full}
+	return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full}
 }
 
 // refused says whether an address answered that nobody listens there.
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // targetOf is where a life of the backend is reached: another life's connections are not its own.
-func (h *Host) targetOf(address, id string) *bertol.Target {
+func (h *Host) targetOf(address, id string) *connpool.Target {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.target == nil || h.targetID != id || h.target.Addr != address {
@@ -172,22 +172,22 @@
 }
 
 // exchange hands a request to the backend and returns its answer.
-func (h *Host) exchange(ctx context.Context, address string, a *brentei.Ask, body []byte, deadline time.Time) (*answer, *brentei.Failure) {
+func (h *Host) exchange(ctx context.Context, address string, a *transport.Ask, body []byte, deadline time.Time) (*answer, *transport.Failure) {
 	c, err := h.pool.Get(ctx, h.targetOf(address, a.Target))
 	if err != nil {
-		f := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
+		f := &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
 		switch {
 		case refused(err):
-			f.Reason = brentei.Unknown
-		case bertol.IsShortage(err):
-			f.Reason = brentei.Own
+			f.Reason = transport.Unknown
+		case connpool.IsShortage(err):
+			f.Reason = transport.Own
 		}
 		return nil, f
 	}
 	c.SetDeadline(deadline)
 	if _, err := c.Write(encode(make([]byte, 0, 512+len(body)), a, body)); err != nil {
 		h.pool.Discard(c)
-		return nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Broken, Cause: err}
+		return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Broken, Cause: err}
 	}
 	ans, f := read(c.Reader, c.Limit, h.mostAnswer, a)
 	if f != nil || !ans.keep || c.Reader.Buffered() > 0 {
--- a/internal/solvay/exchange_test.go
+++ b/internal/mesh/inbound/exchange_test.go
@@ -1,4 +1,4 @@
-package solvay
+package inbound
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/stretchr/testify/require"
 )
 
@@ -32,42 +32,42 @@
 	for _, c := range []struct {
 		name, bytes string
 		status      int // of an answer; 0: there is none that can be trusted
-		verdict     brentei.Verdict
-		reason      brentei.Reason
+		verdict     transport.Verdict
+		reason      transport.Reason
 		keep        bool
 	}{
-		{"right", ok, 200, brentei.Ran, 0, true},
-		{"another's first", other + ok, 200, brentei.Ran, 0, false},
-		{"another's only", other, 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"others' for ever", strings.Repeat(other, 9) + ok, 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"no id", said("200 OK", "Server-Seal: s|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"bytes behind", ok + "x", 200, brentei.Ran, 0, false},
-		{"another's behind", ok + other, 200, brentei.Ran, 0, false},
-		{"half", ok[:len(ok)-2], 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"nothing", "", 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"no answer", "\x00\x01 nonsense\r\n\r\n", 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"no seal", said("200 OK", "Try-Id: t1|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"encoded", said("200 OK", seal+"|Content-Encoding: gzip|Content-Length: 4", "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"chunked", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), 200, brentei.Ran, 0, true},
-		{"chunked, cut", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n"), 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"no length", said("200 OK", seal, "body"), 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"too long", said("200 OK", seal+"|Content-Length: 9999", strings.Repeat("x", 9999)), 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"1xx first", said("103 Early", "Try-Id: t1", "") + ok, 200, brentei.Ran, 0, true},
-		{"other protocol", said("101 Switching", "Try-Id: t1|Upgrade: x|Connection: upgrade", "") + ok, 0, brentei.MayHaveRun, brentei.Spoilt, false},
-		{"leaving", said("200 OK", seal+"|Connection: close|Content-Length: 4", "body"), 200, brentei.Ran, 0, false},
-		{"failure", said("500 Oh", "Try-Id: t1|Content-Length: 4", "body"), 500, brentei.Ran, 0, true},
-		{"503 that ran", said("503 Oh", "Try-Id: t1|Content-Length: 4", "body"), 503, brentei.Ran, 0, true},
-		{"full", full, 503, brentei.NotRun, brentei.Full, true},
-		{"not run, without id", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 400, brentei.NotRun, brentei.Broken, true},
-		{"another life", said("421 No", "Try-Id: t1|Server-Id: b2|Content-Length: 0", ""), 421, brentei.NotRun, brentei.Unknown, true},
-		{"another's not run", othersFull, 0, brentei.MayHaveRun, brentei.Broken, false},
-		{"another's not run first", othersFull + ok, 200, brentei.Ran, 0, false},
-		{"another's 421 first", said("421 No", "Try-Id: t0|Content-Length: 0", "") + ok, 200, brentei.Ran, 0, false},
+		{"right", ok, 200, transport.Ran, 0, true},
+		{"another's first", other + ok, 200, transport.Ran, 0, false},
+		{"another's only", other, 0, transport.MayHaveRun, transport.Broken, false},
+		{"others' for ever", strings.Repeat(other, 9) + ok, 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"no id", said("200 OK", "Server-Seal: s|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"bytes behind", ok + "x", 200, transport.Ran, 0, false},
+		{"another's behind", ok + other, 200, transport.Ran, 0, false},
+		{"half", ok[:len(ok)-2], 0, transport.MayHaveRun, transport.Broken, false},
+		{"nothing", "", 0, transport.MayHaveRun, transport.Broken, false},
+		{"no answer", "\x00\x01 nonsense\r\n\r\n", 0, transport.MayHaveRun, transport.Broken, false},
+		{"no seal", said("200 OK", "Try-Id: t1|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"encoded", said("200 OK", seal+"|Content-Encoding: gzip|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"chunked", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), 200, transport.Ran, 0, true},
+		{"chunked, cut", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n"), 0, transport.MayHaveRun, transport.Broken, false},
+		{"no length", said("200 OK", seal, "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"too long", said("200 OK", seal+"|Content-Length: 9999", strings.Repeat("x", 9999)), 0, transport.MayHaveRun, transport.Broken, false},
+		{"1xx first", said("103 Early", "Try-Id: t1", "") + ok, 200, transport.Ran, 0, true},
+		{"other protocol", said("101 Switching", "Try-Id: t1|Upgrade: x|Connection: upgrade", "") + ok, 0, transport.MayHaveRun, transport.Spoilt, false},
+		{"leaving", said("200 OK", seal+"|Connection: close|Content-Length: 4", "body"), 200, transport.Ran, 0, false},
+		{"failure", said("500 Oh", "Try-Id: t1|Content-Length: 4", "body"), 500, transport.Ran, 0, true},
+		{"503 that ran", said("503 Oh", "Try-Id: t1|Content-Length: 4", "body"), 503, transport.Ran, 0, true},
+		{"full", full, 503, transport.NotRun, transport.Full, true},
+		{"not run, without id", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 400, transport.NotRun, transport.Broken, true},
+		{"another life", said("421 No", "Try-Id: t1|Server-Id: b2|Content-Length: 0", ""), 421, transport.NotRun, transport.Unknown, true},
+		{"another's not run", othersFull, 0, transport.MayHaveRun, transport.Broken, false},
+		{"another's not run first", othersFull + ok, 200, transport.Ran, 0, false},
+		{"another's 421 first", said("421 No", "Try-Id: t0|Content-Length: 0", "") + ok, 200, transport.Ran, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			limit := &io.LimitedReader{R: strings.NewReader(c.bytes)}
 			br := bufio.NewReader(limit)
-			ans, f := read(br, func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "POST"})
+			ans, f := read(br, func(n int64) { limit.N = n }, most, &transport.Ask{Try: "t1", Method: "POST"})
 			if c.status == 0 {
 				require.Nil(t, ans)
 				require.Equal(t, c.verdict, f.Verdict)
@@ -79,14 +79,14 @@
 			require.Equal(t, c.keep, ans.keep && br.Buffered() == 0)
 			require.Equal(t, c.status == 200, string(ans.body) == "body" && c.status < 400)
 			if f = ans.meaning(); f == nil {
-				f = &brentei.Failure{Verdict: brentei.Ran}
+				f = &transport.Failure{Verdict: transport.Ran}
 			}
 			require.Equal(t, c.verdict, f.Verdict)
 			require.Equal(t, c.reason, f.Reason)
 		})
 	}
 	limit := &io.LimitedReader{R: strings.NewReader(ok[:len(ok)-4] + ok)}
-	ans, f := read(bufio.NewReader(limit), func(n int64) { limit.N = n }, most, &brentei.Ask{Try: "t1", Method: "HEAD"})
+	ans, f := read(bufio.NewReader(limit), func(n int64) { limit.N = n }, most, &transport.Ask{Try: "t1", Method: "HEAD"})
 	require.Nil(t, f, "an answer to HEAD has a length and no body: %v", f)
 	require.Empty(t, ans.body)
 }
@@ -96,19 +96,19 @@
 func TestHost(t *testing.T) {
 	var h *Host
 	news, calls := 0, uint64(0)
-	handle := func(try string) *brentei.Reply {
-		r, _ := h.Handle(&brentei.Ask{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
+	handle := func(try string) *transport.Reply {
+		r, _ := h.Handle(&transport.Ask{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
 			Left: 5 * time.Second, Aim: time.Second, Patient: time.Second}, nil)
 		return r
 	}
 	beat := func(address string) {
 		calls++
-		b := brentei.Backend{ID: "b", Address: address, Capacity: 2, Calls: calls}
+		b := transport.Backend{ID: "b", Address: address, Capacity: 2, Calls: calls}
 		h.With(func(now time.Duration, g *Gate) bool { return g.Beat(now, b) && false })
 	}
-	gone := func(r *brentei.Reply) {
+	gone := func(r *transport.Reply) {
 		for range 2 { // the second time without being asked: it is gone until its next beat
-			require.Equal(t, []any{brentei.NotRun, brentei.Unknown}, []any{r.Verdict, r.Reason})
+			require.Equal(t, []any{transport.NotRun, transport.Unknown}, []any{r.Verdict, r.Reason})
 			r = handle("later")
 		}
 	}
@@ -137,12 +137,12 @@
 	}))
 	defer backend.Close()
 	address := backend.Listener.Addr().String()
-	h = NewHost(Rules{BeatEvery: time.Minute}, most, brentei.NewRoom(1<<30), func() { news++ })
+	h = NewHost(Rules{BeatEvery: time.Minute}, most, transport.NewRoom(1<<30), func() { news++ })
 	beat(address)
 	for _, try := range []string{"reset", "run", "well", "plain", "reset"} {
 		r := handle(try)
-		require.Equal(t, []any{try != "reset", try == "run"}, []any{r.Verdict == brentei.Ran, r.Inner}, try)
-		require.NotEqual(t, brentei.NotRun, r.Verdict, try)
+		require.Equal(t, []any{try != "reset", try == "run"}, []any{r.Verdict == transport.Ran, r.Inner}, try)
+		require.NotEqual(t, transport.NotRun, r.Verdict, try)
 	}
 	inner, _ := h.Parent("run.1")
 	require.False(t, inner, "a run that has ended calls nothing")
@@ -155,12 +155,12 @@
 	gone(handle("refused"))
 	require.Equal(t, 2, news)
 	beat(address)
-	require.Equal(t, brentei.Ran, handle("back").Verdict)
+	require.Equal(t, transport.Ran, handle("back").Verdict)
 	h.Close()
-	require.Equal(t, brentei.NotRun, handle("closed").Verdict)
-	for try, reasons := range map[string][]brentei.Reason{"reset": {brentei.Twice, brentei.Broken}, "moved": {brentei.Unknown},
-		"closed": {brentei.Draining}, "plain": nil} {
-		ways := h.Ways.Ask(time.Now(), &brentei.WayQuestion{Try: try, Most: 9})
+	require.Equal(t, transport.NotRun, handle("closed").Verdict)
+	for try, reasons := range map[string][]transport.Reason{"reset": {transport.Twice, transport.Broken}, "moved": {transport.Unknown},
+		"closed": {transport.Draining}, "plain": nil} {
+		ways := h.Ways.Ask(time.Now(), &transport.WayQuestion{Try: try, Most: 9})
 		require.Len(t, ways, len(reasons), try)
 		for i, w := range ways {
 			result := map[bool]string{true: "failed", false: "refused"}[try == "reset"]
--- a/internal/solvay/figures_test.go
+++ b/internal/mesh/inbound/figures_test.go
@@ -1,11 +1,11 @@
-package solvay
+package inbound
 
 import (
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/fanes"
+	"example.org/micaline/internal/mesh/meshmetrics"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -17,12 +17,12 @@
 		rules := Rules{WarmupPerS: rapid.Float64Range(1, 20).Draw(t, "per_s"), Excess: 1.5, Margin: 5, Warmup: time.Hour}
 		g := New(0, rules)
 		now := 2 * time.Second // past the span in which what an earlier process did is not known
-		g.Beat(now, brentei.Backend{ID: "b", Capacity: 1000, ColdLeft: time.Hour})
+		g.Beat(now, transport.Backend{ID: "b", Capacity: 1000, ColdLeft: time.Hour})
 		var handed []time.Duration
 		most := 0
 		for range rapid.IntRange(1, 80).Draw(t, "requests") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond
-			if ticket, f := g.Admit(now, &brentei.Ask{Target: "b", Aim: time.Second}); ticket == nil && f == nil {
+			if ticket, f := g.Admit(now, &transport.Ask{Target: "b", Aim: time.Second}); ticket == nil && f == nil {
 				handed = append(handed, now)
 				n := 0
 				for _, at := range handed {
@@ -34,7 +34,7 @@
 				g.Done(now, 0, true, true)
 			}
 		}
-		var f fanes.Set
+		var f meshmetrics.Set
 		g.figures(now, &f)
 		got := map[string]float64{}
 		for _, s := range f.Samples {
@@ -44,8 +44,8 @@
 			}
 			got[key] = s.Value
 		}
-		require.EqualValues(t, most, got["altavia_gate_cold_peak"])
-		require.LessOrEqual(t, got["altavia_gate_cold_peak"], got["altavia_gate_cold_bound"])
-		require.EqualValues(t, 1, got["altavia_gate_backend_statecold"])
+		require.EqualValues(t, most, got["micaline_mesh_gate_cold_peak"])
+		require.LessOrEqual(t, got["micaline_mesh_gate_cold_peak"], got["micaline_mesh_gate_cold_bound"])
+		require.EqualValues(t, 1, got["micaline_mesh_gate_backend_statecold"])
 	})
 }
--- a/internal/solvay/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -1,4 +1,4 @@
-// Package solvay (Solvay hut) is the gate: admission beside a backend.
+// Package inbound is the gate: admission beside a backend.
 //
 // A backend is reached only from its own machine, so all that reaches it passes one Gate, and what a Gate decides needs no
 // agreement: it holds through every cut, stale view and restart. A Gate is a machine without I/O, clock or goroutines. It knows
@@ -12,7 +12,7 @@
 //   - Warm-up: in no span of a second does a cold backend get more than the bound, counted over restarts of the gate.
 //   - Room: no more is handed over at once than the backend works on at once, so that it never meets what it cannot queue.
 //   - Once: one id of an unsafe request is handed over once in the life of the process.
-package solvay
+package inbound
 
 import (
 	"cmp"
@@ -20,7 +20,7 @@
 	"slices"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -60,7 +60,7 @@
 	unsafe  bool
 	waiting bool
 	began   time.Duration
-	Grant   func(ok bool, f *brentei.Failure) // called when a waiting ticket's turn has come, or never will
+	Grant   func(ok bool, f *transport.Failure) // called when a waiting ticket's turn has come, or never will
 }
 
 // order is who goes first: what backends call, as a run of another waits for it and holds a slot; then what may yet be in time, then
@@ -82,11 +82,11 @@
 	rules    Rules
 	started  time.Duration
 	now      time.Duration
-	backend  *brentei.Backend // nil: none has been heard, or it is gone
-	last     *brentei.Backend // the life heard last, also when it is gone
-	ended    []string         // lives before it
-	heard    time.Duration    // its last beat, or answer
-	cold     time.Duration    // until then
+	backend  *transport.Backend // nil: none has been heard, or it is gone
+	last     *transport.Backend // the life heard last, also when it is gone
+	ended    []string           // lives before it
+	heard    time.Duration      // its last beat, or answer
+	cold     time.Duration      // until then
 	inFlight int
 	coming   int             // requests of which the body is still on its way here,
 	bytes    int64           // and how much of them there is in all
@@ -108,7 +108,7 @@
 }
 
 // Beat takes in what the backend says of itself, and says whether others should hear of it.
-func (g *Gate) Beat(now time.Duration, b brentei.Backend) (news bool) {
+func (g *Gate) Beat(now time.Duration, b transport.Backend) (news bool) {
 	g.step(now)
 	old, last := g.backend, g.last
 	if slices.Contains(g.ended, b.ID) || last != nil && last.ID == b.ID && b.Calls != 0 && b.Calls < last.Calls {
@@ -129,7 +129,7 @@
 		g.recent, g.rate, g.errors = 0, meter{}, meter{}
 	}
 	if old != nil && old.ID != b.ID {
-		g.refuseWaiting(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown})
+		g.refuseWaiting(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown})
 	} else if f := g.shut(); f != nil {
 		g.refuseWaiting(f)
 	}
@@ -174,7 +174,7 @@
 }
 
 // Backend returns what is known of the backend, with what is left of its warm-up; nil if there is none.
-func (g *Gate) Backend(now time.Duration) *brentei.Backend {
+func (g *Gate) Backend(now time.Duration) *transport.Backend {
 	if g.backend == nil {
 		return nil
 	}
@@ -184,7 +184,7 @@
 }
 
 // Admit decides about a request: it may be handed over at once (nil, nil), waits (a ticket), or is refused.
-func (g *Gate) Admit(now time.Duration, a *brentei.Ask) (*Ticket, *brentei.Failure) {
+func (g *Gate) Admit(now time.Duration, a *transport.Ask) (*Ticket, *transport.Failure) {
 	g.step(now)
 	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
 		return nil, g.refuse(f)
@@ -207,7 +207,7 @@
 		i--
 	}
 	most := queueSlots * max(1, g.backend.Capacity)
-	full := &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: max(g.wait(1), g.wait(i+1)-a.Patient)}
+	full := &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: max(g.wait(1), g.wait(i+1)-a.Patient)}
 	if g.wait(i+1) > a.Patient || i >= most {
 		return nil, g.refuse(full)
 	}
@@ -223,7 +223,7 @@
 
 // Offer decides whether a body may come. What is refused here has not been carried for nothing: a body behind so many that it would
 // be late fares better at another gate.
-func (g *Gate) Offer(now time.Duration, a *brentei.Ask) *brentei.Failure {
+func (g *Gate) Offer(now time.Duration, a *transport.Ask) *transport.Failure {
 	g.step(now)
 	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
 		return g.refuse(f)
@@ -233,7 +233,7 @@
 	}
 	before := time.Duration(float64(g.bytes) * 8 / g.rules.LinkBps * float64(time.Second))
 	if before > a.Patient {
-		return g.refuse(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: before - a.Patient})
+		return g.refuse(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: before - a.Patient})
 	}
 	return nil
 }
@@ -245,7 +245,7 @@
 // Came is the end of Coming.
 func (g *Gate) Came(bytes int64) {
 	if g.coming, g.bytes = g.coming-1, g.bytes-bytes; g.coming < 0 || g.bytes < 0 {
-		panic("solvay: more bodies came than had begun to")
+		panic("inbound: more bodies came than had begun to")
 	}
 }
 
@@ -257,7 +257,7 @@
 	}
 	t.waiting = false
 	g.waiting = slices.DeleteFunc(g.waiting, func(o *Ticket) bool { return o == t })
-	g.Refused[brentei.Full]++
+	g.Refused[transport.Full]++
 	return true
 }
 
@@ -266,7 +266,7 @@
 func (g *Gate) Done(now, took time.Duration, answered, well bool) {
 	g.step(now)
 	if g.inFlight--; g.inFlight < 0 {
-		panic("solvay: more requests ended than were handed over")
+		panic("inbound: more requests ended than were handed over")
 	}
 	if answered {
 		g.heard = now
@@ -298,8 +298,8 @@
 }
 
 // Load is what others are told of the backend.
-func (g *Gate) Load(now time.Duration) brentei.Load {
-	return brentei.Load{
+func (g *Gate) Load(now time.Duration) transport.Load {
+	return transport.Load{
 		InFlight: g.inFlight + len(g.waiting) + g.coming, Waiting: len(g.waiting),
 		Recent: time.Duration(g.recent * float64(time.Second)), Rate: g.rate.perSecond(now), Errors: g.errors.perSecond(now),
 	}
@@ -313,34 +313,34 @@
 }
 
 // shut says why nothing at all is handed over.
-func (g *Gate) shut() *brentei.Failure {
+func (g *Gate) shut() *transport.Failure {
 	switch {
 	case g.backend == nil:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown}
 	case g.backend.Draining:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Draining}
 	case g.rules.Evacuated:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Evacuated}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Evacuated}
 	case g.rules.Blind:
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own}
 	}
 	return nil
 }
 
 // may is the right to be handed over but for room and warmth.
-func (g *Gate) may(target, try string, unsafe bool) *brentei.Failure {
+func (g *Gate) may(target, try string, unsafe bool) *transport.Failure {
 	if f := g.shut(); f != nil {
 		return f
 	}
 	if g.backend.ID != target {
-		return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unknown}
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown}
 	}
 	if unsafe {
 		if g.twice(try) {
-			return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
+			return &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Twice}
 		}
 		if len(g.seen[0]) >= mostTwice {
-			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own, After: time.Second}
+			return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own, After: time.Second}
 		}
 	}
 	return nil
@@ -357,9 +357,9 @@
 }
 
 // hand counts a request that goes to the backend now; the only way there.
-func (g *Gate) hand(t *Ticket) *brentei.Failure {
+func (g *Gate) hand(t *Ticket) *transport.Failure {
 	if t.unsafe && g.twice(t.try) { // it came twice while it waited
-		return &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Twice}
+		return &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Twice}
 	}
 	if g.cold > g.now {
 		limit := g.rules.coldLimit()
@@ -369,7 +369,7 @@
 			if len(g.handed) > 0 {
 				after = max(after, g.handed[0]+span-g.now)
 			}
-			return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Cold, After: after}
+			return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Cold, After: after}
 		}
 	}
 	g.handed = append(g.handed, g.now)
@@ -380,17 +380,17 @@
 		g.seen[0][t.try] = struct{}{}
 	}
 	if g.inFlight++; g.inFlight > max(1, g.backend.Capacity) {
-		panic(fmt.Sprintf("solvay: %d handed over at once to a backend that takes %d", g.inFlight, g.backend.Capacity))
+		panic(fmt.Sprintf("inbound: %d handed over at once to a backend that takes %d", g.inFlight, g.backend.Capacity))
 	}
 	return nil
 }
 
-func (g *Gate) refuse(f *brentei.Failure) *brentei.Failure {
+func (g *Gate) refuse(f *transport.Failure) *transport.Failure {
 	g.Refused[f.Reason]++
 	return f
 }
 
-func (g *Gate) refuseWaiting(f *brentei.Failure) {
+func (g *Gate) refuseWaiting(f *transport.Failure) {
 	for _, t := range g.waiting {
 		t.waiting = false
 		t.Grant(false, g.refuse(f))
--- a/internal/solvay/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -1,4 +1,4 @@
-package solvay
+package inbound
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/stretchr/testify/require"
 )
 
@@ -20,11 +20,11 @@
 	now, base             time.Duration // base: when the present gate started
 	gate                  *Gate
 	rules                 Rules
-	truth                 brentei.Backend // the present life
-	known                 bool            // the present gate has heard it, and nothing that says it is gone
-	left                  map[string]bool // lives that said that they leave, and were acknowledged
-	cold                  time.Duration   // until then, by what the gate was told
-	heard                 []brentei.Backend
+	truth                 transport.Backend // the present life
+	known                 bool              // the present gate has heard it, and nothing that says it is gone
+	left                  map[string]bool   // lives that said that they leave, and were acknowledged
+	cold                  time.Duration     // until then, by what the gate was told
+	heard                 []transport.Backend
 	toCold                []time.Duration
 	waiting               []*queued
 	past                  *queued         // one that is settled
@@ -34,7 +34,7 @@
 }
 
 type queued struct {
-	ask     brentei.Ask
+	ask     transport.Ask
 	ticket  *Ticket
 	settled bool
 }
@@ -49,7 +49,7 @@
 func (y *yard) pick(n int) bool { return y.r.IntN(n) == 0 }
 
 // handed checks a hand-over: the one place where a request reaches the backend.
-func (y *yard) handed(a *brentei.Ask) {
+func (y *yard) handed(a *transport.Ask) {
 	y.counted["handed"]++
 	y.True(y.known && y.truth.ID == a.Target, "ROUTE: handed to another life, to one not heard, or to one that is gone")
 	y.False(y.left[a.Target], "DRAIN: handed over after the backend left")
@@ -66,13 +66,13 @@
 	}
 }
 
-func (y *yard) refused(f *brentei.Failure) {
+func (y *yard) refused(f *transport.Failure) {
 	y.counted[f.Reason.String()]++
-	y.Equal(f.Reason == brentei.Twice, f.Verdict != brentei.NotRun, "REFUSED: only an id that was handed over is no promise")
+	y.Equal(f.Reason == transport.Twice, f.Verdict != transport.NotRun, "REFUSED: only an id that was handed over is no promise")
 }
 
 func (y *yard) admit() {
-	a := brentei.Ask{Target: y.truth.ID, Unsafe: y.pick(2), Inner: y.pick(4), Left: 5 * time.Second,
+	a := transport.Ask{Target: y.truth.ID, Unsafe: y.pick(2), Inner: y.pick(4), Left: 5 * time.Second,
 		Aim: time.Duration(y.r.IntN(1000)) * time.Millisecond, Patient: time.Duration(1+y.r.IntN(300)) * time.Millisecond}
 	if y.pick(10) {
 		a.Target = fmt.Sprint("b", y.r.IntN(y.lives+1))
@@ -89,7 +89,7 @@
 	} else {
 		q := &queued{ask: a, ticket: ticket}
 		y.waiting = append(y.waiting, q)
-		ticket.Grant = func(ok bool, f *brentei.Failure) { y.granted(q, ok, f) }
+		ticket.Grant = func(ok bool, f *transport.Failure) { y.granted(q, ok, f) }
 	}
 }
 
@@ -99,12 +99,12 @@
 	y.waiting = slices.DeleteFunc(y.waiting, func(o *queued) bool { return o == q })
 }
 
-func (y *yard) granted(q *queued, ok bool, f *brentei.Failure) {
+func (y *yard) granted(q *queued, ok bool, f *transport.Failure) {
 	y.settle(q)
 	y.Equal(ok, f == nil)
 	other := slices.ContainsFunc(y.waiting, func(o *queued) bool { return o.ask.Inner != q.ask.Inner })
 	if !ok {
-		y.False(f.Reason == brentei.Full && q.ask.Inner && other, "a backend's own call gave way to a client's")
+		y.False(f.Reason == transport.Full && q.ask.Inner && other, "a backend's own call gave way to a client's")
 		y.refused(f)
 		return
 	}
@@ -153,7 +153,7 @@
 	case 4: // the next life
 		if y.pick(3) {
 			y.lives++
-			y.truth = brentei.Backend{ID: fmt.Sprint("b", y.lives), Capacity: 1 + y.r.IntN(6)}
+			y.truth = transport.Backend{ID: fmt.Sprint("b", y.lives), Capacity: 1 + y.r.IntN(6)}
 			y.cold = y.now + time.Duration(y.r.IntN(3000))*time.Millisecond
 			y.beat()
 		}
@@ -211,7 +211,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			y := &yard{Assertions: require.New(t), r: r, now: time.Hour, counted: counted, left: map[string]bool{}, lives: 1,
-				truth: brentei.Backend{ID: "b1", Capacity: 4}, rules: Rules{Warmup: 3 * time.Second, WarmupPerS: 1 + 8*r.Float64(),
+				truth: transport.Backend{ID: "b1", Capacity: 4}, rules: Rules{Warmup: 3 * time.Second, WarmupPerS: 1 + 8*r.Float64(),
 					Excess: 1 + r.Float64(), Margin: 2 + 4*r.Float64(), BeatEvery: 1300 * time.Millisecond}}
 			y.start()
 			y.beat()
--- a/internal/solvay/host.go
+++ b/internal/mesh/inbound/host.go
@@ -1,4 +1,4 @@
-package solvay
+package inbound
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/bertol"
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/scoiattoli"
+	"example.org/micaline/internal/connpool"
+	"example.org/micaline/internal/mesh/flightrecorder"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // run is a request that the backend has in work.
@@ -42,21 +42,21 @@
 
 // Host runs a Gate: it serves exchanges and hands over to the backend over connections of its own.
 type Host struct {
-	pool       *bertol.Pool
+	pool       *connpool.Pool
 	mostAnswer int64
 	mostBody   int64
-	room       *brentei.Room // for bodies
-	lane       chan struct{} // long bodies on their way
+	room       *transport.Room // for bodies
+	lane       chan struct{}   // long bodies on their way
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
 	mu       sync.Mutex
 	gate     *Gate
-	target   *bertol.Target // the life of the backend that targetID names
+	target   *connpool.Target // the life of the backend that targetID names
 	targetID string
 	runs     map[string]*run // what the backend has in work, by try
 
-	Ways scoiattoli.Ring // of what was refused or broke here
+	Ways flightrecorder.Ring // of what was refused or broke here
 
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
@@ -64,11 +64,11 @@
 }
 
 // NewHost returns a host whose backend has not been heard.
-func NewHost(r Rules, mostBody int64, room *brentei.Room, news func()) *Host {
+func NewHost(r Rules, mostBody int64, room *transport.Room, news func()) *Host {
 	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
 	h.lane = make(chan struct{}, lanes(r.LinkBps))
-	h.pool = bertol.New(bertol.Options{Network: bertol.TCP{}, ConnectTimeout: time.Second, IdleClose: idleClose, Most: mostConns})
+	h.pool = connpool.New(connpool.Options{Network: connpool.TCP{}, ConnectTimeout: time.Second, IdleClose: idleClose, Most: mostConns})
 	h.open.Store(true)
 	return h
 }
@@ -86,10 +86,10 @@
 }
 
 // Serve takes requests off a connection, one at a time, until it ends.
-func (h *Host) Serve(c *brentei.Conn) {
+func (h *Host) Serve(c *transport.Conn) {
 	defer c.Close()
 	for {
-		var ask brentei.Ask
+		var ask transport.Ask
 		if err := c.Receive(&ask); err != nil {
 			return
 		}
@@ -100,7 +100,7 @@
 			}
 			continue
 		}
-		if ask.Hold && c.Send(&brentei.Reply{Go: true}, nil) != nil {
+		if ask.Hold && c.Send(&transport.Reply{Go: true}, nil) != nil {
 			h.came(&ask)
 			h.room.Free(ask.Body)
 			return
@@ -121,7 +121,7 @@
 
 // coming takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
 // as far as the link makes them wait anyway: each that comes beside others puts a window of bytes before all that is short.
-func (h *Host) coming(a *brentei.Ask) *brentei.Failure {
+func (h *Host) coming(a *transport.Ask) *transport.Failure {
 	h.mu.Lock()
 	if !a.Hold {
 		h.room.Free(-a.Body) // short, and on its way: it is taken, and long ones find less
@@ -131,7 +131,7 @@
 	}
 	f := h.gate.Offer(h.now(), a)
 	if f == nil && !h.room.Take(a.Body) {
-		f = &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: roomAgain}
+		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: roomAgain}
 	}
 	if f == nil {
 		h.gate.Coming(a.Body)
@@ -156,10 +156,10 @@
 	h.gate.Came(a.Body)
 	h.mu.Unlock()
 	h.room.Free(a.Body)
-	return &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
+	return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
 }
 
-func (h *Host) came(a *brentei.Ask) {
+func (h *Host) came(a *transport.Ask) {
 	if a.Hold {
 		<-h.lane
 	}
@@ -169,7 +169,7 @@
 }
 
 // Handle brings a request to the backend and returns its answer, or why there is none.
-func (h *Host) Handle(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+func (h *Host) Handle(a *transport.Ask, body []byte) (*transport.Reply, []byte) {
 	arrived := time.Now()
 	address, waited, f := h.admit(a)
 	if f != nil {
@@ -193,7 +193,7 @@
 	ans, f := h.exchange(ctx, address, a, body, deadline)
 	cancel()
 	took := time.Since(sent)
-	var meant *brentei.Failure
+	var meant *transport.Failure
 	if f == nil {
 		meant = ans.meaning()
 	}
@@ -203,7 +203,7 @@
 	well := f == nil && meant == nil && (ans.status < 500 || working.failed)
 	delete(h.runs, a.Try)
 	h.gate.Done(now, took, f == nil && meant == nil, well)
-	if f != nil && f.Reason == brentei.Unknown || meant != nil && meant.Reason == brentei.Unknown {
+	if f != nil && f.Reason == transport.Unknown || meant != nil && meant.Reason == transport.Unknown {
 		// Danger: nobody listens where it was, or somebody else does: it is gone until a beat tells otherwise.
 		lost = h.gate.Left(now, a.Target)
 	}
@@ -224,16 +224,16 @@
 	}
 	h.Answered.Add(1)
 	h.Ways.Plain()
-	r := &brentei.Reply{Verdict: brentei.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited}
+	r := &transport.Reply{Verdict: transport.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited}
 	r.Load = h.load()
 	r.Inner = working.failed && ans.status >= 500
 	return r, ans.body
 }
 
 // admit waits for a slot, and says how long.
-func (h *Host) admit(a *brentei.Ask) (address string, waited time.Duration, f *brentei.Failure) {
+func (h *Host) admit(a *transport.Ask) (address string, waited time.Duration, f *transport.Failure) {
 	if !h.open.Load() {
-		return "", 0, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Draining}
+		return "", 0, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Draining}
 	}
 	h.mu.Lock()
 	t, f := h.gate.Admit(h.now(), a)
@@ -247,8 +247,8 @@
 		return address, 0, nil
 	}
 	began := time.Now()
-	granted := make(chan *brentei.Failure, 1)
-	t.Grant = func(ok bool, f *brentei.Failure) { granted <- f }
+	granted := make(chan *transport.Failure, 1)
+	t.Grant = func(ok bool, f *transport.Failure) { granted <- f }
 	h.mu.Unlock()
 	timer := time.NewTimer(a.Patient)
 	defer timer.Stop()
@@ -261,17 +261,17 @@
 	abandoned := h.gate.Abandon(h.now(), t)
 	h.mu.Unlock()
 	if abandoned {
-		return "", time.Since(began), &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: a.Patient}
+		return "", time.Since(began), &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
 	}
 	f = <-granted
 	return address, time.Since(began), f
 }
 
-func (h *Host) reply(f *brentei.Failure) *brentei.Reply {
-	return &brentei.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: h.load()}
+func (h *Host) reply(f *transport.Failure) *transport.Reply {
+	return &transport.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: h.load()}
 }
 
-func (h *Host) load() brentei.Load {
+func (h *Host) load() transport.Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.gate.Load(h.now())
--- /dev/null
+++ b/internal/mesh/inbound/note.go
@@ -0,0 +1,25 @@
+package inbound
+
+import (
+	"time"
+
+	"example.org/micaline/internal/mesh/transport"
+)
+
+// note records a request that got no answer here.
+func (h *Host) note(a *transport.Ask, f *transport.Failure, waited, took time.Duration) {
+	h.mu.Lock()
+	load, service := h.gate.Load(h.now()), ""
+	if h.gate.last != nil {
+		service = h.gate.last.Service
+	}
+	h.mu.Unlock()
+	result := "failed"
+	if f.Verdict == transport.NotRun {
+		result = "refused"
+	}
+	h.Ways.Add(time.Now(), transport.Way{Side: transport.AtGate, Try: a.Try, Took: took, Caller: a.Caller, Service: service, Unsafe: a.Unsafe,
+		Inner: a.Inner, Repeat: a.Repeat, Started: 1, Result: result, Why: f.Error(), After: f.After,
+		Steps: []transport.Attempt{{Backend: a.Target, Verdict: f.Verdict, Reason: f.Reason, AtGate: waited, Took: took, After: f.After,
+			InFlight: load.InFlight, Waiting: load.Waiting}}})
+}
--- a/internal/lavarella/mesh.go
+++ b/internal/mesh/meshclient/mesh.go
@@ -1,4 +1,4 @@
-// Package lavarella (Lavarella hut) is the client side of the mesh: calls of the operators'
+// Package meshclient is the client side of the mesh: calls of the operators'
 // interface, and questions for figures.
 //
 // A Mesh knows the control addresses of some core machines. Any of them takes any call, so a call
@@ -9,7 +9,7 @@
 // Promised: an error is a *Refused, which holds what the mesh said, or an *Unreachable. After a
 // Refused nothing of the call is in force by it; after an Unreachable it may be, now or later,
 // unless no connection came up at all.
-package lavarella
+package meshclient
 
 import (
 	"bytes"
@@ -188,7 +188,7 @@
 		list = append(list, part)
 	}
 	if len(list) == 0 {
-		return nil, errors.New("--core: name the control address of a core machine at least, host:port,...")
+		return nil, errors.New("--core: name the control address of a core machine at least, host:port, separated by commas")
 	}
 	if len(list) > MostCores {
 		return nil, fmt.Errorf("--core: %d addresses, at most %d are taken", len(list), MostCores)
--- a/internal/margherita/encode.go
+++ b/internal/mesh/meshconfig/encode.go
@@ -1,4 +1,4 @@
-package margherita
+package meshconfig
 
 import (
 	"bytes"
@@ -58,7 +58,7 @@
 	e := json.NewEncoder(&b)
 	e.SetEscapeHTML(false)
 	if err := e.Encode(s); err != nil {
-		panic(fmt.Sprintf("margherita: strings and numbers can't fail to encode: %v", err))
+		panic(fmt.Sprintf("meshconfig: strings and numbers can't fail to encode: %v", err))
 	}
 	return b.Bytes()
 }
--- a/internal/margherita/item.go
+++ b/internal/mesh/meshconfig/item.go
@@ -1,4 +1,4 @@
-package margherita
+package meshconfig
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
 )
 
 // The kinds of items. Of tenants nothing is understood yet: they are kept and given back.
@@ -155,7 +155,7 @@
 	if text == "" {
 		return 0
 	}
-	t, err := nuvolau.ParseTime(text)
+	t, err := bootstrap.ParseTime(text)
 	if err != nil {
 		f.wrong(field, "%v", err)
 	}
--- a/internal/margherita/margherita.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -1,4 +1,4 @@
-// Package margherita (Capanna Margherita, the highest of the huts) is the configuration: an
+// Package meshconfig is the configuration: an
 // immutable snapshot of all items and of the zones that are evacuated. It does no I/O, has no clock
 // and starts no goroutines; a snapshot may be read by any number of goroutines.
 //
@@ -19,7 +19,7 @@
 // different versions commute where all are valid. Items are given back exactly as they were sent.
 // The limits: MostItems stand, MostTombstones are kept (after which the oldest is forgotten, and a
 // patch older than it would be taken again), MostZones are evacuated.
-package margherita
+package meshconfig
 
 import (
 	"cmp"
@@ -28,7 +28,7 @@
 	"slices"
 )
 
-//go:generate protoc -I../.. --go_out=../.. --go_opt=paths=source_relative internal/margherita/margherita.proto
+//go:generate protoc -I../../.. --go_out=../../.. --go_opt=paths=source_relative internal/mesh/meshconfig/meshconfig.proto
 
 const (
 	MostItems      = 1 << 16
--- a/internal/margherita/margherita_test.go
+++ b/internal/mesh/meshconfig/meshconfig_test.go
@@ -1,4 +1,4 @@
-package margherita
+package meshconfig
 
 import (
 	"fmt"
--- a/internal/margherita/routes.go
+++ b/internal/mesh/meshconfig/routes.go
@@ -1,4 +1,4 @@
-package margherita
+package meshconfig
 
 // Routes returns the routes that stand, in no order.
 func (c *Config) Routes() []*Route {
--- a/internal/fanes/fanes.go
+++ b/internal/mesh/meshmetrics/meshmetrics.go
@@ -1,4 +1,4 @@
-// Package fanes (Fanes hut) is the list of metrics: what the mesh's processes count, in which unit,
+// Package meshmetrics is the list of metrics: what the mesh's processes count, in which unit,
 // with which labels.
 //
 // There is one table, Metrics. A process fills a Set by it, the exporter takes names, kinds and
@@ -8,7 +8,7 @@
 // Promised: a Set holds only metrics of the table, each with exactly its labels. Label values are
 // services, zones and machines of the deployment, or words of lists that are fixed in the program:
 // never anything that a request brings.
-package fanes
+package meshmetrics
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 	"strings"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // Kind tells what may be done with a metric's values.
@@ -51,7 +51,7 @@
 
 // Set is what a process fills with its figures. The zero value is empty.
 type Set struct {
-	Samples []brentei.Sample
+	Samples []transport.Sample
 }
 
 var byName = func() map[string]*Metric {
@@ -69,13 +69,13 @@
 func (s *Set) Add(name string, value float64, values ...string) {
 	m := byName[name]
 	if m == nil || len(values) != len(m.Labels) {
-		panic(fmt.Sprintf("fanes: %s%q is not in the table", name, values))
+		panic(fmt.Sprintf("meshmetrics: %s%q is not in the table", name, values))
 	}
 	var labels []string
 	for i, label := range m.Labels {
 		labels = append(labels, label, values[i])
 	}
-	s.Samples = append(s.Samples, brentei.Sample{Name: name, Labels: labels, Value: value})
+	s.Samples = append(s.Samples, transport.Sample{Name: name, Labels: labels, Value: value})
 }
 
 // Flag adds 1 or 0.
@@ -98,9 +98,9 @@
 func (s *Set) Process(began time.Time, limitMB int) {
 	read := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
 	metrics.Read(read)
-	s.Add("altavia_uptime_seconds", time.Since(began).Seconds())
-	s.Add("altavia_memory_bytes", float64(read[0].Value.Uint64()-read[1].Value.Uint64()))
-	s.Add("altavia_memory_limit_bytes", float64(limitMB)*(1<<20))
+	s.Add("micaline_mesh_uptime_seconds", time.Since(began).Seconds())
+	s.Add("micaline_mesh_memory_bytes", float64(read[0].Value.Uint64()-read[1].Value.Uint64()))
+	s.Add("micaline_mesh_memory_limit_bytes", float64(limitMB)*(1<<20))
 }
 
 // Table is the list as rows for docs/mesh-tools.md.
--- a/internal/fanes/fanes_test.go
+++ b/internal/mesh/meshmetrics/meshmetrics_test.go
@@ -1,4 +1,4 @@
-package fanes
+package meshmetrics
 
 import (
 	"os"
@@ -15,8 +15,8 @@
 		seen[m.Name] = true
 		require.Equal(t, m.Kind == Counter, strings.HasSuffix(m.Name, "_total"), m.Name)
 	}
-	require.Panics(t, func() { new(Set).Add("altavia_core_role", 1) }, "a figure without its labels")
-	page, err := os.ReadFile("../../docs/mesh-tools.md")
+	require.Panics(t, func() { new(Set).Add("micaline_mesh_core_role", 1) }, "a figure without its labels")
+	page, err := os.ReadFile("../../../docs/mesh-tools.md")
 	require.NoError(t, err)
-	require.Contains(t, string(page), Table(), "print it anew: go run ./cmd/pisciadu metrics")
+	require.Contains(t, string(page), Table(), "print it anew: go run ./cmd/micaline-exporter metrics")
 }
--- a/internal/seceda/item.go
+++ b/internal/mesh/meshtest/item.go
@@ -1,4 +1,4 @@
-package seceda
+package meshtest
 
 import (
 	"encoding/json"
@@ -34,7 +34,7 @@
 func plain(body map[string]any) (out any) {
 	text, err := json.Marshal(body)
 	if err != nil || json.Unmarshal(text, &out) != nil {
-		panic("seceda: a body that is no JSON") // we made it, or it was read
+		panic("meshtest: a body that is no JSON") // we made it, or it was read
 	}
 	return out
 }
--- a/internal/seceda/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -1,4 +1,4 @@
-package seceda
+package meshtest
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/coldai"
+	"example.org/micaline/internal/childprocess"
 )
 
 const (
@@ -37,7 +37,7 @@
 	trouble *Trouble // that has not ended; guarded by the ground's record
 
 	mu      sync.Mutex
-	proc    *coldai.Process
+	proc    *childprocess.Process
 	stopped bool
 	read    int64 // bytes of the log that have been looked at
 	said    said
@@ -150,7 +150,7 @@
 	cmd := exec.Command(m.g.opt.Program, role)
 	m.look() // what the life before has said
 	cmd.Dir, cmd.Env = m.g.dir, append(os.Environ(), "MICALINE_CONFIG="+file)
-	p, err := coldai.Start(cmd, m.logFile())
+	p, err := childprocess.Start(cmd, m.logFile())
 	if err != nil {
 		return err
 	}
@@ -170,12 +170,12 @@
 
 // Kill ends the process without notice, and returns when it is gone.
 func (m *Machine) Kill() {
-	m.hit(false, func(p *coldai.Process) { p.Kill(); <-p.Ended() })
+	m.hit(false, func(p *childprocess.Process) { p.Kill(); <-p.Ended() })
 }
 
 // Stop has the process stand still.
 func (m *Machine) Stop() {
-	m.hit(false, func(p *coldai.Process) { p.Freeze(); m.stopped = true })
+	m.hit(false, func(p *childprocess.Process) { p.Freeze(); m.stopped = true })
 }
 
 // Continue has it go on.
@@ -191,7 +191,7 @@
 // would.
 func (m *Machine) Terminate() (inTime bool) {
 	inTime = true
-	m.hit(true, func(p *coldai.Process) {
+	m.hit(true, func(p *childprocess.Process) {
 		p.Terminate()
 		late := time.NewTimer(grace)
 		defer late.Stop()
@@ -210,7 +210,7 @@
 func (m *Machine) Wipe() error { return os.RemoveAll(m.disk()) }
 
 // hit notes a trouble and makes it.
-func (m *Machine) hit(planned bool, how func(*coldai.Process)) {
+func (m *Machine) hit(planned bool, how func(*childprocess.Process)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.g.record.note(func(now time.Duration, s *Story) {
--- a/internal/seceda/seceda.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -1,4 +1,4 @@
-// Package seceda (Seceda, the high meadow) is the ground: a small mesh of real processes on
+// Package meshtest runs a small mesh of real processes on
 // loopback.
 //
 // There are three core machines and some agents, each a process of the built program at an address
@@ -13,7 +13,7 @@
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
 // ended by their ids when the ground is closed, and with the caller if that dies.
-package seceda
+package meshtest
 
 import (
 	"context"
@@ -56,7 +56,7 @@
 
 // Options say what a ground is like.
 type Options struct {
-	Program string // the built altavia
+	Program string // the built micaline-mesh
 	Dir     string // for settings, disks and logs, and empty; "": one that is taken away at the end
 	Agents  int    // 3 at least
 	Rate    float64
@@ -100,7 +100,7 @@
 		}
 	}()
 	if g.dir == "" {
-		if g.dir, err = os.MkdirTemp("", "altavia-try-"); err != nil {
+		if g.dir, err = os.MkdirTemp("", "micaline-mesh-try-"); err != nil {
 			return g, err
 		}
 	} else if there, _ := os.ReadDir(g.dir); len(there) > 0 { // disks of another mesh don't make a first start
--- a/internal/seceda/seceda_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -1,4 +1,4 @@
-package seceda
+package meshtest
 
 import (
 	"context"
@@ -18,11 +18,11 @@
 
 // build builds the program, once.
 var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "altavia-ground")
+	dir, err := os.MkdirTemp("", "micaline-mesh-ground")
 	if err != nil {
 		return "", err
 	}
-	if out, err := exec.Command("go", "build", "-o", dir, "example.org/micaline/cmd/altavia").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir, "example.org/micaline/cmd/micaline-mesh").CombinedOutput(); err != nil {
 		return dir, fmt.Errorf("building the program: %w\n%s", err, out)
 	}
 	return dir, nil
@@ -63,7 +63,7 @@
 				at = filepath.Join(*keepFlag, filepath.Base(t.Name()))
 				require.NoError(t, os.MkdirAll(at, 0o700))
 			}
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "altavia"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond})
+			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond})
 			require.NoError(t, err)
 			defer g.Close()
 			story(t, ctx, g)
--- a/internal/seceda/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -1,4 +1,4 @@
-package seceda
+package meshtest
 
 import (
 	"slices"
--- a/internal/vajolet/age.go
+++ b/internal/mesh/outbound/age.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"sync"
--- a/internal/vajolet/chooser.go
+++ b/internal/mesh/outbound/chooser.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"container/heap"
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 )
 
@@ -207,7 +207,7 @@
 }
 
 // loadOf translates what a gate knows of its backend.
-func loadOf(l *brentei.Load) policy.Load {
+func loadOf(l *transport.Load) policy.Load {
 	if l.Recent <= 0 {
 		return policy.Load{Known: true, InFlight: float64(l.InFlight), Queue: float64(l.Waiting), Recent: -1, Rate: -1, Errors: -1}
 	}
--- a/internal/vajolet/note.go
+++ b/internal/mesh/outbound/note.go
@@ -1,12 +1,12 @@
-package vajolet
+package outbound
 
 import (
 	"net/http"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // answered is a client's answer, and what is recorded of its request.
@@ -14,7 +14,7 @@
 	http.ResponseWriter
 	began   time.Time
 	view    *View
-	route   *margherita.Route
+	route   *meshconfig.Route
 	service string
 	job     *job
 	status  int // 0: there is no answer
@@ -30,7 +30,7 @@
 
 // step records an attempt that has ended. The lock is held.
 func (j *job) step(at *attempt) {
-	s := brentei.Attempt{N: at.n, Begun: at.began.Sub(j.began), Took: time.Since(at.began), Verdict: brentei.Ran}
+	s := transport.Attempt{N: at.n, Begun: at.began.Sub(j.began), Took: time.Since(at.began), Verdict: transport.Ran}
 	if at.to != nil {
 		s.Backend, s.Agent = at.to.backend, at.to.agent
 	}
@@ -46,7 +46,7 @@
 // note records how a request ended. What simply succeeded at its first attempt is only counted.
 func (s *Sender) note(w *answered, r *http.Request) {
 	j := w.job
-	way := brentei.Way{Side: brentei.AtSender, Caller: s.set.Service, Service: w.service, Status: w.status, Why: w.why, After: w.after}
+	way := transport.Way{Side: transport.AtSender, Caller: s.set.Service, Service: w.service, Status: w.status, Why: w.why, After: w.after}
 	if j != nil {
 		j.mu.Lock()
 		way.Steps, way.Started = j.steps, j.attempts // of what is added later nothing is in this slice
@@ -74,12 +74,12 @@
 	if way.Result == "refused" || way.Result == "failed" {
 		way.Why = cause(w, way.Steps)
 	}
-	way.Try, way.Took = r.Header.Get(solvay.TryHeader), time.Since(w.began)
+	way.Try, way.Took = r.Header.Get(inbound.TryHeader), time.Since(w.began)
 	if w.view != nil {
 		way.Index = w.view.Index
 	}
 	if w.route != nil {
-		way.Route, way.Version, way.Unsafe = w.route.Name, w.route.Version, w.route.Kind != margherita.Safe
+		way.Route, way.Version, way.Unsafe = w.route.Name, w.route.Version, w.route.Kind != meshconfig.Safe
 	}
 	if j != nil {
 		way.Inner, way.Repeat = j.inner, j.repeated
@@ -91,7 +91,7 @@
 }
 
 // cause says why a request got no backend's answer.
-func cause(w *answered, steps []brentei.Attempt) string {
+func cause(w *answered, steps []transport.Attempt) string {
 	switch {
 	case w.view == nil:
 		return "no configuration is known yet"
--- a/internal/vajolet/note_test.go
+++ b/internal/mesh/outbound/note_test.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"net/http"
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
@@ -16,37 +16,37 @@
 
 // TestWays: what simply succeeds leaves no record, all else one that tells each attempt.
 func TestWays(t *testing.T) {
-	var say []brentei.Reply
+	var say []transport.Reply
 	g := func() string {
-		return gate(t, func(*brentei.Ask, []byte) (*brentei.Reply, []byte) {
+		return gate(t, func(*transport.Ask, []byte) (*transport.Reply, []byte) {
 			r := say[0]
 			say = say[1:]
 			return &r, nil
 		})
 	}
 	s := sender(t, g(), g())
-	full := brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Full, After: 70 * time.Millisecond, Load: brentei.Load{InFlight: 9, Waiting: 5}}
-	ran := brentei.Reply{Verdict: brentei.Ran, Status: 200, Waited: 3 * time.Millisecond}
-	failed := brentei.Reply{Verdict: brentei.Ran, Status: 500, Inner: true}
+	full := transport.Reply{Verdict: transport.NotRun, Reason: transport.Full, After: 70 * time.Millisecond, Load: transport.Load{InFlight: 9, Waiting: 5}}
+	ran := transport.Reply{Verdict: transport.Ran, Status: 200, Waited: 3 * time.Millisecond}
+	failed := transport.Reply{Verdict: transport.Ran, Status: 500, Inner: true}
 	for _, c := range []struct {
 		path   string
-		say    []brentei.Reply
+		say    []transport.Reply
 		status int
 		result string
-		steps  []brentei.Attempt
+		steps  []transport.Attempt
 	}{
-		{"/safe/", []brentei.Reply{ran}, 200, "", nil},
-		{"/unsafe/", []brentei.Reply{full, ran}, 200, "served", []brentei.Attempt{{Verdict: brentei.NotRun, Reason: brentei.Full, After: full.After,
-			InFlight: 9, Waiting: 5}, {N: 1, Verdict: brentei.Ran, Status: 200, AtGate: ran.Waited}}},
-		{"/safe/", []brentei.Reply{failed}, 500, "backend_failed", []brentei.Attempt{{Verdict: brentei.Ran, Status: 500, Inner: true}}},
-		{"/unsafe/", []brentei.Reply{{Reason: brentei.Broken}}, 502, "failed", []brentei.Attempt{{Reason: brentei.Broken}}},
+		{"/safe/", []transport.Reply{ran}, 200, "", nil},
+		{"/unsafe/", []transport.Reply{full, ran}, 200, "served", []transport.Attempt{{Verdict: transport.NotRun, Reason: transport.Full, After: full.After,
+			InFlight: 9, Waiting: 5}, {N: 1, Verdict: transport.Ran, Status: 200, AtGate: ran.Waited}}},
+		{"/safe/", []transport.Reply{failed}, 500, "backend_failed", []transport.Attempt{{Verdict: transport.Ran, Status: 500, Inner: true}}},
+		{"/unsafe/", []transport.Reply{{Reason: transport.Broken}}, 502, "failed", []transport.Attempt{{Reason: transport.Broken}}},
 		{"/none/", nil, 404, "no_route", nil},
 	} {
 		say = c.say
 		r, w := request("GET", c.path, c.path+c.result, nil), httptest.NewRecorder()
 		s.ServeHTTP(w, r)
 		require.Equal(t, c.status, w.Code)
-		ways := s.Ways.Ask(time.Now(), &brentei.WayQuestion{Try: c.path + c.result, Most: 9})
+		ways := s.Ways.Ask(time.Now(), &transport.WayQuestion{Try: c.path + c.result, Most: 9})
 		if c.result == "" {
 			require.Empty(t, ways)
 			continue
@@ -68,14 +68,14 @@
 
 // BenchmarkNote is what records cost a request: nearly all are plain.
 func BenchmarkNote(b *testing.B) {
-	s := New(&nuvolau.Settings{}, solvay.NewHost(solvay.Rules{}, 1, brentei.NewRoom(1), func() {}), nil, nil, &log.Logger{Handler: discard.New()})
+	s := New(&bootstrap.Settings{}, inbound.NewHost(inbound.Rules{}, 1, transport.NewRoom(1), func() {}), nil, nil, &log.Logger{Handler: discard.New()})
 	r := request("GET", "/safe/", "9c41d07be2a35f68", nil)
 	out := httptest.NewRecorder()
 	for name, steps := range map[string]int{"plain": 0, "two-attempts": 2} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			j := &job{attempts: max(1, steps)}
-			at := &attempt{reply: &brentei.Reply{}, to: &target{backend: "b", agent: "10.0.0.1"}, began: time.Now()}
+			at := &attempt{reply: &transport.Reply{}, to: &target{backend: "b", agent: "10.0.0.1"}, began: time.Now()}
 			for b.Loop() {
 				w := &answered{ResponseWriter: out, began: time.Now(), job: j}
 				for range steps {
--- a/internal/vajolet/order_test.go
+++ b/internal/mesh/outbound/order_test.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"flag"
@@ -10,11 +10,11 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/micaline/internal/brentei"
 	"example.org/micaline/internal/chart"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
@@ -29,7 +29,7 @@
 // so that the gate stays as it is.
 type order struct {
 	name string
-	tell func(a *brentei.Ask, now time.Duration)
+	tell func(a *transport.Ask, now time.Duration)
 	late bool // what can't be in time any more is refused at once
 	anew bool // a client that comes back is taken for a new one
 }
@@ -37,12 +37,12 @@
 const far = time.Hour // an aim that nobody misses
 
 var orders = []order{
-	{name: "as it is", tell: func(*brentei.Ask, time.Duration) {}},
-	{name: "as if new", tell: func(*brentei.Ask, time.Duration) {}, anew: true},
-	{name: "first come", tell: func(a *brentei.Ask, _ time.Duration) { a.Inner, a.Aim = false, far }, anew: true},
-	{name: "by due", tell: func(a *brentei.Ask, _ time.Duration) { a.Inner = false }},
-	{name: "newest first", tell: func(a *brentei.Ask, now time.Duration) { a.Inner, a.Aim = false, far-2*now }, anew: true},
-	{name: "by worth", tell: func(a *brentei.Ask, _ time.Duration) {
+	{name: "as it is", tell: func(*transport.Ask, time.Duration) {}},
+	{name: "as if new", tell: func(*transport.Ask, time.Duration) {}, anew: true},
+	{name: "first come", tell: func(a *transport.Ask, _ time.Duration) { a.Inner, a.Aim = false, far }, anew: true},
+	{name: "by due", tell: func(a *transport.Ask, _ time.Duration) { a.Inner = false }},
+	{name: "newest first", tell: func(a *transport.Ask, now time.Duration) { a.Inner, a.Aim = false, far-2*now }, anew: true},
+	{name: "by worth", tell: func(a *transport.Ask, _ time.Duration) {
 		if a.Aim < 100*time.Millisecond {
 			return
 		}
@@ -50,7 +50,7 @@
 			a.Aim -= far
 		}
 	}},
-	{name: "late out", tell: func(*brentei.Ask, time.Duration) {}, late: true},
+	{name: "late out", tell: func(*transport.Ask, time.Duration) {}, late: true},
 }
 
 // sort is a kind of requests.
@@ -85,7 +85,7 @@
 
 // spot is a backend and its gate.
 type spot struct {
-	gate   *solvay.Gate
+	gate   *inbound.Gate
 	agent  *Sender // beside it
 	zone   int
 	speed  float64
@@ -120,29 +120,29 @@
 			"target_time":"%s","tries":2,"service":"%s"}}`, k.path[1:], k.path, map[bool]string{true: "unsafe", false: "safe"}[k.unsafe],
 			fmt.Sprint(k.giveUp.Milliseconds(), "ms"), fmt.Sprint(k.aim.Milliseconds(), "ms"), k.service)
 	}
-	patch, err := margherita.ParsePatch([]byte(`{"add":{"items":[` + items + `]}}`))
+	patch, err := meshconfig.ParsePatch([]byte(`{"add":{"items":[` + items + `]}}`))
 	m.NoError(err)
-	config, _, err := margherita.New().Apply(patch)
+	config, _, err := meshconfig.New().Apply(patch)
 	m.NoError(err)
-	var stations []brentei.Heard
+	var stations []transport.Heard
 	for service, width := range slots {
 		for i := range eachService {
 			name := fmt.Sprint(service, i)
-			set := &nuvolau.Settings{IP: "sender of " + name, Zone: fmt.Sprint(i % 3), Zones: map[string]string{"0": "r", "1": "r", "2": "r"}, Service: service}
+			set := &bootstrap.Settings{IP: "sender of " + name, Zone: fmt.Sprint(i % 3), Zones: map[string]string{"0": "r", "1": "r", "2": "r"}, Service: service}
 			set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 62
-			p := &spot{gate: solvay.New(0, solvay.Rules{BeatEvery: far}), zone: i % 3, speed: speeds[(i+i/3)%3], backed: name}
-			b := brentei.Backend{ID: name, Service: service, Zone: set.Zone, Capacity: width, Calls: 1}
+			p := &spot{gate: inbound.New(0, inbound.Rules{BeatEvery: far}), zone: i % 3, speed: speeds[(i+i/3)%3], backed: name}
+			b := transport.Backend{ID: name, Service: service, Zone: set.Zone, Capacity: width, Calls: 1}
 			p.gate.Beat(0, b)
-			p.agent = New(set, solvay.NewHost(solvay.Rules{}, 1, brentei.NewRoom(1), func() {}), nil, brentei.NewRoom(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-			p.agent.send = func(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
+			p.agent = New(set, inbound.NewHost(inbound.Rules{}, 1, transport.NewRoom(1), func() {}), nil, transport.NewRoom(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+			p.agent.send = func(j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure) {
 				return m.send(p, j, gate, ask, inline)
 			}
 			m.spots[name] = p
-			stations = append(stations, brentei.Heard{Station: brentei.Station{Agent: name, Gate: name, Zone: set.Zone, Life: 1, Seq: 1, Open: true, Backend: &b}})
+			stations = append(stations, transport.Heard{Station: transport.Station{Agent: name, Gate: name, Zone: set.Zone, Life: 1, Seq: 1, Open: true, Backend: &b}})
 		}
 	}
 	view := func(lost bool) {
-		list := make([]brentei.Heard, len(stations))
+		list := make([]transport.Heard, len(stations))
 		for i, h := range stations {
 			h.Lost = lost && h.Station.Zone == "0"
 			list[i] = h
@@ -156,7 +156,7 @@
 		time.AfterFunc(at, func() {
 			m.mu.Lock()
 			for _, p := range m.spots {
-				p.gate.Configure(m.now(), solvay.Rules{BeatEvery: far, Evacuated: lost && p.zone == 0})
+				p.gate.Configure(m.now(), inbound.Rules{BeatEvery: far, Evacuated: lost && p.zone == 0})
 			}
 			m.mu.Unlock()
 		})
@@ -168,12 +168,12 @@
 }
 
 // send is the link to a gate, the gate's host and the backend.
-func (m *meshModel) send(from *spot, j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
+func (m *meshModel) send(from *spot, j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure) {
 	p, way := m.spots[gate], zoneWay
 	if p.zone == from.zone {
 		way = homeWay
 	}
-	answer := make(chan *brentei.Reply, 1)
+	answer := make(chan *transport.Reply, 1)
 	go func() {
 		time.Sleep(way)
 		r := m.handle(p, j, ask)
@@ -192,35 +192,35 @@
 	case <-late.C:
 	case <-won:
 	}
-	return nil, nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Silent}
+	return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
 }
 
 // handle is what a gate's host does.
-func (m *meshModel) handle(p *spot, j *job, ask *brentei.Ask) *brentei.Reply {
-	refused := func(f *brentei.Failure) *brentei.Reply {
-		return &brentei.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: p.gate.Load(m.now())}
+func (m *meshModel) handle(p *spot, j *job, ask *transport.Ask) *transport.Reply {
+	refused := func(f *transport.Failure) *transport.Reply {
+		return &transport.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: p.gate.Load(m.now())}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	told := *ask
 	m.order.tell(&told, m.now())
 	if m.order.late && !ask.Inner && ask.Aim < p.gate.Load(m.now()).Recent {
-		return refused(&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Late})
+		return refused(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Late})
 	}
 	t, f := p.gate.Admit(m.now(), &told)
 	if f != nil {
 		return refused(f)
 	}
 	if t != nil {
-		granted := make(chan *brentei.Failure, 1)
-		t.Grant = func(_ bool, f *brentei.Failure) { granted <- f }
+		granted := make(chan *transport.Failure, 1)
+		t.Grant = func(_ bool, f *transport.Failure) { granted <- f }
 		m.mu.Unlock()
 		timer := time.NewTimer(ask.Patient)
 		select {
 		case f = <-granted:
 		case <-timer.C:
 			m.mu.Lock()
-			if f = (&brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Full, After: ask.Patient}); !p.gate.Abandon(m.now(), t) {
+			if f = (&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}); !p.gate.Abandon(m.now(), t) {
 				f = <-granted
 			}
 			m.mu.Unlock()
@@ -242,7 +242,7 @@
 	for range calls {
 		go func() { s, _ := m.request(p, &status, min(limit, status.giveUp), true); well <- s == 200 }()
 	}
-	reply := &brentei.Reply{Verdict: brentei.Ran, Status: 200}
+	reply := &transport.Reply{Verdict: transport.Ran, Status: 200}
 	for range calls {
 		if !<-well {
 			reply.Status, reply.Inner = 500, true
@@ -261,7 +261,7 @@
 		}
 	}
 	if silent {
-		return refused(&brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Silent})
+		return refused(&transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent})
 	}
 	reply.Load = p.gate.Load(m.now())
 	return reply
@@ -284,7 +284,7 @@
 	}
 	m.mu.Lock()
 	m.asked++
-	j.ask = brentei.Ask{Try: fmt.Sprint(m.asked), URI: k.path, Unsafe: k.unsafe, Inner: inner, Patient: max(k.aim/patientPart, 10*time.Millisecond)}
+	j.ask = transport.Ask{Try: fmt.Sprint(m.asked), URI: k.path, Unsafe: k.unsafe, Inner: inner, Patient: max(k.aim/patientPart, 10*time.Millisecond)}
 	m.mu.Unlock()
 	if inner {
 		j.ask.Patient = left / innerPart
@@ -399,7 +399,7 @@
 // and the order as it is, where each request must get its answer and each slot be given back; the
 // gates check themselves.
 //
-//	go test ./internal/vajolet -v -run TestOrder -order-table -order-plot $PWD/docs/mesh-overload.svg
+//	go test ./internal/mesh/outbound -v -run TestOrder -order-table -order-plot $PWD/docs/mesh-overload.svg
 func TestOrder(t *testing.T) {
 	if !*orderTable {
 		f := playOrder(t, orders[0], 1, 1) // 0.59 where those that come back are taken for new
--- a/internal/vajolet/path_bench_test.go
+++ b/internal/mesh/outbound/path_bench_test.go
@@ -1,4 +1,4 @@
-package vajolet_test
+package outbound_test
 
 import (
 	"bufio"
@@ -13,11 +13,11 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
-	"example.org/micaline/internal/vajolet"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/outbound"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
@@ -141,32 +141,32 @@
 
 // mesh is a sender and some gates, each with a backend; it returns where clients reach the sender.
 func mesh(b *testing.B) string {
-	patch, err := margherita.ParsePatch([]byte(`{"add":{"items":[{"item_kind":"services","metadata":{"name":"s","version":"00000001"},` +
+	patch, err := meshconfig.ParsePatch([]byte(`{"add":{"items":[{"item_kind":"services","metadata":{"name":"s","version":"00000001"},` +
 		`"body":{"health_path":"/health"}},{"item_kind":"routes","metadata":{"name":"r","version":"00000001"},"body":{"domain":` +
 		`"host.example","path_start":"/part/","kind":"safe","give_up":"5000ms","target_time":"800ms","service":"s","tries":2}}]}}`))
 	require.NoError(b, err)
-	config, _, err := margherita.New().Apply(patch)
+	config, _, err := meshconfig.New().Apply(patch)
 	require.NoError(b, err)
-	view := &vajolet.View{Config: config, Index: 1}
-	rules := solvay.Rules{BeatEvery: time.Hour}
+	view := &outbound.View{Config: config, Index: 1}
+	rules := inbound.Rules{BeatEvery: time.Hour}
 	for i := range gates {
-		host := solvay.NewHost(rules, 1<<20, brentei.NewRoom(1<<30), func() {})
+		host := inbound.NewHost(rules, 1<<20, transport.NewRoom(1<<30), func() {})
 		at := listen(b, func(raw net.Conn) {
-			c := brentei.NewConn(raw)
-			var hello brentei.Hello
+			c := transport.NewConn(raw)
+			var hello transport.Hello
 			if c.Receive(&hello) == nil {
 				host.Serve(c)
 			}
 		})
-		life := brentei.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: listen(b, backend), Zone: "z", Capacity: width}
-		host.With(func(now time.Duration, g *solvay.Gate) bool { return g.Beat(now, life) })
-		view.Stations = append(view.Stations, brentei.Heard{Station: brentei.Station{Agent: fmt.Sprint("10.0.0.", i), Gate: at, Zone: "z",
+		life := transport.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: listen(b, backend), Zone: "z", Capacity: width}
+		host.With(func(now time.Duration, g *inbound.Gate) bool { return g.Beat(now, life) })
+		view.Stations = append(view.Stations, transport.Heard{Station: transport.Station{Agent: fmt.Sprint("10.0.0.", i), Gate: at, Zone: "z",
 			Life: 1, Seq: 1, Open: true, Backend: &life}})
 	}
-	set := &nuvolau.Settings{IP: "10.0.1.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
+	set := &bootstrap.Settings{IP: "10.0.1.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryRatio, set.Bounds.RetryWindow, set.Bounds.ExtraTries = 0.2, 10*time.Second, 60
-	links := &brentei.Pool{From: "10.0.1.1:1", Connect: time.Second, Idle: time.Minute, Most: 64}
-	s := vajolet.New(set, solvay.NewHost(rules, 1<<20, brentei.NewRoom(1<<30), func() {}), links, brentei.NewRoom(1<<30), &log.Logger{Handler: discard.New()})
+	links := &transport.Pool{From: "10.0.1.1:1", Connect: time.Second, Idle: time.Minute, Most: 64}
+	s := outbound.New(set, inbound.NewHost(rules, 1<<20, transport.NewRoom(1<<30), func() {}), links, transport.NewRoom(1<<30), &log.Logger{Handler: discard.New()})
 	s.SetView(view)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(b, err)
--- a/internal/vajolet/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -1,11 +1,11 @@
-// Package vajolet (Vajolet hut) is the sender: the data plane beside a caller.
+// Package outbound is the sender: the data plane beside a caller.
 //
 // It takes the requests of the clients and of the backend on its machine, finds the route and the service, has the decision module
 // (package policy) choose a backend, and hands the request to the gate beside that backend. It keeps one module for each service. What
-// comes back is passed on unchanged, or ends in the answer that promises as much as is proven: see brentei.Verdict.
+// comes back is passed on unchanged, or ends in the answer that promises as much as is proven: see transport.Verdict.
 //
 // What the sender may use is a View, which never changes and is exchanged whole.
-package vajolet
+package outbound
 
 import (
 	"cmp"
@@ -17,20 +17,20 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/scoiattoli"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/flightrecorder"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 	"github.com/apex/log"
 )
 
 // View is what a sender knows of the mesh.
 type View struct {
-	Config   *margherita.Config
+	Config   *meshconfig.Config
 	Index    uint64 // of the configuration
-	Stations []brentei.Heard
+	Stations []transport.Heard
 }
 
 const (
@@ -45,11 +45,11 @@
 
 // Sender is the data plane beside a caller.
 type Sender struct {
-	set   *nuvolau.Settings
-	host  *solvay.Host // the gate on this machine
-	links *brentei.Pool
-	send  func(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure)
-	room  *brentei.Room // for bodies
+	set   *bootstrap.Settings
+	host  *inbound.Host // the gate on this machine
+	links *transport.Pool
+	send  func(j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure)
+	room  *transport.Room // for bodies
 	log   log.Interface
 	zones map[string]int
 
@@ -63,11 +63,11 @@
 	held    atomic.Int64
 	ages    ages
 	Count   Counters
-	Ways    scoiattoli.Ring // of what did not simply succeed
+	Ways    flightrecorder.Ring // of what did not simply succeed
 }
 
 // New returns a sender that knows nothing and refuses all.
-func New(set *nuvolau.Settings, host *solvay.Host, links *brentei.Pool, room *brentei.Room, l log.Interface) *Sender {
+func New(set *bootstrap.Settings, host *inbound.Host, links *transport.Pool, room *transport.Room, l log.Interface) *Sender {
 	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{}}
 	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
@@ -142,7 +142,7 @@
 	s.agents = max(agents, 1)
 	before := s.view.Load()
 	moved := before == nil || before.Config != v.Config
-	var routes map[string][]*margherita.Route // by service; sorted only where they have moved, as stations do far more often
+	var routes map[string][]*meshconfig.Route // by service; sorted only where they have moved, as stations do far more often
 	if moved {
 		routes = routesOf(v.Config)
 	}
@@ -183,7 +183,7 @@
 }
 
 // settings are the decision module's for one service.
-func (s *Sender) settings(c *margherita.Config, name string, classes []policy.Class, width int) policy.Settings {
+func (s *Sender) settings(c *meshconfig.Config, name string, classes []policy.Class, width int) policy.Settings {
 	b := &s.set.Bounds
 	set := policy.Settings{
 		Agents: s.agents, Zone: s.zones[s.set.Zone], Classes: classes, Reports: policy.ReportsInline, Gates: true, HomeFirst: true, Width: float64(width),
@@ -200,7 +200,7 @@
 // classesOf lists the kinds of requests that a service gets, by what the module tells apart: whether they may run twice, whether a
 // backend calls, and about how long they may take. Danger: a module that is made anew has forgotten all speeds and failures, so what
 // changes often makes no class of its own: each request brings the time that it has, and aims that are alike are one.
-func classesOf(routes []*margherita.Route) []policy.Class {
+func classesOf(routes []*meshconfig.Route) []policy.Class {
 	var classes []policy.Class
 	add := func(effect policy.Effect, aim time.Duration) {
 		for _, worth := range []float64{1, innerWorth} {
@@ -219,10 +219,10 @@
 }
 
 // routesOf lists the routes to each service in the order of their aims.
-func routesOf(c *margherita.Config) map[string][]*margherita.Route {
+func routesOf(c *meshconfig.Config) map[string][]*meshconfig.Route {
 	all := c.Routes()
-	slices.SortFunc(all, func(x, y *margherita.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
-	to := map[string][]*margherita.Route{}
+	slices.SortFunc(all, func(x, y *meshconfig.Route) int { return cmp.Compare(x.TargetTime, y.TargetTime) })
+	to := map[string][]*meshconfig.Route{}
 	for _, r := range all {
 		for _, share := range r.Shares {
 			if n := len(to[share.Service]); n == 0 || to[share.Service][n-1] != r {
@@ -244,14 +244,14 @@
 	return best
 }
 
-func effectOf(r *margherita.Route) policy.Effect {
-	if r.Kind == margherita.Safe {
+func effectOf(r *meshconfig.Route) policy.Effect {
+	if r.Kind == meshconfig.Safe {
 		return policy.Pure
 	}
 	return policy.SideEffect
 }
 
-func aimOf(r *margherita.Route) time.Duration {
+func aimOf(r *meshconfig.Route) time.Duration {
 	if r.TargetTime <= 0 {
 		return usualAim
 	}
@@ -259,7 +259,7 @@
 }
 
 // classIndex is the class of a route's requests.
-func classIndex(classes []policy.Class, r *margherita.Route, inner bool) int {
+func classIndex(classes []policy.Class, r *meshconfig.Route, inner bool) int {
 	worth := 1.0
 	if inner {
 		worth = innerWorth
--- a/internal/vajolet/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 )
 
@@ -44,16 +44,16 @@
 	server policy.ServerID
 	to     *target // nil: it went nowhere
 	began  time.Time
-	reply  *brentei.Reply
+	reply  *transport.Reply
 	body   []byte
-	fail   *brentei.Failure
+	fail   *transport.Failure
 }
 
 // job is a request on its way.
 type job struct {
 	began    time.Time
-	route    *margherita.Route
-	ask      brentei.Ask
+	route    *meshconfig.Route
+	ask      transport.Ask
 	body     []byte
 	deadline time.Time
 	aim      time.Time
@@ -65,12 +65,12 @@
 	reached  int  // of these, those that reached a backend, or may yet
 
 	mu     sync.Mutex
-	steps  []brentei.Attempt // attempts that have ended, but for one that was all and succeeded
-	last   *attempt          // the best answer that is no success
+	steps  []transport.Attempt // attempts that have ended, but for one that was all and succeeded
+	last   *attempt            // the best answer that is no success
 	done   chan struct{}
 	cut    chan struct{} // closed when the process ends: no answer is waited for any more
 	won    *attempt
-	inline *brentei.Conn // of the attempt that the request's own goroutine waits for
+	inline *transport.Conn // of the attempt that the request's own goroutine waits for
 }
 
 // ServeHTTP takes a request of a client, or of the backend on this machine.
@@ -119,7 +119,7 @@
 	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), cut: make(chan struct{})}
 	w.job = j
 	left, told := route.GiveUp, time.Duration(0)
-	if text := r.Header.Get(solvay.LeftHeader); text != "" {
+	if text := r.Header.Get(inbound.LeftHeader); text != "" {
 		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 && ms < 1e9 {
 			if told = time.Duration(ms * float64(time.Millisecond)); left <= 0 || told-wayBack < left {
 				left = told - wayBack
@@ -132,9 +132,9 @@
 	}
 	now := time.Now()
 	j.deadline, j.aim = now.Add(left), now.Add(route.TargetTime)
-	j.ask = brentei.Ask{
-		Try: r.Header.Get(solvay.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
-		Unsafe: route.Kind != margherita.Safe, Rank: route.Rank, Body: int64(len(body)), Header: passedOn(r.Header),
+	j.ask = transport.Ask{
+		Try: r.Header.Get(inbound.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
+		Unsafe: route.Kind != meshconfig.Safe, Rank: route.Rank, Body: int64(len(body)), Header: passedOn(r.Header),
 		Patient: max(route.TargetTime/patientPart, 10*time.Millisecond),
 	}
 	if j.inner, j.repeated = s.host.Parent(j.ask.Try); j.inner {
@@ -203,10 +203,10 @@
 	}
 	for name, values := range h {
 		switch name {
-		case solvay.TryHeader, solvay.LeftHeader, solvay.TargetHeader, solvay.CallerHeader:
+		case inbound.TryHeader, inbound.LeftHeader, inbound.TargetHeader, inbound.CallerHeader:
 			continue
 		}
-		if !solvay.Passes(name) || also != "" && strings.Contains(also, strings.ToLower(name)) {
+		if !inbound.Passes(name) || also != "" && strings.Contains(also, strings.ToLower(name)) {
 			continue
 		}
 		for _, v := range values {
@@ -324,7 +324,7 @@
 		load = loadOf(&at.reply.Load)
 	}
 	j.mu.Lock()
-	if how != policy.OK && (j.last == nil || j.last.fail != nil && (at.fail == nil || j.last.fail.Verdict == brentei.NotRun)) {
+	if how != policy.OK && (j.last == nil || j.last.fail != nil && (at.fail == nil || j.last.fail.Verdict == transport.NotRun)) {
 		j.last = at
 	}
 	if how != policy.OK || j.attempts > 1 {
@@ -337,15 +337,15 @@
 }
 
 // outcomeOf translates a verdict for the module.
-func outcomeOf(f *brentei.Failure) policy.Outcome {
+func outcomeOf(f *transport.Failure) policy.Outcome {
 	switch {
-	case f.Verdict == brentei.NotRun && f.Reason == brentei.Unreachable:
+	case f.Verdict == transport.NotRun && f.Reason == transport.Unreachable:
 		return policy.ConnectFailed
-	case f.Verdict == brentei.NotRun && f.Reason == brentei.Own:
+	case f.Verdict == transport.NotRun && f.Reason == transport.Own:
 		return policy.Moot
-	case f.Verdict == brentei.NotRun:
+	case f.Verdict == transport.NotRun:
 		return policy.Full
-	case f.Reason == brentei.Silent:
+	case f.Reason == transport.Silent:
 		return policy.Timeout
 	}
 	return policy.Reset
@@ -354,21 +354,21 @@
 // attempt hands the request to a gate and waits for what comes of it.
 func (s *Sender) attempt(j *job, a policy.Action, t *target, n int, inline bool) *attempt {
 	at := &attempt{n: n, server: a.Server, to: t, began: time.Now()}
-	refuse := func(reason brentei.Reason) *attempt {
-		at.fail = &brentei.Failure{Verdict: brentei.NotRun, Reason: reason}
+	refuse := func(reason transport.Reason) *attempt {
+		at.fail = &transport.Failure{Verdict: transport.NotRun, Reason: reason}
 		return at
 	}
 	if t == nil {
-		return refuse(brentei.Unknown)
+		return refuse(transport.Unknown)
 	}
 	if j.isCut() {
-		return refuse(brentei.Late)
+		return refuse(transport.Late)
 	}
 	if !j.reach() {
-		return refuse(brentei.Own) // the route's tries are used up
+		return refuse(transport.Own) // the route's tries are used up
 	}
 	defer func() {
-		if at.fail != nil && at.fail.Verdict == brentei.NotRun && (at.reply == nil || !at.reply.Arrived) {
+		if at.fail != nil && at.fail.Verdict == transport.NotRun && (at.reply == nil || !at.reply.Arrived) {
 			j.mu.Lock()
 			j.reached--
 			j.mu.Unlock()
@@ -382,7 +382,7 @@
 	now := at.began
 	ask.Target, ask.Left, ask.Aim = t.backend, j.deadline.Sub(now), j.aim.Sub(now)
 	if ask.Left <= 0 {
-		return refuse(brentei.Late)
+		return refuse(transport.Late)
 	}
 	if t.local {
 		s.Count.Local.Add(1)
@@ -390,17 +390,17 @@
 	} else {
 		at.reply, at.body, at.fail = s.send(j, t.gate, &ask, inline)
 	}
-	if at.reply != nil && at.reply.Verdict != brentei.Ran {
-		at.fail = &brentei.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
+	if at.reply != nil && at.reply.Verdict != transport.Ran {
+		at.fail = &transport.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
 	}
 	return at
 }
 
 // here hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
 // unanswered, so it is waited for only until then.
-func (s *Sender) here(j *job, ask *brentei.Ask) (*brentei.Reply, []byte, *brentei.Failure) {
+func (s *Sender) here(j *job, ask *transport.Ask) (*transport.Reply, []byte, *transport.Failure) {
 	type answer struct {
-		reply *brentei.Reply
+		reply *transport.Reply
 		body  []byte
 	}
 	came := make(chan answer, 1)
@@ -412,7 +412,7 @@
 	case a := <-came:
 		return a.reply, a.body, nil
 	case <-j.cut:
-		return nil, nil, &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Silent}
+		return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
 	}
 }
 
@@ -430,12 +430,12 @@
 
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
 // that it did not run.
-func (s *Sender) exchange(j *job, gate string, ask *brentei.Ask, inline bool) (*brentei.Reply, []byte, *brentei.Failure) {
+func (s *Sender) exchange(j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(ask.Left, connectTime))
 	c, err := s.links.Get(ctx, gate)
 	cancel()
 	if err != nil {
-		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Unreachable, Cause: err}
+		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
 	}
 	c.SetDeadline(j.deadline)
 	if inline {
@@ -444,20 +444,20 @@
 		j.mu.Unlock()
 	}
 	held := len(j.body) > longBody // nothing can have run before its body has gone out
-	broken := func(err error) (*brentei.Reply, []byte, *brentei.Failure) {
+	broken := func(err error) (*transport.Reply, []byte, *transport.Failure) {
 		s.links.Discard(c)
-		f := &brentei.Failure{Verdict: brentei.MayHaveRun, Reason: brentei.Broken, Cause: err}
+		f := &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Broken, Cause: err}
 		if held {
-			f.Verdict = brentei.NotRun
+			f.Verdict = transport.NotRun
 		}
 		if isTimeout(err) {
-			f.Reason = brentei.Silent
+			f.Reason = transport.Silent
 		}
 		return nil, nil, f
 	}
 	if j.isDone() || j.isCut() {
 		s.links.Put(gate, c)
-		return nil, nil, &brentei.Failure{Verdict: brentei.NotRun, Reason: brentei.Own}
+		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own}
 	}
 	body := j.body
 	if ask.Hold = held; held {
@@ -466,7 +466,7 @@
 	if err := c.Send(ask, body); err != nil {
 		return broken(err)
 	}
-	var reply brentei.Reply
+	var reply transport.Reply
 	if err := c.Receive(&reply); err != nil {
 		return broken(err)
 	}
@@ -474,7 +474,7 @@
 		if err := c.SendRaw(j.body); err != nil {
 			return broken(err)
 		}
-		reply = brentei.Reply{}
+		reply = transport.Reply{}
 		if err := c.Receive(&reply); err != nil {
 			return broken(err)
 		}
@@ -533,7 +533,7 @@
 		if at != nil {
 			what = at.fail.Reason.String()
 		}
-		if at == nil || at.fail.Reason == brentei.Silent {
+		if at == nil || at.fail.Reason == transport.Silent {
 			status = http.StatusGatewayTimeout
 		}
 		s.Count.Failed.Add(1)
--- a/internal/vajolet/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -1,4 +1,4 @@
-package vajolet
+package outbound
 
 import (
 	"fmt"
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -25,7 +25,7 @@
 )
 
 // gate is one on loopback that says what it is told to. No reply closes the connection.
-func gate(t *testing.T, say func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte)) string {
+func gate(t *testing.T, say func(a *transport.Ask, body []byte) (*transport.Reply, []byte)) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -36,10 +36,10 @@
 				return
 			}
 			go func() {
-				c := brentei.NewConn(raw)
+				c := transport.NewConn(raw)
 				defer c.Close()
-				for ok := c.Receive(new(brentei.Hello)) == nil; ok; {
-					var a brentei.Ask
+				for ok := c.Receive(new(transport.Hello)) == nil; ok; {
+					var a transport.Ask
 					if c.Receive(&a) != nil {
 						return
 					}
@@ -60,20 +60,20 @@
 func sender(t *testing.T, gates ...string) *Sender {
 	route := `{"item_kind":"routes","metadata":{"name":"%s","version":"1"},"body":{"domain":"d","path_start":"/%[1]s/",
 		"kind":"%[1]s","give_up":"5s","target_time":"4s","tries":2,"service":"s"}}`
-	patch, err := margherita.ParsePatch(fmt.Appendf(nil, `{"add":{"items":[{"item_kind":"services","metadata":{"name":"s","version":"1"},"body":{}},
+	patch, err := meshconfig.ParsePatch(fmt.Appendf(nil, `{"add":{"items":[{"item_kind":"services","metadata":{"name":"s","version":"1"},"body":{}},
 		{"item_kind":"limits","metadata":{"version":"1"},"body":{"header_bytes":16384,"body_bytes":1000,"header_wait":"3s","idle":"15s"}},%s,%s]}}`,
 		fmt.Sprintf(route, "safe"), fmt.Sprintf(route, "unsafe")))
 	require.NoError(t, err)
-	config, _, err := margherita.New().Apply(patch)
+	config, _, err := meshconfig.New().Apply(patch)
 	require.NoError(t, err)
-	set := &nuvolau.Settings{IP: "10.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
+	set := &bootstrap.Settings{IP: "10.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 50
-	links := &brentei.Pool{Connect: time.Second, Idle: time.Minute, Most: 8}
-	s := New(set, solvay.NewHost(solvay.Rules{}, 1<<20, brentei.NewRoom(1<<30), func() {}), links, brentei.NewRoom(1<<30), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	links := &transport.Pool{Connect: time.Second, Idle: time.Minute, Most: 8}
+	s := New(set, inbound.NewHost(inbound.Rules{}, 1<<20, transport.NewRoom(1<<30), func() {}), links, transport.NewRoom(1<<30), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	view := &View{Config: config, Index: 1}
 	for i, g := range gates {
-		view.Stations = append(view.Stations, brentei.Heard{Station: brentei.Station{Agent: fmt.Sprint("10.0.1.", i), Gate: g, Zone: "z",
-			Life: 1, Seq: 1, Open: true, Backend: &brentei.Backend{ID: fmt.Sprint("b", i), Service: "s", Zone: "z", Capacity: 4}}})
+		view.Stations = append(view.Stations, transport.Heard{Station: transport.Station{Agent: fmt.Sprint("10.0.1.", i), Gate: g, Zone: "z",
+			Life: 1, Seq: 1, Open: true, Backend: &transport.Backend{ID: fmt.Sprint("b", i), Service: "s", Zone: "z", Capacity: 4}}})
 	}
 	s.SetView(view)
 	return s
@@ -82,8 +82,8 @@
 func request(method, path, try string, body io.Reader) *http.Request {
 	r := httptest.NewRequest(method, path, body)
 	r.Host = "d"
-	r.Header.Set(solvay.TryHeader, try)
-	r.Header.Set(solvay.LeftHeader, "4000")
+	r.Header.Set(inbound.TryHeader, try)
+	r.Header.Set(inbound.LeftHeader, "4000")
 	return r
 }
 
@@ -102,7 +102,7 @@
 	heard := map[string]*told{}
 	r := rand.New(rand.NewPCG(1, 6))
 	serve := func(n int) string {
-		return gate(t, func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+		return gate(t, func(a *transport.Ask, body []byte) (*transport.Reply, []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			h := heard[a.Try]
@@ -112,16 +112,16 @@
 			}
 			k := r.IntN(20)
 			if k < 4 {
-				return &brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Full, After: time.Duration(k) * 100 * time.Millisecond}, nil
+				return &transport.Reply{Verdict: transport.NotRun, Reason: transport.Full, After: time.Duration(k) * 100 * time.Millisecond}, nil
 			}
 			if h.ran++; k == 4 {
-				return &brentei.Reply{Reason: brentei.Broken}, nil
+				return &transport.Reply{Reason: transport.Broken}, nil
 			} else if k == 5 {
 				return nil, nil
 			}
 			h.status = append(promises, 500, 404, 200, 200, 200, 200, 200, 200, 200, 200)[r.IntN(14)]
 			h.body = fmt.Sprint("said ", a.Try, h.ran)
-			return &brentei.Reply{Verdict: brentei.Ran, Status: h.status, Header: []string{solvay.SealHeader, h.body}}, []byte(h.body)
+			return &transport.Reply{Verdict: transport.Ran, Status: h.status, Header: []string{inbound.SealHeader, h.body}}, []byte(h.body)
 		})
 	}
 	dead, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -145,7 +145,7 @@
 		require.LessOrEqual(t, h.ran, 2-i%2, "TWICE, or more backends than the route's tries")
 		require.False(t, i%2 == 1 && h.ran > 0 && slices.Contains(promises, w.Code), "REFUSED: it may have run")
 		if w.Code/100 == 2 {
-			require.Equal(t, []any{w.Code, h.body, h.body}, []any{h.status, w.Body.String(), w.Header().Get(solvay.SealHeader)}, "MIXED")
+			require.Equal(t, []any{w.Code, h.body, h.body}, []any{h.status, w.Body.String(), w.Header().Get(inbound.SealHeader)}, "MIXED")
 		}
 		if w.Code == http.StatusServiceUnavailable {
 			after, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
@@ -159,10 +159,10 @@
 // TestOneRequest provokes UNASKED and DENIED: what passes unchanged, what is set whatever was sent,
 // and what the sender says itself.
 func TestOneRequest(t *testing.T) {
-	var got brentei.Ask
-	s := sender(t, gate(t, func(a *brentei.Ask, body []byte) (*brentei.Reply, []byte) {
+	var got transport.Ask
+	s := sender(t, gate(t, func(a *transport.Ask, body []byte) (*transport.Reply, []byte) {
 		got = *a
-		return &brentei.Reply{Verdict: brentei.Ran, Status: 200, Header: []string{solvay.SealHeader, "seal"}}, nil
+		return &transport.Reply{Verdict: transport.Ran, Status: 200, Header: []string{inbound.SealHeader, "seal"}}, nil
 	}))
 	say := func(r *http.Request) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
@@ -170,24 +170,24 @@
 		return w
 	}
 	r := request("HEAD", "/safe/%41?q=%42", "t", nil)
-	for name, value := range map[string]string{solvay.CallerHeader: "forged", solvay.TargetHeader: "forged", "X-Kept": "yes", "Cookie": "c",
+	for name, value := range map[string]string{inbound.CallerHeader: "forged", inbound.TargetHeader: "forged", "X-Kept": "yes", "Cookie": "c",
 		"Connection": "x-hop", "X-Hop": "no", "Te": "trailers"} {
 		r.Header.Set(name, value)
 	}
 	w := say(r)
 	require.Equal(t, 200, w.Code)
-	require.Equal(t, "seal", w.Header().Get(solvay.SealHeader))
+	require.Equal(t, "seal", w.Header().Get(inbound.SealHeader))
 	require.Empty(t, w.Header().Get("Content-Length"), "a HEAD has no body, and its length is not known here")
 	require.Equal(t, []string{"HEAD", "/safe/%41?q=%42", "d", "caller", "b0", "t"}, []string{got.Method, got.URI, got.Host, got.Caller, got.Target, got.Try})
 	require.InDelta(t, 3.5, got.Left.Seconds(), 0.5-wayBack.Seconds(), "Time-Left counts down")
 	require.ElementsMatch(t, []string{"X-Kept", "yes", "Cookie", "c"}, got.Header)
 
-	got = brentei.Ask{}
+	got = transport.Ask{}
 	long := strings.Repeat("x", 1001)
 	chunked := request("POST", "/safe/", "t", strings.NewReader(long))
 	chunked.ContentLength = -1
 	late := request("POST", "/unsafe/", "t", nil)
-	late.Header.Set(solvay.LeftHeader, "0")
+	late.Header.Set(inbound.LeftHeader, "0")
 	require.Equal(t, 404, say(request("GET", "/none/", "t", nil)).Code)
 	require.Equal(t, 413, say(request("POST", "/safe/", "t", strings.NewReader(long))).Code)
 	require.Equal(t, 413, say(chunked).Code)
@@ -205,37 +205,37 @@
 // TestTries: a copy beside one that is out counts as one of the route's tries; what did not run
 // does not.
 func TestTries(t *testing.T) {
-	var send func() brentei.Reason
-	asks, copied := 0, brentei.NoReason
-	s := sender(t, gate(t, func(*brentei.Ask, []byte) (*brentei.Reply, []byte) {
+	var send func() transport.Reason
+	asks, copied := 0, transport.NoReason
+	s := sender(t, gate(t, func(*transport.Ask, []byte) (*transport.Reply, []byte) {
 		if asks++; asks == 1 {
 			copied = send()
 		}
-		return &brentei.Reply{Verdict: brentei.NotRun, Reason: brentei.Full}, nil
+		return &transport.Reply{Verdict: transport.NotRun, Reason: transport.Full}, nil
 	}))
 	only := *s.View().Config.Route("d", "/safe/")
 	only.Tries = 1
 	j := &job{route: &only, done: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
 	to := s.chooser("s").targets[idOf("10.0.1.0")]
-	send = func() brentei.Reason { return s.attempt(j, policy.Action{Server: to.id}, to, 0, false).fail.Reason }
-	require.Equal(t, brentei.Full, send())
-	require.Equal(t, brentei.Own, copied, "sent to a second backend on a route of one try")
-	require.Equal(t, brentei.Full, send())
+	send = func() transport.Reason { return s.attempt(j, policy.Action{Server: to.id}, to, 0, false).fail.Reason }
+	require.Equal(t, transport.Full, send())
+	require.Equal(t, transport.Own, copied, "sent to a second backend on a route of one try")
+	require.Equal(t, transport.Full, send())
 }
 
 // TestSilent provokes MIXED: nothing more is asked where an answer is still due.
 func TestSilent(t *testing.T) {
 	held := make(chan bool)
 	defer close(held)
-	s := sender(t, gate(t, func(a *brentei.Ask, _ []byte) (*brentei.Reply, []byte) {
+	s := sender(t, gate(t, func(a *transport.Ask, _ []byte) (*transport.Reply, []byte) {
 		if a.Try == "100" {
 			<-held
 		}
-		return &brentei.Reply{Verdict: brentei.Ran, Status: 200}, nil
+		return &transport.Reply{Verdict: transport.Ran, Status: 200}, nil
 	}))
 	for _, left := range []string{"100", "2000"} {
 		w, r := httptest.NewRecorder(), request("GET", "/unsafe/", left, nil)
-		r.Header.Set(solvay.LeftHeader, left)
+		r.Header.Set(inbound.LeftHeader, left)
 		s.ServeHTTP(w, r)
 		require.Equal(t, map[string]int{"100": 504, "2000": 200}[left], w.Code)
 	}
@@ -244,16 +244,16 @@
 // TestAges: the aim counts from a client's first try, of which each later one tells only what time it has left.
 func TestAges(t *testing.T) {
 	var aim time.Duration
-	s := sender(t, gate(t, func(a *brentei.Ask, _ []byte) (*brentei.Reply, []byte) {
+	s := sender(t, gate(t, func(a *transport.Ask, _ []byte) (*transport.Reply, []byte) {
 		aim = a.Aim
-		return &brentei.Reply{Verdict: brentei.Ran, Status: 200}, nil
+		return &transport.Reply{Verdict: transport.Ran, Status: 200}, nil
 	}))
 	for _, c := range []struct {
 		path, left string
 		aim        float64
 	}{{"/safe/", "3000", 4}, {"/safe/", "4000", 4}, {"/safe/", "3000", 3}, {"/safe/", "500", 0.5}, {"/unsafe/", "500", 4}} {
 		r := request("GET", c.path, "t", nil)
-		r.Header.Set(solvay.LeftHeader, c.left)
+		r.Header.Set(inbound.LeftHeader, c.left)
 		s.ServeHTTP(httptest.NewRecorder(), r)
 		require.InDelta(t, c.aim, aim.Seconds(), 0.2, "%+v", c)
 	}
@@ -275,8 +275,8 @@
 		if local {
 			view := *s.View()
 			view.Stations[0].Station.Agent = s.set.IP
-			s.host.With(func(now time.Duration, g *solvay.Gate) bool {
-				return g.Beat(now, brentei.Backend{ID: "b0", Service: "s", Address: silent.Addr().String(), Capacity: 4})
+			s.host.With(func(now time.Duration, g *inbound.Gate) bool {
+				return g.Beat(now, transport.Backend{ID: "b0", Service: "s", Address: silent.Addr().String(), Capacity: 4})
 			})
 			s.SetView(&view)
 		}
--- a/internal/lagazuoi/table.go
+++ b/internal/mesh/registry/table.go
@@ -1,4 +1,4 @@
-// Package lagazuoi (Lagazuoi hut) is the registry: which agents there are, and which backend stands beside each.
+// Package registry is the registry: which agents there are, and which backend stands beside each.
 //
 // Each agent is the only source of what there is to say of itself and its backend, a Station, which it says to all core machines;
 // of two words of one agent the later counts (Station.Newer), so tables that have heard the same words are the same, in whatever
@@ -8,7 +8,7 @@
 // What it promises: a station counts as lost only while every source that is up and knows it says so, so that one core machine that
 // is cut off takes nobody out; a source that has just come, and knows nobody yet, takes nobody out either; and what nobody has told
 // of for Forget is dropped, so that the table is bounded by the machines that there are.
-package lagazuoi
+package registry
 
 import (
 	"cmp"
@@ -16,7 +16,7 @@
 	"slices"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // Forget is how long a station is kept that no source tells of, or that is lost for all.
@@ -35,7 +35,7 @@
 }
 
 type entry struct {
-	brentei.Station
+	transport.Station
 	told time.Duration // when it was said
 	seen time.Duration // when a source last had it as not lost
 }
@@ -59,7 +59,7 @@
 }
 
 // Hear takes in what a source tells. Whole says that it tells of all that it knows.
-func (t *Table) Hear(now time.Duration, from string, whole bool, heard []brentei.Heard) (changed bool) {
+func (t *Table) Hear(now time.Duration, from string, whole bool, heard []transport.Heard) (changed bool) {
 	s := t.source(from)
 	if whole {
 		clear(s.heard)
@@ -154,7 +154,7 @@
 }
 
 // Station returns what is known of an agent, nil if nothing is.
-func (t *Table) Station(agent string) *brentei.Station {
+func (t *Table) Station(agent string) *transport.Station {
 	if e := t.stations[agent]; e != nil {
 		s := e.Station
 		return &s
@@ -164,8 +164,8 @@
 
 // heard is a station as of now. Danger: what is left of a warm-up was left when it was said; passed on as it was, a backend would be
 // cold for ever to who hears of it late.
-func (t *Table) heard(now time.Duration, e *entry) brentei.Heard {
-	h := brentei.Heard{Station: e.Station, Lost: t.lost(e.Agent)}
+func (t *Table) heard(now time.Duration, e *entry) transport.Heard {
+	h := transport.Heard{Station: e.Station, Lost: t.lost(e.Agent)}
 	if b := h.Station.Backend; b != nil && b.ColdLeft > 0 {
 		since := *b
 		since.ColdLeft = max(0, b.ColdLeft-(now-e.told))
@@ -175,12 +175,12 @@
 }
 
 // All returns all stations, as of now, in the order of their agents.
-func (t *Table) All(now time.Duration) []brentei.Heard {
-	all := make([]brentei.Heard, 0, len(t.stations))
+func (t *Table) All(now time.Duration) []transport.Heard {
+	all := make([]transport.Heard, 0, len(t.stations))
 	for _, e := range t.stations {
 		all = append(all, t.heard(now, e))
 	}
-	slices.SortFunc(all, func(x, y brentei.Heard) int { return cmp.Compare(x.Station.Agent, y.Station.Agent) })
+	slices.SortFunc(all, func(x, y transport.Heard) int { return cmp.Compare(x.Station.Agent, y.Station.Agent) })
 	return all
 }
 
@@ -188,10 +188,10 @@
 func (t *Table) Agents() []string { return slices.Collect(maps.Keys(t.stations)) }
 
 // Of returns one station as All does.
-func (t *Table) Of(now time.Duration, agent string) (brentei.Heard, bool) {
+func (t *Table) Of(now time.Duration, agent string) (transport.Heard, bool) {
 	e := t.stations[agent]
 	if e == nil {
-		return brentei.Heard{}, false
+		return transport.Heard{}, false
 	}
 	return t.heard(now, e), true
 }
--- a/internal/lagazuoi/table_test.go
+++ b/internal/mesh/registry/table_test.go
@@ -1,4 +1,4 @@
-package lagazuoi
+package registry
 
 import (
 	"fmt"
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/stretchr/testify/require"
 )
 
 // known is what the sources of a table said of one agent, kept plainly.
 type known struct {
-	best *brentei.Station
+	best *transport.Station
 	told time.Duration   // when the best word came
 	seen time.Duration   // when a source that was up last had it
 	says map[string]bool // source: lost
@@ -29,12 +29,12 @@
 
 // drawn is what a source may say of the agents; what one word says is the same whoever passes it
 // on.
-func drawn(r *rand.Rand, from string, step int) (list []brentei.Heard) {
+func drawn(r *rand.Rand, from string, step int) (list []transport.Heard) {
 	for agent := range 4 {
 		if r.IntN(3) > 0 && (from != Self || agent == 0) {
 			life, seq := uint64(1+r.IntN(3)), uint64(1+r.IntN(step+1))
-			list = append(list, brentei.Heard{Lost: from != Self && r.IntN(3) > 0, Station: brentei.Station{Agent: fmt.Sprint("a", agent),
-				Life: life, Seq: seq, Backend: &brentei.Backend{ColdLeft: time.Duration((life*7+seq*1300)%5000) * time.Millisecond}}})
+			list = append(list, transport.Heard{Lost: from != Self && r.IntN(3) > 0, Station: transport.Station{Agent: fmt.Sprint("a", agent),
+				Life: life, Seq: seq, Backend: &transport.Backend{ColdLeft: time.Duration((life*7+seq*1300)%5000) * time.Millisecond}}})
 		}
 	}
 	return list
--- a/internal/bivacco/book_test.go
+++ b/internal/mesh/scaletest/book_test.go
@@ -1,18 +1,18 @@
-package bivacco
+package scaletest
 
 import (
 	"testing"
 
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
 	"github.com/stretchr/testify/require"
 )
 
 // Each call is valid and each change changes something, however many follow.
 func TestBookIsValid(t *testing.T) {
 	b := newBook(20, 33)
-	config := margherita.New()
+	config := meshconfig.New()
 	for n, body := 0, b.first(); n < 100; n, body = n+1, b.change() {
-		next, err := config.Carry(&margherita.Order{Op: margherita.OpPatch, Body: body})
+		next, err := config.Carry(&meshconfig.Order{Op: meshconfig.OpPatch, Body: body})
 		require.NoError(t, err)
 		require.NotSame(t, config, next)
 		config = next
--- a/internal/bivacco/failure.go
+++ b/internal/mesh/scaletest/failure.go
@@ -1,4 +1,4 @@
-package bivacco
+package scaletest
 
 import (
 	"context"
