--- a/internal/bivacco/hollow.go
+++ b/internal/mesh/scaletest/hollow.go
@@ -1,4 +1,4 @@
-package bivacco
+package scaletest
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
 )
 
-// As package brogles has them.
+// As package sidecar has them.
 const (
 	heartbeat = 500 * time.Millisecond
 	muteFor   = 1700 * time.Millisecond
@@ -48,7 +48,7 @@
 	ip      string
 	stop    context.CancelFunc
 	mute    atomic.Bool // without power: neither tells nor hears
-	station atomic.Pointer[brentei.Station]
+	station atomic.Pointer[transport.Station]
 
 	mu     sync.Mutex // guards what follows
 	have   uint64     // index of the configuration
@@ -90,8 +90,8 @@
 	h.have, h.newest, h.asked = 0, 0, time.Time{}
 	clear(h.seen)
 	h.mu.Unlock()
-	h.station.Store(&brentei.Station{Agent: h.ip, Gate: inner(h.ip), Zone: zoneName(h.n), Life: life, Seq: 1, Open: true,
-		Backend: &brentei.Backend{ID: fmt.Sprintf("i-%08x", uint32(life)^uint32(h.n)), Service: serviceName(h.n % h.fleet.run.Services),
+	h.station.Store(&transport.Station{Agent: h.ip, Gate: inner(h.ip), Zone: zoneName(h.n), Life: life, Seq: 1, Open: true,
+		Backend: &transport.Backend{ID: fmt.Sprintf("i-%08x", uint32(life)^uint32(h.n)), Service: serviceName(h.n % h.fleet.run.Services),
 			Address: h.ip + ":8628", Zone: zoneName(h.n), Version: "v1", Capacity: agentWidth, Calls: 1}})
 	for i := range cores {
 		h.mu.Lock()
@@ -139,17 +139,17 @@
 	if err != nil {
 		return false
 	}
-	brentei.Bound(raw)
-	c := brentei.NewConn(counted{raw, h.fleet})
+	transport.Bound(raw)
+	c := transport.NewConn(counted{raw, h.fleet})
 	defer c.Close()
-	if c.Send(brentei.Hello{Version: brentei.Version, Use: brentei.FeedUse, From: control(h.ip)}, nil) != nil {
+	if c.Send(transport.Hello{Version: transport.Version, Use: transport.FeedUse, From: control(h.ip)}, nil) != nil {
 		return false
 	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		for {
-			var d brentei.Down
+			var d transport.Down
 			c.SetReadDeadline(time.Now().Add(muteFor))
 			if c.Receive(&d) != nil {
 				return
@@ -167,7 +167,7 @@
 		}
 	}()
 	defer func() { c.Close(); <-ended }()
-	up := brentei.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1}
+	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	h.mu.Lock()
@@ -181,7 +181,7 @@
 			}
 			h.fleet.messUp.Add(1)
 		}
-		up = brentei.Up{}
+		up = transport.Up{}
 		select {
 		case <-ctx.Done():
 			return heard
@@ -197,7 +197,7 @@
 }
 
 // hear takes in what a core machine says.
-func (h *hollow) hear(core int, d *brentei.Down) {
+func (h *hollow) hear(core int, d *transport.Down) {
 	h.mu.Lock()
 	h.feeds[core].up = true
 	if d.Whole { // what this core machine does not tell of again, it does not hold against anybody's loss
@@ -223,8 +223,8 @@
 	}
 }
 
-// take follows the configuration's index as package brogles does, and asks one core machine for the whole where steps don't lead on.
-func (h *hollow) take(d *brentei.Down) {
+// take follows the configuration's index as package sidecar does, and asks one core machine for the whole where steps don't lead on.
+func (h *hollow) take(d *transport.Down) {
 	h.newest = max(h.newest, d.Index)
 	index := h.have
 	for _, s := range d.Steps {
--- a/internal/bivacco/bivacco.go
+++ b/internal/mesh/scaletest/scaletest.go
@@ -1,15 +1,15 @@
-// Package bivacco (bivacco, the unstaffed bivouac hut) is the scale run: many hollow agents against real core machines. In the
+// Package scaletest is the scale run: many hollow agents against real core machines. In the
 // field's terms it is a load generator of hollow nodes, as schedulers of clusters have them.
 //
 // There are real core processes and a few real agents, each with a settings file and a loopback address of its own, and hollow
-// agents in this process: each speaks the feed as package brogles does, so that a core machine can't tell it from a real one, and
+// agents in this process: each speaks the feed as package sidecar does, so that a core machine can't tell it from a real one, and
 // has neither gate nor sender. What may happen: the configuration changes, agents die, start anew or lose power, all of a zone at
 // once, and a core process is killed or stopped.
 //
 // What a run promises: its figures come from the sockets of the hollow agents and from the kernel's accounts of the processes,
 // never from what a process says of itself; but for the time at which a real agent has a configuration, which its log tells. The
 // run is bounded in time, and ends each process that it started.
-package bivacco
+package scaletest
 
 import (
 	"context"
@@ -60,7 +60,7 @@
 // Run carries out a scale run and writes its figures.
 func Run(ctx context.Context, o Options, out io.Writer) (err error) {
 	r := &run{Options: o, out: out, net: byte(64 + os.Getpid()%128), book: newBook(o.Services, o.Routes)}
-	if r.dir, err = os.MkdirTemp("", "bivacco"); err != nil {
+	if r.dir, err = os.MkdirTemp("", "scaletest"); err != nil {
 		return oops.Wrap(err)
 	}
 	if !o.Keep {
--- a/internal/brogles/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -1,12 +1,12 @@
-// Package brogles (Brogles hut) is the agent: the process beside an application backend.
+// Package sidecar is the agent: the process beside an application backend.
 //
-// It joins the parts that stand on such a machine: the sender (package vajolet) for what begins there, the gate (package solvay) for
+// It joins the parts that stand on such a machine: the sender (package outbound) for what begins there, the gate (package inbound) for
 // what the backend is sent, and a feed to each core machine, over which it tells of itself and hears the configuration and all other
 // agents. One goroutine owns what is known and works through a queue of commands; the sender reads a view that never changes.
 //
 // What it promises: it is ready only once it has a configuration that was known to be current after it had started; it never goes
 // back to an older one; cut off, it goes on with what it has.
-package brogles
+package sidecar
 
 import (
 	"context"
@@ -18,12 +18,12 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/lagazuoi"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
-	"example.org/micaline/internal/vajolet"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/outbound"
+	"example.org/micaline/internal/mesh/registry"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/samber/oops"
 )
@@ -39,21 +39,21 @@
 // Agent is the process. Its fields from table on belong to the goroutine of own.
 type Agent struct {
 	path   string // of the settings
-	set    *nuvolau.Settings
+	set    *bootstrap.Settings
 	log    log.Interface
-	host   *solvay.Host
-	sender *vajolet.Sender
-	links  *brentei.Pool
+	host   *inbound.Host
+	sender *outbound.Sender
+	links  *transport.Pool
 	ready  atomic.Bool
-	askers brentei.Askers
+	askers transport.Askers
 	went   atomic.Bool // told to end
 
 	commands chan func()
 	publish  atomic.Bool // a command to publish is queued
 
-	table   *lagazuoi.Table
+	table   *registry.Table
 	began   time.Time
-	config  *margherita.Config
+	config  *meshconfig.Config
 	index   uint64
 	have    atomic.Uint64 // index, for the feeds
 	newest  uint64        // index that a core machine has told of
@@ -66,7 +66,7 @@
 	dirty   bool
 	feeds   map[string]*feed
 	cores   []string // members of the agreement, as told
-	station atomic.Pointer[brentei.Station]
+	station atomic.Pointer[transport.Station]
 	life    uint64
 	seq     uint64
 	changed time.Time // of the settings file
@@ -75,21 +75,21 @@
 }
 
 // New returns an agent that has not started.
-func New(path string, set *nuvolau.Settings, l log.Interface) *Agent {
-	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: lagazuoi.New(), began: time.Now(),
-		config: margherita.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
-	a.links = &brentei.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
-	room := brentei.NewRoom(mostBody)
+func New(path string, set *bootstrap.Settings, l log.Interface) *Agent {
+	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: registry.New(), began: time.Now(),
+		config: meshconfig.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
+	a.links = &transport.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
+	room := transport.NewRoom(mostBody)
 	if set.MemoryMB > 0 {
-		room = brentei.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
+		room = transport.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
 	}
-	a.host = solvay.NewHost(a.rules(), mostBody, room, a.news)
-	a.sender = vajolet.New(set, a.host, a.links, room, l)
+	a.host = inbound.NewHost(a.rules(), mostBody, room, a.news)
+	a.sender = outbound.New(set, a.host, a.links, room, l)
 	return a
 }
 
 // Inner is the address at which the process of a machine hears the others: its first spare port.
-func Inner(set *nuvolau.Settings, control string) string {
+func Inner(set *bootstrap.Settings, control string) string {
 	host, _, err := net.SplitHostPort(control)
 	if err != nil {
 		return control
@@ -146,18 +146,18 @@
 			return
 		}
 		go func() {
-			brentei.Bound(raw)
-			c := brentei.NewConn(raw)
-			var hello brentei.Hello
+			transport.Bound(raw)
+			c := transport.NewConn(raw)
+			var hello transport.Hello
 			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
 			err := c.Receive(&hello)
 			raw.SetReadDeadline(time.Time{})
 			switch {
-			case err != nil || hello.Version != brentei.Version:
+			case err != nil || hello.Version != transport.Version:
 				c.Close()
-			case hello.Use == brentei.Exchange:
+			case hello.Use == transport.Exchange:
 				a.host.Serve(c)
-			case hello.Use == brentei.Stats:
+			case hello.Use == transport.Stats:
 				a.askers.Serve(c, a.figures)
 				c.Close()
 			default:
@@ -259,7 +259,7 @@
 	if first {
 		return
 	}
-	set, err := nuvolau.Load(a.path)
+	set, err := bootstrap.Load(a.path)
 	if err != nil {
 		a.log.WithError(err).Error("settings kept as they were")
 		return
@@ -280,23 +280,23 @@
 func (a *Agent) say() {
 	a.publish.Store(false)
 	a.seq++
-	s := &brentei.Station{Agent: a.set.IP, Gate: Inner(a.set, a.set.Control), Zone: a.set.Zone, Life: a.life, Seq: a.seq,
+	s := &transport.Station{Agent: a.set.IP, Gate: Inner(a.set, a.set.Control), Zone: a.set.Zone, Life: a.life, Seq: a.seq,
 		Open: a.host.Open() && a.fresh && !a.went.Load()}
-	a.host.With(func(now time.Duration, g *solvay.Gate) bool { s.Backend = g.Backend(now); return false })
+	a.host.With(func(now time.Duration, g *inbound.Gate) bool { s.Backend = g.Backend(now); return false })
 	a.station.Store(s)
 	for _, f := range a.feeds {
 		f.wake()
 	}
 	// Its own backend is known at once, also to an agent that is cut off.
-	if a.table.Hear(a.now(), lagazuoi.Self, false, []brentei.Heard{{Station: *s}}) {
+	if a.table.Hear(a.now(), registry.Self, false, []transport.Heard{{Station: *s}}) {
 		a.dirty = true
 	}
 }
 
 // rules are what the gate goes by. Danger: until the configuration is known to be current nobody knows whether the zone is evacuated.
-func (a *Agent) rules() solvay.Rules {
+func (a *Agent) rules() inbound.Rules {
 	b := &a.set.Bounds
-	r := solvay.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery, LinkBps: a.set.LinkMbps * 1e6,
+	r := inbound.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery, LinkBps: a.set.LinkMbps * 1e6,
 		Evacuated: a.config.Evacuated(a.set.Zone)}
 	if s := a.config.Service(a.set.Service); s != nil {
 		r.Warmup, r.WarmupPerS = s.Warmup, s.WarmupPerS
@@ -313,11 +313,11 @@
 			go a.probe(s.HealthPath)
 		}
 	}
-	a.host.With(func(now time.Duration, g *solvay.Gate) bool { g.Configure(now, a.rules()); return false })
+	a.host.With(func(now time.Duration, g *inbound.Gate) bool { g.Configure(now, a.rules()); return false })
 	if !a.fresh && a.index == 0 {
 		return
 	}
-	a.sender.SetView(&vajolet.View{Config: a.config, Index: a.index, Stations: a.table.All(a.now())})
+	a.sender.SetView(&outbound.View{Config: a.config, Index: a.index, Stations: a.table.All(a.now())})
 	if a.fresh && !a.ready.Swap(true) {
 		a.log.WithField("index", a.index).Info("ready")
 	}
--- a/internal/brogles/beats.go
+++ b/internal/mesh/sidecar/beats.go
@@ -1,4 +1,4 @@
-package brogles
+package sidecar
 
 import (
 	"encoding/json"
@@ -7,12 +7,12 @@
 	"strings"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/nuvolau"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/transport"
 )
 
-type gate = solvay.Gate
+type gate = inbound.Gate
 
 const mostBeat = 16 << 10 // bytes
 
@@ -66,7 +66,7 @@
 	if json.Unmarshal(body, &b) != nil || b.Service == "" || b.Address == "" || strings.TrimSpace(id) == "" {
 		return http.StatusBadRequest
 	}
-	cold, err := nuvolau.ParseTime(b.WarmupLeft)
+	cold, err := bootstrap.ParseTime(b.WarmupLeft)
 	if err != nil && b.WarmupLeft != "" {
 		return http.StatusBadRequest
 	}
@@ -74,7 +74,7 @@
 		b.Zone = a.set.Zone
 	}
 	a.host.With(func(now time.Duration, g *gate) bool {
-		return g.Beat(now, brentei.Backend{ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
+		return g.Beat(now, transport.Backend{ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
 			Capacity: b.Capacity, Draining: b.State != "ready", ColdLeft: max(0, cold), Calls: b.CallCount})
 	})
 	return http.StatusOK
--- a/internal/brogles/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -1,12 +1,12 @@
-package brogles
+package sidecar
 
 import (
 	"errors"
 	"math/rand/v2"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // errBehind says that steps begin after what the agent has.
@@ -14,7 +14,7 @@
 
 // take brings the configuration forward by what a core machine sent: steps from one that the agent has, or the whole, which it has
 // to ask for. Danger: what does not have the digest of what was agreed on is never shown to sender and gate.
-func (a *Agent) take(f *feed, d *brentei.Down, whole []byte) {
+func (a *Agent) take(f *feed, d *transport.Down, whole []byte) {
 	if len(whole) > 0 && a.asking == f {
 		a.asking = nil
 	}
@@ -35,12 +35,12 @@
 }
 
 // forward returns the configuration at the index that a message tells.
-func forward(config *margherita.Config, index uint64, d *brentei.Down, whole []byte) (*margherita.Config, error) {
+func forward(config *meshconfig.Config, index uint64, d *transport.Down, whole []byte) (*meshconfig.Config, error) {
 	if len(whole) > 0 {
-		if margherita.Digest(whole) != d.Digest {
+		if meshconfig.Digest(whole) != d.Digest {
 			return nil, errors.New("the whole configuration has another digest")
 		}
-		return margherita.Decode(whole)
+		return meshconfig.Decode(whole)
 	}
 	for i := range d.Steps {
 		s := &d.Steps[i]
@@ -59,7 +59,7 @@
 	if index != d.Index {
 		return nil, errBehind
 	}
-	if margherita.Digest(config.Encode()) != d.Digest {
+	if meshconfig.Digest(config.Encode()) != d.Digest {
 		return nil, errors.New("the configuration has another digest after the steps")
 	}
 	return config, nil
--- a/internal/brogles/config_test.go
+++ b/internal/mesh/sidecar/config_test.go
@@ -1,11 +1,11 @@
-package brogles
+package sidecar
 
 import (
 	"testing"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/margherita"
-	"example.org/micaline/internal/nuvolau"
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
@@ -13,45 +13,45 @@
 
 // An agent has nothing that no core machine agreed on, and is proven current only with what was current.
 func TestConfigurationIsTakenByItsDigest(t *testing.T) {
-	a := New("", &nuvolau.Settings{SparePorts: [2]int{7600, 7615}}, &log.Logger{Handler: discard.New()})
+	a := New("", &bootstrap.Settings{SparePorts: [2]int{7600, 7615}}, &log.Logger{Handler: discard.New()})
 	f := &feed{core: "one", woken: make(chan struct{}, 1)}
 	other := &feed{core: "two", woken: make(chan struct{}, 1), alive: true}
 	a.feeds = map[string]*feed{"one": f, "two": other}
-	first := margherita.New().Evacuate("a")
+	first := meshconfig.New().Evacuate("a")
 	second := first.Evacuate("b")
 	whole := first.Encode()
-	step := func(before, index uint64, zone string) brentei.Step {
-		return brentei.Step{Before: before, Index: index, Order: margherita.Order{Op: margherita.OpEvacuate, Zone: zone}}
+	step := func(before, index uint64, zone string) transport.Step {
+		return transport.Step{Before: before, Index: index, Order: meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone}}
 	}
-	has := func(index uint64, c *margherita.Config) {
+	has := func(index uint64, c *meshconfig.Config) {
 		t.Helper()
 		require.Equal(t, index, a.index)
 		require.Equal(t, c.Encode(), a.config.Encode())
 	}
 	asked := func() uint64 { return max(f.want.Swap(0), other.want.Swap(0)) }
 
-	a.hear(f, &brentei.Down{Index: 5, Fresh: 1}, nil)
+	a.hear(f, &transport.Down{Index: 5, Fresh: 1}, nil)
 	require.False(t, a.proven)
 	require.EqualValues(t, 5, asked())
-	a.hear(a.asking, &brentei.Down{Index: 5, Digest: margherita.Digest(whole) + 1, Raw: int64(len(whole))}, whole)
-	has(0, margherita.New())
+	a.hear(a.asking, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole) + 1, Raw: int64(len(whole))}, whole)
+	has(0, meshconfig.New())
 	require.EqualValues(t, 5, asked(), "another one is asked for what came spoilt")
-	a.hear(a.asking, &brentei.Down{Index: 5, Digest: margherita.Digest(whole), Raw: int64(len(whole))}, whole)
+	a.hear(a.asking, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole), Raw: int64(len(whole))}, whole)
 	has(5, first)
 	require.True(t, a.proven)
 	require.Zero(t, asked())
 
-	next := brentei.Down{Index: 9, Digest: margherita.Digest(second.Encode())}
-	for _, steps := range [][]brentei.Step{{step(7, 9, "b")}, {step(5, 9, "c")}, {step(5, 7, "b")}, {{Before: 5, Index: 9}}} {
+	next := transport.Down{Index: 9, Digest: meshconfig.Digest(second.Encode())}
+	for _, steps := range [][]transport.Step{{step(7, 9, "b")}, {step(5, 9, "c")}, {step(5, 7, "b")}, {{Before: 5, Index: 9}}} {
 		next.Steps = steps
 		a.hear(f, &next, nil)
 		has(5, first)
 	}
 	require.EqualValues(t, 9, asked(), "asked for once, while the answer may come")
-	next.Steps = []brentei.Step{step(2, 5, "a"), step(5, 9, "b")}
+	next.Steps = []transport.Step{step(2, 5, "a"), step(5, 9, "b")}
 	a.hear(f, &next, nil)
 	has(9, second)
-	a.hear(other, &brentei.Down{Index: 5, Digest: margherita.Digest(whole), Raw: int64(len(whole))}, whole)
+	a.hear(other, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole), Raw: int64(len(whole))}, whole)
 	has(9, second)
 }
 
--- a/internal/brogles/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -1,4 +1,4 @@
-package brogles
+package sidecar
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/micaline/internal/brentei"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -26,10 +26,10 @@
 	core  string
 	stop  context.CancelFunc
 	woken chan struct{}
-	up    chan brentei.Up // answers to beats that came over it
-	heard time.Time       // when the core machine last said anything; the owner's
-	want  atomic.Uint64   // to be asked for: the whole configuration, of this index or a later one
-	alive bool            // the core machine has been heard over the present connection; the owner's
+	up    chan transport.Up // answers to beats that came over it
+	heard time.Time         // when the core machine last said anything; the owner's
+	want  atomic.Uint64     // to be asked for: the whole configuration, of this index or a later one
+	alive bool              // the core machine has been heard over the present connection; the owner's
 }
 
 func (f *feed) wake() {
@@ -57,7 +57,7 @@
 	for _, core := range want {
 		if a.feeds[core] == nil && len(a.feeds) < mostFeeds {
 			ctx, stop := context.WithCancel(context.Background())
-			f := &feed{core: core, stop: stop, woken: make(chan struct{}, 1), up: make(chan brentei.Up, 16)}
+			f := &feed{core: core, stop: stop, woken: make(chan struct{}, 1), up: make(chan transport.Up, 16)}
 			a.feeds[core] = f
 			go a.keep(ctx, f)
 		}
@@ -69,7 +69,7 @@
 	wait := againLow
 	for ctx.Err() == nil {
 		dialing, cancel := context.WithTimeout(ctx, dialFor)
-		c, err := brentei.Dial(dialing, brentei.FeedUse, a.set.Control, Inner(a.set, f.core))
+		c, err := transport.Dial(dialing, transport.FeedUse, a.set.Control, Inner(a.set, f.core))
 		cancel()
 		if err == nil {
 			if a.serve(ctx, f, c) {
@@ -94,14 +94,14 @@
 }
 
 // serve tells and hears until the feed breaks. It says whether anything was heard.
-func (a *Agent) serve(ctx context.Context, f *feed, c *brentei.Conn) (heard bool) {
+func (a *Agent) serve(ctx context.Context, f *feed, c *transport.Conn) (heard bool) {
 	ended := make(chan struct{})
 	done := make(chan bool, 1)
 	go func() {
 		any := false
 		for {
 			c.SetReadDeadline(time.Now().Add(muteFor))
-			var d brentei.Down
+			var d transport.Down
 			if c.Receive(&d) != nil {
 				break
 			}
@@ -119,12 +119,12 @@
 		c.Close()
 		heard = <-done
 	}()
-	said := (*brentei.Station)(nil)
+	said := (*transport.Station)(nil)
 	fresh := uint64(1)
 	beat := time.NewTimer(0)
 	defer beat.Stop()
 	for {
-		var up brentei.Up
+		var up transport.Up
 		if s := a.station.Load(); s != said {
 			said, up.Station = s, s
 			up.Have = a.have.Load()
@@ -155,7 +155,7 @@
 }
 
 // hear takes in what a core machine says.
-func (a *Agent) hear(f *feed, d *brentei.Down, whole []byte) {
+func (a *Agent) hear(f *feed, d *transport.Down, whole []byte) {
 	if a.feeds[f.core] != f {
 		return
 	}
@@ -189,7 +189,7 @@
 	if d.Beat != nil {
 		status := a.beat(d.Beat.ID, d.Beat.Leave, d.Beat.Body)
 		select {
-		case f.up <- brentei.Up{Handed: d.Number, Status: status}:
+		case f.up <- transport.Up{Handed: d.Number, Status: status}:
 			f.wake()
 		default: // it asks again
 		}
--- a/internal/brogles/probe.go
+++ b/internal/mesh/sidecar/probe.go
@@ -1,4 +1,4 @@
-package brogles
+package sidecar
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/solvay"
+	"example.org/micaline/internal/mesh/inbound"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
@@ -32,11 +32,11 @@
 		return
 	}
 	resp.Body.Close()
-	id := resp.Header.Get(solvay.ServerHeader)
+	id := resp.Header.Get(inbound.ServerHeader)
 	if resp.StatusCode != http.StatusOK || id == "" {
 		return
 	}
-	b := brentei.Backend{ID: id, Service: a.set.Service, Address: a.set.AppAddress, Zone: a.set.Zone, Capacity: leastCapacity}
+	b := transport.Backend{ID: id, Service: a.set.Service, Address: a.set.AppAddress, Zone: a.set.Zone, Capacity: leastCapacity}
 	if cold := resp.Header.Get(coldHeader); cold != "" {
 		ms, err := strconv.ParseFloat(cold, 64)
 		if err != nil || ms < 0 {
@@ -44,7 +44,7 @@
 		}
 		b.ColdLeft = time.Duration(ms * float64(time.Millisecond))
 	}
-	a.host.With(func(now time.Duration, g *solvay.Gate) bool {
+	a.host.With(func(now time.Duration, g *inbound.Gate) bool {
 		return g.Backend(now) == nil && g.Beat(now, b)
 	})
 }
--- a/internal/brogles/stats.go
+++ b/internal/mesh/sidecar/stats.go
@@ -1,23 +1,23 @@
-package brogles
+package sidecar
 
 import (
 	"time"
 
-	"example.org/micaline/internal/brentei"
-	"example.org/micaline/internal/fanes"
+	"example.org/micaline/internal/mesh/meshmetrics"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // answerIn is how long who asks for figures waits for the owner: one that hangs must not look well.
 const answerIn = 2 * time.Second
 
 // figures answers a question for the agent's figures; nil if the owner does not get to it.
-func (a *Agent) figures(q brentei.Question) *brentei.Figures {
+func (a *Agent) figures(q transport.Question) *transport.Figures {
 	if q.Ways != nil { // the rings stand by themselves: an owner that hangs is when they are wanted
 		now := time.Now()
 		ways := append(a.sender.Ways.Ask(now, q.Ways), a.host.Ways.Ask(now, q.Ways)...)
-		return &brentei.Figures{Ways: ways}
+		return &transport.Figures{Ways: ways}
 	}
-	answer := make(chan *brentei.Figures, 1)
+	answer := make(chan *transport.Figures, 1)
 	late := time.NewTimer(answerIn)
 	defer late.Stop()
 	select {
@@ -34,8 +34,8 @@
 }
 
 // count is the owner's.
-func (a *Agent) count(q brentei.Question) *brentei.Figures {
-	var f fanes.Set
+func (a *Agent) count(q transport.Question) *transport.Figures {
+	var f meshmetrics.Set
 	f.Process(a.began, a.set.MemoryMB)
 	a.sender.Figures(&f)
 	a.host.Figures(&f)
@@ -46,15 +46,15 @@
 		}
 	}
 	proven, unheard := since(a.shown), since(a.told)
-	f.Flag("altavia_agent_ready", a.isReady())
-	f.Add("altavia_agent_config_index", float64(a.index))
-	f.Add("altavia_agent_config_proven_seconds", seconds(proven))
-	f.Add("altavia_agent_unheard_seconds", seconds(unheard))
-	f.Add("altavia_agent_feeds_up", float64(up))
-	f.Add("altavia_agent_feeds", float64(len(a.feeds)))
-	answer := &brentei.Figures{Samples: f.Samples}
+	f.Flag("micaline_mesh_agent_ready", a.isReady())
+	f.Add("micaline_mesh_agent_config_index", float64(a.index))
+	f.Add("micaline_mesh_agent_config_proven_seconds", seconds(proven))
+	f.Add("micaline_mesh_agent_unheard_seconds", seconds(unheard))
+	f.Add("micaline_mesh_agent_feeds_up", float64(up))
+	f.Add("micaline_mesh_agent_feeds", float64(len(a.feeds)))
+	answer := &transport.Figures{Samples: f.Samples}
 	if q.State {
-		answer.Agent = &brentei.AgentState{Node: a.set.NodeName, Zone: a.set.Zone, Service: a.set.Service, Ready: a.isReady(),
+		answer.Agent = &transport.AgentState{Node: a.set.NodeName, Zone: a.set.Zone, Service: a.set.Service, Ready: a.isReady(),
 			Index: a.index, Proven: proven, Unheard: unheard, Feeds: up, Station: *a.station.Load()}
 	}
 	return answer
--- a/internal/brentei/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -1,4 +1,4 @@
-// Package brentei (Brentei hut) is the link: what passes between the mesh's own processes, over TCP.
+// Package transport is the link: what passes between the mesh's own processes, over TCP.
 //
 // There are four uses of a connection, told by the Hello that opens it:
 //
@@ -10,7 +10,7 @@
 //
 // Heads are gob values, each message written at once with the raw bytes that follow it. A connection that breaks proves nothing
 // about what went over it: who must know whether a request ran is told by a Verdict, or takes it that it may have.
-package brentei
+package transport
 
 import (
 	"bufio"
--- a/internal/brentei/message.go
+++ b/internal/mesh/transport/message.go
@@ -1,9 +1,9 @@
-package brentei
+package transport
 
 import (
 	"time"
 
-	"example.org/micaline/internal/margherita"
+	"example.org/micaline/internal/mesh/meshconfig"
 )
 
 // Ask is a request that a sender hands to a gate. Body raw bytes follow it.
@@ -93,7 +93,7 @@
 // Step is an order that changed the configuration, and the indexes before and after it.
 type Step struct {
 	Before, Index uint64
-	Order         margherita.Order
+	Order         meshconfig.Order
 }
 
 // Down is what a core machine says to an agent. Raw bytes follow it: the whole configuration, which an agent gets that wants it.
--- a/internal/brentei/room.go
+++ b/internal/mesh/transport/room.go
@@ -1,4 +1,4 @@
-package brentei
+package transport
 
 import "sync/atomic"
 
--- a/internal/brentei/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -1,4 +1,4 @@
-package brentei
+package transport
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 	Ways    []Way       // of an agent, where they were asked for
 }
 
-// Sample is one figure. What names there are, and with which labels, says package fanes.
+// Sample is one figure. What names there are, and with which labels, says package meshmetrics.
 type Sample struct {
 	Name   string
 	Labels []string // names and values in turn
--- a/internal/brentei/way.go
+++ b/internal/mesh/transport/way.go
@@ -1,4 +1,4 @@
-package brentei
+package transport
 
 import "time"
 
@@ -27,7 +27,7 @@
 	Open    int  // backends to choose from when it came
 	Steps   []Attempt
 	Started int    // attempts, also those that are not in Steps, being too many or still out
-	Result  string // what it is counted as, one of fanes.Results; at a gate refused or failed
+	Result  string // what it is counted as, one of meshmetrics.Results; at a gate refused or failed
 	Status  int    // of the final answer; 0: there was none
 	Why     string
 	After   time.Duration // that the client was told to come back in
--- a/internal/moiry/moiry.go
+++ b/internal/outlier/outlier.go
@@ -1,6 +1,5 @@
-// Package moiry keeps the records by which servers are ejected and let in again: outlier ejection,
-// as a circuit breaker for each server and class of requests. (A hut above the glacier of that
-// name.)
+// Package outlier keeps the records by which servers are ejected and let in again: outlier ejection,
+// as a circuit breaker for each server and class of requests.
 //
 // A record counts failures, each for as much as its caller makes of it, and each answer halves the
 // count. At one it is due: the caller, who knows how many others are out, may eject the server. It
@@ -9,7 +8,7 @@
 // breaks some of its requests from one that answers nothing.
 //
 // It does no I/O and has no clock or source of chance: the caller brings both.
-package moiry
+package outlier
 
 import "time"
 
--- a/internal/moiry/moiry_test.go
+++ b/internal/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package moiry
+package outlier
 
 import (
 	"math/rand/v2"
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"example.org/micaline/internal/limit"
-	"example.org/micaline/internal/tracuit"
+	"example.org/micaline/internal/ewma"
 )
 
 const (
@@ -180,7 +180,7 @@
 		if ours || b.now > r.aim {
 			missed = 1
 		}
-		b.lost += tracuit.FleetGain * (missed - b.lost)
+		b.lost += ewma.FleetGain * (missed - b.lost)
 		if ours && b.mayRefuse(r) {
 			b.act(Action{Kind: ActRefuse, Request: r.id, Wait: b.advice(r.class)})
 		} else if ours {
--- a/policy/health.go
+++ b/policy/health.go
@@ -2,7 +2,7 @@
 
 // What counts against a server, and its ejection.
 
-import "example.org/micaline/internal/moiry"
+import "example.org/micaline/internal/outlier"
 
 const single = 0.34 // of one that a failure counts soon after an answer: three in a row eject
 
@@ -47,7 +47,7 @@
 			}
 		}
 	}
-	if moiry.Enough(out, of) {
+	if outlier.Enough(out, of) {
 		return
 	}
 	wait := h.Eject(b.now, c.Aim, b.rng.Float64())
--- a/policy/list.go
+++ b/policy/list.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"example.org/micaline/internal/limit"
-	"example.org/micaline/internal/moiry"
+	"example.org/micaline/internal/outlier"
 )
 
 func (b *Balancer) onList(ev *Event) {
@@ -58,7 +58,7 @@
 func (b *Balancer) entry(e *ServerEntry) *server {
 	s := b.servers[e.ID]
 	if s == nil && e.State != Gone {
-		s = &server{rank: b.order(e.ID), health: make([]moiry.Record, len(b.classes))}
+		s = &server{rank: b.order(e.ID), health: make([]outlier.Record, len(b.classes))}
 		b.servers[e.ID] = s
 		byRank := func(o *server, rank float64) int { return cmp.Compare(o.rank, rank) }
 		i, _ := slices.BinarySearchFunc(b.ring, s.rank, byRank)
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"example.org/micaline/internal/tracuit"
+	"example.org/micaline/internal/ewma"
 )
 
 const (
@@ -62,13 +62,13 @@
 		h.Served()
 		if b.set.Reports == ReportsOff {
 			s.room.Answered(part, s.inFlight+1+int(s.others), a.sent, b.now)
-			b.room.Add(s.room.Limit(), tracuit.FleetGain)
+			b.room.Add(s.room.Limit(), ewma.FleetGain)
 		} else if !s.tellsQueue() {
 			// Where queues are reported those have said it: one costly request is no crowd.
 			b.pressure.Move(part, sure)
 		}
 	case Timeout:
-		b.slower(s, tracuit.MaxSlow/2, tracuit.Gain*sure)
+		b.slower(s, ewma.MaxSlow/2, ewma.Gain*sure)
 		if s.used <= a.sent && sure > 0.5 {
 			b.silent(c, a, 1)
 		}
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
-	"example.org/micaline/internal/moiry"
-	"example.org/micaline/internal/tracuit"
+	"example.org/micaline/internal/outlier"
+	"example.org/micaline/internal/ewma"
 	"example.org/micaline/internal/weighted"
 )
 
@@ -28,8 +28,8 @@
 // observe learns from how long an answer took beside others of its class and of its kind of machine.
 func (b *Balancer) observe(c *class, s *server, took, sure float64) {
 	ratio, k := took/c.usual.V, b.fleet.Kind(s.Kind)
-	c.usual.Add(min(took, 4*c.usual.V), tracuit.FleetGain*sure)
-	b.service.Add(took, tracuit.FleetGain*sure)
+	c.usual.Add(min(took, 4*c.usual.V), ewma.FleetGain*sure)
+	b.service.Add(took, ewma.FleetGain*sure)
 	b.learn(s, &k.Ratio, min(ratio, 4), sure)
 	if s.load.Recent <= 0 && s.load.Rate <= 0 { // else it says so itself; a queue of our own is no slowness
 		// Danger: where nothing tells how many it serves at once, our own in flight may be no queue at all: who is sent
@@ -37,7 +37,7 @@
 		if ratio /= k.Ratio.V; b.set.Reports != ReportsOff {
 			ratio /= 1 + float64(s.inFlight)/b.width.Requests()
 		}
-		b.slower(s, ratio, tracuit.Gain*sure)
+		b.slower(s, ratio, ewma.Gain*sure)
 	}
 }
 
@@ -65,7 +65,7 @@
 func (b *Balancer) speed(s *server) float64 {
 	// Danger: were a server that breaks a quarter of its requests ejected for it, and half of the fleet does, the rest
 	// would be crowded and those let in on trial would get all of the traffic in turn.
-	return b.fleet.Speed(b.fleet.Kind(s.Kind), &s.pace, max(moiry.Sound(s.health), 0.1))
+	return b.fleet.Speed(b.fleet.Kind(s.Kind), &s.pace, max(outlier.Sound(s.health), 0.1))
 }
 
 // weight is what a server stands for in a line: what it can do now, less where the way there costs.
@@ -86,7 +86,7 @@
 		k := b.fleet.Kind(s.Kind) // one report of this is noise, their maximum is worse
 		b.learn(s, &k.Recent, l.Recent.Seconds(), 1)
 		b.fleet.Reported(l.Recent.Seconds())
-		b.slower(s, l.Recent.Seconds()/k.Recent.V, 2*tracuit.Gain)
+		b.slower(s, l.Recent.Seconds()/k.Recent.V, 2*ewma.Gain)
 		b.width.Report(l.Rate, l.Recent.Seconds(), l.InFlight)
 	}
 	if told := l.Errors + l.Rate; l.Errors >= 0 && l.Rate >= 0 && told > 0 {
@@ -101,7 +101,7 @@
 	if width := b.width.Requests(); b.tellsCrowd(s) {
 		over := max(0, l.InFlight-width)
 		if l.Queue >= 0 {
-			b.queue.Add(over/width, tracuit.FleetGain)
+			b.queue.Add(over/width, ewma.FleetGain)
 		}
 		b.press(min(1, over/(2*b.crowd*math.Sqrt(width)))) // where most is shed, only reports of idle servers end it
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"example.org/micaline/internal/limit"
-	"example.org/micaline/internal/moiry"
-	"example.org/micaline/internal/tracuit"
+	"example.org/micaline/internal/outlier"
+	"example.org/micaline/internal/ewma"
 	"example.org/micaline/internal/weighted"
 )
 
@@ -17,7 +17,7 @@
 type server struct {
 	ServerEntry
 	rank     float64 // place on the ring of all servers
-	pace     tracuit.Server
+	pace     ewma.Server
 	built    float64       // speed in the present line
 	used     time.Duration // when it last answered over a connection, 0 if never
 	inFlight int           // own attempts out
@@ -30,7 +30,7 @@
 	others   float64           // attempts that other agents say they have out,
 	theirs   float64           // and the limit that they have learnt
 	full     time.Duration     // passed by until then: it had no room
-	health   []moiry.Record    // by class
+	health   []outlier.Record    // by class
 }
 
 type attempt struct {
@@ -95,7 +95,7 @@
 	servers  map[ServerID]*server
 	ring     []*server     // all servers, by rank
 	epoch    int           // counts the changes that are worth new lines
-	fleet    tracuit.Fleet // how fast its servers are
+	fleet    ewma.Fleet // how fast its servers are
 	width    limit.Width
 	room     weighted.Mean // limit of the servers that have answered, where they report nothing
 	open     map[RequestID]*request
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Everything that must hold before a change lands: format, vet, build, all tests with the race detector, each scenario over
+# Everything that must hold before a change lands: format, vet, lint, build, all tests with the race detector, each scenario over
 # 200 seeds in virtual time, and the explorers in full, which need no race detector. Those that only compute run beside the
 # others on half of the cores, and on all once the race detector's are done. What is judged by the machine's own time comes last
 # and has the machine to itself: instances over real sockets, and the days with agents as processes, without the race detector.
@@ -32,6 +32,7 @@
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestAnHour"
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestLargeFleet"
 	echo "go vet ./..."
+	echo "go tool staticcheck ./..."
 	for ((seed = 1; seed <= seeds; seed += shard)); do
 		echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestShippedScenarios -seed $seed -seeds $shard"
 	done
@@ -48,7 +49,7 @@
 jobs=$!
 
 failed=0
-go test -race -short -count=1 -timeout 10m -skip "$timed" $(go list ./... | grep -v -e /internal/ground -e /internal/seceda) || failed=1
+go test -race -short -count=1 -timeout 10m -skip "$timed" $(go list ./... | grep -v -e /internal/ground -e /internal/mesh/meshtest) || failed=1
 for ((i = beside; i < cores; i++)); do
 	kill -USR1 "$jobs" 2>/dev/null || true # one more at a time (GNU xargs)
 done
@@ -63,7 +64,7 @@
 
 go test -race -short -count=1 -timeout 10m -run "$timed" ./internal/fleet || failed=1
 go test -count=1 -timeout 10m -skip "$virtual" ./internal/ground || failed=1
-go test -race -count=1 -timeout 2m ./internal/seceda || failed=1
+go test -race -count=1 -timeout 2m ./internal/mesh/meshtest || failed=1
 if [ "$failed" = 0 ]; then
 	echo "every scenario holds the rules over $seeds seeds"
 else
