Members change by joint configurations, entered within half of catch_up, and a leaver gives its vote

Cause: a caught-up learner took the place of an unheard voter after 8 s and by single steps (four voters, or two, in between), but the machine that was lost stops counting as lost 4 s after its successor's start. One more loss then left no majority, for good when a disk was lost.

Now any change of the voters (a lost or wiped voter's successor, growing, shrinking) is one joint configuration: votes, commits, confirmed reads and the leader's quorum check need majorities of both sets, and the final configuration is appended once the joint one is committed. It begins when the voter was unheard for half of bounds.catch_up, counted from when it was last heard, also by a new leader. A machine that is told to go has a learner take its vote where one stands by, and then ends. A voter that is taken out goes on as a learner at once. A voter that hears no leader also asks its seeds, since all voters that it knows may have been replaced.

TestMembersChangeOneAtATime expected single steps; it now demands that the joint configuration is committed by both sets before the final one. The explorer's mayWipe counts the outgoing set too, as it counted single steps by the committed set's size.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -42,7 +42,7 @@
 	Send       func(m Message) // must not block; may lose; goes to m.To
 	Log        log.Interface
 	Tick       time.Duration // the coarseness of timers; 0: 50 ms
-	Replace    time.Duration // how long a voter is unheard before a caught-up learner takes its place; 0: 8 s
+	Replace    time.Duration // how long a voter is unheard before a caught-up learner takes its place; 0: 2 s
 	OnChange   func(Status)  // leader or membership changed; called from the node's goroutine, must not block
 
 	disk func(disk) disk // stands between the node and its store, for tests
@@ -54,6 +54,7 @@
 	Leader                string // empty: unknown
 	Term, Commit, Applied uint64
 	Members, Learners     []string // of learners, only the leader knows
+	Outgoing              []string // voters that leave, while a change is under way
 	LeaderChanges, Syncs  uint64
 	Foreign               uint64 // messages of another mesh, which were dropped
 	SyncMax               time.Duration
--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -6,22 +6,6 @@
 	"time"
 )
 
-// is tells whether a disk at an address is this member.
-func (v Member) is(address string, disk uint64, founder bool) bool {
-	return v.Address == address && (v.Disk == disk || v.Disk == 0 && founder)
-}
-
-func (s Members) find(address string, disk uint64, founder bool) (Member, bool) {
-	for _, v := range s.Voters {
-		if v.is(address, disk, founder) {
-			return v, true
-		}
-	}
-	return Member{}, false
-}
-
-func (s Members) majority() int { return len(s.Voters)/2 + 1 }
-
 func (m *Machine) isVoter() bool {
 	_, ok := m.log.current().members.find(m.self, m.disk, m.founder)
 	return ok
@@ -92,11 +76,11 @@
 		m.hard, m.hardDirty = Hard{Term: term, Vote: Member{m.self, m.disk}}, true
 	}
 	c := m.log.current()
-	for _, v := range c.members.Voters {
+	for _, v := range c.members.all() {
 		msg := Message{Kind: kind, To: v.Address, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm(),
 			MembersAt: c.at}
 		switch {
-		case v.is(m.self, m.disk, m.founder):
+		case m.isSelf(v):
 			m.promise(Message{Kind: reply, To: m.self, Term: term})
 		case as == candidate: // whoever asks for votes has voted for itself
 			m.promise(msg)
@@ -104,6 +88,9 @@
 			m.send(msg)
 		}
 	}
+	if as == preCandidate && m.now-m.heard >= askOutsidersAfter {
+		m.askOutsiders()
+	}
 }
 
 func (m *Machine) onVote(msg Message) {
@@ -156,7 +143,7 @@
 		return
 	}
 	m.votes = append(m.votes, v)
-	if len(m.votes) < members.majority() {
+	if !members.quorum(func(v Member) bool { return slices.Contains(m.votes, v) }) {
 		return
 	}
 	if pre {
@@ -169,26 +156,40 @@
 // lead begins to lead. The entry that opens the term commits what is left of earlier terms, since
 // those are not committed by counting.
 func (m *Machine) lead() {
+	before, votes := m.led.Vote, m.votes
 	m.ledBy(Member{m.self, m.disk})
 	m.role, m.votes = leader, nil
 	m.peers, m.reads, m.moving = nil, nil, nil
-	m.removed = ""
 	m.setPeers()
+	m.countSilenceOf(before, votes)
 	m.opened = m.log.last() + 1
 	m.log.append(Entry{Index: m.opened, Term: m.hard.Term})
 	m.beatAt = m.now + heartbeat
 	m.askLeader(0)
 }
 
+// countSilenceOf has the leader of before count as unheard since it was last heard, and not only
+// since the election that its loss led to.
+func (m *Machine) countSilenceOf(before Member, votes []Member) {
+	for _, p := range m.peers {
+		isBefore := p.member == before || p.member.Disk == 0 && p.member.Address == before.Address
+		if isBefore && !slices.Contains(votes, p.member) {
+			p.heard = m.heard
+		}
+	}
+}
+
 // HandOver begins to hand leadership to the voter that has most, if we lead. It tells whether it
-// did.
+// did. Of a joint configuration, only an incoming voter can finish the change.
 func (m *Machine) HandOver() bool {
 	if m.role != leader {
 		return false
 	}
 	var to *progress
+	incoming := m.log.current().members.Voters
 	for _, p := range m.peers {
-		if !p.learner && m.now-p.heard < healthy && (to == nil || p.match > to.match) {
+		fits := !p.learner && m.now >= p.leavingUntil && m.now-p.heard < healthy && slices.Contains(incoming, p.member)
+		if fits && (to == nil || p.match > to.match) {
 			to = p
 		}
 	}
--- /dev/null
+++ b/internal/mesh/consensus/leave.go
@@ -0,0 +1,106 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	leaveWithin     = 1500 * time.Millisecond // after this a node leaves as it stands
+	leaveVoteWithin = 900 * time.Millisecond  // after this a leader gives away leadership alone
+	leaveEvery      = 100 * time.Millisecond  // between two requests to the leader
+	leaveCounts     = 2 * healthy             // after the last request, a node counts as staying
+)
+
+// departure is how far a node is that was told to go.
+type departure struct {
+	asked, done      bool
+	voteUntil, until time.Duration
+	repeatAt         time.Duration
+}
+
+// Leave begins to give away what this node holds: its vote, where a learner stands by, and its
+// leadership. Left tells when it may end. It goes on answering until then, so that nobody waits for
+// it in between.
+func (m *Machine) Leave() {
+	if m.isDeparting() {
+		return
+	}
+	m.departure = departure{asked: true, voteUntil: m.now + leaveVoteWithin, until: m.now + leaveWithin, repeatAt: m.now}
+	m.advanceDeparture()
+}
+
+// Left tells that this node may end: it holds no vote by what is committed, or nobody can take it.
+func (m *Machine) Left() bool { return m.departure.asked && m.departure.done }
+
+func (m *Machine) isDeparting() bool { return m.departure.asked && !m.departure.done }
+
+func (m *Machine) advanceDeparture() {
+	d := &m.departure
+	switch {
+	case !m.isDeparting():
+		return
+	case m.now >= d.until || m.role != leader && m.isOutByCommitted():
+		d.done = true
+		return
+	case m.role == leader:
+		m.departAsLeader()
+	case m.now >= d.repeatAt && m.leader.Address != "":
+		m.send(Message{Kind: Leave, To: m.leader.Address})
+	}
+	if m.now >= d.repeatAt {
+		d.repeatAt = m.now + leaveEvery
+	}
+}
+
+// departAsLeader has a learner take the vote first: those who stay hold all that was acknowledged
+// once that is committed. Where no learner stands by, it gives away leadership alone.
+func (m *Machine) departAsLeader() {
+	switch {
+	case m.moving != nil || m.log.current().members.joint():
+	case m.now < m.departure.voteUntil && m.successorStands():
+		m.planMembers()
+	default:
+		m.departure.done = !m.HandOver()
+	}
+}
+
+// successorStands tells whether a learner is there that can take a vote.
+func (m *Machine) successorStands() bool { return slices.ContainsFunc(m.peers, m.mayBecomeReady) }
+
+// isOutByCommitted tells that the configuration which is committed holds, and we aren't in it.
+func (m *Machine) isOutByCommitted() bool {
+	current := m.log.current()
+	return current.at.Index != 0 && current.at.Index <= m.commit && !m.mayCampaign()
+}
+
+// onLeave hears that a voter is about to end.
+func (m *Machine) onLeave(msg Message) {
+	current := m.log.current()
+	if m.role != leader || m.commit < m.opened {
+		return
+	}
+	_, isMember := current.members.find(msg.From, msg.Disk, msg.Founder)
+	if !isMember && current.at.Index <= m.commit {
+		m.send(Message{Kind: LeaveReply, To: msg.From})
+	}
+	i := slices.IndexFunc(m.peers, func(p *progress) bool { return p.is(msg) })
+	if i < 0 {
+		return
+	}
+	p := m.peers[i]
+	p.leavingUntil = m.now + leaveCounts
+	if !p.learner && !current.members.joint() && !m.successorStands() {
+		m.send(Message{Kind: LeaveReply, To: msg.From, Reject: true})
+		return
+	}
+	m.planMembers()
+}
+
+// onLeaveReply hears that we are out, or that nobody can take our vote: either way nothing is left
+// to wait for.
+func (m *Machine) onLeaveReply(msg Message) {
+	if msg.Term == m.hard.Term && m.role != leader {
+		m.departure.done = m.departure.asked
+	}
+}
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -38,6 +38,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -50,7 +51,7 @@
 	mostTries   = 4                      // by then they are as long as all others
 	healthy     = time.Second            // a peer that was heard in this time is there
 	joinFirst   = 125 * time.Millisecond // before a Join is repeated, while nobody replicates to us;
-	joinEvery   = 2 * time.Second        // twice as long each time, up to this
+	joinEvery   = time.Second            // twice as long each time, up to this
 	askAgain    = 500 * time.Millisecond
 	installWait = 2 * time.Second // for a snapshot, before it is sent again
 
@@ -64,8 +65,10 @@
 	mostOpen      = 8 << 20 // bytes of entries that aren't committed
 	compactAfter  = 512     // entries,
 	compactBytes  = 4 << 20 // or so many bytes
-	caughtUp      = 16      // entries that a learner may lack to become a voter
-	unheardFactor = 4       // learners are forgotten after this many times Replace
+	unheardFactor = 4       // learners are dropped after this many times Replace
+
+	defaultReplace    = 2 * time.Second // half of the time that a repaired machine has to catch up
+	askOutsidersAfter = 2 * electionMax // without a leader, a voter asks others than voters
 )
 
 type role uint8
@@ -180,7 +183,6 @@
 	beatAt      time.Duration
 	moving      *progress // who leadership is handed to
 	movingUntil time.Duration
-	removed     string // the address that was last taken out of the members
 	seen        []origin
 
 	// As a learner.
@@ -191,10 +193,11 @@
 	joinedAt time.Duration // when the leader was last asked
 	adopted  time.Duration // when a leader last replicated to this very disk
 
-	pending []pending // proposals, in order
-	asks    []ask     // reads
-	done    []Done
-	restore *Snapshot
+	departure departure
+	pending   []pending // proposals, in order
+	asks      []ask     // reads
+	done      []Done
+	restore   *Snapshot
 }
 
 // New makes a machine of what a disk holds. A first member finds the first members in its log: see
@@ -203,8 +206,9 @@
 	m := &Machine{self: c.Self, seeds: c.Seeds, life: c.Life, replace: c.Replace, rng: c.Rand, disk: c.State.Disk,
 		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, compact: compactAfter}
 	if m.replace == 0 {
-		m.replace = 8 * time.Second
+		m.replace = defaultReplace
 	}
+	m.replace = max(m.replace, healthy)
 	m.log.base, m.log.baseTerm = c.State.Base, c.State.BaseTerm
 	if s := m.snapshot; s != nil {
 		m.commit, m.applied = s.Index, s.Index
@@ -245,6 +249,7 @@
 // Advance tells the time and does what is due.
 func (m *Machine) Advance(now time.Duration) {
 	m.Clock(now)
+	m.advanceDeparture()
 	switch {
 	case m.role == leader:
 		if m.now >= m.beatAt {
@@ -263,6 +268,13 @@
 
 // Deadline is when Advance is next due.
 func (m *Machine) Deadline() time.Duration {
+	if m.isDeparting() {
+		return min(m.timerDue(), m.departure.repeatAt, m.departure.until)
+	}
+	return m.timerDue()
+}
+
+func (m *Machine) timerDue() time.Duration {
 	switch {
 	case m.role == leader:
 		return m.beatAt
@@ -312,7 +324,12 @@
 		m.onReadAsk(msg)
 	case ReadReply:
 		m.onReadReply(msg)
+	case Leave:
+		m.onLeave(msg)
+	case LeaveReply:
+		m.onLeaveReply(msg)
 	}
+	m.advanceDeparture()
 }
 
 // meet turns to another mesh. Who knows no members has an empty log, and no vote that counts: it
@@ -455,6 +472,11 @@
 	for _, v := range members.Voters {
 		s.Members = append(s.Members, v.Address)
 	}
+	for _, v := range members.Old {
+		if !slices.Contains(members.Voters, v) {
+			s.Outgoing = append(s.Outgoing, v.Address)
+		}
+	}
 	for _, p := range m.peers {
 		if p.learner {
 			s.Learners = append(s.Learners, p.member.Address)
@@ -465,7 +487,7 @@
 		s.Role = "leader"
 	case !m.mayCampaign():
 		s.Role = "learner"
-		if m.forgot() {
+		if m.lostDisk() {
 			s.Role = "recovering"
 		}
 	case m.role == follower:
--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -1,223 +1,207 @@
 package consensus
 
 import (
+	"fmt"
 	"slices"
 )
 
-func sorted(s []string) []string {
-	s = slices.Clone(s)
-	slices.Sort(s)
-	return slices.Compact(s)
-}
-
-// forgot tells that our address is that of a member whose disk isn't ours.
-func (m *Machine) forgot() bool {
-	members := m.log.current().members
-	if len(members.Voters) == 0 {
-		return slices.Contains(m.seeds, m.self)
-	}
-	return !m.isVoter() && slices.ContainsFunc(members.Voters, func(v Member) bool { return v.Address == m.self })
-}
-
-func (m *Machine) learnAddresses(addresses []string) {
-	for _, a := range addresses {
-		if a != m.self && !slices.Contains(m.known, a) && len(m.known) < mostKnown {
-			m.known = append(m.known, a)
-		}
-	}
-}
+// Voters change by joint configurations. The leader appends one that holds the incoming and the
+// outgoing voters; from then on whatever needs a quorum needs a majority of both. Once it is
+// committed, the leader appends the incoming voters alone. A leader that finds a joint configuration
+// finishes it.
+//
+// Why no survivors that were enough before are too few in between: a joint configuration is entered
+// only with majorities of both sets in touch, and is left with a majority of the incoming voters
+// that hold all that was committed before. Say one of three is lost and a learner takes its place.
+// The two others are a majority of the outgoing voters, as before, and of the incoming ones, so as
+// long as they are enough the change goes on or waits, but stops nothing. Once the final
+// configuration is committed, two of the three that are now there are enough.
 
-// join asks to be replicated to: the leader if it is known, otherwise all addresses that may know
-// it.
-func (m *Machine) join() {
-	m.joinWait = min(max(2*m.joinWait, joinFirst), joinEvery)
-	m.joinAt = m.now + m.joinWait
-	if m.leader.Address != "" && m.now-m.heard >= electionMax {
-		m.leader = Member{}
-		m.role = follower
-		m.failReads(ErrNoLeader)
-	}
-	if m.leader.Address != "" {
-		m.askToJoin(m.leader.Address)
+// planMembers is what a leader does about the members. A change begins only after the one before is
+// committed and after an entry of the leader's own term is: before, it isn't known which
+// configuration holds.
+func (m *Machine) planMembers() {
+	current := m.log.current()
+	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
 		return
 	}
-	for _, v := range m.log.current().members.Voters {
-		if v.Address != m.self && !slices.Contains(m.known, v.Address) {
-			m.askToJoin(v.Address)
-		}
-	}
-	for _, a := range m.known {
-		m.askToJoin(a)
-	}
-}
-
-func (m *Machine) askToJoin(address string) {
-	m.joinedAt = m.now
-	m.send(Message{Kind: Join, To: address, MembersAt: m.log.current().at})
-}
-
-// onJoin takes in a learner. Join messages may be old: one that names a disk which is there no more
-// does no harm, since only a learner that answers is taken further.
-func (m *Machine) onJoin(msg Message) {
-	if m.role != leader {
-		m.hint(msg.From)
+	members := current.members
+	if members.joint() {
+		m.finishChange(members)
 		return
 	}
-	if slices.ContainsFunc(m.peers, func(p *progress) bool { return p.is(msg) }) {
-		m.hint(msg.From)
+	next := members
+	if next.Voters = m.withKnownDisks(members.Voters); !slices.Equal(next.Voters, members.Voters) {
+		m.appendMembers(next) // the same machines, so no quorum changes
 		return
 	}
-	isOther := func(p *progress) bool { return p.learner && p.member.Address == msg.From }
-	if i := slices.IndexFunc(m.peers, isOther); i >= 0 {
-		if m.now-m.peers[i].heard < healthy {
-			return
-		}
-		m.peers = slices.Delete(m.peers, i, i+1)
-	}
-	learners := 0
-	for _, p := range m.peers {
-		if p.learner {
-			learners++
-		}
-	}
-	if learners >= mostLearners || msg.From == m.self {
-		return
+	next.Voters, next.Old = m.nextVoters(members), members.Voters
+	if !sameVoters(next.Voters, members.Voters) && next.quorum(m.inTouch) {
+		m.appendMembers(next)
 	}
-	m.peers = append(m.peers, &progress{member: Member{msg.From, msg.Disk}, learner: true, heard: m.now, since: m.round,
-		next: m.log.last() + 1})
-	m.round++
 }
 
-// hint tells a node that is no member, or doesn't know the leader, what we know.
-func (m *Machine) hint(to string) {
-	c := m.log.current()
-	if c.at.Index == 0 {
+// finishChange ends a joint configuration. A leader that isn't among the incoming voters hands
+// leadership to one that is, since it could not commit its own leaving as a voter.
+func (m *Machine) finishChange(members Members) {
+	if !slices.ContainsFunc(members.Voters, m.isSelf) {
+		m.HandOver()
 		return
 	}
-	members := c.members
-	m.send(Message{Kind: Hint, To: to, Members: &members, MembersAt: c.at, Leader: m.leader.Address})
+	members.Old = nil
+	m.appendMembers(members)
 }
 
-func (m *Machine) onHint(msg Message) {
-	if msg.Members == nil {
-		return
+// nextVoters are the voters as they should be by now.
+func (m *Machine) nextVoters(members Members) []Member {
+	ready := m.readyLearners()
+	take := func(fits func(Member) bool) (Member, bool) {
+		i := slices.IndexFunc(ready, fits)
+		if i < 0 {
+			return Member{}, false
+		}
+		v := ready[i]
+		ready = slices.Delete(ready, i, i+1)
+		return v, true
+	}
+	next := slices.Clone(members.Voters)
+	for i, v := range next { // the disk is gone, and its successor listens at the address
+		if successor, ok := take(func(r Member) bool { return r.Address == v.Address }); ok {
+			next[i] = successor
+		}
 	}
-	for _, v := range msg.Members.Voters {
-		m.learnAddresses([]string{v.Address})
+	for len(next) > members.Target {
+		next = m.withoutLeastUseful(next)
 	}
-	if _, ok := msg.Members.find(m.self, m.disk, m.founder); !ok && m.role != leader && m.log.current().at.before(msg.MembersAt) {
-		if m.outside.before(msg.MembersAt) {
-			m.outside = msg.MembersAt
+	for i, v := range next {
+		if !m.isUnheard(v) && !m.isLeaving(v) {
+			continue
 		}
-		if m.role != follower {
-			m.follow(m.hard.Term, Member{})
+		if successor, ok := take(func(Member) bool { return true }); ok {
+			next[i] = successor
 		}
 	}
-	if !m.mayCampaign() && m.leader.Address == "" && msg.Leader != "" && msg.Leader != m.self &&
-		m.now-m.joinedAt >= heartbeat/2 {
-		m.askToJoin(msg.Leader)
+	for len(next) < members.Target {
+		added, ok := take(func(Member) bool { return true })
+		if !ok {
+			break
+		}
+		next = append(next, added)
 	}
+	return next
 }
 
-// plan is what a leader does about the members, one change at a time and each only after the one
-// before holds.
-func (m *Machine) plan() {
-	current := m.log.current()
-	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
-		return
-	}
-	voters, target := current.members.Voters, current.members.Target
-	if bound := m.bound(voters); bound != nil {
-		m.change(bound, target)
-		return
-	}
-	var ready []*progress
-	for _, p := range m.peers {
-		if p.learner && p.round > p.since && m.now-p.heard < healthy && p.match+caughtUp >= m.log.last() {
-			ready = append(ready, p)
+// withoutLeastUseful leaves out a voter: one that is unheard, else one that is leaving, else the
+// last that isn't this node.
+func (m *Machine) withoutLeastUseful(voters []Member) []Member {
+	i := slices.IndexFunc(voters, m.isUnheard)
+	if i < 0 {
+		i = slices.IndexFunc(voters, m.isLeaving)
+	}
+	if i < 0 {
+		i = len(voters) - 1
+		if m.isSelf(voters[i]) {
+			i--
 		}
 	}
-	for _, p := range ready { // a voter's successor on a new disk: the old one comes never again
-		for i, v := range voters {
-			if v.Address == p.member.Address && v.Disk != p.member.Disk {
-				m.remove(voters, i, target)
-				return
-			}
+	return slices.Delete(voters, i, i+1)
+}
+
+// readyLearners are the learners that hold all that is committed, and answered just now.
+func (m *Machine) readyLearners() []Member {
+	var ready []Member
+	for _, p := range m.peers {
+		if m.mayBecomeReady(p) && p.round > p.since && p.match >= m.commit {
+			ready = append(ready, p.member)
 		}
 	}
-	var worst int
-	var unheard bool
-	for i, v := range voters {
-		for _, p := range m.peers {
-			if p.member == v && m.now-p.heard >= m.replace {
-				worst, unheard = i, true
-			}
+	return ready
+}
+
+// mayBecomeReady tells whether a peer is a learner that is there to stay.
+func (m *Machine) mayBecomeReady(p *progress) bool {
+	return p.learner && m.now >= p.leavingUntil && m.now-p.heard < healthy
+}
+
+func (m *Machine) isSelf(v Member) bool { return v.is(m.self, m.disk, m.founder) }
+
+// voter is what a leader knows of another voter; nil if there is nothing, as of itself.
+func (m *Machine) voter(v Member) *progress {
+	for _, p := range m.peers {
+		if p.member == v && !p.learner {
+			return p
 		}
 	}
-	switch {
-	case len(voters) > target && unheard:
-		m.remove(voters, worst, target)
-	case len(voters) > target:
-		for i := len(voters) - 1; i >= 0; i-- {
-			if !voters[i].is(m.self, m.disk, m.founder) {
-				m.remove(voters, i, target)
-				return
-			}
-		}
-	case len(ready) > 0 && (len(voters) < target || unheard):
-		p := ready[0]
-		if i := slices.IndexFunc(ready, func(p *progress) bool { return p.member.Address == m.removed }); i >= 0 {
-			p = ready[i]
-		}
-		m.changeIfHealthy(append(slices.Clone(voters), p.member), target)
+	return nil
+}
+
+// inTouch tells whether a node answered just now, as a voter or as a learner.
+func (m *Machine) inTouch(v Member) bool {
+	return m.isSelf(v) || slices.ContainsFunc(m.peers, func(p *progress) bool {
+		return p.member == v && m.now-p.heard < healthy
+	})
+}
+
+func (m *Machine) isUnheard(v Member) bool {
+	p := m.voter(v)
+	return p != nil && m.now-p.heard >= m.replace
+}
+
+func (m *Machine) isLeaving(v Member) bool {
+	if m.isSelf(v) {
+		return m.isDeparting()
 	}
+	p := m.voter(v)
+	return p != nil && m.now < p.leavingUntil
 }
 
-// bound are the voters with the numbers of the disks that are only now known; nil if there is none.
-func (m *Machine) bound(voters []Member) []Member {
+// withKnownDisks are the voters with the numbers of the disks that are only now known.
+func (m *Machine) withKnownDisks(voters []Member) []Member {
 	next := slices.Clone(voters)
 	for i, v := range next {
 		if v.Disk != 0 {
 			continue
 		}
-		if v.is(m.self, m.disk, m.founder) {
+		if m.isSelf(v) {
 			next[i].Disk = m.disk
+		} else if p := m.voter(v); p != nil && p.disk != 0 {
+			next[i].Disk = p.disk
 		}
-		for _, p := range m.peers {
-			if p.member == v && p.disk != 0 {
-				next[i].Disk = p.disk
-			}
-		}
-	}
-	if slices.Equal(next, voters) {
-		return nil
 	}
 	return next
 }
 
-func (m *Machine) remove(voters []Member, i, target int) {
-	m.removed = voters[i].Address
-	m.changeIfHealthy(slices.Delete(slices.Clone(voters), i, i+1), target)
+func sameVoters(a, b []Member) bool {
+	isIn := func(set []Member) func(Member) bool {
+		return func(v Member) bool { return slices.Contains(set, v) }
+	}
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(v Member) bool { return !isIn(b)(v) })
+}
+
+// appendMembers appends a configuration, which counts from here on.
+func (m *Machine) appendMembers(next Members) {
+	m.checkChange(m.log.current(), next)
+	m.log.append(Entry{Index: m.log.last() + 1, Term: m.hard.Term, Members: &next})
+	m.setPeers()
 }
 
-// changeIfHealthy changes the members if a majority of the new ones is there: otherwise nothing
-// would be committed after.
-func (m *Machine) changeIfHealthy(voters []Member, target int) {
-	heard := 0
-	for _, v := range voters {
-		if v.is(m.self, m.disk, m.founder) || slices.ContainsFunc(m.peers, func(p *progress) bool {
-			return p.member == v && m.now-p.heard < healthy
-		}) {
-			heard++
+// checkChange panics unless any two quorums of a configuration and the next have a disk in common.
+func (m *Machine) checkChange(current decided, next Members) {
+	if current.at.Index > m.commit || m.commit < m.opened {
+		panic(fmt.Sprintf("consensus: members change at %d, and those of %d are not committed", m.log.last()+1, current.at.Index))
+	}
+	from := current.members
+	addresses := func(voters []Member) []string {
+		var all []string
+		for _, v := range voters {
+			all = append(all, v.Address)
 		}
+		return all
 	}
-	if heard >= (Members{Voters: voters}).majority() {
-		m.change(voters, target)
+	enters := !from.joint() && next.joint() && slices.Equal(next.Old, from.Voters)
+	ends := from.joint() && !next.joint() && slices.Equal(next.Voters, from.Voters)
+	names := !from.joint() && !next.joint() && slices.Equal(addresses(next.Voters), addresses(from.Voters))
+	if !enters && !ends && !names || len(next.Voters) == 0 {
+		panic(fmt.Sprintf("consensus: members change from %v to %v", from, next))
 	}
 }
-
-func (m *Machine) change(voters []Member, target int) {
-	next := &Members{Voters: voters, Target: target, Mesh: m.log.current().members.Mesh}
-	m.log.append(Entry{Index: m.log.last() + 1, Term: m.hard.Term, Members: next})
-	m.setPeers()
-}
--- a/internal/mesh/consensus/message.go
+++ b/internal/mesh/consensus/message.go
@@ -19,6 +19,8 @@
 	Refuse                       // the command was not appended and never will be
 	ReadAsk                      // which index must I have applied to answer a read?
 	ReadReply                    //
+	Leave                        // I am about to end: have a learner take my vote
+	LeaveReply                   // you have no vote any more, or nobody can take it
 )
 
 // Entry is one place of the log: a command, a change of members, or nothing but the opening of a
@@ -45,11 +47,13 @@
 
 func (p Place) before(q Place) bool { return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index }
 
-// Members are the voters. Target is how many there are to be. Mesh tells meshes apart that began at
-// the same addresses: 0 stands for the one of the first start, and one that was founded from a
-// backup has a number of its own.
+// Members are the voters. While they change, Old are the outgoing voters and Voters the incoming
+// ones, and a quorum is a majority of both: a joint configuration. Target is how many voters there
+// are to be. Mesh tells meshes apart that began at the same addresses: 0 stands for the one of the
+// first start, and one that was founded from a backup has a number of its own.
 type Members struct {
 	Voters []Member
+	Old    []Member
 	Target int
 	Mesh   uint64
 }
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -218,7 +218,8 @@
 // Status is how the node stands.
 func (n *Node) Status() Status { return *n.status.Load() }
 
-// Leave hands leadership over if this node holds it.
+// Leave has a learner take this node's vote where one stands by, hands over leadership, and returns
+// when the node may end: after a second and a half at most.
 func (n *Node) Leave(ctx context.Context) {
 	w := &waiter{done: make(chan outcome, 1)}
 	select {
@@ -322,6 +323,7 @@
 		r.waiter.done <- outcome{snapshot: n.machine.asOfApplied(n.options.Table.Snapshot())}
 	case leave:
 		n.leaving = append(n.leaving, r.waiter)
+		n.machine.Leave()
 	default:
 		n.next++
 		r.waiter.id = n.next
@@ -375,12 +377,9 @@
 	return nil
 }
 
-// leave hands leadership over while somebody wants that.
+// leave answers those who wait until this node may end.
 func (n *Node) leave() {
-	if len(n.leaving) == 0 {
-		return
-	}
-	if n.machine.role == leader && (n.machine.moving != nil || n.machine.HandOver()) {
+	if len(n.leaving) == 0 || !n.machine.Left() {
 		return
 	}
 	for _, w := range n.leaving {
--- a/internal/mesh/consensus/propose.go
+++ b/internal/mesh/consensus/propose.go
@@ -225,22 +225,15 @@
 	if m.role != leader || m.commit < m.opened || len(m.reads) == 0 {
 		return
 	}
-	members := m.log.current().members
-	var rounds []uint64
-	for _, v := range members.Voters {
-		at := uint64(0)
-		if v.is(m.self, m.disk, m.founder) {
-			at = m.round
+	confirmed := m.log.current().members.quorumValue(func(v Member) uint64 {
+		if m.isSelf(v) {
+			return m.round
 		}
-		for _, p := range m.peers {
-			if p.member == v && !p.learner {
-				at = p.round
-			}
+		if p := m.voter(v); p != nil {
+			return p.round
 		}
-		rounds = append(rounds, at)
-	}
-	slices.Sort(rounds)
-	confirmed := rounds[len(rounds)-members.majority()]
+		return 0
+	})
 	m.reads = slices.DeleteFunc(m.reads, func(r read) bool {
 		if r.need > confirmed {
 			return false
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -29,6 +29,8 @@
 	sent        uint64 // and sent
 	since       uint64 // the round at which it became a learner
 	installedAt time.Duration
+
+	leavingUntil time.Duration // it said that it is about to end
 }
 
 // is tells whether a reply comes from this peer. A member by disk 0 is the first disk that was
@@ -37,12 +39,13 @@
 	return p.member.is(msg.From, msg.Disk, msg.Founder) && (p.disk == 0 || p.disk == msg.Disk)
 }
 
-// setPeers brings the peers in line with the members.
+// setPeers brings the peers in line with the members. A voter that is taken out and still there
+// goes on as a learner, so that it hears of that, and stands by.
 func (m *Machine) setPeers() {
 	var peers []*progress
 	members := m.log.current().members
-	for _, v := range members.Voters {
-		if v.is(m.self, m.disk, m.founder) {
+	for _, v := range members.all() {
+		if m.isSelf(v) {
 			continue
 		}
 		i := slices.IndexFunc(m.peers, func(p *progress) bool {
@@ -56,7 +59,13 @@
 		peers = append(peers, p)
 	}
 	for _, p := range m.peers {
-		if p.learner && !slices.Contains(peers, p) {
+		atAddress := func(q *progress) bool { return q.member.Address == p.member.Address }
+		switch {
+		case slices.Contains(peers, p):
+		case p.learner:
+			peers = append(peers, p)
+		case m.now-p.heard < healthy && !slices.ContainsFunc(peers, atAddress):
+			p.learner = true
 			peers = append(peers, p)
 		}
 	}
@@ -66,13 +75,17 @@
 // beat is a leader's heartbeat. A leader that hasn't heard a majority for long stands back, so that
 // those who ask it go elsewhere.
 func (m *Machine) beat() {
+	stalled := m.now - m.beatAt
 	m.beatAt = m.now + heartbeat
-	if !m.majorityHeard(m.log.current().members, electionMax) {
+	if !m.quorumHeard(electionMax) {
 		m.follow(m.hard.Term, Member{})
 		m.leader = Member{}
 		m.failReads(ErrNoLeader)
 		return
 	}
+	if stalled >= heartbeat {
+		m.forgive(stalled)
+	}
 	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
 		return p.learner && m.now-p.heard > unheardFactor*m.replace
 	})
@@ -90,23 +103,29 @@
 			p.stage = probing
 		}
 	}
-	m.plan()
+	m.planMembers()
 }
 
-// majorityHeard tells whether a majority of members was heard within a time.
-func (m *Machine) majorityHeard(members Members, within time.Duration) bool {
-	n := 0
-	for _, v := range members.Voters {
-		if v.is(m.self, m.disk, m.founder) {
-			n++
-		}
-		for _, p := range m.peers {
-			if p.member == v && m.now-p.heard <= within {
-				n++
-			}
-		}
+// quorumHeard tells whether a quorum was heard within a time.
+func (m *Machine) quorumHeard(within time.Duration) bool {
+	return m.log.current().members.quorum(func(v Member) bool {
+		p := m.voter(v)
+		return m.isSelf(v) || p != nil && m.now-p.heard <= within
+	})
+}
+
+// forgive doesn't count against the others the time in which this node itself stood still.
+func (m *Machine) forgive(stalled time.Duration) {
+	for _, p := range m.peers {
+		p.heard = min(p.heard+stalled, m.now)
 	}
-	return n >= members.majority()
+}
+
+// superseded tells that a voter's disk is gone: its successor answers at the address.
+func (m *Machine) superseded(p *progress) bool {
+	return slices.ContainsFunc(m.peers, func(q *progress) bool {
+		return q != p && q.member.Address == p.member.Address && q.round > q.since && q.heard >= p.heard
+	})
 }
 
 // replicate sends to all peers what they need.
@@ -116,12 +135,9 @@
 		m.confirmReads() // it may be that nobody else is needed
 	}
 	for _, p := range m.peers {
-		if !p.learner && slices.ContainsFunc(m.peers, func(q *progress) bool {
-			return q.learner && q.member.Address == p.member.Address && q.round > q.since
-		}) {
-			continue // the disk is gone, and its successor listens at the address
+		if p.learner || !m.superseded(p) {
+			m.sendTo(p)
 		}
-		m.sendTo(p)
 	}
 }
 
@@ -303,26 +319,22 @@
 	if p == m.moving {
 		m.tryHandOver()
 	}
+	if p.learner {
+		m.planMembers()
+	}
 }
 
-// advanceCommit commits what a majority has synced, once that reaches this term.
+// advanceCommit commits what a quorum has synced, once that reaches this term.
 func (m *Machine) advanceCommit() {
-	members := m.log.current().members
-	var have []uint64
-	for _, v := range members.Voters {
-		at := uint64(0)
-		if v.is(m.self, m.disk, m.founder) {
-			at = m.synced
+	index := m.log.current().members.quorumValue(func(v Member) uint64 {
+		if m.isSelf(v) {
+			return m.synced
 		}
-		for _, p := range m.peers {
-			if p.member == v && !p.learner {
-				at = p.match
-			}
+		if p := m.voter(v); p != nil {
+			return p.match
 		}
-		have = append(have, at)
-	}
-	slices.Sort(have)
-	index := have[len(have)-members.majority()]
+		return 0
+	})
 	if index <= m.commit {
 		return
 	}
@@ -331,7 +343,7 @@
 	}
 	m.commitTo(index)
 	m.confirmReads()
-	m.plan()
+	m.planMembers()
 }
 
 func (m *Machine) onInstall(msg Message) {
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -165,7 +165,8 @@
 	h.machine, h.saving = nil, nil
 }
 
-// mayWipe tells whether the disk of a host may be lost now: all others of the members are whole.
+// mayWipe tells whether the disk of a host may be lost now: all others of the members are whole,
+// those of the outgoing ones too while they change.
 func (w *world) mayWipe() bool {
 	var newest decided
 	for _, h := range w.hosts {
@@ -175,7 +176,7 @@
 			}
 		}
 	}
-	return !w.anyLost(newest.members.Voters) && !w.anyLost(w.members.Voters) && len(newest.members.Voters) >= 3 && len(w.members.Voters) >= 3
+	return !w.anyLost(newest.members.all()) && !w.anyLost(w.members.all()) && len(newest.members.Voters) >= 3 && len(w.members.Voters) >= 3
 }
 
 func (w *world) wipe(h *host) {
--- a/internal/mesh/consensus/store.go
+++ b/internal/mesh/consensus/store.go
@@ -300,21 +300,25 @@
 	holdsCommand
 	holdsMembers
 	holdsMembersOf // a mesh that was founded from a backup
+	holdsJointMembers
 )
 
 func encodeEntry(e Entry) []byte {
 	b := binary.BigEndian.AppendUint64(make([]byte, 0, 32+len(e.Command)), e.Term)
 	switch {
 	case e.Members != nil:
-		if e.Members.Mesh == 0 {
+		switch {
+		case e.Members.joint():
+			b = appendJointMembers(append(b, holdsJointMembers), e.Members)
+			return b
+		case e.Members.Mesh == 0:
 			b = append(b, holdsMembers)
-		} else {
+		default:
 			b = binary.BigEndian.AppendUint64(append(b, holdsMembersOf), e.Members.Mesh)
 		}
 		b = binary.AppendUvarint(b, uint64(e.Members.Target))
 		for _, v := range e.Members.Voters {
-			b = binary.BigEndian.AppendUint64(b, v.Disk)
-			b = append(binary.AppendUvarint(b, uint64(len(v.Address))), v.Address...)
+			b = appendMember(b, v)
 		}
 	case e.Origin != 0:
 		b = binary.BigEndian.AppendUint64(append(b, holdsCommand), e.Origin)
@@ -354,17 +358,18 @@
 		}
 		e.Members.Target = int(target)
 		for b = b[n:]; len(b) > 0; {
-			if len(b) < 9 {
+			v, rest, ok := cutMember(b)
+			if !ok {
 				return Entry{}, bad
 			}
-			v := Member{Disk: binary.BigEndian.Uint64(b)}
-			length, n := binary.Uvarint(b[8:])
-			if b = b[8+max(n, 0):]; n <= 0 || uint64(len(b)) < length {
-				return Entry{}, bad
-			}
-			v.Address, b = string(b[:length]), b[length:]
-			e.Members.Voters = append(e.Members.Voters, v)
+			e.Members.Voters, b = append(e.Members.Voters, v), rest
+		}
+	case holdsJointMembers:
+		members, ok := decodeJointMembers(b)
+		if !ok {
+			return Entry{}, bad
 		}
+		e.Members = members
 	default:
 		return Entry{}, oops.Errorf("entry %d is of a kind that this program doesn't know", index)
 	}
--- a/internal/mesh/consensus/story_test.go
+++ b/internal/mesh/consensus/story_test.go
@@ -73,7 +73,8 @@
 }
 
 // Before an entry of its own term holds, a leader doesn't know whether a change of members of the
-// leader before it does; and of two changes at once the majorities may have nobody in common.
+// leader before it does. A change needs majorities of both sets, and only once it is committed do the
+// incoming voters decide alone.
 func TestMembersChangeOneAtATime(t *testing.T) {
 	m := alone(4)
 	elected(t, m)
@@ -83,11 +84,15 @@
 	beats(m, map[string]uint64{"b": 1, "d": 2, "e": 2})
 	require.Len(t, m.log.current().members.Voters, 2, "nothing of this term is committed")
 	beats(m, map[string]uint64{"b": 2, "d": 2, "e": 2})
-	require.Len(t, m.log.current().members.Voters, 3)
-	beats(m, map[string]uint64{"b": 2, "d": 2, "e": 2})
-	require.Len(t, m.log.current().members.Voters, 3, "the first change is not committed")
-	beats(m, map[string]uint64{"b": 3, "d": 3, "e": 3})
-	require.Len(t, m.log.current().members.Voters, 4)
+	joint := m.log.current().members
+	require.Equal(t, []Member{{"a", 1}, {"b", 2}}, joint.Old)
+	require.Equal(t, []Member{{"a", 1}, {"b", 2}, {"d", 4}, {"e", 5}}, joint.Voters)
+	beats(m, map[string]uint64{"b": 2, "d": 3, "e": 3})
+	require.Equal(t, joint, m.log.current().members, "no majority of the outgoing voters has it")
+	require.Equal(t, uint64(2), m.commit)
+	beats(m, map[string]uint64{"b": 3, "d": 2, "e": 2})
+	require.Equal(t, uint64(3), m.commit, "three of four, and both of two")
+	require.Equal(t, Members{Voters: joint.Voters, Target: 4}, m.log.current().members)
 }
 
 // A sync that was under way when the entries in it gave way to others tells nothing of those.
--- a/internal/mesh/consensus/whole_test.go
+++ b/internal/mesh/consensus/whole_test.go
@@ -81,6 +81,7 @@
 		k.num(e.Index, e.Term, e.Origin, e.ID)
 		if k.truth(e.Members != nil); e.Members != nil {
 			k.members(e.Members.Voters...)
+			k.members(e.Members.Old...)
 		}
 	}
 }
@@ -97,6 +98,7 @@
 		}
 		if m.Members != nil {
 			k.members(m.Members.Voters...)
+			k.members(m.Members.Old...)
 		}
 	}
 }
@@ -132,7 +134,8 @@
 		m.round, m.outside.Term, m.outside.Index)
 	k.entries(c.disk.Entries)
 	k.entries(m.log.entries)
-	k.members(append([]Member{m.leader, {Address: m.removed}}, m.votes...)...)
+	k.members(append([]Member{m.leader}, m.votes...)...)
+	k.truth(m.departure.asked, m.departure.done)
 	if k.truth(m.hardDirty, m.baseDirty, c.saving != nil, c.disk.Snapshot != nil); c.saving != nil {
 		k.num(c.saving.Hard.Term, c.saving.First, c.saving.Base)
 		k.members(c.saving.Hard.Vote)
@@ -142,7 +145,7 @@
 	k.messages(m.waiting...)
 	for _, p := range m.peers {
 		k.members(p.member)
-		k.truth(p.learner, p.probed)
+		k.truth(p.learner, p.probed, p.leavingUntil > 0)
 		k.num(p.disk, uint64(p.stage), p.match, p.next, p.told, p.round, p.sent, p.since)
 	}
 	for _, p := range m.pending {
--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -31,6 +31,9 @@
 	heartbeat = 500 * time.Millisecond
 	muteFor   = 1700 * time.Millisecond
 	mostFeeds = 2048
+
+	leaveWithin    = 2 * time.Second
+	shutdownWithin = time.Second
 )
 
 // Core is the process. Its fields from registry on belong to the goroutine of own.
@@ -85,7 +88,7 @@
 	go c.own(owner)
 	c.node, err = consensus.Start(consensus.Options{
 		Self: c.set.Control, Seeds: c.set.Seeds, FirstStart: c.set.FirstStart, Dir: c.set.DataFolder, Table: c.table,
-		Send: c.peers.send, Log: c.log, OnChange: c.onChange,
+		Send: c.peers.send, Log: c.log, OnChange: c.onChange, Replace: c.set.Bounds.CatchUp / 2,
 	})
 	if err != nil {
 		return oops.In("agreement").Wrap(err)
@@ -102,15 +105,22 @@
 	case <-ctx.Done():
 	case <-c.node.Done(): // its disk failed: Close tells
 	}
-	leaving, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	c.node.Leave(leaving)
-	server.Shutdown(leaving)
+	c.leave(server)
 	err = c.node.Close()
 	c.log.Info("core ended")
 	return err
 }
 
+// leave gives away this machine's vote and leadership while it still serves, and then ends serving.
+func (c *Core) leave(server *http.Server) {
+	leaving, cancel := context.WithTimeout(context.Background(), leaveWithin)
+	defer cancel()
+	c.node.Leave(leaving)
+	ending, cancel := context.WithTimeout(context.Background(), shutdownWithin)
+	defer cancel()
+	server.Shutdown(ending)
+}
+
 // onChange tells the agents who the members are.
 func (c *Core) onChange(s consensus.Status) {
 	members := slices.Clone(s.Members)
