--- a/internal/mesh/meshtest/relay/connection.go
+++ b/internal/mesh/meshtest/relay/connection.go
@@ -128,7 +128,9 @@
 		c.stop(f.Action)
 		return false
 	case Duplicate:
-		return c.write(chunk, to) && c.write(chunk, to)
+		if !c.write(chunk, to) {
+			return false
+		}
 	case Delay:
 		wait := time.NewTimer(f.Wait)
 		defer wait.Stop()
