Under one version of an item one content is ever confirmed; the same is confirmed again

Cause: an order that changed nothing was answered 200 whatever it said, so two different contents under one version were both confirmed. And a core machine remembered nothing of a version that had been overtaken, nor of an item whose tombstone it had forgotten: an old change of such an item came into force again.

An order's identity is version and canonical content by item. A contradiction ends with 409 and names item and fields; what can't be told any more ends with 503, neither confirmed nor refused. Nothing of such a call comes into force. Orders in logs of earlier programs are carried out as they were (Order.Strict).

An order for a zone carries the index at which it arrived and is not carried out if the opposite one was in between: one that was held up on its way, whose caller has gone on, could undo a later one.

Ruled out: keeping digests in Config.Encode, which agents receive and digest at every step. A call that has two contents under one version of an item is refused with 400.

Tests: stories, and random calls against a plain model of all that was ever confirmed. patches.txt moved to testdata/config, unchanged.

--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -29,13 +29,6 @@
 	return mux
 }
 
-// problem is the body of every answer that says no.
-func problem(w http.ResponseWriter, status int, what string) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(map[string]string{"error": what})
-}
-
 func only(w http.ResponseWriter, methods string) {
 	w.Header().Set("Allow", methods)
 	problem(w, http.StatusMethodNotAllowed, "use "+methods)
@@ -50,23 +43,6 @@
 	return b, true
 }
 
-// agree has an order agreed on and answers the caller.
-func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *meshconfig.Order) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-	defer cancel()
-	result, err := c.node.Propose(ctx, encodeOrder(o))
-	c.count.proposed(result, err)
-	switch {
-	case err != nil:
-		problem(w, statusOf(err), err.Error())
-	case len(result.Reply) > 0:
-		problem(w, http.StatusBadRequest, string(result.Reply))
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		io.WriteString(w, "{}")
-	}
-}
-
 // configs is the configuration.
 type configs struct{ c *Core }
 
@@ -86,12 +62,16 @@
 		if !ok {
 			return
 		}
-		if _, err := meshconfig.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
+		p, err := meshconfig.ParsePatch(b)
+		if err == nil {
+			err = p.Contradiction()
+		}
+		if err != nil { // what is wrong by itself need not be agreed on
 			h.c.count.refused.Add(1)
-			problem(w, http.StatusBadRequest, err.Error())
+			refusalOf(err).answer(w)
 			return
 		}
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpPatch, Body: b})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpPatch, Body: b})
 	default:
 		only(w, "GET, PATCH")
 	}
@@ -108,9 +88,9 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone})
 	case http.MethodDelete:
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpReturn, Zone: zone})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpReturn, Zone: zone})
 	default:
 		only(w, "POST, DELETE")
 	}
@@ -154,7 +134,7 @@
 			found <- ""
 		})
 		if agent = <-found; agent == "" {
-			io.WriteString(w, "{}") // gone already
+			acknowledge(w) // gone already
 			return
 		}
 	default:
@@ -167,6 +147,5 @@
 		problem(w, status, "the agent beside the backend did not take it")
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	io.WriteString(w, "{}")
+	acknowledge(w)
 }
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -70,29 +70,32 @@
 	return &state{index: index, config: next, steps: steps}
 }
 
-// table is the state that the agreement drives.
+// table is the state that the agreement drives. The node's goroutine alone changes it.
 type table struct {
 	now     atomic.Pointer[state]
-	changed func() // must not block
+	applied atomic.Uint64       // index of the last order, whatever came of it
+	history *meshconfig.History // of the node's goroutine
+	changed func()              // must not block
 }
 
 func newTable(changed func()) *table {
-	t := &table{changed: changed}
+	t := &table{changed: changed, history: meshconfig.NewHistory()}
 	t.now.Store(&state{config: meshconfig.New()})
 	return t
 }
 
-// Apply carries out an order. The reply is empty, or says what is wrong with it: validity is judged here, where the order of all
-// calls is known.
+// Apply carries out an order. The reply is empty, or the encoded refusal: validity, and whether the
+// order contradicts an earlier one, are judged here, where the order of all calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
+	defer t.applied.Store(index)
 	var o meshconfig.Order
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
-		return []byte("command: " + err.Error())
+		return refusalOf(err).encode()
 	}
 	old := t.now.Load()
-	next, err := old.config.Carry(&o)
+	next, err := t.history.Carry(index, old.config, &o)
 	if err != nil {
-		return []byte(err.Error())
+		return refusalOf(err).encode()
 	}
 	if next != old.config {
 		t.now.Store(old.after(index, next, &o))
@@ -101,10 +104,11 @@
 	return nil
 }
 
-// kept is a snapshot of the state.
+// kept is a snapshot of the state. Programs before the history wrote and read the first two fields.
 type kept struct {
-	Index  uint64
-	Config []byte
+	Index   uint64
+	Config  []byte
+	History []byte
 }
 
 // Snapshot returns the whole state.
@@ -112,7 +116,7 @@
 	s := t.now.Load()
 	text, _ := s.encoded()
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, text}); err != nil {
+	if err := gob.NewEncoder(&b).Encode(kept{s.index, text, t.history.Encode()}); err != nil {
 		panic(err) // plain fields always encode
 	}
 	return b.Bytes()
@@ -128,6 +132,14 @@
 	if err != nil {
 		return oops.In("snapshot").Wrap(err)
 	}
+	history := meshconfig.HistoryOf(config) // of a program that kept none
+	if len(k.History) > 0 {
+		if history, err = meshconfig.DecodeHistory(k.History); err != nil {
+			return oops.In("snapshot").Wrap(err)
+		}
+	}
+	t.history = history
+	t.applied.Store(index)
 	t.now.Store(&state{index: k.Index, config: config})
 	t.changed()
 	return nil
--- a/internal/mesh/meshconfig/meshconfig.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -1,6 +1,6 @@
-// Package meshconfig is the configuration: an
-// immutable snapshot of all items and of the zones that are evacuated. It does no I/O, has no clock
-// and starts no goroutines; a snapshot may be read by any number of goroutines.
+// Package meshconfig is the configuration: an immutable snapshot of all items and of the zones that
+// are evacuated. It does no I/O, has no clock and starts no goroutines; a snapshot may be read by
+// any number of goroutines.
 //
 // There are items: routes, services, tenants, and the single one `limits`. Each has a name and a
 // version of its own. A patch sets and drops items; for each name the highest version holds,
@@ -14,11 +14,17 @@
 // when it has been overtaken is as valid as it was. Nor is a patch refused for what the pages
 // don't call invalid, if it can be read and put in force.
 //
+// Two calls are the same change of an item if version and Identity are equal. Under each version of
+// an item one content is ever confirmed: core machines keep a History, which refuses another with a
+// *Conflict and confirms the same again, whatever overtook it. Agents carry out the orders that
+// changed something, in the same order, and need none.
+//
 // Promised: Apply is a function of the two alone, so nodes that apply the same patches and
 // evacuations in the same order have equal configurations, byte for byte by Encode; patches with
 // different versions commute where all are valid. Items are given back exactly as they were sent.
-// The limits: MostItems stand, MostTombstones are kept (after which the oldest is forgotten, and a
-// patch older than it would be taken again), MostZones are evacuated.
+// The limits: MostItems stand, MostTombstones are kept (after which the oldest is forgotten by the
+// configuration; the History carries out nothing that may bring it back), MostPast overtaken
+// versions are remembered, MostZones are evacuated.
 package meshconfig
 
 import (
@@ -71,44 +77,67 @@
 	return &Invalid{field, fmt.Sprintf(problem, args...)}
 }
 
+// outcome is what a patch made of a configuration.
+type outcome struct {
+	next      *Config
+	moved     []*item // that took the place of what stood
+	forgotten []*item // tombstones
+}
+
 // Apply returns the configuration after the patch, and whether anything changed. The error is an
 // *Invalid; then, and where nothing changes, next is c.
 func (c *Config) Apply(p *Patch) (next *Config, changed bool, err error) {
-	var moved []*item
-	for _, i := range p.items {
-		if old := c.items[i.key]; old == nil || i.version > old.version {
-			moved = append(moved, i)
-		}
-	}
-	if len(moved) == 0 {
-		return c, false, nil
+	made, err := c.apply(p)
+	return made.next, len(made.moved) > 0 && err == nil, err
+}
+
+func (c *Config) apply(p *Patch) (outcome, error) {
+	made := outcome{next: c, moved: c.moves(p)}
+	if len(made.moved) == 0 {
+		return made, nil
 	}
-	next = &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones}
+	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones}
 	if next.items == nil {
-		next.items = make(map[key]*item, len(moved))
+		next.items = make(map[key]*item, len(made.moved))
 	}
 	domains := make(map[string]bool) // whose routes move
-	for _, i := range moved {
+	for _, i := range made.moved {
 		if old := c.items[i.key]; old != nil && old.route != nil {
 			domains[old.route.Domain] = true
 		}
 		if i.route != nil {
 			domains[i.route.Domain] = true
 		}
-		if i.dropped() {
-			next.drops++
-			tombstone := *i // the patch may be applied elsewhere as well
-			tombstone.drop = next.drops
-			i = &tombstone
-		}
-		next.items[i.key] = i
+		next.set(i)
 	}
 	if err := next.check(); err != nil {
-		return c, false, err
+		return made, err
 	}
-	next.forget()
+	made.forgotten = next.forget()
 	next.index(c.hosts, domains)
-	return next, true, nil
+	made.next = next
+	return made, nil
+}
+
+// moves are the items of a patch that are newer than what is held.
+func (c *Config) moves(p *Patch) (moved []*item) {
+	for _, i := range p.items {
+		if old := c.items[i.key]; old == nil || i.version > old.version {
+			moved = append(moved, i)
+		}
+	}
+	return moved
+}
+
+// set is for a configuration that is being made.
+func (c *Config) set(i *item) {
+	if i.dropped() {
+		c.drops++
+		tombstone := *i // the patch may be applied elsewhere as well
+		tombstone.drop = c.drops
+		i = &tombstone
+	}
+	c.items[i.key] = i
 }
 
 // check sees to it that the configuration is whole. Of several faults it tells the first by name,
@@ -142,8 +171,8 @@
 	return nil
 }
 
-// forget drops the oldest tombstones beyond the limit.
-func (c *Config) forget() {
+// forget drops the oldest tombstones beyond the limit, and returns them.
+func (c *Config) forget() []*item {
 	var dropped []*item
 	for _, i := range c.items {
 		if i.dropped() {
@@ -151,12 +180,14 @@
 		}
 	}
 	if len(dropped) <= MostTombstones {
-		return
+		return nil
 	}
 	slices.SortFunc(dropped, func(a, b *item) int { return cmp.Compare(a.drop, b.drop) })
-	for _, i := range dropped[:len(dropped)-MostTombstones] {
+	forgotten := dropped[:len(dropped)-MostTombstones]
+	for _, i := range forgotten {
 		delete(c.items, i.key)
 	}
+	return forgotten
 }
 
 // Evacuate returns the configuration in which the zone is evacuated. Beyond MostZones it is c: ask
--- a/internal/mesh/meshconfig/meshconfig_test.go
+++ b/internal/mesh/meshconfig/meshconfig_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestStories(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/config", func(t *testing.T, path string) {
 		c, last := New(), ""
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			before := c
--- a/internal/mesh/meshconfig/patch.go
+++ b/internal/mesh/meshconfig/patch.go
@@ -2,16 +2,58 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 )
 
-// Patch is what a call asks for: for each name, the item of the highest version in the call. It
-// never changes.
+// Patch is what a call asks for: for each name, the item of the highest version in the call, and
+// apart those of lower versions. It never changes.
 type Patch struct {
 	items []*item // sorted
+	older []*item // sorted
+
+	contradiction *Invalid
+}
+
+// newPatch sorts the items of a call. Of those of equal name and version the first holds, as if they
+// had come one after the other.
+func newPatch(all []*item) *Patch {
+	slices.SortStableFunc(all, func(a, b *item) int {
+		return cmp.Or(a.key.compare(b.key), cmp.Compare(b.version, a.version))
+	})
+	p := new(Patch)
+	var last *item
+	for _, i := range all {
+		switch {
+		case last == nil || i.key != last.key:
+			p.items = append(p.items, i)
+		case i.version != last.version:
+			p.older = append(p.older, i)
+		default:
+			if p.contradiction == nil && !i.same(last) {
+				p.contradiction = invalid(i.key.String(), "the call has two contents under version %s: "+
+					"send one, or the other under a higher version", i.text)
+			}
+			continue
+		}
+		last = i
+	}
+	return p
+}
+
+// all are the items of all versions.
+func (p *Patch) all() []*item { return slices.Concat(p.items, p.older) }
+
+// Contradiction is why no such call may be confirmed any more: a confirmation is for every item of a
+// call, and this one has two contents for one of them under one version. Calls that were confirmed
+// by programs of before are carried out all the same. It is an *Invalid, or nil.
+func (p *Patch) Contradiction() error {
+	if p.contradiction == nil {
+		return nil
+	}
+	return p.contradiction
 }
 
 // ParsePatch reads the body of PATCH /api/config, and checks what can be checked without knowing
@@ -25,19 +67,13 @@
 	if err != nil || len(raws) != len(d.GetAdd().GetItems()) {
 		return nil, invalid("body", "can't be read: its items are not one plain list")
 	}
-	highest := make(map[key]*item)
-	take := func(i *item) {
-		// Of equal versions the first holds, as if they had come one after the other.
-		if old := highest[i.key]; old == nil || i.version > old.version {
-			highest[i.key] = i
-		}
-	}
+	var all []*item
 	for n, head := range d.GetAdd().GetItems() {
 		i, err := newItem(head, raws[n], fmt.Sprintf("add.items[%d]", n))
 		if err != nil {
 			return nil, err
 		}
-		take(i)
+		all = append(all, i)
 	}
 	r := d.GetRemove()
 	for _, list := range []struct {
@@ -49,12 +85,10 @@
 			if err != nil {
 				return nil, err
 			}
-			take(i)
+			all = append(all, i)
 		}
 	}
-	p := &Patch{items: slices.Collect(maps.Values(highest))}
-	slices.SortFunc(p.items, func(a, b *item) int { return a.key.compare(b.key) })
-	return p, nil
+	return newPatch(all), nil
 }
 
 // cut gives the text of each item, which protojson doesn't keep. Maps rather than structs, since
