An answer without an id proves nothing where another request has gone before

Review of what a gate takes for the answer of its backend. Ruled out as sound: ids, lengths, chunks, bytes behind, other protocols. Changed, each with its case in TestAnswers: - Not-Run without a Try-Id was taken as proof on any connection. On one that has carried another request it may be that one's late extra answer; it counts on a fresh connection only now (connpool: Conn.Fresh, an addition, nothing else of that package moved). - A failure whose end only the close shows was passed on with a length, and looked whole. - A status of 000 or 720 went to the client's connection, where net/http panics and closes it. - A 2xx with Not-Run counted as not run; it says both, so it proves nothing. - Answers of status 1xx were passed over without a bound; 16 at most now. reader is split by what it decides. TestAnswers calls it by its new name; no case of it was changed.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -26,6 +26,10 @@
 	since  time.Time        // idle since then
 }
 
+// Fresh says that no request has gone over the connection before: what is read from it can be an
+// answer to nobody else's.
+func (c *Conn) Fresh() bool { return c.since.IsZero() }
+
 // Limit bounds how many bytes the Reader goes on to read.
 func (c *Conn) Limit(n int64) { c.limit.N = n }
 
--- a/internal/mesh/inbound/exchange.go
+++ b/internal/mesh/inbound/exchange.go
@@ -18,14 +18,19 @@
 
 // Headers that a backend and the mesh speak.
 const (
-	TryHeader     = "Try-Id"
-	LeftHeader    = "Time-Left"
-	TargetHeader  = "Target-Server"
-	CallerHeader  = "Calling-Service"
-	SealHeader    = "Server-Seal"
-	NotRunHeader  = "Not-Run"
-	ServerHeader  = "Server-Id"
-	mostStrangers = 2 // answers to others' requests that are passed over on one connection
+	TryHeader    = "Try-Id"
+	LeftHeader   = "Time-Left"
+	TargetHeader = "Target-Server"
+	CallerHeader = "Calling-Service"
+	SealHeader   = "Server-Seal"
+	NotRunHeader = "Not-Run"
+	ServerHeader = "Server-Id"
+)
+
+const (
+	mostStrangers = 2  // answers to others' requests that are passed over on one connection
+	mostEarly     = 16 // answers of status 1xx that are passed over before one that counts
+	mostStatus    = 599
 )
 
 // answer is what a backend said to one request.
@@ -70,71 +75,122 @@
 	return append(b, body...)
 }
 
-// read reads the answer to a try. Danger: an answer to somebody else's may stand in its place; the id shows it, and the one
+// reader reads the answer to a try from a connection to the backend.
+type reader struct {
+	from  *bufio.Reader
+	limit func(int64) // bounds how many bytes are read on
+	most  int64       // bytes of one answer
+	ask   *transport.Ask
+	fresh bool // no request has gone over the connection before
+}
+
+// read reads the answer to the try. Danger: an answer to somebody else's may stand in its place; the id shows it, and the one
 // that is due comes behind it.
-func read(br *bufio.Reader, limit func(int64), most int64, a *transport.Ask) (*answer, *transport.Failure) {
-	broken := func(reason transport.Reason, err error) (*answer, *transport.Failure) {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			reason = transport.Silent
-		}
-		return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: reason, Cause: err}
-	}
-	for strangers := 0; ; {
-		limit(most)
-		resp, err := http.ReadResponse(br, &http.Request{Method: a.Method})
+func (r *reader) read() (*answer, *transport.Failure) {
+	for strangers, early := 0, 0; ; {
+		r.limit(r.most)
+		resp, err := http.ReadResponse(r.from, &http.Request{Method: r.ask.Method})
 		if err != nil {
-			return broken(transport.Broken, err)
+			return broken(err)
 		}
 		if resp.StatusCode/100 == 1 {
-			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return broken(transport.Spoilt, oops.Errorf("an answer in another protocol"))
+			if early++; early > mostEarly || resp.StatusCode == http.StatusSwitchingProtocols {
+				return spoilt("an answer %d", resp.StatusCode)
 			}
 			continue
 		}
-		var body []byte
-		if n := resp.ContentLength; a.Method == http.MethodHead {
-			// Its length is that of a body which does not come.
-		} else if n >= 0 && n <= most {
-			body = make([]byte, n)
-			_, err = io.ReadFull(resp.Body, body)
-		} else {
-			body, err = io.ReadAll(resp.Body)
-		}
+		body, err := r.body(resp)
 		if err != nil {
-			return broken(transport.Broken, err)
+			return broken(err)
 		}
-		// Only one that turns a request away may lack the id; with another's it proves nothing about this one.
-		away := resp.Header.Get(NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest
-		if id := resp.Header.Get(TryHeader); id != a.Try && (id != "" || !away) {
-			if strangers++; strangers > mostStrangers || id == "" {
-				return broken(transport.Spoilt, oops.Errorf("an answer to try %q", id))
+		if !r.due(resp) {
+			if id := resp.Header.Get(TryHeader); id == "" || strangers == mostStrangers {
+				return spoilt("an answer to try %q", id)
 			}
+			strangers++
 			continue
 		}
-		if resp.StatusCode/100 == 2 && (resp.Header.Get(SealHeader) == "" || resp.Header.Get("Content-Encoding") != "") {
-			return broken(transport.Spoilt, oops.Errorf("an answer without a seal, or with an encoding"))
+		if why := unsound(resp); why != "" {
+			return spoilt("an answer %d %s", resp.StatusCode, why)
 		}
-		// One whose end only the end of the connection shows may have been cut.
-		if resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && resp.StatusCode/100 == 2 {
-			return broken(transport.Spoilt, oops.Errorf("an answer without a length"))
+		return &answer{status: resp.StatusCode, header: passed(resp.Header), body: body, keep: !resp.Close && strangers == 0}, nil
+	}
+}
+
+// body reads the body of an answer whole.
+func (r *reader) body(resp *http.Response) ([]byte, error) {
+	switch n := resp.ContentLength; {
+	case r.ask.Method == http.MethodHead:
+		return nil, nil // its length is that of a body which does not come
+	case n >= 0 && n <= r.most:
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	return io.ReadAll(resp.Body)
+}
+
+// due says whether an answer is that to the try. Only one that turns a request away may lack the id.
+// Danger: where another request has gone over the connection before, it may be a late one to that,
+// and would prove of this one what it does not know.
+func (r *reader) due(resp *http.Response) bool {
+	id := resp.Header.Get(TryHeader)
+	return id == r.ask.Try || id == "" && r.fresh && turnsAway(resp)
+}
+
+// turnsAway says whether an answer says that its request did not run and never will.
+func turnsAway(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.StatusCode >= 400 && resp.Header.Get(NotRunHeader) != ""
+}
+
+// unsound says what keeps an answer from being passed on, though it is to this try; empty: nothing.
+func unsound(resp *http.Response) string {
+	switch success := resp.StatusCode/100 == 2; {
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > mostStatus:
+		return "of no known kind"
+	case success && resp.Header.Get(NotRunHeader) != "":
+		return "that says both that it ran and that it did not"
+	case success && resp.Header.Get(SealHeader) == "":
+		return "without a seal"
+	case success && resp.Header.Get("Content-Encoding") != "":
+		return "with an encoding"
+	case resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && !turnsAway(resp):
+		return "of which only the end of the connection shows the end" // it may have been cut
+	}
+	return ""
+}
+
+// passed lists the headers of an answer that go on to the client.
+func passed(h http.Header) (list []string) {
+	for name, values := range h {
+		if !Passes(name) {
+			continue
 		}
-		out := &answer{status: resp.StatusCode, body: body, keep: !resp.Close && strangers == 0}
-		for name, values := range resp.Header {
-			if Passes(name) {
-				for _, v := range values {
-					out.header = append(out.header, name, v)
-				}
-			}
+		for _, v := range values {
+			list = append(list, name, v)
 		}
-		return out, nil
 	}
+	return list
+}
+
+// broken is the failure of an answer that did not come whole.
+func broken(err error) (*answer, *transport.Failure) {
+	reason := transport.Broken
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason = transport.Silent
+	}
+	return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: reason, Cause: err}
+}
+
+// spoilt is the failure of an answer that is not the whole one to the try.
+func spoilt(format string, args ...any) (*answer, *transport.Failure) {
+	return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Spoilt, Cause: oops.Errorf(format, args...)}
 }
 
 // meaning reads a whole answer: a failure if the backend did not run the request. Danger: only its own word proves that; a 503
 // without it may have run.
 func (a *answer) meaning() *transport.Failure {
-	notRun := a.status == http.StatusMisdirectedRequest
-	id := ""
+	notRun, id := a.status == http.StatusMisdirectedRequest, ""
 	for i := 0; i+1 < len(a.header); i += 2 {
 		switch a.header[i] {
 		case NotRunHeader:
@@ -189,7 +245,8 @@
 		h.pool.Discard(c)
 		return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Broken, Cause: err}
 	}
-	ans, f := read(c.Reader, c.Limit, h.mostAnswer, a)
+	r := reader{from: c.Reader, limit: c.Limit, most: h.mostAnswer, ask: a, fresh: c.Fresh()}
+	ans, f := r.read()
 	if f != nil || !ans.keep || c.Reader.Buffered() > 0 {
 		h.pool.Discard(c)
 	} else {
--- a/internal/mesh/inbound/exchange_test.go
+++ b/internal/mesh/inbound/exchange_test.go
@@ -35,39 +35,48 @@
 		verdict     transport.Verdict
 		reason      transport.Reason
 		keep        bool
+		used        bool // a request has gone over the connection before
 	}{
-		{"right", ok, 200, transport.Ran, 0, true},
-		{"another's first", other + ok, 200, transport.Ran, 0, false},
-		{"another's only", other, 0, transport.MayHaveRun, transport.Broken, false},
-		{"others' for ever", strings.Repeat(other, 9) + ok, 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"no id", said("200 OK", "Server-Seal: s|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"bytes behind", ok + "x", 200, transport.Ran, 0, false},
-		{"another's behind", ok + other, 200, transport.Ran, 0, false},
-		{"half", ok[:len(ok)-2], 0, transport.MayHaveRun, transport.Broken, false},
-		{"nothing", "", 0, transport.MayHaveRun, transport.Broken, false},
-		{"no answer", "\x00\x01 nonsense\r\n\r\n", 0, transport.MayHaveRun, transport.Broken, false},
-		{"no seal", said("200 OK", "Try-Id: t1|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"encoded", said("200 OK", seal+"|Content-Encoding: gzip|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"chunked", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), 200, transport.Ran, 0, true},
-		{"chunked, cut", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n"), 0, transport.MayHaveRun, transport.Broken, false},
-		{"no length", said("200 OK", seal, "body"), 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"too long", said("200 OK", seal+"|Content-Length: 9999", strings.Repeat("x", 9999)), 0, transport.MayHaveRun, transport.Broken, false},
-		{"1xx first", said("103 Early", "Try-Id: t1", "") + ok, 200, transport.Ran, 0, true},
-		{"other protocol", said("101 Switching", "Try-Id: t1|Upgrade: x|Connection: upgrade", "") + ok, 0, transport.MayHaveRun, transport.Spoilt, false},
-		{"leaving", said("200 OK", seal+"|Connection: close|Content-Length: 4", "body"), 200, transport.Ran, 0, false},
-		{"failure", said("500 Oh", "Try-Id: t1|Content-Length: 4", "body"), 500, transport.Ran, 0, true},
-		{"503 that ran", said("503 Oh", "Try-Id: t1|Content-Length: 4", "body"), 503, transport.Ran, 0, true},
-		{"full", full, 503, transport.NotRun, transport.Full, true},
-		{"not run, without id", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 400, transport.NotRun, transport.Broken, true},
-		{"another life", said("421 No", "Try-Id: t1|Server-Id: b2|Content-Length: 0", ""), 421, transport.NotRun, transport.Unknown, true},
-		{"another's not run", othersFull, 0, transport.MayHaveRun, transport.Broken, false},
-		{"another's not run first", othersFull + ok, 200, transport.Ran, 0, false},
-		{"another's 421 first", said("421 No", "Try-Id: t0|Content-Length: 0", "") + ok, 200, transport.Ran, 0, false},
+		{"right", ok, 200, transport.Ran, 0, true, false},
+		{"another's first", other + ok, 200, transport.Ran, 0, false, false},
+		{"another's only", other, 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"others' for ever", strings.Repeat(other, 9) + ok, 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"no id", said("200 OK", "Server-Seal: s|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"bytes behind", ok + "x", 200, transport.Ran, 0, false, false},
+		{"another's behind", ok + other, 200, transport.Ran, 0, false, false},
+		{"half", ok[:len(ok)-2], 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"nothing", "", 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"no answer", "\x00\x01 nonsense\r\n\r\n", 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"no seal", said("200 OK", "Try-Id: t1|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"encoded", said("200 OK", seal+"|Content-Encoding: gzip|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"chunked", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), 200, transport.Ran, 0, true, false},
+		{"chunked, cut", said("200 OK", seal+"|Transfer-Encoding: chunked", "2\r\nbo\r\n2\r\ndy\r\n"), 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"no length", said("200 OK", seal, "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"too long", said("200 OK", seal+"|Content-Length: 9999", strings.Repeat("x", 9999)), 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"1xx first", said("103 Early", "Try-Id: t1", "") + ok, 200, transport.Ran, 0, true, false},
+		{"other protocol", said("101 Switching", "Try-Id: t1|Upgrade: x|Connection: upgrade", "") + ok, 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"leaving", said("200 OK", seal+"|Connection: close|Content-Length: 4", "body"), 200, transport.Ran, 0, false, false},
+		{"failure", said("500 Oh", "Try-Id: t1|Content-Length: 4", "body"), 500, transport.Ran, 0, true, false},
+		{"503 that ran", said("503 Oh", "Try-Id: t1|Content-Length: 4", "body"), 503, transport.Ran, 0, true, false},
+		{"full", full, 503, transport.NotRun, transport.Full, true, false},
+		{"not run, without id", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 400, transport.NotRun, transport.Broken, true, false},
+		{"not run, without id, behind another's request", said("400 Bad", "Not-Run: id|Content-Length: 0", ""), 0, transport.MayHaveRun, transport.Spoilt, false, true},
+		{"full, behind another's request", full, 503, transport.NotRun, transport.Full, true, true},
+		{"ran and did not", said("200 OK", seal+"|Not-Run: 1|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"a failure without a length", said("500 Oh", "Try-Id: t1", "bo"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"no status", said("000 No", seal+"|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"an unknown status", said("720 No", seal+"|Content-Length: 4", "body"), 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"1xx for ever", strings.Repeat(said("103 Early", "Try-Id: t1", ""), 17) + ok, 0, transport.MayHaveRun, transport.Spoilt, false, false},
+		{"another life", said("421 No", "Try-Id: t1|Server-Id: b2|Content-Length: 0", ""), 421, transport.NotRun, transport.Unknown, true, false},
+		{"another's not run", othersFull, 0, transport.MayHaveRun, transport.Broken, false, false},
+		{"another's not run first", othersFull + ok, 200, transport.Ran, 0, false, false},
+		{"another's 421 first", said("421 No", "Try-Id: t0|Content-Length: 0", "") + ok, 200, transport.Ran, 0, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			limit := &io.LimitedReader{R: strings.NewReader(c.bytes)}
 			br := bufio.NewReader(limit)
-			ans, f := read(br, func(n int64) { limit.N = n }, most, &transport.Ask{Try: "t1", Method: "POST"})
+			reader := reader{from: br, limit: func(n int64) { limit.N = n }, most: most, ask: &transport.Ask{Try: "t1", Method: "POST"}, fresh: !c.used}
+			ans, f := reader.read()
 			if c.status == 0 {
 				require.Nil(t, ans)
 				require.Equal(t, c.verdict, f.Verdict)
@@ -86,7 +95,8 @@
 		})
 	}
 	limit := &io.LimitedReader{R: strings.NewReader(ok[:len(ok)-4] + ok)}
-	ans, f := read(bufio.NewReader(limit), func(n int64) { limit.N = n }, most, &transport.Ask{Try: "t1", Method: "HEAD"})
+	head := reader{from: bufio.NewReader(limit), limit: func(n int64) { limit.N = n }, most: most, ask: &transport.Ask{Try: "t1", Method: "HEAD"}}
+	ans, f := head.read()
 	require.Nil(t, f, "an answer to HEAD has a length and no body: %v", f)
 	require.Empty(t, ans.body)
 }
