Exchanges between agents are numbered and meant for one life of a gate; ids are taken once

Replies carry the number of their exchange, and gates take numbers in turn. - A request that is meant for an earlier process of a gate is refused by the next, which has no memory of what that handed over; connections are kept by life, so that those to a machine that lost power do not break one after the other under new requests. - A connection was still named as the one that a request waits on after it had been given back: its deadline could be moved under the next request. Version of the messages is 3.

--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -7,11 +7,12 @@
 //
 // What it promises:
 //
-//   - Life: only the life that is named by the request gets it, and only one that has been heard by this process.
+//   - Life: only the life that is named by the request gets it, and only one that has been heard by this process; and only what was
+//     meant for this process is handed over.
 //   - Drain: once it has said that the backend leaves, or while its zone is evacuated, nothing more is handed over.
 //   - Warm-up: in no span of a second does a cold backend get more than the bound, counted over restarts of the gate.
 //   - Room: no more is handed over at once than the backend works on at once, so that it never meets what it cannot queue.
-//   - Once: one id of an unsafe request is handed over once in the life of the process.
+//   - Once: one id of an unsafe request is handed over once in the life of the process, and never refused with a promise after that.
 package inbound
 
 import (
@@ -20,6 +21,7 @@
 	"slices"
 	"time"
 
+	"example.org/micaline/internal/mesh/seenids"
 	"example.org/micaline/internal/mesh/transport"
 )
 
@@ -96,15 +98,25 @@
 	recent   float64         // seconds of work
 	rate     meter
 	errors   meter
-	seen     [2]map[string]struct{}
+	ids      *seenids.Set // of unsafe requests that were handed over, or wait
 	aged     time.Duration
+	lives    [2]uint64 // of this process: the present one, and the one that it went by before
 	// Refused counts by reason.
 	Refused [32]uint64
 }
 
 // New returns a gate that knows no backend.
 func New(now time.Duration, r Rules) *Gate {
-	return &Gate{rules: r, started: now, now: now, aged: now, seen: [2]map[string]struct{}{{}, {}}}
+	return &Gate{rules: r, started: now, now: now, aged: now, ids: seenids.New(now, twiceFor, mostTwice)}
+}
+
+// Named takes in by which life others know this process. It changes once the core has heard an
+// earlier process by a later life; what was sent to the former name is still meant for this one.
+func (g *Gate) Named(life uint64) {
+	if g.lives[0] == 0 {
+		g.lives[0] = life
+	}
+	g.lives = [2]uint64{life, g.lives[0]}
 }
 
 // Beat takes in what the backend says of itself, and says whether others should hear of it.
@@ -186,7 +198,7 @@
 // Admit decides about a request: it may be handed over at once (nil, nil), waits (a ticket), or is refused.
 func (g *Gate) Admit(now time.Duration, a *transport.Ask) (*Ticket, *transport.Failure) {
 	g.step(now)
-	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
+	if f := g.may(a); f != nil {
 		return nil, g.refuse(f)
 	}
 	t := &Ticket{order: inTime, due: now + a.Aim, try: a.Try, unsafe: a.Unsafe, began: now}
@@ -213,10 +225,13 @@
 	}
 	for n := len(g.waiting); n >= most; n = len(g.waiting) { // the last gives way; several if the backend takes fewer now
 		last := g.waiting[n-1]
-		g.waiting, last.waiting = g.waiting[:n-1], false
-		last.Grant(false, g.refuse(full))
+		g.waiting = g.waiting[:n-1]
+		g.settle(last, g.refuse(full))
 	}
 	t.waiting = true
+	if t.unsafe { // the same id has no other place here
+		g.ids.Add(t.try)
+	}
 	g.waiting = slices.Insert(g.waiting, i, t)
 	return t, nil
 }
@@ -225,7 +240,7 @@
 // be late fares better at another gate.
 func (g *Gate) Offer(now time.Duration, a *transport.Ask) *transport.Failure {
 	g.step(now)
-	if f := g.may(a.Target, a.Try, a.Unsafe); f != nil {
+	if f := g.may(a); f != nil {
 		return g.refuse(f)
 	}
 	if g.rules.LinkBps <= 0 {
@@ -255,12 +270,25 @@
 	if !t.waiting {
 		return false
 	}
-	t.waiting = false
+	g.unqueue(t, false)
 	g.waiting = slices.DeleteFunc(g.waiting, func(o *Ticket) bool { return o == t })
 	g.Refused[transport.Full]++
 	return true
 }
 
+// unqueue ends a ticket's wait. What was not handed over may come again.
+func (g *Gate) unqueue(t *Ticket, handed bool) {
+	if t.waiting = false; t.unsafe && !handed {
+		g.ids.Remove(t.try)
+	}
+}
+
+// settle ends a ticket's wait and tells its holder: it is handed over, or refused.
+func (g *Gate) settle(t *Ticket, f *transport.Failure) {
+	g.unqueue(t, f == nil)
+	t.Grant(f == nil, f)
+}
+
 // Done takes in how a request that was handed over ended: how long the backend took, and whether it answered well, and hands
 // over who waits.
 func (g *Gate) Done(now, took time.Duration, answered, well bool) {
@@ -288,12 +316,11 @@
 	for len(g.waiting) > 0 && g.backend != nil && g.room() {
 		t := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
-		t.waiting = false
 		f := g.hand(t)
 		if f != nil {
 			f = g.refuse(f)
 		}
-		t.Grant(f == nil, f)
+		g.settle(t, f)
 	}
 }
 
@@ -327,40 +354,26 @@
 	return nil
 }
 
-// may is the right to be handed over but for room and warmth.
-func (g *Gate) may(target, try string, unsafe bool) *transport.Failure {
+// may is the right to be handed over but for room and warmth. Danger: what was meant for an earlier
+// process here may have run there, and this one has no memory of it.
+func (g *Gate) may(a *transport.Ask) *transport.Failure {
+	if a.Unsafe && g.ids.Contains(a.Try) { // first: what may have run is never said to have not
+		return &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Twice}
+	}
 	if f := g.shut(); f != nil {
 		return f
 	}
-	if g.backend.ID != target {
+	switch {
+	case g.backend.ID != a.Target || !slices.Contains(g.lives[:], a.Life):
 		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown}
-	}
-	if unsafe {
-		if g.twice(try) {
-			return &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Twice}
-		}
-		if len(g.seen[0]) >= mostTwice {
-			return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own, After: time.Second}
-		}
+	case a.Unsafe && g.ids.Full():
+		return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own, After: time.Second}
 	}
 	return nil
 }
 
-// twice says whether an id of an unsafe request has been handed over before.
-func (g *Gate) twice(try string) bool {
-	for _, seen := range g.seen {
-		if _, twice := seen[try]; twice {
-			return true
-		}
-	}
-	return false
-}
-
 // hand counts a request that goes to the backend now; the only way there.
 func (g *Gate) hand(t *Ticket) *transport.Failure {
-	if t.unsafe && g.twice(t.try) { // it came twice while it waited
-		return &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Twice}
-	}
 	if g.cold > g.now {
 		limit := g.rules.coldLimit()
 		// Danger: what the process before this one handed over within the last second is not known.
@@ -377,7 +390,7 @@
 		g.peaks[0] = max(g.peaks[0], len(g.handed))
 	}
 	if t.unsafe {
-		g.seen[0][t.try] = struct{}{}
+		g.ids.Add(t.try)
 	}
 	if g.inFlight++; g.inFlight > max(1, g.backend.Capacity) {
 		panic(fmt.Sprintf("inbound: %d handed over at once to a backend that takes %d", g.inFlight, g.backend.Capacity))
@@ -392,8 +405,7 @@
 
 func (g *Gate) refuseWaiting(f *transport.Failure) {
 	for _, t := range g.waiting {
-		t.waiting = false
-		t.Grant(false, g.refuse(f))
+		g.settle(t, g.refuse(f))
 	}
 	g.waiting = g.waiting[:0]
 }
@@ -406,9 +418,9 @@
 		i++
 	}
 	g.handed = append(g.handed[:0], g.handed[i:]...)
+	g.ids.Step(g.now)
 	if g.now-g.aged >= twiceFor {
 		g.aged = g.now
-		g.seen[0], g.seen[1] = map[string]struct{}{}, g.seen[0]
 		g.peaks[0], g.peaks[1] = 0, g.peaks[0]
 	}
 }
--- a/internal/mesh/inbound/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"example.org/micaline/internal/mesh/seenids"
 	"example.org/micaline/internal/mesh/transport"
 	"github.com/stretchr/testify/require"
 )
@@ -29,6 +32,7 @@
 	waiting               []*queued
 	past                  *queued         // one that is settled
 	unsafe                map[string]bool // handed over by this gate
+	life                  uint64          // of this gate
 	running, lives, tries int
 	counted               map[string]int // what the load came to: a test that provokes nothing proves nothing
 }
@@ -44,6 +48,8 @@
 func (y *yard) start() {
 	y.base, y.gate, y.known, y.heard, y.running = y.now, New(0, y.rules), false, nil, 0
 	y.waiting, y.past, y.unsafe = nil, nil, map[string]bool{}
+	y.life++
+	y.gate.Named(y.life)
 }
 
 func (y *yard) pick(n int) bool { return y.r.IntN(n) == 0 }
@@ -54,6 +60,7 @@
 	y.True(y.known && y.truth.ID == a.Target, "ROUTE: handed to another life, to one not heard, or to one that is gone")
 	y.False(y.left[a.Target], "DRAIN: handed over after the backend left")
 	y.False(y.rules.Evacuated || y.rules.Blind, "EVAC: handed over in an evacuated zone, or without a configuration")
+	y.Equal(y.life, a.Life, "TWICE: handed over though it was meant for an earlier process")
 	y.False(a.Unsafe && y.unsafe[a.Try], "TWICE: %s handed over again", a.Try)
 	y.unsafe[a.Try] = y.unsafe[a.Try] || a.Unsafe
 	y.running++
@@ -66,23 +73,27 @@
 	}
 }
 
-func (y *yard) refused(f *transport.Failure) {
+func (y *yard) refused(a *transport.Ask, f *transport.Failure) {
 	y.counted[f.Reason.String()]++
 	y.Equal(f.Reason == transport.Twice, f.Verdict != transport.NotRun, "REFUSED: only an id that was handed over is no promise")
+	y.False(a.Unsafe && y.unsafe[a.Try] && f.Verdict == transport.NotRun, "REFUSED: %s was handed over, and now has not run", a.Try)
 }
 
 func (y *yard) admit() {
-	a := transport.Ask{Target: y.truth.ID, Unsafe: y.pick(2), Inner: y.pick(4), Left: 5 * time.Second,
+	a := transport.Ask{Target: y.truth.ID, Life: y.life, Unsafe: y.pick(2), Inner: y.pick(4), Left: 5 * time.Second,
 		Aim: time.Duration(y.r.IntN(1000)) * time.Millisecond, Patient: time.Duration(1+y.r.IntN(300)) * time.Millisecond}
 	if y.pick(10) {
 		a.Target = fmt.Sprint("b", y.r.IntN(y.lives+1))
 	}
+	if y.pick(20) {
+		a.Life = uint64(y.r.IntN(int(y.life)))
+	}
 	y.tries++
 	a.Try = fmt.Sprint(max(0, y.tries-y.r.IntN(7)*y.r.IntN(2))) // some come again
 	clear := len(y.waiting) == 0
 	ticket, f := y.gate.Admit(y.at(), &a)
 	if f != nil {
-		y.refused(f)
+		y.refused(&a, f)
 	} else if ticket == nil {
 		y.True(clear, "handed over past those who wait")
 		y.handed(&a)
@@ -105,7 +116,7 @@
 	other := slices.ContainsFunc(y.waiting, func(o *queued) bool { return o.ask.Inner != q.ask.Inner })
 	if !ok {
 		y.False(f.Reason == transport.Full && q.ask.Inner && other, "a backend's own call gave way to a client's")
-		y.refused(f)
+		y.refused(&q.ask, f)
 		return
 	}
 	y.counted["granted"]++
@@ -193,6 +204,7 @@
 	for _, q := range slices.Clone(y.waiting) {
 		if q.ticket.began+q.ask.Patient <= y.at() {
 			y.True(y.gate.Abandon(y.at(), q.ticket), "a ticket was lost")
+			y.False(q.ask.Unsafe && y.unsafe[q.ask.Try], "REFUSED: %s was handed over, and is taken back", q.ask.Try)
 			y.settle(q)
 			y.counted["abandoned"]++
 		}
@@ -203,18 +215,23 @@
 	y.Equal(y.running, y.gate.inFlight)
 }
 
+func newYard(t require.TestingT, seed uint64, counted map[string]int) *yard {
+	r := rand.New(rand.NewPCG(seed, 1))
+	y := &yard{Assertions: require.New(t), r: r, now: time.Hour, counted: counted, left: map[string]bool{}, lives: 1,
+		truth: transport.Backend{ID: "b1", Capacity: 4}, rules: Rules{Warmup: 3 * time.Second, WarmupPerS: 1 + 8*r.Float64(),
+			Excess: 1 + r.Float64(), Margin: 2 + 4*r.Float64(), BeatEvery: 1300 * time.Millisecond}}
+	y.start()
+	y.beat()
+	return y
+}
+
 // TestGate provokes ROUTE, DRAIN, EVAC, FAILBACK, TWICE, REFUSED and "never answers what it can't
 // queue" at the gate.
 func TestGate(t *testing.T) {
 	counted := map[string]int{}
 	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			r := rand.New(rand.NewPCG(seed, 1))
-			y := &yard{Assertions: require.New(t), r: r, now: time.Hour, counted: counted, left: map[string]bool{}, lives: 1,
-				truth: transport.Backend{ID: "b1", Capacity: 4}, rules: Rules{Warmup: 3 * time.Second, WarmupPerS: 1 + 8*r.Float64(),
-					Excess: 1 + r.Float64(), Margin: 2 + 4*r.Float64(), BeatEvery: 1300 * time.Millisecond}}
-			y.start()
-			y.beat()
+			y := newYard(t, seed, counted)
 			for range 600 {
 				y.step()
 			}
@@ -224,3 +241,36 @@
 		require.Greater(t, counted[what], 100, "the load provokes too few: %s", what)
 	}
 }
+
+// caught is a test that stops at the first failure, which is what is wanted of it.
+type caught struct{ failure string }
+
+func (c *caught) Errorf(format string, args ...any) { c.failure = fmt.Sprintf(format, args...) }
+func (c *caught) FailNow()                          { runtime.Goexit() }
+
+// TestGateFindsWhatIsPlanted breaks the gate on purpose before each step, and has the load of
+// TestGate find it.
+func TestGateFindsWhatIsPlanted(t *testing.T) {
+	for rule, plant := range map[string]func(y *yard){
+		"TWICE: handed over though it was meant for an earlier process": func(y *yard) { y.gate.lives[1] = uint64(y.r.IntN(int(y.life))) },
+		"TWICE: [0-9]+ handed over again":                               func(y *yard) { y.gate.ids = seenids.New(y.at(), twiceFor, mostTwice) },
+	} {
+		t.Run(rule, func(t *testing.T) {
+			found := ""
+			for seed := uint64(0); seed < 50 && found == ""; seed++ {
+				c := &caught{}
+				var run sync.WaitGroup
+				run.Go(func() {
+					y := newYard(c, seed, map[string]int{})
+					for range 600 {
+						plant(y)
+						y.step()
+					}
+				})
+				run.Wait()
+				found = c.failure
+			}
+			require.Regexp(t, rule, found)
+		})
+	}
+}
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -85,38 +85,48 @@
 	}
 }
 
-// Serve takes requests off a connection, one at a time, until it ends.
+// Serve takes requests off a connection, one at a time, until it ends. They are numbered one after
+// the other; what comes out of turn is none that the sender has sent, so the connection ends.
 func (h *Host) Serve(c *transport.Conn) {
 	defer c.Close()
-	for {
+	for number := uint64(1); ; number++ {
 		var ask transport.Ask
-		if err := c.Receive(&ask); err != nil {
+		if err := c.Receive(&ask); err != nil || ask.Number != number {
 			return
 		}
-		if f := h.coming(&ask); f != nil {
-			h.note(&ask, f, 0, 0)
-			if c.Send(h.reply(f), nil) != nil {
-				return
-			}
-			continue
-		}
-		if ask.Hold && c.Send(&transport.Reply{Go: true}, nil) != nil {
-			h.came(&ask)
-			h.room.Free(ask.Body)
-			return
-		}
-		body, err := c.Body(ask.Body, h.mostBody)
-		h.came(&ask)
-		if err != nil {
-			h.room.Free(ask.Body)
+		if !h.serve(c, &ask) {
 			return
 		}
-		reply, out := h.Handle(&ask, body)
-		h.room.Free(ask.Body)
-		if c.Send(reply, out) != nil {
-			return
+	}
+}
+
+// serve carries out one exchange, and says whether the connection may carry another.
+func (h *Host) serve(c *transport.Conn, ask *transport.Ask) bool {
+	if f := h.coming(ask); f != nil {
+		h.note(ask, f, 0, 0)
+		r := h.reply(f)
+		r.Number = ask.Number
+		return c.Send(r, nil) == nil
+	}
+	defer h.room.Free(ask.Body)
+	body, err := h.receive(c, ask)
+	h.came(ask)
+	if err != nil {
+		return false
+	}
+	reply, out := h.Handle(ask, body)
+	reply.Number = ask.Number
+	return c.Send(reply, out) == nil
+}
+
+// receive reads the body of a request, which it asks for if that was only offered.
+func (h *Host) receive(c *transport.Conn, ask *transport.Ask) ([]byte, error) {
+	if ask.Hold {
+		if err := c.Send(&transport.Reply{Number: ask.Number, Go: true}, nil); err != nil {
+			return nil, err
 		}
 	}
+	return c.Body(ask.Body, h.mostBody)
 }
 
 // coming takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
--- /dev/null
+++ b/internal/mesh/outbound/attempt.go
@@ -0,0 +1,137 @@
+package outbound
+
+import (
+	"time"
+
+	"example.org/micaline/internal/mesh/transport"
+	"example.org/micaline/policy"
+)
+
+// leastFull is how long a gate which refused is passed by at least: it costs a message to ask.
+const leastFull = 20 * time.Millisecond
+
+// attempt is one that is under way for a request.
+type attempt struct {
+	n      int
+	server policy.ServerID
+	to     *target // nil: it went nowhere
+	began  time.Time
+	reply  *transport.Reply
+	body   []byte
+	fail   *transport.Failure
+}
+
+// refuse ends an attempt that went nowhere.
+func (at *attempt) refuse(reason transport.Reason) *attempt {
+	at.fail = &transport.Failure{Verdict: transport.NotRun, Reason: reason}
+	return at
+}
+
+// attempt hands the request to a gate and waits for what comes of it.
+func (s *Sender) attempt(j *job, a policy.Action, t *target, n int, inline bool) *attempt {
+	at := &attempt{n: n, server: a.Server, to: t, began: time.Now()}
+	left := j.deadline.Sub(at.began)
+	switch {
+	case t == nil:
+		return at.refuse(transport.Unknown)
+	case j.isCut() || left <= 0:
+		return at.refuse(transport.Late)
+	case !j.reach():
+		return at.refuse(transport.Own) // the route's tries are used up, or it may have run
+	}
+	s.Count.Attempts.Add(1)
+	ask := j.ask
+	if ask.Repeat = j.repeated || n > 0; n > 0 {
+		s.Count.Repeats.Add(1)
+	}
+	ask.Target, ask.Life, ask.Left, ask.Aim = t.backend, t.life, left, j.aim.Sub(at.began)
+	if t.local {
+		s.Count.Local.Add(1)
+		at.reply, at.body, at.fail = s.here(j, &ask)
+	} else {
+		at.reply, at.body, at.fail = s.send(j, transport.Endpoint{Address: t.gate, Life: t.life}, &ask, inline)
+	}
+	if at.reply != nil && at.reply.Verdict != transport.Ran {
+		at.fail = &transport.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
+	}
+	if at.fail != nil && at.fail.Verdict == transport.NotRun {
+		j.proven(at.reply != nil && at.reply.Arrived)
+	}
+	return at
+}
+
+// here hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
+// unanswered, so it is waited for only until then.
+func (s *Sender) here(j *job, ask *transport.Ask) (*transport.Reply, []byte, *transport.Failure) {
+	type answer struct {
+		reply *transport.Reply
+		body  []byte
+	}
+	came := make(chan answer, 1)
+	go func() {
+		reply, body := s.host.Handle(ask, j.body)
+		came <- answer{reply, body}
+	}()
+	select {
+	case a := <-came:
+		return a.reply, a.body, nil
+	case <-j.cut:
+		return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
+	}
+}
+
+// again carries out an attempt beside one that is out.
+func (s *Sender) again(j *job, a policy.Action, t *target) {
+	at := s.attempt(j, a, t, j.started(), false)
+	if s.ended(j, at) {
+		j.win(at)
+	}
+}
+
+// ended tells the chooser how an attempt ended, and whether that is the request's answer.
+func (s *Sender) ended(j *job, at *attempt) (answered bool) {
+	how, load, after := policy.OK, policy.Load{}, time.Duration(0)
+	switch {
+	case at.fail != nil:
+		s.Count.unanswered(at.fail)
+		how, after = outcomeOf(at.fail), max(at.fail.After, leastFull)
+	case at.reply.Status >= 500 && at.reply.Inner:
+		how = policy.Cancelled // danger: were it the backend's fault, a service that is out would take out all that call it
+	case at.reply.Status >= 500:
+		how = policy.Error
+	}
+	if at.reply != nil {
+		load = loadOf(&at.reply.Load)
+	}
+	j.record(at, how)
+	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
+	j.chooser.outcome(j.call, at.n, at.server, how, load, after, at.reply != nil && at.reply.Arrived, final || j.isDone())
+	return final
+}
+
+// record keeps how an attempt ended.
+func (j *job) record(at *attempt, how policy.Outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if how != policy.OK && (j.last == nil || j.last.fail != nil && (at.fail == nil || j.last.fail.Verdict == transport.NotRun)) {
+		j.last = at
+	}
+	if how != policy.OK || j.attempts > 1 {
+		j.step(at)
+	}
+}
+
+// outcomeOf translates a verdict for the module.
+func outcomeOf(f *transport.Failure) policy.Outcome {
+	switch {
+	case f.Verdict == transport.NotRun && f.Reason == transport.Unreachable:
+		return policy.ConnectFailed
+	case f.Verdict == transport.NotRun && f.Reason == transport.Own:
+		return policy.Moot
+	case f.Verdict == transport.NotRun:
+		return policy.Full
+	case f.Reason == transport.Silent:
+		return policy.Timeout
+	}
+	return policy.Reset
+}
--- a/internal/mesh/outbound/order_test.go
+++ b/internal/mesh/outbound/order_test.go
@@ -132,10 +132,11 @@
 			set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 62
 			p := &spot{gate: inbound.New(0, inbound.Rules{BeatEvery: far}), zone: i % 3, speed: speeds[(i+i/3)%3], backed: name}
 			b := transport.Backend{ID: name, Service: service, Zone: set.Zone, Capacity: width, Calls: 1}
+			p.gate.Named(1)
 			p.gate.Beat(0, b)
 			p.agent = New(set, inbound.NewHost(inbound.Rules{}, 1, transport.NewRoom(1), func() {}), nil, transport.NewRoom(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-			p.agent.send = func(j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure) {
-				return m.send(p, j, gate, ask, inline)
+			p.agent.send = func(j *job, gate transport.Endpoint, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure) {
+				return m.send(p, j, gate.Address, ask, inline)
 			}
 			m.spots[name] = p
 			stations = append(stations, transport.Heard{Station: transport.Station{Agent: name, Gate: name, Zone: set.Zone, Life: 1, Seq: 1, Open: true, Backend: &b}})
@@ -293,7 +294,7 @@
 	m.mu.Lock()
 	m.ended++
 	m.mu.Unlock()
-	switch at := e.at; {
+	switch at := e.attempt; {
 	case e.refused:
 		if at != nil && at.fail != nil {
 			e.after = max(e.after, at.fail.After)
--- a/internal/mesh/outbound/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -21,6 +21,7 @@
 	"example.org/micaline/internal/mesh/flightrecorder"
 	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/seenids"
 	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 	"github.com/apex/log"
@@ -48,7 +49,7 @@
 	set   *bootstrap.Settings
 	host  *inbound.Host // the gate on this machine
 	links *transport.Pool
-	send  func(j *job, gate string, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure)
+	send  func(j *job, gate transport.Endpoint, ask *transport.Ask, inline bool) (*transport.Reply, []byte, *transport.Failure)
 	room  *transport.Room // for bodies
 	log   log.Interface
 	zones map[string]int
@@ -62,13 +63,17 @@
 	leaving atomic.Bool
 	held    atomic.Int64
 	ages    ages
+	began   time.Time
+	idsMu   sync.Mutex   // guards ids
+	ids     *seenids.Set // of the requests begun that must not run twice
 	Count   Counters
 	Ways    flightrecorder.Ring // of what did not simply succeed
 }
 
 // New returns a sender that knows nothing and refuses all.
 func New(set *bootstrap.Settings, host *inbound.Host, links *transport.Pool, room *transport.Room, l log.Interface) *Sender {
-	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{}}
+	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{},
+		began: time.Now(), ids: seenids.New(0, idsLast, mostIDs)}
 	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
 		s.zones[z] = len(s.zones)
@@ -205,7 +210,7 @@
 	add := func(effect policy.Effect, aim time.Duration) {
 		for _, worth := range []float64{1, innerWorth} {
 			k := policy.Class{Aim: aim, Deadline: 8 * aim, Worth: worth, LateWorth: lateWorth, Effect: effect}
-			if nearest(classes, effect, worth, aim) < 0 {
+			if !fits(classes, effect, worth, aim) {
 				classes = append(classes, k)
 			}
 		}
@@ -233,15 +238,21 @@
 	return to
 }
 
-// nearest finds the class for a request; -1 if its aim is alike to none.
-func nearest(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) int {
-	best, far := -1, alike
+// nearest finds the class for a request whose aim is nearest, and how far that is.
+func nearest(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) (best int, far float64) {
+	best, far = -1, math.Inf(1)
 	for i, k := range classes {
 		if d := math.Abs(math.Log(k.Aim.Seconds() / aim.Seconds())); k.Effect == effect && k.Worth == worth && d <= far {
 			best, far = i, d
 		}
 	}
-	return best
+	return best, far
+}
+
+// fits says whether there is a class with an aim that is alike.
+func fits(classes []policy.Class, effect policy.Effect, worth float64, aim time.Duration) bool {
+	_, far := nearest(classes, effect, worth, aim)
+	return far <= alike
 }
 
 func effectOf(r *meshconfig.Route) policy.Effect {
@@ -258,18 +269,21 @@
 	return r.TargetTime
 }
 
-// classIndex is the class of a route's requests.
+// classIndex is the class of a route's requests. Danger: a module may be of another configuration
+// than the route, and have no class with an aim that is alike. One with the same effect there always
+// is; with another, what must not run twice would be repeated.
 func classIndex(classes []policy.Class, r *meshconfig.Route, inner bool) int {
 	worth := 1.0
 	if inner {
 		worth = innerWorth
 	}
-	return max(0, nearest(classes, effectOf(r), worth, aimOf(r)))
+	index, _ := nearest(classes, effectOf(r), worth, aimOf(r))
+	return index
 }
 
 // serves says whether all that goes to a service finds a class among these.
 func serves(classes, wanted []policy.Class) bool {
-	return !slices.ContainsFunc(wanted, func(k policy.Class) bool { return nearest(classes, k.Effect, k.Worth, k.Aim) < 0 })
+	return !slices.ContainsFunc(wanted, func(k policy.Class) bool { return !fits(classes, k.Effect, k.Worth, k.Aim) })
 }
 
 // idOf derives a backend's number from its machine, the same at each agent and in each life.
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -46,7 +46,7 @@
 					body, _ := c.Body(a.Body, 1<<20)
 					reply, out := say(&a, body)
 					if ok = reply != nil; ok {
-						reply.Body = int64(len(out))
+						reply.Number, reply.Body = a.Number, int64(len(out))
 						c.Send(reply, out)
 					}
 				}
@@ -93,7 +93,7 @@
 	body        string
 }
 
-var promises = []int{408, 421, 429, 503}
+var promised = []int{408, 421, 429, 503}
 
 // TestServe provokes TWICE, REFUSED, MIXED, UNASKED and ROUTE through gates that refuse, break off,
 // and pass on backends which answer with a promise although they ran.
@@ -119,7 +119,7 @@
 			} else if k == 5 {
 				return nil, nil
 			}
-			h.status = append(promises, 500, 404, 200, 200, 200, 200, 200, 200, 200, 200)[r.IntN(14)]
+			h.status = append(promised, 500, 404, 200, 200, 200, 200, 200, 200, 200, 200)[r.IntN(14)]
 			h.body = fmt.Sprint("said ", a.Try, h.ran)
 			return &transport.Reply{Verdict: transport.Ran, Status: h.status, Header: []string{inbound.SealHeader, h.body}}, []byte(h.body)
 		})
@@ -143,7 +143,7 @@
 		mu.Lock()
 		counted[w.Code]++
 		require.LessOrEqual(t, h.ran, 2-i%2, "TWICE, or more backends than the route's tries")
-		require.False(t, i%2 == 1 && h.ran > 0 && slices.Contains(promises, w.Code), "REFUSED: it may have run")
+		require.False(t, i%2 == 1 && h.ran > 0 && slices.Contains(promised, w.Code), "REFUSED: it may have run")
 		if w.Code/100 == 2 {
 			require.Equal(t, []any{w.Code, h.body, h.body}, []any{h.status, w.Body.String(), w.Header().Get(inbound.SealHeader)}, "MIXED")
 		}
@@ -276,6 +276,7 @@
 			view := *s.View()
 			view.Stations[0].Station.Agent = s.set.IP
 			s.host.With(func(now time.Duration, g *inbound.Gate) bool {
+				g.Named(view.Stations[0].Station.Life)
 				return g.Beat(now, transport.Backend{ID: "b0", Service: "s", Address: silent.Addr().String(), Capacity: 4})
 			})
 			s.SetView(&view)
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -84,6 +84,7 @@
 		room = transport.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
 	}
 	a.host = inbound.NewHost(a.rules(), mostBody, room, a.news)
+	a.named()
 	a.sender = outbound.New(set, a.host, a.links, room, l)
 	return a
 }
@@ -112,6 +113,7 @@
 		}
 		s := &http.Server{Handler: h, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 64 << 10}
 		s.ErrorLog = nil
+		s.DisableGeneralOptionsHandler = true // danger: its 200 would be none of a backend's
 		go s.Serve(l)
 		return s, nil
 	}
@@ -276,6 +278,11 @@
 // Reload has the settings read again.
 func (a *Agent) Reload() { a.do(func() { a.changed = time.Unix(1, 0); a.reread() }) }
 
+// named tells the gate by which life others know this process.
+func (a *Agent) named() {
+	a.host.With(func(_ time.Duration, g *inbound.Gate) bool { g.Named(a.life); return false })
+}
+
 // say makes the station's next word and has the feeds tell it.
 func (a *Agent) say() {
 	a.publish.Store(false)
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -165,6 +165,7 @@
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
+		a.named()
 		a.say()
 	}
 	a.take(f, d, whole)
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -41,7 +41,7 @@
 }
 
 // Version is the version of the messages.
-const Version = 2
+const Version = 3
 
 // keepScratch is how large a buffer for writing is kept, in bytes: one large body must not hold its memory for good.
 const keepScratch = 64 << 10
@@ -49,9 +49,10 @@
 // Conn is a connection between two processes of the mesh. One goroutine may read and others may write at the same time.
 type Conn struct {
 	net.Conn
-	r   *bufio.Reader
-	dec *gob.Decoder
-	lr  io.LimitedReader // bounds one message's head
+	r      *bufio.Reader
+	dec    *gob.Decoder
+	lr     io.LimitedReader // bounds one message's head
+	number uint64           // of the last exchange; only its one reader uses it
 
 	mu      sync.Mutex // guards what follows
 	enc     *gob.Encoder
@@ -120,6 +121,13 @@
 	return body, err
 }
 
+// NextNumber numbers the next exchange on the connection. Danger: a reply that came late or twice
+// would be taken for that to the next request; its number shows that it is not.
+func (c *Conn) NextNumber() uint64 {
+	c.number++
+	return c.number
+}
+
 // Buffered says how many bytes have come that nobody has read.
 func (c *Conn) Buffered() int { return c.r.Buffered() }
 
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -8,6 +8,8 @@
 
 // Ask is a request that a sender hands to a gate. Body raw bytes follow it.
 type Ask struct {
+	Number  uint64 // of the exchange on its connection, from 1; the replies repeat it
+	Life    uint64 // of the gate's process for which it is meant
 	Try     string // the client's id of this try
 	Target  string // id of the backend's life that must run it
 	Method  string
@@ -28,6 +30,7 @@
 
 // Reply is a gate's answer. Body raw bytes follow it.
 type Reply struct {
+	Number  uint64 // of the Ask
 	Verdict Verdict
 	Reason  Reason
 	After   time.Duration
--- a/internal/mesh/transport/pool.go
+++ b/internal/mesh/transport/pool.go
@@ -9,7 +9,16 @@
 	"example.org/micaline/internal/tcp"
 )
 
-// Pool keeps connections for exchanges, by the gate's address. All fields are set before its first use.
+// Endpoint is one life of a gate's process. Danger: the next one at the address knows nothing of
+// what was asked of this one, and a connection that outlives a loss of power there breaks under the
+// first request that is sent on it.
+type Endpoint struct {
+	Address string
+	Life    uint64
+}
+
+// Pool keeps connections for exchanges, by the life of the gate. All fields are set before its
+// first use.
 type Pool struct {
 	From    string        // own control address
 	Connect time.Duration // for a connection to come up
@@ -17,7 +26,7 @@
 	Most    int           // connections kept idle for each gate
 
 	mu   sync.Mutex
-	idle map[string][]kept
+	idle map[Endpoint][]kept
 	open int
 	made uint64
 }
@@ -28,7 +37,7 @@
 }
 
 // Get returns a connection to a gate: the one used last, or a new one.
-func (p *Pool) Get(ctx context.Context, gate string) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, gate Endpoint) (*Conn, error) {
 	for {
 		k, ok := p.take(gate)
 		if !ok {
@@ -41,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.Connect)
 	defer cancel()
-	c, err := Dial(ctx, Exchange, p.From, gate)
+	c, err := Dial(ctx, Exchange, p.From, gate.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -52,7 +61,7 @@
 	return c, nil
 }
 
-func (p *Pool) take(gate string) (*Conn, bool) {
+func (p *Pool) take(gate Endpoint) (*Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[gate]
@@ -64,11 +73,16 @@
 	return k.c, true
 }
 
-// Put gives a connection back on which nothing is due.
-func (p *Pool) Put(gate string, c *Conn) {
+// Put gives a connection back on which nothing is due. One with bytes that nobody has read is
+// closed.
+func (p *Pool) Put(gate Endpoint, c *Conn) {
+	if c.Buffered() > 0 {
+		p.Discard(c)
+		return
+	}
 	p.mu.Lock()
 	if p.idle == nil {
-		p.idle = map[string][]kept{}
+		p.idle = map[Endpoint][]kept{}
 	}
 	full := len(p.idle[gate]) >= p.Most
 	if !full {
@@ -88,17 +102,6 @@
 	p.mu.Unlock()
 }
 
-// Drop closes the idle connections to a gate that is gone.
-func (p *Pool) Drop(gate string) {
-	p.mu.Lock()
-	list := p.idle[gate]
-	delete(p.idle, gate)
-	p.mu.Unlock()
-	for _, k := range list {
-		p.Discard(k.c)
-	}
-}
-
 // Sweep closes what has been idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*Conn
