A feed begins with the core machine's word; a woken core machine drops the dead ones

While a core process stands still (SIGSTOP, a stall) its kernel goes on accepting and each agent dials again about every 2.7 s. On waking it took each of these dead connections for the agent's feed, closed the live one for it and sent it the whole table.

TestWholeIsAskedForOnce: its feeds now have told of the index, and one that has not must not be asked.

--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"example.org/micaline/internal/mesh/bootstrap"
@@ -28,9 +27,10 @@
 
 const (
 	queue     = 1024
-	heartbeat = 500 * time.Millisecond
-	muteFor   = 1700 * time.Millisecond
 	mostFeeds = 2048
+
+	heartbeat   = 500 * time.Millisecond
+	feedTimeout = 1700 * time.Millisecond // of silence, until a feed is given up: three heartbeats
 )
 
 // Core is the process. Its fields from registry on belong to the goroutine of own.
@@ -50,18 +50,19 @@
 	asking   map[*feed]uint64 // who waits for a proof, and under which number
 	proving  bool             // a read is under way
 	cores    []string
+	left     departures
 }
 
 // New returns a core process that has not started.
 func New(set *bootstrap.Settings, l log.Interface) *Core {
 	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}}
-	c.table = newTable(func() { c.poke(func() { c.each(func(f *feed) { f.wake() }) }) })
+	c.table = newTable(func() { c.enqueue(func() { c.each(func(f *feed) { f.wake() }) }) })
 	c.peers = newPeers(set)
 	return c
 }
 
-// poke queues a command without waiting; the queue's bound is far above what may be due at once, and who finds it full waits beside.
-func (c *Core) poke(f func()) {
+// enqueue queues a command without waiting; the queue's bound is far above what may be due at once, and who finds it full waits beside.
+func (c *Core) enqueue(f func()) {
 	select {
 	case c.commands <- f:
 	default:
@@ -90,16 +91,17 @@
 	if err != nil {
 		return oops.In("agreement").Wrap(err)
 	}
-	go c.accept(inner)
+	go (&transport.Server{Uses: c.uses()}).Serve(inner)
 	l, err := net.Listen("tcp4", c.set.Control)
 	if err != nil {
 		return oops.In("listen").Wrap(err)
 	}
-	server := &http.Server{Handler: c.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
+	server := &http.Server{Handler: c.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second, ConnContext: withConnection}
 	go server.Serve(l)
 	c.log.WithField("zone", c.set.Zone).WithField("seeds", c.set.Seeds).Info("core started")
 	select {
 	case <-ctx.Done():
+		c.log.Info("core told to end")
 	case <-c.node.Done(): // its disk failed: Close tells
 	}
 	leaving, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -114,7 +116,7 @@
 // onChange tells the agents who the members are.
 func (c *Core) onChange(s consensus.Status) {
 	members := slices.Clone(s.Members)
-	c.poke(func() {
+	c.enqueue(func() {
 		if !slices.Equal(c.cores, members) {
 			c.cores = members
 			c.each(func(f *feed) { f.wake() })
@@ -143,38 +145,23 @@
 	}
 }
 
-// accept takes connections of agents and of other core machines.
-func (c *Core) accept(l net.Listener) {
+// uses are what agents and other core machines connect for.
+func (c *Core) uses() map[string]func(transport.Hello, *transport.Conn) {
+	return map[string]func(transport.Hello, *transport.Conn){
+		transport.Peer:    func(_ transport.Hello, k *transport.Conn) { c.receivePeer(k) },
+		transport.FeedUse: func(h transport.Hello, k *transport.Conn) { c.serveFeed(h.From, k) },
+		transport.Stats:   func(_ transport.Hello, k *transport.Conn) { c.askers.Serve(k, c.figures) },
+	}
+}
+
+// receivePeer hands on what another core machine says.
+func (c *Core) receivePeer(k *transport.Conn) {
 	for {
-		raw, err := l.Accept()
-		if err != nil {
+		var m consensus.Message
+		if k.Receive(&m) != nil {
 			return
 		}
-		go func() {
-			transport.Bound(raw)
-			k := transport.NewConn(raw)
-			defer k.Close()
-			var hello transport.Hello
-			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
-			if err := k.Receive(&hello); err != nil || hello.Version != transport.Version {
-				return
-			}
-			raw.SetReadDeadline(time.Time{})
-			switch hello.Use {
-			case transport.Peer:
-				for {
-					var m consensus.Message
-					if k.Receive(&m) != nil {
-						return
-					}
-					c.node.Receive(m)
-				}
-			case transport.FeedUse:
-				c.feed(hello.From, k)
-			case transport.Stats:
-				c.askers.Serve(k, c.figures)
-			}
-		}()
+		c.node.Receive(m)
 	}
 }
 
@@ -185,65 +172,3 @@
 	}
 	return http.StatusServiceUnavailable
 }
-
-// peers carries messages to other core machines, each over a connection of its own that is opened when there is something to send.
-type peers struct {
-	set *bootstrap.Settings
-	mu  sync.Mutex
-	to  map[string]chan consensus.Message
-}
-
-const mostPeers = 16
-
-func newPeers(set *bootstrap.Settings) *peers {
-	return &peers{set: set, to: map[string]chan consensus.Message{}}
-}
-
-// send queues a message; where the queue is full it is lost, which the agreement bears.
-func (p *peers) send(m consensus.Message) {
-	p.mu.Lock()
-	q := p.to[m.To]
-	if q == nil && len(p.to) < mostPeers {
-		q = make(chan consensus.Message, 64)
-		p.to[m.To] = q
-		go p.carry(m.To, q)
-	}
-	p.mu.Unlock()
-	select {
-	case q <- m:
-	default:
-	}
-}
-
-func (p *peers) carry(to string, q chan consensus.Message) {
-	var c *transport.Conn
-	var failed time.Time
-	for m := range q {
-		if c == nil {
-			if time.Since(failed) < 100*time.Millisecond {
-				continue
-			}
-			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-			var err error
-			c, err = transport.Dial(ctx, transport.Peer, p.set.Control, sidecar.Inner(p.set, to))
-			cancel()
-			if err != nil {
-				c, failed = nil, time.Now()
-				for len(q) > 0 { // what has waited behind a dead address is old
-					<-q
-				}
-				continue
-			}
-			go func(c *transport.Conn) { // nothing comes on it but its end
-				var b [1]byte
-				c.Read(b[:])
-				c.Close()
-			}(c)
-		}
-		c.SetWriteDeadline(time.Now().Add(time.Second))
-		if err := c.Send(m, nil); err != nil {
-			c.Close()
-			c = nil
-		}
-	}
-}
--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -40,6 +40,11 @@
 	beat   transport.Beat
 }
 
+func newFeed(agent string, conn *transport.Conn) *feed {
+	return &feed{agent: agent, conn: conn, woken: make(chan struct{}, 1), dirty: map[string]bool{},
+		whole: true, replies: map[uint64]chan int{}}
+}
+
 func (f *feed) wake() {
 	select {
 	case f.woken <- struct{}{}:
@@ -47,51 +52,86 @@
 	}
 }
 
-// feed serves one agent until its connection ends.
-func (c *Core) feed(from string, k *transport.Conn) {
+// serveFeed serves one agent until its connection ends.
+//
+// Danger: while this process stood still its kernel went on accepting, and each agent dialed again
+// and again. So the connections that wait are many, all but the last of an agent are dead, and one
+// that is dead must neither replace a live feed nor be sent the table. Who dialed is greeted with an
+// empty message, and has a feed once it has answered that.
+func (c *Core) serveFeed(from string, conn *transport.Conn) {
 	ip, _, err := net.SplitHostPort(from)
 	if err != nil {
 		return
 	}
-	f := &feed{agent: ip, conn: k, woken: make(chan struct{}, 1), dirty: map[string]bool{}, whole: true, replies: map[uint64]chan int{}}
-	in := make(chan bool, 1)
-	c.do(func() {
-		if old := c.feeds[ip]; old != nil {
-			old.conn.Close()
-		} else if len(c.feeds) >= mostFeeds {
-			in <- false
-			return
-		}
-		c.feeds[ip] = f
-		in <- true
-	})
-	if !<-in {
+	first, err := greet(conn)
+	if err != nil {
 		return
 	}
-	ended := make(chan struct{})
-	go c.tell(f, ended)
-	for {
-		k.SetReadDeadline(time.Now().Add(muteFor))
-		var up transport.Up
-		if k.Receive(&up) != nil {
-			break
-		}
-		if up.Station != nil || up.Want != 0 || up.Fresh != 0 || up.Handed != 0 {
-			c.do(func() { c.heard(f, &up) })
-		}
+	f := newFeed(ip, conn)
+	if !c.open(f) {
+		return
 	}
+	ended := make(chan struct{})
+	go c.send(f, ended)
+	c.receive(f, first)
 	close(ended)
+	c.do(func() { c.closed(f) })
+}
+
+// greet sends the first word of a feed, and returns the agent's, which answers it.
+func greet(conn *transport.Conn) (*transport.Up, error) {
+	conn.SetWriteDeadline(time.Now().Add(feedTimeout))
+	if err := conn.Send(&transport.Down{}, nil); err != nil {
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Now().Add(feedTimeout))
+	first := new(transport.Up)
+	return first, conn.Receive(first)
+}
+
+// open makes a feed the agent's feed, in place of the one before.
+func (c *Core) open(f *feed) bool {
+	opened := make(chan bool, 1)
 	c.do(func() {
-		if c.feeds[ip] != f {
-			return // it has come back already
+		old := c.feeds[f.agent]
+		if old == nil && len(c.feeds) >= mostFeeds {
+			opened <- false
+			return
 		}
-		delete(c.feeds, ip)
-		if c.registry.Lost("feeds", ip, f.life) {
-			c.count.lost.Add(1)
-			c.log.WithField("agent", ip).Info("agent lost")
-			c.spread(ip)
+		if old != nil {
+			old.conn.Close()
 		}
+		c.feeds[f.agent] = f
+		opened <- true
 	})
+	return <-opened
+}
+
+// receive takes in what an agent says until its connection breaks or it is silent for too long.
+func (c *Core) receive(f *feed, up *transport.Up) {
+	for {
+		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 {
+			c.do(func() { c.heard(f, said) })
+		}
+		f.conn.SetReadDeadline(time.Now().Add(feedTimeout))
+		if up = new(transport.Up); f.conn.Receive(up) != nil {
+			return
+		}
+	}
+}
+
+// closed takes in that a feed has ended.
+func (c *Core) closed(f *feed) {
+	if c.feeds[f.agent] != f {
+		return // it has come back already
+	}
+	delete(c.feeds, f.agent)
+	delete(c.asking, f)
+	if c.registry.Lost("feeds", f.agent, f.life) {
+		c.count.lost.Add(1)
+		c.log.WithField("agent", f.agent).Info("agent lost")
+		c.announce(f.agent)
+	}
 }
 
 // heard takes in what an agent says.
@@ -114,9 +154,7 @@
 			f.wake()
 		} else {
 			f.life = s.Life
-			if c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: *s}}) {
-				c.spread(f.agent)
-			}
+			c.hear(*s)
 		}
 	}
 	if up.Fresh != 0 {
@@ -131,6 +169,14 @@
 	}
 }
 
+// hear takes in an agent's word of itself.
+func (c *Core) hear(s transport.Station) {
+	c.left.note(c.registry.Station(s.Agent), &s)
+	if c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: s}}) {
+		c.announce(s.Agent)
+	}
+}
+
 // prove finds out what is current, and has those agents told that asked before. One read serves all who have asked when it begins:
 // after a start each agent asks, and as many reads would crowd out the agreement's own messages.
 func (c *Core) prove() {
@@ -163,17 +209,17 @@
 	}()
 }
 
-// spread has all agents told of one.
-func (c *Core) spread(agent string) {
+// announce has all agents told of one.
+func (c *Core) announce(agent string) {
 	c.each(func(f *feed) {
 		f.dirty[agent] = true
 		f.wake()
 	})
 }
 
-// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
+// send sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
 // when a zone goes, each of its agents is news to all others.
-func (c *Core) tell(f *feed, ended chan struct{}) {
+func (c *Core) send(f *feed, ended chan struct{}) {
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
 	for {
@@ -187,7 +233,7 @@
 			next <- message{d, raw}
 		})
 		m := <-next
-		f.conn.SetWriteDeadline(time.Now().Add(muteFor))
+		f.conn.SetWriteDeadline(time.Now().Add(feedTimeout))
 		if f.conn.Send(&m.down, m.raw) != nil {
 			f.conn.Close()
 			return
@@ -247,7 +293,7 @@
 	if !slices.Equal(f.cores, c.cores) {
 		d.Cores, f.cores = c.cores, c.cores
 	}
-	if len(f.dirty) == 0 {
+	if len(f.dirty) == 0 && f.known { // a proof without an index would prove any configuration
 		d.Fresh, f.proven = f.proven, 0
 	}
 	d.MinLife, f.min = f.min, 0
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -4,25 +4,22 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
-	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
 	answerIn  = 900 * time.Millisecond // callers move on after a second
 	mostPatch = 8 << 20                // bytes of a call
-	mostBeat  = 16 << 10
 )
 
 // handler has one object for each resource.
 func (c *Core) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/api/config", &configs{c})
-	mux.Handle("/api/drain-zone/{zone}", &evacuations{c})
+	mux.Handle("/api/drain-zone/{zone}", forPresent(&evacuations{c}))
 	mux.Handle("/api/servers/{id}", &servers{c})
 	mux.Handle("/api/link", &links{c})
 	mux.Handle("/api/backup", &backups{c})
@@ -115,58 +112,3 @@
 		only(w, "POST, DELETE")
 	}
 }
-
-// servers are the backends. The agent beside one is the owner of what is known of it, so a call that comes here is handed there.
-type servers struct{ c *Core }
-
-func (h *servers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	b := transport.Beat{ID: id}
-	var agent string
-	switch r.Method {
-	case http.MethodPut:
-		text, ok := body(w, r, mostBeat)
-		if !ok {
-			return
-		}
-		var said struct {
-			Address string `json:"address"`
-		}
-		host := ""
-		if err := json.Unmarshal(text, &said); err == nil {
-			host, _, _ = net.SplitHostPort(said.Address)
-		}
-		if host == "" {
-			problem(w, http.StatusBadRequest, "address: not host:port")
-			return
-		}
-		b.Body, agent = text, host
-	case http.MethodDelete:
-		b.Leave = true
-		found := make(chan string, 1)
-		h.c.do(func() {
-			for _, s := range h.c.registry.All(h.c.now()) {
-				if s.Station.Backend != nil && s.Station.Backend.ID == id {
-					found <- s.Station.Agent
-					return
-				}
-			}
-			found <- ""
-		})
-		if agent = <-found; agent == "" {
-			io.WriteString(w, "{}") // gone already
-			return
-		}
-	default:
-		only(w, "PUT, DELETE")
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-	defer cancel()
-	if status := h.c.pass(ctx, agent, b); status != http.StatusOK {
-		problem(w, status, "the agent beside the backend did not take it")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	io.WriteString(w, "{}")
-}
--- /dev/null
+++ b/internal/mesh/controlplane/peers.go
@@ -0,0 +1,74 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/sidecar"
+	"example.org/micaline/internal/mesh/transport"
+)
+
+// peers carries messages to other core machines, each over a connection of its own that is opened when there is something to send.
+type peers struct {
+	set *bootstrap.Settings
+	mu  sync.Mutex
+	to  map[string]chan consensus.Message
+}
+
+const mostPeers = 16
+
+func newPeers(set *bootstrap.Settings) *peers {
+	return &peers{set: set, to: map[string]chan consensus.Message{}}
+}
+
+// send queues a message; where the queue is full it is lost, which the agreement bears.
+func (p *peers) send(m consensus.Message) {
+	p.mu.Lock()
+	q := p.to[m.To]
+	if q == nil && len(p.to) < mostPeers {
+		q = make(chan consensus.Message, 64)
+		p.to[m.To] = q
+		go p.carry(m.To, q)
+	}
+	p.mu.Unlock()
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+func (p *peers) carry(to string, q chan consensus.Message) {
+	var c *transport.Conn
+	var failed time.Time
+	for m := range q {
+		if c == nil {
+			if time.Since(failed) < 100*time.Millisecond {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			var err error
+			c, err = transport.Dial(ctx, transport.Peer, p.set.Control, sidecar.Inner(p.set, to))
+			cancel()
+			if err != nil {
+				c, failed = nil, time.Now()
+				for len(q) > 0 { // what has waited behind a dead address is old
+					<-q
+				}
+				continue
+			}
+			go func(c *transport.Conn) { // nothing comes on it but its end
+				var b [1]byte
+				c.Read(b[:])
+				c.Close()
+			}(c)
+		}
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		if err := c.Send(m, nil); err != nil {
+			c.Close()
+			c = nil
+		}
+	}
+}
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"example.org/micaline/internal/mesh/consensus"
 	"example.org/micaline/internal/mesh/meshmetrics"
@@ -49,20 +48,7 @@
 // figures answers a question for the core machine's figures; nil if the owner does not get to it in
 // time.
 func (c *Core) figures(q transport.Question) *transport.Figures {
-	answer := make(chan *transport.Figures, 1)
-	late := time.NewTimer(2 * answerIn)
-	defer late.Stop()
-	select {
-	case c.commands <- func() { answer <- c.counted(q) }:
-	case <-late.C:
-		return nil
-	}
-	select {
-	case f := <-answer:
-		return f
-	case <-late.C:
-		return nil
-	}
+	return transport.CountedBy(c.commands, 2*answerIn, func() *transport.Figures { return c.counted(q) })
 }
 
 // counted is the owner's.
--- a/internal/mesh/scaletest/failure.go
+++ b/internal/mesh/scaletest/failure.go
@@ -104,6 +104,7 @@
 		if err := r.fleet.settle(ctx, func(h *hollow) bool { return h.index() > before }); err != nil {
 			return err
 		}
+		pause(ctx, time.Until(began.Add(r.Away)))
 		r.say(name, "process=%s acknowledged_ms=%d in force: %s", p.name, acked.Milliseconds(), samples(r.fleet.reached()))
 		if err := mend(i, p); err != nil {
 			return err
@@ -128,7 +129,7 @@
 	for _, p := range r.cores[1:] {
 		p.signal(syscall.SIGSTOP)
 	}
-	pause(ctx, 2*muteFor)
+	pause(ctx, 2*feedTimeout)
 	r.fleet.look(dying, true)
 	for _, h := range dying {
 		h.mute.Store(true)
--- a/internal/mesh/scaletest/hollow.go
+++ b/internal/mesh/scaletest/hollow.go
@@ -17,10 +17,10 @@
 
 // As package sidecar has them.
 const (
-	heartbeat = 500 * time.Millisecond
-	muteFor   = 1700 * time.Millisecond
-	againLow  = 100 * time.Millisecond
-	againHigh = time.Second
+	heartbeat   = 500 * time.Millisecond
+	feedTimeout = 1700 * time.Millisecond
+	redialMin   = 100 * time.Millisecond
+	redialMax   = time.Second
 )
 
 // fleet is all hollow agents.
@@ -102,16 +102,16 @@
 }
 
 func (h *hollow) keep(ctx context.Context, core int) {
-	wait := againLow
+	wait := redialMin
 	for ctx.Err() == nil {
 		if h.serve(ctx, core) {
-			wait = againLow
+			wait = redialMin
 		}
 		h.mu.Lock()
 		h.feeds[core].up = false
 		h.mu.Unlock()
 		pause(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, againHigh)
+		wait = min(2*wait, redialMax)
 	}
 }
 
@@ -145,19 +145,22 @@
 	if c.Send(transport.Hello{Version: transport.Version, Use: transport.FeedUse, From: control(h.ip)}, nil) != nil {
 		return false
 	}
-	ended := make(chan struct{})
+	ended, greeted := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
 		for {
 			var d transport.Down
-			c.SetReadDeadline(time.Now().Add(muteFor))
+			c.SetReadDeadline(time.Now().Add(feedTimeout))
 			if c.Receive(&d) != nil {
 				return
 			}
 			if _, err := c.Body(d.Raw, 64<<20); err != nil {
 				return
 			}
-			heard = true
+			if !heard {
+				heard = true
+				close(greeted)
+			}
 			h.fleet.messDown.Add(1)
 			h.hear(core, &d)
 			if h.mute.Load() {
@@ -167,6 +170,11 @@
 		}
 	}()
 	defer func() { c.Close(); <-ended }()
+	select {
+	case <-greeted:
+	case <-ended:
+	case <-ctx.Done():
+	}
 	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
@@ -175,7 +183,7 @@
 	h.mu.Unlock()
 	for {
 		if !h.mute.Load() {
-			c.SetWriteDeadline(time.Now().Add(muteFor))
+			c.SetWriteDeadline(time.Now().Add(feedTimeout))
 			if c.Send(&up, nil) != nil {
 				return heard
 			}
--- a/internal/mesh/scaletest/scaletest.go
+++ b/internal/mesh/scaletest/scaletest.go
@@ -41,7 +41,8 @@
 	Changes  int
 	Every    time.Duration // from one change to the next
 	Failures []string
-	Keep     bool // the folder with settings and logs
+	Away     time.Duration // that a core process is killed or stopped, at least
+	Keep     bool          // the folder with settings and logs
 }
 
 // run is a scale run under way.
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -29,11 +29,10 @@
 )
 
 const (
-	tick        = time.Second
-	queue       = 256 // commands that wait for the owner
-	leaveNotice = 2200 * time.Millisecond
-	mostBody    = 64 << 20
-	roomPart    = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
+	tick     = time.Second
+	queue    = 256 // commands that wait for the owner
+	mostBody = 64 << 20
+	roomPart = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
 )
 
 // Agent is the process. Its fields from table on belong to the goroutine of own.
@@ -48,6 +47,8 @@
 	askers transport.Askers
 	went   atomic.Bool // told to end
 
+	refused refusals
+
 	commands chan func()
 	publish  atomic.Bool // a command to publish is queued
 
@@ -65,13 +66,13 @@
 	fresh   bool   // proven, and there is a configuration
 	dirty   bool
 	feeds   map[string]*feed
-	cores   []string // members of the agreement, as told
+	members [][]string // lists of the agreement's members that hold
 	station atomic.Pointer[transport.Station]
 	life    uint64
 	seq     uint64
 	changed time.Time // of the settings file
 	shown   time.Time // when the configuration was last known to be current
-	told    time.Time // when a core machine last said anything
+	heard   time.Time // when a core machine last said anything
 }
 
 // New returns an agent that has not started.
@@ -104,7 +105,7 @@
 		return oops.In("listen").Wrap(err)
 	}
 	defer inner.Close()
-	go a.accept(inner)
+	go (&transport.Server{Uses: a.uses()}).Serve(inner)
 	serve := func(addr string, h http.Handler) (*http.Server, error) {
 		l, err := net.Listen("tcp4", addr)
 		if err != nil {
@@ -138,32 +139,11 @@
 	return nil
 }
 
-// accept takes connections of other agents.
-func (a *Agent) accept(l net.Listener) {
-	for {
-		raw, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			transport.Bound(raw)
-			c := transport.NewConn(raw)
-			var hello transport.Hello
-			raw.SetReadDeadline(time.Now().Add(5 * time.Second))
-			err := c.Receive(&hello)
-			raw.SetReadDeadline(time.Time{})
-			switch {
-			case err != nil || hello.Version != transport.Version:
-				c.Close()
-			case hello.Use == transport.Exchange:
-				a.host.Serve(c)
-			case hello.Use == transport.Stats:
-				a.askers.Serve(c, a.figures)
-				c.Close()
-			default:
-				c.Close()
-			}
-		}()
+// uses are what other processes connect for.
+func (a *Agent) uses() map[string]func(transport.Hello, *transport.Conn) {
+	return map[string]func(transport.Hello, *transport.Conn){
+		transport.Exchange: func(_ transport.Hello, c *transport.Conn) { a.host.Serve(c) },
+		transport.Stats:    func(_ transport.Hello, c *transport.Conn) { a.askers.Serve(c, a.figures) },
 	}
 }
 
@@ -172,31 +152,13 @@
 	case r.URL.Path != "/api/readiness":
 		http.NotFound(w, r)
 	case !a.ready.Load() || a.went.Load():
+		if a.went.Load() {
+			a.refused.note(time.Now())
+		}
 		http.Error(w, "no current configuration yet, or leaving", http.StatusServiceUnavailable)
 	}
 }
 
-// leave ends the process in order: clients are told by readiness first, which takes two missed calls, and other agents by the
-// station; what comes meanwhile is served, and what is in hand is ended.
-func (a *Agent) leave(out *http.Server) {
-	began := time.Now()
-	a.went.Store(true)
-	a.news()
-	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
-	a.sender.Leave(end.Add(-200 * time.Millisecond))
-	for time.Now().Before(end) && (time.Since(began) < leaveNotice || a.sender.Held() > 0 || a.host.Held() > 0) {
-		time.Sleep(50 * time.Millisecond)
-	}
-	a.host.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(300*time.Millisecond))
-	defer cancel()
-	out.Shutdown(ctx)
-	for time.Now().Before(end) && a.host.Held() > 0 {
-		time.Sleep(20 * time.Millisecond)
-	}
-	a.log.WithField("after", time.Since(began).Round(time.Millisecond).String()).Info("agent ended")
-}
-
 // do queues a command for the owner.
 func (a *Agent) do(f func()) { a.commands <- f }
 
--- a/internal/mesh/sidecar/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -31,7 +31,7 @@
 	case err != errBehind:
 		a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
 	}
-	a.lack()
+	a.askWhole()
 }
 
 // forward returns the configuration at the index that a message tells.
@@ -65,25 +65,25 @@
 	return config, nil
 }
 
-// lack asks one core machine for the whole configuration if there is a later one than the agent has; another one if no answer comes.
-func (a *Agent) lack() {
+// askWhole asks one core machine for the whole configuration if there is a later one than the agent has; another one if no answer comes.
+func (a *Agent) askWhole() {
 	if a.newest <= a.index || a.asking != nil && time.Since(a.asked) < askAgain {
 		return
 	}
-	var heard []*feed
+	var able []*feed // those that have it: one that is cut off from the others would not answer
 	for _, f := range a.feeds {
-		if f.alive && f != a.asking {
-			heard = append(heard, f)
+		if f.alive && f != a.asking && f.index >= a.newest {
+			able = append(able, f)
 		}
 	}
-	if len(heard) == 0 && a.asking != nil && a.asking.alive {
-		heard = append(heard, a.asking)
+	if len(able) == 0 && a.asking != nil && a.asking.alive {
+		able = append(able, a.asking)
 	}
-	if len(heard) == 0 {
+	if len(able) == 0 {
 		return // the next that is heard is asked
 	}
-	a.asking, a.asked = heard[rand.N(len(heard))], time.Now()
+	a.asking, a.asked = able[rand.N(len(able))], time.Now()
 	a.asking.want.Store(a.newest)
 	a.asking.wake()
-	time.AfterFunc(askAgain, func() { a.do(a.lack) })
+	time.AfterFunc(askAgain, func() { a.do(a.askWhole) })
 }
--- a/internal/mesh/sidecar/config_test.go
+++ b/internal/mesh/sidecar/config_test.go
@@ -60,10 +60,12 @@
 func TestWholeIsAskedForOnce(t *testing.T) {
 	a := &Agent{feeds: map[string]*feed{}, newest: 5, commands: make(chan func(), queue)}
 	for _, core := range []string{"a", "b", "c"} {
-		a.feeds[core] = &feed{core: core, alive: true, woken: make(chan struct{}, 1)}
+		a.feeds[core] = &feed{core: core, alive: true, index: 5, woken: make(chan struct{}, 1)}
 	}
+	stale := &feed{core: "d", alive: true, index: 4, woken: make(chan struct{}, 1)}
+	a.feeds["d"] = stale
 	for range 9 { // whoever tells of the change next
-		a.lack()
+		a.askWhole()
 	}
 	asked := 0
 	for _, f := range a.feeds {
@@ -72,4 +74,9 @@
 		}
 	}
 	require.Equal(t, 1, asked)
+	for range 50 {
+		a.asking = nil
+		a.askWhole()
+	}
+	require.Zero(t, stale.want.Load(), "one that is behind is asked for what it does not have")
 }
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -11,11 +13,12 @@
 )
 
 const (
-	heartbeat = 500 * time.Millisecond  // of a feed on which there is nothing to say
-	muteFor   = 1700 * time.Millisecond // until a feed is given up: three heartbeats
-	dialFor   = 600 * time.Millisecond
-	againLow  = 100 * time.Millisecond // until a feed is opened anew, doubling
-	againHigh = time.Second
+	heartbeat   = 500 * time.Millisecond  // of a feed on which there is nothing to say
+	feedTimeout = 1700 * time.Millisecond // of silence, until a feed is given up: three heartbeats
+	dialTimeout = 600 * time.Millisecond
+	redialMin   = 100 * time.Millisecond // until a feed is opened anew, doubling
+	redialMax   = time.Second
+
 	mostFeeds = 9
 	askAgain  = 1500 * time.Millisecond // for the whole configuration, elsewhere: sooner, one on its way over a busy link is sent twice
 	mostWhole = 32 << 20                // bytes of a configuration
@@ -30,6 +33,8 @@
 	heard time.Time         // when the core machine last said anything; the owner's
 	want  atomic.Uint64     // to be asked for: the whole configuration, of this index or a later one
 	alive bool              // the core machine has been heard over the present connection; the owner's
+	index uint64            // of the configuration there, as told last; the owner's
+	cores []string          // members of the agreement, as told last; the owner's
 }
 
 func (f *feed) wake() {
@@ -41,12 +46,7 @@
 
 // follow opens feeds to the core machines that are known and gives up those that are not any more.
 func (a *Agent) follow() {
-	want := slices.Clone(a.cores)
-	for _, seed := range a.set.Seeds {
-		if !slices.Contains(want, seed) && (len(a.cores) == 0 || len(want) < mostFeeds) {
-			want = append(want, seed)
-		}
-	}
+	want := wantedCores(a.told(), a.set.Seeds, mostFeeds)
 	for core, f := range a.feeds {
 		if !slices.Contains(want, core) {
 			f.stop()
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, core := range want {
-		if a.feeds[core] == nil && len(a.feeds) < mostFeeds {
+		if a.feeds[core] == nil {
 			ctx, stop := context.WithCancel(context.Background())
 			f := &feed{core: core, stop: stop, woken: make(chan struct{}, 1), up: make(chan transport.Up, 16)}
 			a.feeds[core] = f
@@ -64,61 +64,131 @@
 	}
 }
 
+// told are the lists of members that hold: those of the core machines that are heard, or, where
+// none is, the last ones.
+func (a *Agent) told() [][]string {
+	var lists [][]string
+	for _, f := range a.feeds {
+		if f.alive && len(f.cores) > 0 {
+			lists = append(lists, f.cores)
+		}
+	}
+	if len(lists) > 0 {
+		a.members = lists
+	}
+	return a.members
+}
+
+// wantedCores returns the core machines that an agent keeps feeds to: all that any list names, those
+// named most often first, and the seeds as far as there is room.
+//
+// Danger: a core machine that is cut off from the others goes on to name the members of before the
+// cut. A rule by which one list replaces the other would let it lead the agent away from those that
+// hold the newest configuration.
+func wantedCores(lists [][]string, seeds []string, most int) []string {
+	named := map[string]int{}
+	for _, list := range lists {
+		for _, core := range list {
+			named[core]++
+		}
+	}
+	want := slices.SortedFunc(maps.Keys(named), func(x, y string) int {
+		return cmp.Or(cmp.Compare(named[y], named[x]), cmp.Compare(x, y))
+	})
+	for _, seed := range seeds {
+		if named[seed] == 0 && !slices.Contains(want, seed) {
+			want = append(want, seed)
+		}
+	}
+	return want[:min(len(want), most)]
+}
+
 // keep has a feed open as far as that can be had.
 func (a *Agent) keep(ctx context.Context, f *feed) {
-	wait := againLow
+	wait := redialMin
 	for ctx.Err() == nil {
-		dialing, cancel := context.WithTimeout(ctx, dialFor)
+		dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 		c, err := transport.Dial(dialing, transport.FeedUse, a.set.Control, Inner(a.set, f.core))
 		cancel()
 		if err == nil {
 			if a.serve(ctx, f, c) {
-				wait = againLow
+				wait = redialMin
 			}
 			c.Close()
-			a.do(func() {
-				a.table.Down(f.core)
-				a.dirty, f.alive = true, false
-				if a.asking == f {
-					a.asking = nil
-					a.lack()
-				}
-			})
+			a.do(func() { a.broken(f) })
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait/2 + rand.N(wait)):
 		}
-		wait = min(2*wait, againHigh)
+		wait = min(2*wait, redialMax)
+	}
+}
+
+// broken takes in that the connection of a feed has ended.
+func (a *Agent) broken(f *feed) {
+	f.alive, f.index = false, 0
+	if a.feeds[f.core] != f {
+		return
+	}
+	a.table.Down(f.core)
+	a.dirty = true
+	a.follow()
+	if a.asking == f {
+		a.asking = nil
+		a.askWhole()
 	}
 }
 
-// serve tells and hears until the feed breaks. It says whether anything was heard.
+// serve says and hears until the feed breaks. It says whether anything was heard. The core machine
+// speaks first: who has not heard it has nothing to say, as it may be one that stands still while
+// its kernel accepts.
 func (a *Agent) serve(ctx context.Context, f *feed, c *transport.Conn) (heard bool) {
-	ended := make(chan struct{})
-	done := make(chan bool, 1)
+	greeted, ended := make(chan struct{}), make(chan struct{})
 	go func() {
-		any := false
-		for {
-			c.SetReadDeadline(time.Now().Add(muteFor))
-			var d transport.Down
-			if c.Receive(&d) != nil {
-				break
-			}
-			whole, err := c.Body(d.Raw, mostWhole)
-			if err != nil {
-				break
-			}
-			any = true
-			a.do(func() { a.hear(f, &d, whole) })
-		}
-		close(ended)
-		done <- any
+		defer close(ended)
+		a.receive(f, c, greeted)
 	}()
 	defer func() {
 		c.Close()
-		heard = <-done
+		<-ended
+		select {
+		case <-greeted:
+			heard = true
+		default:
+		}
 	}()
+	select {
+	case <-ctx.Done():
+	case <-ended:
+	case <-greeted:
+		a.send(ctx, f, c, ended)
+	}
+	return
+}
+
+// receive takes in what the core machine says until the connection breaks or it is silent for too
+// long. Greeted is closed once it has said anything.
+func (a *Agent) receive(f *feed, c *transport.Conn, greeted chan struct{}) {
+	for first := true; ; first = false {
+		c.SetReadDeadline(time.Now().Add(feedTimeout))
+		var d transport.Down
+		if c.Receive(&d) != nil {
+			return
+		}
+		whole, err := c.Body(d.Raw, mostWhole)
+		if err != nil {
+			return
+		}
+		if first {
+			close(greeted)
+		}
+		a.do(func() { a.hear(f, &d, whole) })
+	}
+}
+
+// send says what the core machine has not been told yet, and a heartbeat where there is nothing.
+func (a *Agent) send(ctx context.Context, f *feed, c *transport.Conn, ended chan struct{}) {
 	said := (*transport.Station)(nil)
 	fresh := uint64(1)
 	beat := time.NewTimer(0)
@@ -138,7 +208,7 @@
 			up.Handed, up.Status = u.Handed, u.Status
 		default:
 		}
-		c.SetWriteDeadline(time.Now().Add(muteFor))
+		c.SetWriteDeadline(time.Now().Add(feedTimeout))
 		if c.Send(&up, nil) != nil {
 			return
 		}
@@ -160,8 +230,9 @@
 		return
 	}
 	f.heard = time.Now()
-	a.told = f.heard
+	a.heard = f.heard
 	f.alive = true
+	f.index = max(f.index, d.Index)
 	if d.MinLife >= a.life {
 		// Danger: the time of day jumps, and who heard an earlier life of ours by a later time would take us for that one.
 		a.life = d.MinLife + 1
@@ -182,8 +253,8 @@
 	if a.current && !a.proven && a.index >= a.least {
 		a.proven, a.dirty = true, true
 	}
-	if len(d.Cores) > 0 && !slices.Equal(d.Cores, a.cores) {
-		a.cores = slices.Clone(d.Cores)
+	if len(d.Cores) > 0 {
+		f.cores = slices.Clone(d.Cores)
 		a.follow()
 	}
 	if d.Beat != nil {
--- a/internal/mesh/sidecar/stats.go
+++ b/internal/mesh/sidecar/stats.go
@@ -17,20 +17,7 @@
 		ways := append(a.sender.Ways.Ask(now, q.Ways), a.host.Ways.Ask(now, q.Ways)...)
 		return &transport.Figures{Ways: ways}
 	}
-	answer := make(chan *transport.Figures, 1)
-	late := time.NewTimer(answerIn)
-	defer late.Stop()
-	select {
-	case a.commands <- func() { answer <- a.count(q) }:
-	case <-late.C:
-		return nil
-	}
-	select {
-	case f := <-answer:
-		return f
-	case <-late.C:
-		return nil
-	}
+	return transport.CountedBy(a.commands, answerIn, func() *transport.Figures { return a.count(q) })
 }
 
 // count is the owner's.
@@ -41,11 +28,11 @@
 	a.host.Figures(&f)
 	up := 0
 	for _, feed := range a.feeds {
-		if time.Since(feed.heard) < muteFor {
+		if time.Since(feed.heard) < feedTimeout {
 			up++
 		}
 	}
-	proven, unheard := since(a.shown), since(a.told)
+	proven, unheard := since(a.shown), since(a.heard)
 	f.Flag("micaline_mesh_agent_ready", a.isReady())
 	f.Add("micaline_mesh_agent_config_index", float64(a.index))
 	f.Add("micaline_mesh_agent_config_proven_seconds", seconds(proven))
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// CountedBy has the goroutine that owns a process's state count, through its queue of commands. It
+// returns nil if the owner does not get to it in time: a process that hangs must not look well.
+func CountedBy(owner chan<- func(), wait time.Duration, count func() *Figures) *Figures {
+	answer := make(chan *Figures, 1)
+	late := time.NewTimer(wait)
+	defer late.Stop()
+	select {
+	case owner <- func() { answer <- count() }:
+	case <-late.C:
+		return nil
+	}
+	select {
+	case f := <-answer:
+		return f
+	case <-late.C:
+		return nil
+	}
+}
+
 // AskStats asks the process at a link address once.
 func AskStats(ctx context.Context, link string, q Question) (*Figures, error) {
 	c, err := Dial(ctx, Stats, "", link)
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -37,6 +37,22 @@
 	return err == nil && quiet
 }
 
+// Ended says that the other side of a connection has closed it, and that all it sent before has been
+// read.
+func Ended(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err != nil || ended
+}
+
 // Waiting reads what a connection has received, without waiting, whatever its deadline. It returns how many bytes there
 // were, 0 also if the connection has ended.
 func Waiting(c syscall.Conn, b []byte) (n int) {
