A core machine whose disk fails is suspended and comes back, in place of ending

Cause: a failed save ended the node and with it the process, which started into the same full disk again and again.

Now the machine alone is given up, since what a failed sync left is unknown: no votes, no acknowledgements, no leadership (the best follower is told to campaign at once). Callers get 'no leader', the table stays as it is and is never set back, agents keep their feeds. The store is closed, renamed, written anew and read back with pauses of 0.1 to 2 s. A start into a full or stalled disk waits the same way. An end waits 1 s at most for a save under way, where a stalled disk held the process until SIGKILL.

Ruled out: going on with the machine in memory and saving again (a failed fsync may have dropped pages that the next one reports as clean).

TestFullDisk asked that the process end; it now asks for no promise and no lead while suspended, a table that doesn't go back, another leader within 0.5 s, and the same node taking part again.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -50,7 +50,7 @@
 
 // Status is how a node stands. It is a copy that never changes.
 type Status struct {
-	Role                  string // "leader", "follower", "candidate", "learner" or "recovering"
+	Role                  string // "leader", "follower", "candidate", "learner", "recovering" or "suspended"
 	Leader                string // empty: unknown
 	Term, Commit, Applied uint64
 	Members, Learners     []string // of learners, only the leader knows
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -101,6 +101,7 @@
 	Replace time.Duration
 	Rand    *rand.Rand
 	State   State
+	TableAt uint64 // what the table holds already: more than the disk, after that had failed
 }
 
 // Save is to be written in one transaction, and synced.
@@ -151,6 +152,7 @@
 	snapshot *Snapshot
 	commit   uint64
 	applied  uint64
+	tableAt  uint64 // the table holds this at least, so no snapshot is taken before it
 	compact  uint64 // entries after which a snapshot is taken; half of them are kept behind it
 
 	role       role
@@ -201,7 +203,7 @@
 // Found.
 func New(c Config) *Machine {
 	m := &Machine{self: c.Self, seeds: c.Seeds, life: c.Life, replace: c.Replace, rng: c.Rand, disk: c.State.Disk,
-		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, compact: compactAfter}
+		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, tableAt: c.TableAt, compact: compactAfter}
 	if m.replace == 0 {
 		m.replace = 8 * time.Second
 	}
@@ -409,6 +411,9 @@
 }
 
 func (m *Machine) compactDue() bool {
+	if m.applied < m.tableAt {
+		return false
+	}
 	from := m.log.base
 	if m.snapshot != nil {
 		from = max(from, m.snapshot.Index)
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -56,8 +54,9 @@
 
 // Node runs a Machine over a store. One goroutine owns the machine and the table, and works through
 // a queue of requests. Another one writes, so that a slow disk holds up promises and nothing else;
-// what queues while it syncs goes into the next sync together. A disk that fails ends the node:
-// Done is closed, and Close tells why.
+// what queues while it syncs goes into the next sync together. A disk that fails suspends the node
+// until it works again: see reopen.go. A store that can't be used, because it is damaged or another
+// node's, ends the node: Done is closed, and Close tells why.
 type Node struct {
 	options          Options
 	requests         chan request
@@ -69,9 +68,10 @@
 	closed           error
 
 	// Of the goroutine alone.
-	disk     disk
-	machine  *Machine
-	begin    time.Time
+	disk     disk     // nil while the node is suspended
+	machine  *Machine // nil while the node is suspended
+	tableAt  uint64   // what the table holds, which stays when the machine is made anew
+	began    time.Time
 	next     uint64
 	waiters  map[uint64]*waiter
 	replies  map[uint64][]byte
@@ -83,8 +83,17 @@
 	syncMost time.Duration
 	slow     bool
 	saving   bool
-	saves    chan *Save // to the goroutine that writes; one is under way at most
+	saves    chan saveJob // to the goroutine that writes; one is under way at most
 	saved    chan syncing
+	opened   chan opening  // from the goroutine that opens the store,
+	opening  bool          // which is under way
+	pause    time.Duration // before the store is opened again
+}
+
+// saveJob is a save and where it goes.
+type saveJob struct {
+	disk disk
+	save *Save
 }
 
 // syncing is how a save went.
@@ -101,30 +110,21 @@
 	if o.Tick == 0 {
 		o.Tick = 50 * time.Millisecond
 	}
-	seeds := sorted(o.Seeds)
-	founder := o.FirstStart && slices.Contains(seeds, o.Self)
-	store, state, err := openStore(o.Dir, o.Self, founder, seeds)
-	if err != nil {
-		return nil, err
-	}
-	if s := state.Snapshot; s != nil {
-		if err := o.Table.Restore(s.Index, s.Data); err != nil {
-			store.close()
-			return nil, oops.In("consensus").Wrapf(err, "restoring the table as of %d", s.Index)
-		}
-	}
-	life := randomNumber()
 	n := &Node{options: o, requests: make(chan request, mostQueued), proposals: make(chan struct{}, mostProposals),
 		reads: make(chan struct{}, mostProposals), stopping: make(chan struct{}), stopped: make(chan struct{}),
-		disk: store, saves: make(chan *Save, 1), saved: make(chan syncing, 1), begin: time.Now(), waiters: map[uint64]*waiter{}, replies: map[uint64][]byte{}}
-	n.machine = New(Config{Self: o.Self, Seeds: seeds, Life: life, Replace: o.Replace,
-		Rand: rand.New(rand.NewPCG(life, randomNumber())), State: state})
-	if o.disk != nil {
-		n.disk = o.disk(store)
-	}
+		saves: make(chan saveJob, 1), saved: make(chan syncing, 1), opened: make(chan opening, 1),
+		waiters: map[uint64]*waiter{}, replies: map[uint64][]byte{}, pause: firstPause}
 	n.status.Store(new(Status))
 	n.timer = time.NewTimer(0)
-	n.ringing = true
+	n.ringing, n.opening = true, true
+	go n.reopen(nil, n.pause)
+	select {
+	case opened := <-n.opened:
+		if err := n.resume(opened); err != nil {
+			return nil, err
+		}
+	case <-time.After(openWait): // the disk is full or stalled
+	}
 	go n.run()
 	go n.write()
 	return n, nil
@@ -207,6 +207,9 @@
 	}
 	select {
 	case o := <-w.done:
+		if o.err != nil {
+			return nil, o.err
+		}
 		return &Backup{Format: backupFormat, By: n.options.Self, Current: true, Snapshot: o.snapshot}, nil
 	case <-n.stopped:
 		return nil, ErrClosed
@@ -235,7 +238,7 @@
 	}
 }
 
-// Done is closed when the node has ended, by Close or because its disk failed.
+// Done is closed when the node has ended, by Close or because its store can't be used.
 func (n *Node) Done() <-chan struct{} { return n.stopped }
 
 // Close stops the node, and tells what ended it if it had ended by itself. Proposals that are in
@@ -256,17 +259,21 @@
 		n.arm()
 		select {
 		case r := <-n.requests:
-			n.machine.Clock(time.Since(n.begin))
+			n.clock()
 			n.handle(r)
 		case s := <-n.saved:
-			if n.saving = false; s.err != nil {
-				// What a failed sync left on the disk is unknown, so nothing may be promised from
-				// here on.
-				n.end(s.err)
-				return
+			n.saving = false
+			if s.err != nil {
+				n.suspend(s.err)
+				break
 			}
 			n.noteSync(s.took)
 			n.machine.Saved()
+		case opened := <-n.opened:
+			if err := n.resume(opened); err != nil {
+				n.end(err)
+				return
+			}
 		case <-n.timer.C:
 			n.ringing = false
 		case <-n.stopping:
@@ -274,19 +281,27 @@
 			return
 		}
 		// Before the timers: what has come tells that the leader is there.
-		n.machine.Clock(time.Since(n.begin))
+		n.clock()
 		for i := 0; i < mostQueued && len(n.requests) > 0; i++ {
 			n.handle(<-n.requests)
 		}
-		n.machine.Advance(time.Since(n.begin))
+		if n.machine != nil {
+			n.machine.Advance(time.Since(n.began))
+		}
+	}
+}
+
+func (n *Node) clock() {
+	if n.machine != nil {
+		n.machine.Clock(time.Since(n.began))
 	}
 }
 
 // write is the goroutine that writes.
 func (n *Node) write() {
-	for s := range n.saves {
+	for job := range n.saves {
 		began := time.Now()
-		err := n.disk.save(s)
+		err := job.disk.save(job.save)
 		n.saved <- syncing{time.Since(began), err}
 	}
 }
@@ -303,15 +318,22 @@
 // arm sets the timer, unless it rings earlier anyway: the deadline moves on with each heartbeat,
 // and to look once too often is cheaper than to move the timer with it.
 func (n *Node) arm() {
-	at := max(n.machine.Deadline(), time.Since(n.begin)+min(n.options.Tick, heartbeat))
+	if n.machine == nil {
+		return
+	}
+	at := max(n.machine.Deadline(), time.Since(n.began)+min(n.options.Tick, heartbeat))
 	if n.ringing && n.armed <= at {
 		return
 	}
 	n.ringing, n.armed = true, at
-	n.timer.Reset(at - time.Since(n.begin))
+	n.timer.Reset(at - time.Since(n.began))
 }
 
 func (n *Node) handle(r request) {
+	if n.machine == nil {
+		n.turnAway(r)
+		return
+	}
 	switch r.kind {
 	case step:
 		n.machine.Step(*r.message)
@@ -319,6 +341,10 @@
 		n.machine.Cancel(r.waiter.id)
 		delete(n.waiters, r.waiter.id)
 	case backup:
+		if n.machine.applied < n.tableAt {
+			r.waiter.done <- outcome{err: ErrNoLeader}
+			break
+		}
 		r.waiter.done <- outcome{snapshot: n.machine.asOfApplied(n.options.Table.Snapshot())}
 	case leave:
 		n.leaving = append(n.leaving, r.waiter)
@@ -336,24 +362,17 @@
 
 // settle carries out what the machine wants until it wants no more.
 func (n *Node) settle() error {
+	if n.machine == nil {
+		n.report()
+		return nil
+	}
 	n.leave()
 	for o := n.machine.Take(); !o.Empty(); o = n.machine.Take() {
 		for _, m := range o.Send {
 			n.options.Send(m)
 		}
-		if s := o.Restore; s != nil {
-			if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
-				return oops.In("consensus").Wrapf(err, "the table can't take the leader's snapshot as of %d", s.Index)
-			}
-		}
-		for _, e := range o.Apply {
-			if e.Origin == 0 {
-				continue
-			}
-			reply := n.options.Table.Apply(e.Index, e.Command)
-			if e.Origin == n.machine.life && n.waiters[e.ID] != nil {
-				n.replies[e.ID] = reply
-			}
+		if err := n.bring(o.Restore, o.Apply); err != nil {
+			return err
 		}
 		for _, d := range o.Done {
 			if w := n.waiters[d.ID]; w != nil {
@@ -367,7 +386,7 @@
 		}
 		if o.Save != nil {
 			n.saving = true
-			n.saves <- o.Save
+			n.saves <- saveJob{n.disk, o.Save}
 		}
 	}
 	n.leave()
@@ -375,6 +394,31 @@
 	return nil
 }
 
+// bring brings the table to where the machine is. A machine that was made anew goes once more through
+// what the table holds already: that is committed, and never goes back.
+func (n *Node) bring(s *Snapshot, entries []Entry) error {
+	if s != nil && s.Index > n.tableAt {
+		if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
+			return oops.In("consensus").Wrapf(err, "the table can't take the snapshot as of %d", s.Index)
+		}
+		n.tableAt = s.Index
+	}
+	for _, e := range entries {
+		if e.Index <= n.tableAt {
+			continue
+		}
+		n.tableAt = e.Index
+		if e.Origin == 0 {
+			continue
+		}
+		reply := n.options.Table.Apply(e.Index, e.Command)
+		if e.Origin == n.machine.life && n.waiters[e.ID] != nil {
+			n.replies[e.ID] = reply
+		}
+	}
+	return nil
+}
+
 // leave hands leadership over while somebody wants that.
 func (n *Node) leave() {
 	if len(n.leaving) == 0 {
@@ -390,9 +434,13 @@
 }
 
 func (n *Node) report() {
-	s := n.machine.Status()
+	old := n.status.Load()
+	s := Status{Role: suspended, Applied: n.tableAt, Members: old.Members, LeaderChanges: old.LeaderChanges}
+	if n.machine != nil {
+		s = n.machine.Status()
+	}
 	s.Syncs, s.SyncMax = n.syncs, n.syncMost
-	old := n.status.Swap(&s)
+	n.status.Store(&s)
 	if s.Foreign > 0 && old.Foreign == 0 {
 		n.options.Log.Warn("another mesh speaks to this one: where one was founded from a backup, a node of before runs on")
 	}
@@ -410,9 +458,7 @@
 // end answers who still waits, and says why the node ends if nobody asked for it.
 func (n *Node) end(why error) {
 	n.stop.Do(func() { close(n.stopping) })
-	for _, w := range n.waiters {
-		w.done <- outcome{err: w.late}
-	}
+	n.failWaiters()
 	for len(n.requests) > 0 {
 		if r := <-n.requests; r.kind == propose || r.kind == confirm {
 			r.waiter.done <- outcome{err: ErrClosed}
@@ -420,16 +466,10 @@
 	}
 	n.timer.Stop()
 	close(n.saves)
-	if n.saving {
-		if s := <-n.saved; why == nil {
-			why = s.err
-		}
+	if err := n.closeDisk(); err != nil { // the next start reads what is there, and writes it anew
+		n.options.Log.WithError(err).Warn("disk")
 	}
-	closing := n.disk.close()
-	switch {
-	case why != nil:
-		n.closed = oops.In("consensus").Wrapf(errors.Join(why, closing), "the node can't go on as a member")
-	case closing != nil:
-		n.closed = oops.In("consensus").Wrapf(closing, "closing the store")
+	if why != nil {
+		n.closed = oops.In("consensus").Wrapf(why, "the node can't go on as a member")
 	}
 }
--- a/internal/mesh/consensus/read.go
+++ b/internal/mesh/consensus/read.go
@@ -39,22 +39,27 @@
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if r := recover(); r != nil {
-			c, err = nil, oops.Errorf("its pages are torn or cut off (%v): %s", r, damaged)
+			c, err = nil, unusable("its pages are torn or cut off (%v): %s", r, damaged)
 		}
 	}()
 	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: time.Second, ReadOnly: true})
 	switch {
 	case errors.Is(err, bbolterrors.ErrTimeout):
-		return nil, oops.Errorf("another process has the file open: end it first")
+		return nil, unusable("another process has the file open: end it first")
 	case errors.Is(err, bbolterrors.ErrInvalid), errors.Is(err, bbolterrors.ErrVersionMismatch), errors.Is(err, bbolterrors.ErrChecksum):
-		return nil, oops.Errorf("this is no bbolt file, or its head is torn (%v): if it is somebody else's, name another data folder; "+
+		return nil, unusable("this is no bbolt file, or its head is torn (%v): if it is somebody else's, name another data folder; "+
 			"otherwise %s", err, damaged)
+	case errors.As(err, new(syscall.Errno)) && !errors.Is(err, syscall.EBADF):
+		return nil, err // of the disk; but bbolt tries to write to an empty file that is open to be read
 	case err != nil:
-		return nil, oops.Wrapf(err, "if the file is empty or cut off, %s", damaged)
+		return nil, unusable("%w: if the file is empty or cut off, %s", err, damaged)
 	}
 	defer db.Close()
 	c = &content{}
-	return c, db.View(c.load)
+	if err := db.View(c.load); err != nil {
+		return nil, unusableError{err}
+	}
+	return c, nil
 }
 
 func (c *content) load(tx *bbolt.Tx) error {
@@ -137,11 +142,11 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
-		advice = "the disk is full: make room for it and start the node again"
+		advice = "the disk is full: make room for it"
 	case errors.Is(err, syscall.EROFS), errors.Is(err, syscall.EACCES):
-		advice = "the folder can't be written: mend that and start the node again"
+		advice = "the folder can't be written: mend that"
 	default:
-		advice = "start the node again; if it comes again, the disk is broken: put another in, and the node recovers from the others"
+		advice = "if it stays so, the disk is broken: put another in, and the node recovers from the others"
 	}
 	if at, failing := filepath.Abs(dir); failing == nil {
 		dir = at
--- a/internal/mesh/consensus/store.go
+++ b/internal/mesh/consensus/store.go
@@ -81,9 +81,9 @@
 		return nil, State{}, errs.Wrapf(err, "reading %s", path)
 	}
 	if c.id.Address != "" && c.id.Address != self {
-		return nil, State{}, errs.Errorf("%s is the store of %s, and this node is %s, which must not take over its promises: "+
+		return nil, State{}, errs.Wrap(unusable("%s is the store of %s, and this node is %s, which must not take over its promises: "+
 			"mend the node's address or data folder in the settings, or take the file away, and the node recovers from the others",
-			path, c.id.Address, self)
+			path, c.id.Address, self))
 	}
 	if c.format != storeFormat {
 		if err := makeStore(dir, identity{c.id.Disk, c.id.Founder, self}, c.whole()); err != nil {
@@ -203,13 +203,16 @@
 	return nil
 }
 
-// close closes the file. After a failed save it gets a name that has the next start rewrite it;
+// close closes the file, and may be called again if it fails. After a failed save the file gets a
+// name that has the next start rewrite it;
 // that needs no sync, since what a loss of power leaves can be trusted again.
 func (s *store) close() error {
 	err := s.db.Close()
 	if s.failed {
 		path := filepath.Join(s.dir, storeName)
-		if renaming := os.Rename(path, filepath.Join(s.dir, suspectName)); err == nil && renaming != nil {
+		renaming := os.Rename(path, filepath.Join(s.dir, suspectName))
+		s.failed = renaming != nil
+		if err == nil && renaming != nil {
 			err = oops.Wrapf(renaming, "take %s away, and the node recovers from the others", path)
 		}
 	}
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -5,7 +5,7 @@
 	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad"}
 	Proposals = []string{"agreed", "refused", "unknown", "not_taken"}
 	Backends  = []string{"none", "ready", "cold", "draining", "evacuated", "blind"}
-	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering"}
+	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
 	Stations  = []string{"open", "shut", "lost"}
 )
 
