--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	reply, out := h.Handle(ask, body)
-	reply.Number = ask.Number
+	reply.Number, reply.Sum = ask.Number, transport.Sum(out)
 	return c.Send(reply, out) == nil
 }
 
@@ -126,7 +126,7 @@
 			return nil, err
 		}
 	}
-	return c.Body(ask.Body, h.mostBody)
+	return c.SummedBody(ask.Body, h.mostBody, ask.Sum)
 }
 
 // coming takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
--- a/internal/mesh/outbound/exchange.go
+++ b/internal/mesh/outbound/exchange.go
@@ -70,7 +70,7 @@
 	if x.ask.Hold = len(x.body) > longBody; x.ask.Hold {
 		first, x.verdict = nil, transport.NotRun // nothing can run before its body has gone out
 	}
-	x.ask.Number = x.conn.NextNumber()
+	x.ask.Number, x.ask.Sum = x.conn.NextNumber(), transport.Sum(x.body)
 	if err := x.conn.Send(x.ask, first); err != nil {
 		return nil, nil, err
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	text, err := x.conn.Body(reply.Body, mostAnswer)
+	text, err := x.conn.SummedBody(reply.Body, mostAnswer, reply.Sum)
 	return reply, text, err
 }
 
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -46,7 +46,7 @@
 					body, _ := c.Body(a.Body, 1<<20)
 					reply, out := say(&a, body)
 					if ok = reply != nil; ok {
-						reply.Number, reply.Body = a.Number, int64(len(out))
+						reply.Number, reply.Body, reply.Sum = a.Number, int64(len(out)), transport.Sum(out)
 						c.Send(reply, out)
 					}
 				}
@@ -79,6 +79,19 @@
 	return s
 }
 
+// change applies a patch to what a sender knows.
+func change(s *Sender, text string) {
+	patch, err := meshconfig.ParsePatch([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	view := *s.View()
+	if view.Config, _, err = view.Config.Apply(patch); err != nil {
+		panic(err)
+	}
+	s.SetView(&view)
+}
+
 func request(method, path, try string, body io.Reader) *http.Request {
 	r := httptest.NewRequest(method, path, body)
 	r.Host = "d"
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"hash/crc32"
 	"io"
 	"net"
 	"sync"
@@ -121,6 +122,21 @@
 	return body, err
 }
 
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Sum is a checksum of a body. TCP's own is of 16 bits, which some damage passes; and bytes that come
+// twice, or that are another message's, leave the count of them right.
+func Sum(body []byte) uint32 { return crc32.Checksum(body, castagnoli) }
+
+// SummedBody reads the raw bytes behind a message and checks them.
+func (c *Conn) SummedBody(n, most int64, sum uint32) ([]byte, error) {
+	body, err := c.Body(n, most)
+	if err == nil && Sum(body) != sum {
+		return nil, oops.Code("sum").Errorf("a body of %d bytes is not the one that was sent", n)
+	}
+	return body, err
+}
+
 // NextNumber numbers the next exchange on the connection. Danger: a reply that came late or twice
 // would be taken for that to the next request; its number shows that it is not.
 func (c *Conn) NextNumber() uint64 {
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -24,6 +24,7 @@
 	Rank    int
 	Header  []string // names and values in turn
 	Body    int64
+	Sum     uint32        // of the body, by Sum
 	Hold    bool          // the body comes only once a Reply says Go: it is long, and may be refused
 	Patient time.Duration // the longest that it may wait at the gate before it is refused
 }
@@ -37,6 +38,7 @@
 	Status  int
 	Header  []string
 	Body    int64
+	Sum     uint32 // of the body, by Sum
 	Load    Load
 	Arrived bool          // it reached the backend, which did not run it
 	Go      bool          // no answer yet: the body may come
