Answers over broken links between real processes, judged by clients and backends

New in the settings, optional: addresses.gate, where other agents reach the gate if not where it listens (an advertised address). The judge counts no lost answer where links break, and judges all else as before.

--- a/internal/mesh/bootstrap/bootstrap.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -37,6 +37,7 @@
 	Zones                 map[string]string // zone -> region
 
 	Inbound, Outbound, Ready, Control string // host:port; "" if absent
+	Gate                              string // where other agents reach the gate; "": where it listens
 
 	SparePorts          [2]int // first and last; 0 if absent
 	Seeds               []string
@@ -132,6 +133,7 @@
 		Outbound:   c.address("addresses.outbound", a.GetOutbound()),
 		Ready:      c.address("addresses.ready", a.GetReady()),
 		Control:    c.address("addresses.control", a.GetControl()),
+		Gate:       c.address("addresses.gate", a.GetGate()),
 		FirstStart: file.FirstStart,
 		Counted:    file.Counted,
 		CPUShare:   c.figure("limits.cpu_share", l.GetCpuShare()),
--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -168,7 +168,7 @@
 	if leaving {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{"service": l.b.m.Service, "address": l.b.m.at(appPort), "zone": l.b.m.Zone, "version": "v1",
+	body, err := json.Marshal(map[string]any{"service": l.b.m.Service, "address": l.b.m.reached(appPort), "zone": l.b.m.Zone, "version": "v1",
 		"capacity": capacity, "state": state, "warmup_left": "0ms", "call_count": l.calls.Add(1)})
 	if err != nil {
 		panic(err) // plain fields always encode
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -180,7 +180,9 @@
 		left := deadline - time.Since(began)
 		t := &Try{ID: fmt.Sprintf("%016x", rand.Uint64()), Kind: k.kind, Machine: c.m.Name, Message: Message{Method: k.method, Host: host,
 			URI: fmt.Sprintf("%s%x?n=%d", k.path, rand.Uint32(), n), Caller: c.m.Service, Body: hash(body)}}
-		a, after := c.g.send(ctx, client, c.m, t, body, left)
+		one, giveUp := c.patience(ctx)
+		a, after := c.g.send(one, client, c.m, t, body, left)
+		giveUp()
 		if a.Status/100 == 2 {
 			took := time.Since(began)
 			c.g.tally.add(func(n *Counts) { n.Served++; n.Took = append(n.Took, took) })
@@ -206,6 +208,14 @@
 	})
 }
 
+// patience bounds one try: some are given up, and tried again at once if they may be.
+func (c *clients) patience(ctx context.Context) (context.Context, context.CancelFunc) {
+	if rand.Float64() < c.g.opt.GiveUp {
+		return context.WithTimeout(ctx, rand.N(4*c.g.opt.Work))
+	}
+	return ctx, func() {}
+}
+
 // send sends one request to a machine's agent, and keeps what came of it.
 func (g *Ground) send(ctx context.Context, client *http.Client, m *Machine, t *Try, body []byte, left time.Duration) (a Answer, after time.Duration) {
 	var content io.Reader
@@ -214,7 +224,7 @@
 			content = struct{ io.Reader }{content} // without a length: it goes out in chunks
 		}
 	}
-	r, err := http.NewRequestWithContext(ctx, t.Method, "http://"+m.at(outboundPort)+t.URI, content)
+	r, err := http.NewRequestWithContext(ctx, t.Method, "http://"+m.reached(outboundPort)+t.URI, content)
 	if err != nil {
 		panic(err) // we made the address
 	}
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -28,6 +28,7 @@
 	Name, IP, Zone string
 	Service        string   // "" on a core machine
 	Backend        *Backend // nil on a core machine
+	Links          *Links   // nil on a core machine, and without Options.Links
 
 	g     *Ground
 	first bool // the whole system starts
@@ -102,7 +103,8 @@
 		set("addresses.inbound", m.at(inboundPort))
 		set("addresses.outbound", m.at(outboundPort))
 		set("addresses.ready", m.at(readyPort))
-		set("app_address", m.at(appPort))
+		set("app_address", m.reached(appPort))
+		set("addresses.gate", m.reached(firstSpare))
 		set("service", m.Service)
 	}
 	t := &m.g.record.story.Terms
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -7,8 +7,9 @@
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
 // Story. Processes may be killed, stopped, continued, told to end, started again, and their disks
 // wiped; backends may leave and come back as new lives; zones may be evacuated, and the
-// configuration changed. Links can't be cut: a machine that is stopped is as near to that as it
-// gets.
+// configuration changed. Where Options.Links says so, clients, gates and backends are reached through
+// links that can be broken; those to the core can't be: a machine that is stopped is as near to that
+// as it gets.
 //
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
@@ -61,6 +62,9 @@
 	Agents  int    // 3 at least
 	Rate    float64
 	Work    time.Duration // of a backend with a request, on the mean
+	Links   bool          // clients, gates and backends are reached through links that can be broken
+	Seed    uint64        // of the links' faults
+	GiveUp  float64       // share of the tries that a client gives up early
 }
 
 // Ground is a mesh that runs.
@@ -121,6 +125,12 @@
 		m := g.machine(fmt.Sprintf("agent-%d", i+1), fmt.Sprintf("%s.%d", net, 11+i), zones[i%len(zones)], service)
 		m.Backend = newBackend(g, m)
 		g.Agents = append(g.Agents, m)
+		if o.Links {
+			if m.Links, err = newLinks(m, o.Seed+uint64(i)); err != nil {
+				return g, err
+			}
+			g.record.story.Broken = true
+		}
 	}
 	g.Operator = newOperator(g)
 	for _, m := range g.all() {
@@ -297,6 +307,9 @@
 		if m.Backend != nil {
 			m.Backend.close()
 		}
+		if m.Links != nil {
+			m.Links.close()
+		}
 		m.close()
 	}
 	if g.guard != nil {
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -86,6 +86,7 @@
 	Evacuations []*Evacuation
 	Troubles    []*Trouble
 	Read        [][]Item // what the core machines read back in the end, one each; nil: no answer came
+	Broken      bool     // links between processes broke, so an answer may be lost on its way
 	Over        bool     // more was to be kept than there is room for: no verdict
 }
 
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -21,7 +21,7 @@
 	unknownYet  = 200 * time.Millisecond // until a configuration, or a service of it, may be known
 
 	idsLast = 30 * time.Second // that a generation of ids lasts: longer than any client waits
-	mostIDs = 1 << 14          // of a generation
+	mostIDs = 1 << 15          // of a generation, as many as a gate remembers
 )
 
 // Counters count what became of requests. They are read at any time.
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -9,6 +9,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -287,7 +288,7 @@
 func (a *Agent) say() {
 	a.publish.Store(false)
 	a.seq++
-	s := &transport.Station{Agent: a.set.IP, Gate: Inner(a.set, a.set.Control), Zone: a.set.Zone, Life: a.life, Seq: a.seq,
+	s := &transport.Station{Agent: a.set.IP, Gate: cmp.Or(a.set.Gate, Inner(a.set, a.set.Control)), Zone: a.set.Zone, Life: a.life, Seq: a.seq,
 		Open: a.host.Open() && a.fresh && !a.went.Load()}
 	a.host.With(func(now time.Duration, g *inbound.Gate) bool { s.Backend = g.Backend(now); return false })
 	a.station.Store(s)
