Agent tests: wait for what ends behind the answer, with a deadline

TestManyLongAnswersHoldLittle read the room for streams once, right after the clients had the last byte of their answers; the handler that wrote it gives its room back a moment later. The figure was of bytes: the 98304 of one stream, not 50 MB and no leak. TestBodiesThatDoNotCome began a request while the agent had not yet taken in that the one before was over: its backend sees the end of the connection first, so two requests were held.

Both wait for the same figure now, with a deadline; the second checks besides that each request is let go before the next. One more run of these had answers cut off because the test's clients read nothing for longer than the agent's write timeout of 5 s; that is left.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// eventually waits until a condition holds, and fails if it does not within the time that a test waits for anything.
+func (r *running) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > wait {
+			t.Fatalf("not within %v: %s", wait, what)
+		}
+	}
+}
+
 // request makes a client's request of a class.
 func (r *running) request(class string, budget string) *http.Request {
 	method, body := http.MethodPost, "body of "+class
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -180,6 +180,11 @@
 		if err := receive(t, "end at the backend", ended); err == nil {
 			t.Errorf("%s: its backend has a whole request", what)
 		}
+		// The backend may see the end of the connection before the agent has taken in that the attempt is over.
+		a.eventually(t, what+": the request is let go", func() bool {
+			s := look(t, a)
+			return s.Held == 0 && s.Backends[0].InFlight == 0
+		})
 	}
 	f, err := a.agent.Figures(t.Context())
 	if err != nil || f.Attempts != 0 || f.Classes[2].Served != 0 {
@@ -322,9 +327,9 @@
 		})
 	}
 	readers.Wait()
-	if room := a.agent.loop.backends.room.Load(); room != int64(a.agent.cfg.MemoryMB)<<20/streamShare {
-		t.Errorf("%d bytes of room when all is over", room)
-	}
+	// A client has the last byte of its answer before the handler that wrote it gives its room back.
+	whole := int64(a.agent.cfg.MemoryMB) << 20 / streamShare
+	a.eventually(t, "all room is given back", func() bool { return a.agent.loop.backends.room.Load() == whole })
 }
 
 // A head that begins late in the time that a connection may be idle, and comes slowly, has its own time.
