--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -149,6 +149,10 @@
 	ErrOld = errors.New("its disk is older than what it has told the others: remove it from the group, and add it with an empty one")
 	// ErrRemoved is a member that was removed.
 	ErrRemoved = errors.New("it was removed from the group")
+	// errUnconfirmed is a member that was the only voter when its journal was written, until most of its peers have confirmed it.
+	errUnconfirmed = errors.New("its journal says that it alone votes, and most of its peers have not confirmed that yet")
+	// errUnknownGroup is a peer that is in a group of which this member's journal knows nothing.
+	errUnknownGroup = errors.New("it is in a group that this member's journal does not know of")
 )
 
 // Work is what is to be done, in this order: Records written in one transaction, Messages sent, Done called.
@@ -178,6 +182,9 @@
 	clock   lease.Watch
 	dirty   map[string]bool // duties that are not in the records as they are
 	steps   uint64          // of the history that is
+	peers   int             // how many others the deployment names
+	// confirmed are the peers that have taken this start for one that may follow those they know; nil if none need to.
+	confirmed map[string]bool
 }
 
 // store is raft's view of the log: its snapshots are made when they are needed.
@@ -233,13 +240,13 @@
 func (quiet) Panic(v ...any)                 { panic(fmt.Sprint(v...)) }
 func (quiet) Panicf(format string, v ...any) { panic(fmt.Sprintf(format, v...)) }
 
-// Load makes a member of what its journal holds. The buckets are those whose records are agreed on; id is that of its disk, if that
-// is empty, and life at random. What it returns must be written first.
-func Load(s journal.Store, name string, buckets []string, id, life uint64) (*Core, []journal.Record, error) {
+// Load makes a member of what its journal holds. The buckets are those whose records are agreed on; peers is how many others the
+// deployment names; id is that of its disk, if that is empty, and life at random. What it returns must be written first.
+func Load(s journal.Store, name string, peers int, buckets []string, id, life uint64) (*Core, []journal.Record, error) {
 	c := &Core{
 		self: self{Name: name, ID: id}, buckets: buckets, log: raft.NewMemoryStorage(), conf: &raftpb.ConfState{}, first: 1,
 		data: map[string]map[string][]byte{}, waits: map[string]bool{}, dirty: map[string]bool{},
-		state: state{Members: map[uint64]*Member{}, Wrote: map[string]wrote{}},
+		state: state{Members: map[uint64]*Member{}, Wrote: map[string]wrote{}}, peers: peers,
 	}
 	damaged := func(bucket, key string) error {
 		return fmt.Errorf("the journal's record %s/%q is damaged", bucket, key)
@@ -341,6 +348,9 @@
 	}
 	c.log.SetHardState(&hard)
 	if c.found {
+		if peers > 0 && c.onlyVoter() {
+			c.confirmed = map[string]bool{}
+		}
 		if err := c.start(); err != nil {
 			return nil, nil, err
 		}
@@ -547,6 +557,36 @@
 		return c.wrong
 	case !c.found:
 		return errors.New("it is in no group yet")
+	case c.unconfirmed():
+		return errUnconfirmed
+	}
+	return nil
+}
+
+// onlyVoter says whether no other member's vote counts.
+func (c *Core) onlyVoter() bool {
+	return len(c.conf.Voters) == 1 && c.conf.Voters[0] == c.self.ID
+}
+
+// unconfirmed says whether this member started from a journal by which it alone votes, and most of its peers have not confirmed
+// it since. Danger: the journal may be a copy of before others became voters. Whoever alone votes elects itself and agrees with
+// itself, so a member that goes on from such a copy while it is cut off would write beside the group that it has founded.
+func (c *Core) unconfirmed() bool { return c.confirmed != nil && c.onlyVoter() }
+
+// Confirm takes in that a peer has taken this member's start for one that may follow those it knows, and who the peer is. It fails
+// if that peer itself shows that this member's journal is not the latest. Most of the peers have to confirm, this member counted,
+// as for the founding of a group: any group of theirs has one of them.
+func (c *Core) Confirm(name string, id uint64, grouped bool) error {
+	if !c.unconfirmed() {
+		return nil
+	}
+	known := c.member(name)
+	if grouped && (known == nil || known.ID != id) && !slices.Contains(c.state.Gone, id) {
+		return errUnknownGroup
+	}
+	c.confirmed[name] = true
+	if 2*(len(c.confirmed)+1) > c.peers+1 {
+		c.confirmed = nil
 	}
 	return nil
 }
@@ -600,8 +640,8 @@
 
 // spread has the others know of the starts that this member has heard.
 func (c *Core) spread() {
-	for id, boot := range c.self.Known {
-		known := c.state.Starts[id]
+	for _, id := range slices.Sorted(maps.Keys(c.self.Known)) { // in one order, so that a run can be played again
+		boot, known := c.self.Known[id], c.state.Starts[id]
 		if c.state.Members[id] != nil && !c.state.Old[id] && (known == nil || !known.after(&boot)) {
 			c.propose(&command{Start: &started{id, boot}}) // else at another tick
 		}
--- a/internal/group/explore_test.go
+++ b/internal/group/explore_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/cryptotest"
 	"time"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -84,7 +85,7 @@
 
 func (h *hall) boot(s *seat, found bool) {
 	id := h.rng.Uint64()>>1 + 1
-	core, records, err := Load(s.disk, s.name, []string{"data"}, id, h.rng.Uint64())
+	core, records, err := Load(s.disk, s.name, len(h.seats)-1, []string{"data"}, id, h.rng.Uint64())
 	if err != nil {
 		h.fail("Start", "%s: %v", s.name, err)
 		return
@@ -97,9 +98,27 @@
 		records = append(records, first...)
 	}
 	s.disk.Write(records)
+	if h.plant == "an only voter is not confirmed" {
+		core.confirmed = nil
+	}
 	s.core, s.epoch, s.open, s.id = core, 0, nil, core.self.ID
 }
 
+// confirm has the others say what they know of a member that its journal says votes alone.
+func (h *hall) confirm(s *seat) {
+	for _, o := range h.seats {
+		if o == s || o.core == nil || h.now < o.cut || h.now < s.cut {
+			continue
+		}
+		if err := o.core.Meet(s.core.self.ID, s.core.self.Boot); err != nil {
+			s.core.wrong = err
+			return
+		}
+		s.core.Confirm(o.name, o.core.self.ID, o.core.found)
+		h.drain(o)
+	}
+}
+
 func (h *hall) lead() *seat {
 	for _, s := range h.seats {
 		if s.core != nil && s.core.leads() == nil {
@@ -109,6 +128,12 @@
 	return nil
 }
 
+// bearsLoss says whether a majority of the voters is left when one of them loses its disk.
+func (h *hall) bearsLoss() bool {
+	lead := h.lead()
+	return lead != nil && len(h.seats) > 3 && len(lead.core.conf.Voters) >= 3
+}
+
 // drain does what a member has to do; it may be killed before any part of it.
 func (h *hall) drain(s *seat) {
 	for s.core != nil {
@@ -273,6 +298,9 @@
 			}
 			continue
 		}
+		if s.core.unconfirmed() {
+			h.confirm(s)
+		}
 		s.core.Tick()
 		h.act(s)
 		h.drain(s)
@@ -308,7 +336,7 @@
 			s.old, s.copied = copyOf(s.disk), append(slices.Clone(s.core.self.Past), s.core.self.Life)
 		}
 	case 4: // once, a disk of long ago comes back, or none
-		if s.core != nil && s.core.found && h.now > 200 && !slices.ContainsFunc(h.seats, func(o *seat) bool { return o.wrong }) && len(h.seats) > 3 {
+		if s.core != nil && s.core.found && h.now > 200 && !slices.ContainsFunc(h.seats, func(o *seat) bool { return o.wrong }) && h.bearsLoss() {
 			switch {
 			case h.rng.IntN(2) == 0:
 				s.disk = &journal.Memory{}
@@ -321,17 +349,26 @@
 			}
 			s.wrong = true
 			h.kill(s)
+			if h.rng.IntN(2) == 0 {
+				s.cut = s.down + h.rng.IntN(80) // nobody tells it at first
+			}
 		}
 	}
 }
 
-func play(seed uint64, size int, plant string, written *int) []string {
+func play(t *testing.T, seed uint64, size int, plant string, written *int) []string {
+	cryptotest.SetGlobalRandom(t, seed) // raft draws its election timeouts from the process's random source
 	h := &hall{rng: rand.New(rand.NewPCG(seed, 2)), plant: plant, images: map[uint64][]byte{}, told: map[string]string{}, epochs: map[uint64]uint64{}, carried: map[string]bool{}}
 	for i := range size {
 		s := &seat{name: fmt.Sprint("m", i+1), disk: &journal.Memory{}}
 		h.seats = append(h.seats, s)
+	}
+	for i, s := range h.seats {
 		h.boot(s, i == 0)
 	}
+	if founder := h.seats[0]; h.rng.IntN(2) == 0 {
+		founder.old, founder.copied = copyOf(founder.disk), []uint64{founder.core.self.Life}
+	}
 	for h.now < 1000 {
 		h.step()
 	}
@@ -382,7 +419,7 @@
 	}
 	written := 0
 	for seed := *seedFlag; seed < *seedFlag+seeds; seed++ {
-		if found := play(seed, 3+2*int(seed%2), "", &written); len(found) > 0 {
+		if found := play(t, seed, 3+2*int(seed%2), "", &written); len(found) > 0 {
 			t.Errorf("seed %d:\n%s", seed, strings.Join(found, "\n"))
 			return
 		}
@@ -397,10 +434,11 @@
 	if testing.Short() {
 		t.Skip("the race detector makes minutes of it, and nothing here runs at once")
 	}
-	planted.Each(t, map[string]string{
+	planted.EachInTurn(t, map[string]string{
 		"nothing is written before it is sent":         "Start|Kept|Same",
 		"records are not written with what is applied": "Same|Kept",
 		"an old disk is heard":                         "Named",
 		"what was written last is forgotten":           "Once",
-	}, 300, func(seed uint64, plant string) []string { return play(seed, 5, plant, nil) })
+		"an only voter is not confirmed":               "Same|Kept|Fenced",
+	}, 300, func(t *testing.T, seed uint64, plant string) []string { return play(t, seed, 5, plant, nil) })
 }
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -107,7 +107,7 @@
 func NewNode(o Options) (*Node, error) {
 	var id [16]byte
 	rand.Read(id[:]) // never fails
-	core, records, err := Load(o.Store, o.Name, o.Buckets, max(1, binary.BigEndian.Uint64(id[:])>>1), binary.BigEndian.Uint64(id[8:]))
+	core, records, err := Load(o.Store, o.Name, len(o.Peers), o.Buckets, max(1, binary.BigEndian.Uint64(id[:])>>1), binary.BigEndian.Uint64(id[8:]))
 	if err != nil {
 		return nil, err
 	}
@@ -362,11 +362,11 @@
 }
 
 // invite asks those of the file who are no members who they are, and has them added; one that is in no group yet and is to found one
-// asks all.
+// asks all, and so does one that has to be confirmed.
 func (n *Node) invite(ctx context.Context) {
 	t := n.now()
-	founds := n.opts.Found && !n.core.found && n.single != nil
-	if !founds && n.core.leads() != nil || t-n.invited < inviteIn {
+	founds, unconfirmed := n.opts.Found && !n.core.found && n.single != nil, n.core.unconfirmed()
+	if !founds && !unconfirmed && n.core.leads() != nil || t-n.invited < inviteIn {
 		return
 	}
 	n.invited = t
@@ -380,13 +380,20 @@
 		n.asking[name] = true
 		go func() {
 			within, cancel := context.WithTimeout(ctx, sendIn)
+			defer cancel()
 			id, err := p.Identity(within)
-			cancel()
+			var objection error
+			if err == nil && unconfirmed {
+				objection = p.Deliver(within, &Batch{Name: n.opts.Name, From: n.core.self.ID, Boot: n.core.self.Boot})
+			}
 			n.happened(func() {
 				delete(n.asking, name)
 				if err != nil {
 					return
 				}
+				if unconfirmed {
+					n.confirm(name, id, objection)
+				}
 				if !n.core.found && id.Grouped {
 					if n.single != nil && n.opts.Found {
 						n.opts.Log.Warn("there is a group already: this process founds none, and waits to be added", "member", name)
@@ -401,6 +408,18 @@
 	}
 }
 
+// confirm takes in what a peer says to this member's start.
+func (n *Node) confirm(name string, id *Identity, objection error) {
+	switch {
+	case errors.Is(objection, ErrOld) && n.core.wrong == nil:
+		n.core.wrong = ErrOld
+	case objection == nil && id.Name == name:
+		if err := n.core.Confirm(name, id.ID, id.Grouped); err != nil {
+			n.refuse(name, err)
+		}
+	}
+}
+
 // found begins a group. Danger: a founder that has lost its disk would begin another one beside that which it has founded, so
 // most of those of the file must have said that they are in none: any group has one of them.
 func (n *Node) found() {
@@ -435,9 +454,14 @@
 		delete(n.refused, name)
 		return
 	}
-	if n.refused[name] != err.Error() {
-		n.refused[name] = err.Error()
-		n.opts.Log.Warn("not a member", "name", name, "reason", err)
+	n.refuse(name, err)
+}
+
+// refuse notes why a peer can't be a member, and tells it once.
+func (n *Node) refuse(name string, why error) {
+	if n.refused[name] != why.Error() {
+		n.refused[name] = why.Error()
+		n.opts.Log.Warn("not a member", "name", name, "reason", why)
 	}
 }
 
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -253,6 +253,46 @@
 	}
 }
 
+// A founder that goes on from a copy of its disk of before others voted, and is cut off, leads nobody, not even itself; once it
+// is heard it says that its disk is old. With the disk that is its own it leads as soon as one of two others has confirmed it.
+func TestOnlyVoterIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := &journal.Memory{}
+		core, records, err := Load(first, "m0", 2, []string{"data"}, 7, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		founding, err := core.Found()
+		if err != nil {
+			t.Fatal(err)
+		}
+		first.Write(append(records, founding...))
+		before := copyOf(first)
+		r := newRingOn(t, []journal.Store{first, &journal.Memory{}, &journal.Memory{}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+
+		r.stop(0)
+		r.disks[0] = before
+		r.mu.Lock()
+		for i := 1; i < 3; i++ {
+			r.cut[[2]int{0, i}], r.cut[[2]int{i, 0}] = true, true
+		}
+		r.mu.Unlock()
+		r.start(0)
+		time.Sleep(10 * time.Second) // of the test's own clock: five elections' time
+		if v := r.nodes[0].view(); !errors.Is(v.wrong, errUnconfirmed) || v.leads || v.applied != 1 {
+			t.Errorf("cut off: %v, leads %v, applied %d", v.wrong, v.leads, v.applied)
+		}
+		r.mu.Lock()
+		clear(r.cut)
+		r.mu.Unlock()
+		if err := r.nodes[0].await(ctx, func(v *view) bool { return errors.Is(v.wrong, ErrOld) }); err != nil {
+			t.Errorf("heard: %v, and its disk is old", r.nodes[0].view().wrong)
+		}
+	})
+}
+
 // sick is a disk that is slow, or full.
 type sick struct {
 	journal.Memory
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -14,16 +14,32 @@
 	for bug, properties := range bugs {
 		t.Run(bug, func(t *testing.T) {
 			t.Parallel()
-			broken := func(found string) bool {
-				name, _, _ := strings.Cut(found, ":")
-				return slices.Contains(strings.Split(properties, "|"), name)
-			}
-			for seed := range seeds {
-				if slices.ContainsFunc(play(seed, bug), broken) {
-					return
-				}
-			}
-			t.Errorf("%s still holds", properties)
+			untilBroken(t, properties, seeds, func(seed uint64) []string { return play(seed, bug) })
 		})
 	}
 }
+
+// EachInTurn is Each for plays that set something of the whole process, such as its source of randomness: they run one after
+// another.
+func EachInTurn(t *testing.T, bugs map[string]string, seeds uint64, play func(t *testing.T, seed uint64, bug string) []string) {
+	for bug, properties := range bugs {
+		t.Run(bug, func(t *testing.T) {
+			untilBroken(t, properties, seeds, func(seed uint64) []string { return play(t, seed, bug) })
+		})
+	}
+}
+
+// untilBroken plays seeds until one of the properties is found broken, and fails if none does.
+func untilBroken(t *testing.T, properties string, seeds uint64, play func(seed uint64) []string) {
+	t.Helper()
+	broken := func(found string) bool {
+		name, _, _ := strings.Cut(found, ":")
+		return slices.Contains(strings.Split(properties, "|"), name)
+	}
+	for seed := range seeds {
+		if slices.ContainsFunc(play(seed), broken) {
+			return
+		}
+	}
+	t.Errorf("%s still holds", properties)
+}
