Alerting tests: gofmt

gofmt -l named internal/mesh/alerting/rules_test.go since the packages were renamed; test.sh stops there. Only spaces change. go test ./internal/mesh/alerting passes.

--- a/internal/mesh/alerting/rules_test.go
+++ b/internal/mesh/alerting/rules_test.go
@@ -113,14 +113,14 @@
 
 // quiet is a mesh on a calm day, with all metrics that rules ask for.
 var quiet = mesh{
-	"micaline_mesh_leaders":              {{"", 1, 0, 0}},
+	"micaline_mesh_leaders":                   {{"", 1, 0, 0}},
 	"micaline_mesh_core_leader_changes_total": {{"machine=a", 2, 0, 0}},
-	"micaline_mesh_cores_silent":         {{"", 0, 0, 0}},
+	"micaline_mesh_cores_silent":              {{"", 0, 0, 0}},
 	"micaline_mesh_core_sync_longest_seconds": {{"machine=a", 0.3, 0, 0}}, // long ago
 	"micaline_mesh_core_proposals_total": {{"machine=a result=agreed", 5, 1, 0}, {"machine=a result=unknown", 1, 0, 0},
 		{"machine=a result=not_taken", 1, 0, 0}, {"machine=a result=refused", 1, 0, 0}},
 	"micaline_mesh_core_stations":         {{"machine=a state=open", 13, 0, 0}, {"machine=a state=lost", 1, 0, 0}},
-	"micaline_mesh_config_behind":    {{"machine=b", 0, 0, 0}},
+	"micaline_mesh_config_behind":         {{"machine=b", 0, 0, 0}},
 	"micaline_mesh_agent_unheard_seconds": {{"machine=b", 0.4, 0, 0}},
 	"micaline_mesh_agent_ready":           {{"machine=b", 1, 0, 0}},
 	"micaline_mesh_gate_cold_peak":        {{"machine=b", 7, 0, 0}},
@@ -139,7 +139,7 @@
 	"micaline_mesh_uptime_seconds":       {{"machine=b", 0, 15, 0}},
 	"micaline_mesh_memory_bytes":         {{"machine=b", 90e6, 0, 0}},
 	"micaline_mesh_memory_limit_bytes":   {{"machine=b", 284e6, 0, 0}},
-	"micaline_mesh_dropped":         {{"", 0, 0, 0}},
+	"micaline_mesh_dropped":              {{"", 0, 0, 0}},
 }
 
 // trouble replaces series of the calm day, for each alert so that it fires.
