--- a/policy/admit.go
+++ b/policy/admit.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"example.org/micaline/internal/limit"
 	"example.org/micaline/internal/ewma"
+	"example.org/micaline/internal/limit"
 )
 
 const (
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
-	"example.org/micaline/internal/outlier"
 	"example.org/micaline/internal/ewma"
+	"example.org/micaline/internal/outlier"
 	"example.org/micaline/internal/weighted"
 )
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
+	"example.org/micaline/internal/ewma"
 	"example.org/micaline/internal/limit"
 	"example.org/micaline/internal/outlier"
-	"example.org/micaline/internal/ewma"
 	"example.org/micaline/internal/weighted"
 )
 
@@ -30,7 +30,7 @@
 	others   float64           // attempts that other agents say they have out,
 	theirs   float64           // and the limit that they have learnt
 	full     time.Duration     // passed by until then: it had no room
-	health   []outlier.Record    // by class
+	health   []outlier.Record  // by class
 }
 
 type attempt struct {
@@ -93,8 +93,8 @@
 	out      []Action
 	classes  []class
 	servers  map[ServerID]*server
-	ring     []*server     // all servers, by rank
-	epoch    int           // counts the changes that are worth new lines
+	ring     []*server  // all servers, by rank
+	epoch    int        // counts the changes that are worth new lines
 	fleet    ewma.Fleet // how fast its servers are
 	width    limit.Width
 	room     weighted.Mean // limit of the servers that have answered, where they report nothing
