Group: a heartbeat commits nothing before an append has compared the logs since the start

The leader remembers that the log matched up to 62, its first heartbeat says that 62 are committed, and the member applies the wrong entries before it is told that its disk is old: two members at one index with different states.

Until one of the present term has, since the start, a heartbeat moves the commit index no further. A restarted member is not held up for long: its start is agreed on by an entry of its own, which is an append.

TestHeartbeatAppliesNothingThatWasNotCompared shows it without the explorer (without the rule: applied up to 4 by a heartbeat).

--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -183,6 +183,7 @@
 	dirty   map[string]bool // duties that are not in the records as they are
 	steps   uint64          // of the history that is
 	peers   int             // how many others the deployment names
+	agreed  uint64          // term whose leader's log and this one's have been found the same since the start
 	// confirmed are the peers that have taken this start for one that may follow those they know; nil if none need to.
 	confirmed map[string]bool
 }
@@ -693,13 +694,33 @@
 		c.wrong = fmt.Errorf("%w: entry %d was agreed on with it, and its log ends at %d", ErrOld, m.GetCommit(), last) // else raft ends the process for it; a lead of before may know of entries that were replaced
 		return c.wrong
 	}
-	err := c.safely(func() error { return c.raw.Step(m) })
+	err := c.safely(func() error { return c.raw.Step(c.checked(m)) })
 	if errors.Is(err, raft.ErrProposalDropped) || errors.Is(err, raft.ErrStepPeerNotFound) {
 		return nil
 	}
 	return err
 }
 
+// checked is a message of a leader without what this start has not found out to hold. Danger: a heartbeat says how much is
+// committed of what the leader takes this log to have in common with its own. A disk that was put back may have other entries
+// there, of an earlier leader, and would apply these. Only an append or a snapshot shows that both logs are the same.
+func (c *Core) checked(m *raftpb.Message) *raftpb.Message {
+	switch m.GetType() {
+	case raftpb.MsgApp:
+		if term, err := c.log.Term(m.GetIndex()); err == nil && term == m.GetLogTerm() {
+			c.agreed = m.GetTerm()
+		}
+	case raftpb.MsgSnap:
+		c.agreed = m.GetTerm()
+	case raftpb.MsgHeartbeat:
+		if c.agreed != m.GetTerm() {
+			m = proto.CloneOf(m)
+			m.Commit = new(min(m.GetCommit(), c.raw.BasicStatus().GetCommit()))
+		}
+	}
+	return m
+}
+
 // Unreachable takes in that a message could not be sent.
 func (c *Core) Unreachable(m *raftpb.Message) {
 	if c.part() != nil {
