Tests: a reply of another exchange, a connection that was given back

Each mended fault of the exchange was planted again by itself in a scratch copy. Two were found by no test, as another check behind them held: a reply's number not compared, and a connection that is still named as the request's own after it was given back. Both have a test of their own now, which fails with the fault planted.

--- /dev/null
+++ b/internal/mesh/outbound/exchange_test.go
@@ -0,0 +1,106 @@
+package outbound
+
+import (
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"example.org/micaline/internal/mesh/transport"
+	"github.com/stretchr/testify/require"
+)
+
+// stale is a gate that says its last reply once more before the next, when the connection has long
+// been found quiet, and that asks for a body twice.
+func stale(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	serve := func(c *transport.Conn) {
+		defer c.Close()
+		var last *transport.Reply
+		if c.Receive(new(transport.Hello)) != nil {
+			return
+		}
+		for {
+			var a transport.Ask
+			if c.Receive(&a) != nil {
+				return
+			}
+			if last != nil && c.Send(last, []byte(last.Header[1])) != nil {
+				return
+			}
+			if a.Hold {
+				c.Send(&transport.Reply{Number: a.Number, Go: true}, nil)
+				c.Send(&transport.Reply{Number: a.Number, Go: true}, nil)
+			}
+			if _, err := c.Body(a.Body, 1<<20); err != nil {
+				return
+			}
+			last = &transport.Reply{Number: a.Number, Verdict: transport.Ran, Status: 200, Header: []string{"Try-Id", a.Try},
+				Body: int64(len(a.Try)), Sum: transport.Sum([]byte(a.Try))}
+			if c.Send(last, []byte(a.Try)) != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(transport.NewConn(raw))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestReplyOfAnotherExchange provokes MIXED: a reply that comes once more on a kept connection is
+// not that to the next request, and a connection that has gone out of step is used no more.
+func TestReplyOfAnotherExchange(t *testing.T) {
+	s := sender(t, stale(t))
+	for _, try := range []string{"a", "b", "c", "d"} {
+		for _, kind := range []string{"safe", "unsafe"} {
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, request("GET", "/"+kind+"/", kind+try, nil))
+			require.False(t, w.Code == 200 && w.Body.String() != kind+try, "%s got %q", kind+try, w.Body.String())
+			require.False(t, promises(w.Code) && kind == "unsafe", "%d", w.Code)
+			s = New(s.set, s.host, s.links, s.room, s.log).with(s.View()) // with nothing learnt of the gate
+		}
+	}
+	_, made := s.links.Counts()
+	require.Greater(t, made, uint64(2), "connections that are out of step are used on")
+}
+
+func (s *Sender) with(v *View) *Sender {
+	s.SetView(v)
+	return s
+}
+
+// TestConnectionIsReleased: once a request is done with a connection, nobody can end a wait on it in
+// its name, as it may be another request's by then.
+func TestConnectionIsReleased(t *testing.T) {
+	replies := map[string]*transport.Reply{
+		"answered": {Verdict: transport.Ran, Status: 200},
+		"refused":  {Verdict: transport.NotRun, Reason: transport.Full},
+		"broken":   nil,
+	}
+	s := sender(t, gate(t, func(a *transport.Ask, _ []byte) (*transport.Reply, []byte) { return replies[a.Try], nil }))
+	at := transport.Endpoint{Address: s.View().Stations[0].Station.Gate, Life: 1}
+	for try := range replies {
+		for _, state := range []string{"waiting", "done", "cut"} {
+			j := &job{done: make(chan struct{}), cut: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
+			switch state {
+			case "done":
+				j.win(&attempt{})
+			case "cut":
+				j.expire()
+			}
+			_, _, f := s.exchange(j, at, &transport.Ask{Try: try, Left: time.Minute}, true)
+			require.Nil(t, j.inline, "%s, %s", try, state)
+			require.Equal(t, state != "waiting" || try == "broken", f != nil, "%s, %s", try, state)
+			require.False(t, state != "waiting" && f.Verdict != transport.NotRun, "%s, %s", try, state)
+		}
+	}
+}
