--- a/internal/mesh/consensus/store.go
+++ b/internal/mesh/consensus/store.go
@@ -81,9 +81,9 @@
 		return nil, State{}, errs.Wrapf(err, "reading %s", path)
 	}
 	if c.id.Address != "" && c.id.Address != self {
-		return nil, State{}, errs.Errorf("%s is the store of %s, and this node is %s, which must not take over its promises: "+
+		return nil, State{}, errs.Wrap(unusable("%s is the store of %s, and this node is %s, which must not take over its promises: "+
 			"mend the node's address or data folder in the settings, or take the file away, and the node recovers from the others",
-			path, c.id.Address, self)
+			path, c.id.Address, self))
 	}
 	if c.format != storeFormat {
 		if err := makeStore(dir, identity{c.id.Disk, c.id.Founder, self}, c.whole()); err != nil {
@@ -203,13 +203,16 @@
 	return nil
 }
 
-// close closes the file. After a failed save it gets a name that has the next start rewrite it;
+// close closes the file, and may be called again if it fails. After a failed save the file gets a
+// name that has the next start rewrite it;
 // that needs no sync, since what a loss of power leaves can be trusted again.
 func (s *store) close() error {
 	err := s.db.Close()
 	if s.failed {
 		path := filepath.Join(s.dir, storeName)
-		if renaming := os.Rename(path, filepath.Join(s.dir, suspectName)); err == nil && renaming != nil {
+		renaming := os.Rename(path, filepath.Join(s.dir, suspectName))
+		s.failed = renaming != nil
+		if err == nil && renaming != nil {
 			err = oops.Wrapf(renaming, "take %s away, and the node recovers from the others", path)
 		}
 	}
@@ -300,21 +303,25 @@
 	holdsCommand
 	holdsMembers
 	holdsMembersOf // a mesh that was founded from a backup
+	holdsJointMembers
 )
 
 func encodeEntry(e Entry) []byte {
 	b := binary.BigEndian.AppendUint64(make([]byte, 0, 32+len(e.Command)), e.Term)
 	switch {
 	case e.Members != nil:
-		if e.Members.Mesh == 0 {
+		switch {
+		case e.Members.joint():
+			b = appendJointMembers(append(b, holdsJointMembers), e.Members)
+			return b
+		case e.Members.Mesh == 0:
 			b = append(b, holdsMembers)
-		} else {
+		default:
 			b = binary.BigEndian.AppendUint64(append(b, holdsMembersOf), e.Members.Mesh)
 		}
 		b = binary.AppendUvarint(b, uint64(e.Members.Target))
 		for _, v := range e.Members.Voters {
-			b = binary.BigEndian.AppendUint64(b, v.Disk)
-			b = append(binary.AppendUvarint(b, uint64(len(v.Address))), v.Address...)
+			b = appendMember(b, v)
 		}
 	case e.Origin != 0:
 		b = binary.BigEndian.AppendUint64(append(b, holdsCommand), e.Origin)
@@ -354,17 +361,18 @@
 		}
 		e.Members.Target = int(target)
 		for b = b[n:]; len(b) > 0; {
-			if len(b) < 9 {
+			v, rest, ok := cutMember(b)
+			if !ok {
 				return Entry{}, bad
 			}
-			v := Member{Disk: binary.BigEndian.Uint64(b)}
-			length, n := binary.Uvarint(b[8:])
-			if b = b[8+max(n, 0):]; n <= 0 || uint64(len(b)) < length {
-				return Entry{}, bad
-			}
-			v.Address, b = string(b[:length]), b[length:]
-			e.Members.Voters = append(e.Members.Voters, v)
+			e.Members.Voters, b = append(e.Members.Voters, v), rest
+		}
+	case holdsJointMembers:
+		members, ok := decodeJointMembers(b)
+		if !ok {
+			return Entry{}, bad
 		}
+		e.Members = members
 	default:
 		return Entry{}, oops.Errorf("entry %d is of a kind that this program doesn't know", index)
 	}
