--- a/internal/mesh/meshtest/links.go
+++ b/internal/mesh/meshtest/agentlinks.go
@@ -6,8 +6,8 @@
 	"example.org/micaline/internal/mesh/meshtest/relay"
 )
 
-// Links are those through which what stands on an agent's machine is reached.
-type Links struct {
+// AgentLinks are those through which what stands on an agent's machine is reached.
+type AgentLinks struct {
 	Client  *relay.Link // from clients, and from the backend's own calls, to the agent
 	Gate    *relay.Link // from other agents to the gate
 	Backend *relay.Link // from the gate to the backend
@@ -16,8 +16,8 @@
 // linkPorts is how far the port of a link is from the one that it leads to.
 const linkPorts = 100
 
-func newLinks(m *Machine, seed uint64) (*Links, error) {
-	l := &Links{}
+func newAgentLinks(m *Machine, seed uint64) (*AgentLinks, error) {
+	l := &AgentLinks{}
 	for port, link := range map[int]**relay.Link{outboundPort: &l.Client, firstSpare: &l.Gate, appPort: &l.Backend} {
 		made, err := relay.Listen(m.at(port+linkPorts), m.at(port), seed<<16|uint64(port))
 		if err != nil {
@@ -29,9 +29,9 @@
 	return l, nil
 }
 
-func (l *Links) all() []*relay.Link { return []*relay.Link{l.Client, l.Gate, l.Backend} }
+func (l *AgentLinks) all() []*relay.Link { return []*relay.Link{l.Client, l.Gate, l.Backend} }
 
-func (l *Links) close() error {
+func (l *AgentLinks) close() error {
 	var errs []error
 	for _, link := range l.all() {
 		if link != nil {
--- a/internal/mesh/meshtest/links_test.go
+++ b/internal/mesh/meshtest/brokenlinks_test.go
@@ -173,7 +173,7 @@
 	program, began := buildRaced(t), time.Now()
 	step := func(what string) { t.Logf("%v: %s", time.Since(began).Round(time.Millisecond), what) }
 	g, err := Start(ctx, Options{Program: program, Dir: at, Agents: 6, Rate: 60, Work: 10 * time.Millisecond,
-		Links: true, Seed: *linkSeedFlag, GiveUp: 0.1})
+		AgentLinks: true, Seed: *linkSeedFlag, GiveUp: 0.1})
 	require.NoError(t, err)
 	defer g.Close()
 	step("all are ready")
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -26,9 +26,9 @@
 // Machine is a process of the mesh, its disk, and what stands beside it.
 type Machine struct {
 	Name, IP, Zone string
-	Service        string   // "" on a core machine
-	Backend        *Backend // nil on a core machine
-	Links          *Links   // nil on a core machine, and without Options.Links
+	Service        string      // "" on a core machine
+	Backend        *Backend    // nil on a core machine
+	Links          *AgentLinks // nil on a core machine, and without Options.AgentLinks
 
 	g     *Ground
 	first bool // the whole system starts
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -7,7 +7,7 @@
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
 // Story. Processes may be killed, stopped, continued, told to end, started again, and their disks
 // wiped; backends may leave and come back as new lives; zones may be evacuated, and the
-// configuration changed. Where Options.Links says so, clients, gates and backends are reached through
+// configuration changed. Where Options.AgentLinks says so, clients, gates and backends are reached through
 // links that can be broken; those to the core can't be: a machine that is stopped is as near to that
 // as it gets.
 //
@@ -57,14 +57,14 @@
 
 // Options say what a ground is like.
 type Options struct {
-	Program string // the built micaline-mesh
-	Dir     string // for settings, disks and logs, and empty; "": one that is taken away at the end
-	Agents  int    // 3 at least
-	Rate    float64
-	Work    time.Duration // of a backend with a request, on the mean
-	Links   bool          // clients, gates and backends are reached through links that can be broken
-	Seed    uint64        // of the links' faults
-	GiveUp  float64       // share of the tries that a client gives up early
+	Program    string // the built micaline-mesh
+	Dir        string // for settings, disks and logs, and empty; "": one that is taken away at the end
+	Agents     int    // 3 at least
+	Rate       float64
+	Work       time.Duration // of a backend with a request, on the mean
+	AgentLinks bool          // clients, gates and backends are reached through links that can be broken
+	Seed       uint64        // of the links' faults
+	GiveUp     float64       // share of the tries that a client gives up early
 }
 
 // Ground is a mesh that runs.
@@ -125,8 +125,8 @@
 		m := g.machine(fmt.Sprintf("agent-%d", i+1), fmt.Sprintf("%s.%d", net, 11+i), zones[i%len(zones)], service)
 		m.Backend = newBackend(g, m)
 		g.Agents = append(g.Agents, m)
-		if o.Links {
-			if m.Links, err = newLinks(m, o.Seed+uint64(i)); err != nil {
+		if o.AgentLinks {
+			if m.Links, err = newAgentLinks(m, o.Seed+uint64(i)); err != nil {
 				return g, err
 			}
 			g.record.story.Broken = true
