--- /dev/null
+++ b/internal/mesh/inbound/handle.go
@@ -0,0 +1,84 @@
+package inbound
+
+import (
+	"context"
+	"time"
+
+	"example.org/micaline/internal/mesh/transport"
+)
+
+const (
+	connectTime = time.Second           // at most, for a connection to the backend
+	answerSlack = 50 * time.Millisecond // beyond a request's time: a backend says itself that it is over
+)
+
+// Handle brings a request to the backend and returns its answer, or why there is none.
+func (h *Host) Handle(a *transport.Request, body []byte) (*transport.Reply, []byte) {
+	arrived := time.Now()
+	address, waited, f := h.admit(a)
+	if f != nil {
+		h.note(a, f, waited, time.Since(arrived))
+		r := h.reply(f)
+		r.Waited = waited
+		return r, nil
+	}
+	h.Handed.Add(1)
+	working := h.begin(a)
+	a.Left = max(a.Left-time.Since(arrived), time.Millisecond)
+	sent := time.Now()
+	ans, f := h.call(address, a, body, sent)
+	took := time.Since(sent)
+	var meant *transport.Failure
+	if f == nil {
+		meant = ans.meaning()
+	}
+	h.done(a, working, ans, f, meant, took)
+	if f == nil {
+		f = meant
+	}
+	if f != nil {
+		h.Failed.Add(1)
+		h.note(a, f, waited, waited+took)
+		r := h.reply(f)
+		r.Waited, r.Arrived = waited, meant != nil
+		return r, nil
+	}
+	h.Answered.Add(1)
+	h.Ways.Plain()
+	return &transport.Reply{Verdict: transport.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited,
+		Load: h.load(), Inner: working.failed && ans.status >= 500}, ans.body
+}
+
+// begin enters a run that the backend is about to have in work.
+func (h *Host) begin(a *transport.Request) *run {
+	working := &run{repeat: a.Repeat}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs[a.Try] = working
+	return working
+}
+
+// call sends a request to the backend and waits for its answer. Danger: a backend's silence proves
+// nothing, so it is waited for until nobody waits for the answer.
+func (h *Host) call(address string, a *transport.Request, body []byte, sent time.Time) (*answer, *transport.Failure) {
+	ctx, cancel := context.WithDeadline(context.Background(), sent.Add(min(a.Left, connectTime)))
+	defer cancel()
+	return h.exchange(ctx, address, a, body, sent.Add(a.Left+answerSlack))
+}
+
+// done takes in how a run ended: without an answer, with one that says it did not run (meant), or
+// with one that counts. Danger: where nobody listens, or somebody else does, the backend is gone
+// until a beat tells otherwise.
+func (h *Host) done(a *transport.Request, working *run, ans *answer, f, meant *transport.Failure, took time.Duration) {
+	h.With(func(now time.Duration, g *Gate) (lost bool) {
+		ran := f == nil && meant == nil
+		if h.runs[a.Try] == working { // a copy of it may have begun since
+			delete(h.runs, a.Try)
+		}
+		g.Done(now, took, ran, ran && (ans.status < 500 || working.failed))
+		if f != nil && f.Reason == transport.Unknown || meant != nil && meant.Reason == transport.Unknown {
+			return g.Left(now, a.Target)
+		}
+		return false
+	})
+}
--- a/internal/mesh/outbound/answer.go
+++ b/internal/mesh/outbound/answer.go
@@ -72,7 +72,7 @@
 		h["Content-Type"] = nil
 	}
 	h["Date"] = nil
-	if j.ask.Method != http.MethodHead {
+	if j.request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(at.body)))
 	}
 	w.WriteHeader(status)
--- a/internal/mesh/outbound/job.go
+++ b/internal/mesh/outbound/job.go
@@ -13,7 +13,7 @@
 type job struct {
 	began    time.Time
 	route    *meshconfig.Route
-	ask      transport.Ask
+	request  transport.Request
 	body     []byte
 	deadline time.Time
 	aim      time.Time
@@ -29,7 +29,7 @@
 	steps     []transport.Attempt // attempts that have ended, but for one that was all and succeeded
 	last      *attempt            // the best answer that is no success
 	done      chan struct{}
-	cut       chan struct{} // closed when the process ends: no answer is waited for any more
+	expired   chan struct{} // closed when the process ends: no answer is waited for any more
 	won       *attempt
 	inline    *transport.Conn // of the attempt that the request's own goroutine waits for; nil once it is given back
 }
@@ -37,11 +37,11 @@
 // run carries out what the chooser orders until the request has its answer.
 func (s *Sender) run(j *job, left time.Duration) outcome {
 	c := j.chooser
-	again := func(a policy.Action, t *target) { go s.again(j, a, t) }
+	again := func(a policy.Action, t *target) { go s.copy(j, a, t) }
 	j.call = c.begin(classIndex(c.classes, j.route, j.inner), left, again)
 	defer c.forget(j.call)
-	s.take(j)
-	defer s.drop(j)
+	s.register(j)
+	defer s.unregister(j)
 	for {
 		a, t, ok := c.take(j.call)
 		if !ok { // nothing to do but to wait for an attempt that another goroutine carries out
@@ -76,7 +76,7 @@
 		return outcome{}, false
 	case <-j.done:
 		return outcome{attempt: j.won}, true
-	case <-j.cut:
+	case <-j.expired:
 	case <-late.C:
 	}
 	return outcome{attempt: j.best()}, true
@@ -89,14 +89,14 @@
 	return j.attempts - 1
 }
 
-// reach counts a backend that the request is about to be sent to, and says whether it may go there:
+// mayStart counts a backend that the request is about to be sent to, and says whether it may go there:
 // while the route allows one more, and never where it must not run twice and an attempt may have
 // run. Danger: an attempt that is out may have reached its backend, so it counts until it is proven
 // that it did not.
-func (j *job) reach() bool {
+func (j *job) mayStart() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.reached >= max(1, j.route.Tries) || j.ask.Unsafe && j.uncertain > 0 {
+	if j.reached >= max(1, j.route.Tries) || j.request.Unsafe && j.uncertain > 0 {
 		return false
 	}
 	j.reached++
@@ -104,9 +104,9 @@
 	return true
 }
 
-// proven takes in that an attempt did not run and never will; arrived says that a backend itself
+// provedNotRun takes in that an attempt did not run and never will; arrived says that a backend itself
 // turned it away.
-func (j *job) proven(arrived bool) {
+func (j *job) provedNotRun(arrived bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.uncertain--
@@ -120,7 +120,7 @@
 func (j *job) mayHaveRun() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.ask.Unsafe && j.uncertain > 0
+	return j.request.Unsafe && j.uncertain > 0
 }
 
 // hold names the connection on which the request's own goroutine waits, so that its wait can be
@@ -128,7 +128,7 @@
 func (j *job) hold(c *transport.Conn) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.isDone() || j.isCut() {
+	if j.isDone() || j.isExpired() {
 		return false
 	}
 	j.inline = c
@@ -147,7 +147,7 @@
 func (j *job) expire() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	close(j.cut)
+	close(j.expired)
 	if j.inline != nil {
 		j.inline.SetDeadline(time.Unix(1, 0))
 	}
@@ -167,7 +167,7 @@
 	}
 }
 
-func (j *job) isCut() bool { return closed(j.cut) }
+func (j *job) isExpired() bool { return closed(j.expired) }
 
 func (j *job) isDone() bool { return closed(j.done) }
 
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if !s.answer(w, j, s.run(j, left)) && j.inner {
-		s.host.CallFailed(j.ask.Try)
+		s.host.CallFailed(j.request.Try)
 	}
 }
 
@@ -100,18 +100,18 @@
 // job makes a job of a request, and says how much time it has.
 func (s *Sender) job(w *answered, r *http.Request, body []byte) (*job, time.Duration) {
 	route := w.route
-	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), cut: make(chan struct{})}
+	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), expired: make(chan struct{})}
 	w.job = j
 	left, told := timeLeft(r.Header, route.GiveUp)
 	now := time.Now()
 	j.deadline, j.aim = now.Add(left), now.Add(route.TargetTime)
-	j.ask = transport.Ask{
+	j.request = transport.Request{
 		Try: r.Header.Get(inbound.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
 		Unsafe: route.Kind != meshconfig.Safe, Rank: route.Rank, Body: int64(len(body)), Header: passedOn(r.Header),
 		Patient: max(route.TargetTime/patientPart, 10*time.Millisecond),
 	}
-	if j.inner, j.repeated = s.host.Parent(j.ask.Try); j.inner {
-		j.ask.Inner, j.ask.Patient = true, left/innerPart
+	if j.inner, j.repeated = s.host.Parent(j.request.Try); j.inner {
+		j.request.Inner, j.request.Patient = true, left/innerPart
 	} else if told > 0 && left > 0 { // not left, which falls for first tries too when the operators shorten give_up
 		j.aim = j.aim.Add(-s.ages.of(now, route.Name, told))
 	}
@@ -123,14 +123,14 @@
 // so the second of two with one id would run at another one; or one that was refused would run after
 // all. Nothing is promised, as the other may be under way.
 func (s *Sender) first(w *answered, j *job) bool {
-	if !j.ask.Unsafe || j.ask.Try == "" { // without an id the backend turns it away
+	if !j.request.Unsafe || j.request.Try == "" { // without an id the backend turns it away
 		return true
 	}
 	s.idsMu.Lock()
 	defer s.idsMu.Unlock()
 	s.ids.Step(time.Since(s.began))
 	switch {
-	case s.ids.Contains(j.ask.Try):
+	case s.ids.Contains(j.request.Try):
 		s.Count.Failed.Add(1)
 		s.say(w, http.StatusBadGateway, "this id has been taken before")
 		return false
@@ -138,6 +138,6 @@
 		s.refuse(w, time.Second)
 		return false
 	}
-	s.ids.Add(j.ask.Try)
+	s.ids.Add(j.request.Try)
 	return true
 }
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -3,7 +3,7 @@
 // There are four uses of a connection, told by the Hello that opens it:
 //
 //   - an exchange: the agent beside a caller, the sender, hands requests to the agent beside a backend, the gate, one at a time.
-//     An Ask and its body go, a Reply and its body come. The connection is kept for the next.
+//     A Request and its body go, a Reply and its body come. The connection is kept for the next.
 //   - a feed: an agent tells a core machine about itself and its backend, and hears the configuration and all other agents.
 //   - a peer: core machines exchange the messages of their agreement, each direction over a connection of its own.
 //   - stats: a process is asked for its figures.
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -6,44 +6,44 @@
 	"example.org/micaline/internal/mesh/meshconfig"
 )
 
-// Ask is a request that a sender hands to a gate. Body raw bytes follow it.
-type Ask struct {
-	Number  uint64 // of the exchange on its connection, from 1; the replies repeat it
-	Life    uint64 // of the gate's process for which it is meant
-	Try     string // the client's id of this try
-	Target  string // id of the backend's life that must run it
-	Method  string
-	URI     string
-	Host    string
-	Caller  string // the service of the machine on which the request began
-	Unsafe  bool   // must not run twice
-	Inner   bool   // called by a run of a backend
-	Repeat  bool   // a further attempt, or called by a run of one
-	Left    time.Duration
-	Aim     time.Duration // until when an answer earns its full worth, from now
-	Rank    int
-	Header  []string // names and values in turn
-	Body    int64
-	Sum     uint32        // of the body, by Sum
-	Hold    bool          // the body comes only once a Reply says Go: it is long, and may be refused
-	Patient time.Duration // the longest that it may wait at the gate before it is refused
+// Request is one that a sender hands to a gate. Body raw bytes follow it.
+type Request struct {
+	Number         uint64 // of the exchange on its connection, from 1; the replies repeat it
+	Life           uint64 // of the gate's process for which it is meant
+	Try            string // the client's id of this try
+	Target         string // id of the backend's life that must run it
+	Method         string
+	URI            string
+	Host           string
+	Caller         string // the service of the machine on which the request began
+	Unsafe         bool   // must not run twice
+	Inner          bool   // called by a run of a backend
+	Repeat         bool   // a further attempt, or called by a run of one
+	Left           time.Duration
+	Aim            time.Duration // until when an answer earns its full worth, from now
+	Rank           int
+	Header         []string // names and values in turn
+	Body           int64
+	Sum            uint32        // of the body, by Sum
+	ExpectContinue bool          // the body comes only once a Reply says Continue: it is long, and may be refused
+	Patient        time.Duration // the longest that it may wait at the gate before it is refused
 }
 
 // Reply is a gate's answer. Body raw bytes follow it.
 type Reply struct {
-	Number  uint64 // of the Ask
-	Verdict Verdict
-	Reason  Reason
-	After   time.Duration
-	Status  int
-	Header  []string
-	Body    int64
-	Sum     uint32 // of the body, by Sum
-	Load    Load
-	Arrived bool          // it reached the backend, which did not run it
-	Go      bool          // no answer yet: the body may come
-	Inner   bool          // the backend failed after a call of its own had
-	Waited  time.Duration // at the gate, for a slot
+	Number   uint64 // of the Request
+	Verdict  Verdict
+	Reason   Reason
+	After    time.Duration
+	Status   int
+	Header   []string
+	Body     int64
+	Sum      uint32 // of the body, by Sum
+	Load     Load
+	Arrived  bool          // it reached the backend, which did not run it
+	Continue bool          // no answer yet: the body may come
+	Inner    bool          // the backend failed after a call of its own had
+	Waited   time.Duration // at the gate, for a slot
 }
 
 // Load is what a gate knows of its backend: all that reaches it passes the gate.
