An agent that comes back is told what has changed; a stall takes nobody out

After a stall or a cut of a core machine each agent was sent all stations again, and, as all feeds had run into their timeouts in a stall, the loss of all others and their return. Now a core machine numbers the changes of its table (registry.Revisions) and an agent says what it has heard; a core process that notices that it stood still waits 2 s before who is silent counts as lost, and tells no stations meanwhile. Connections whose other end has gone are dropped before their Hello is read, and an agent waits 5 s for a core machine's first word rather than leave another dead connection every 2.7 s.

--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -31,6 +32,7 @@
 
 	heartbeat   = 500 * time.Millisecond
 	feedTimeout = 1700 * time.Millisecond // of silence, until a feed is given up: three heartbeats
+	settleFor   = 2 * time.Second         // after a stall: agents dial again within 1.5 s, and are greeted
 )
 
 // Core is the process. Its fields from registry on belong to the goroutine of own.
@@ -51,11 +53,18 @@
 	proving  bool             // a read is under way
 	cores    []string
 	left     departures
+
+	life      uint64             // of this process
+	revisions registry.Revisions // of registry
+	turned    time.Duration      // when the owner last had something to do
+	settled   time.Duration      // when all feeds count again after a stall
+	unheard   map[string]uint64  // agents whose feeds ended in it, and their lives
 }
 
 // New returns a core process that has not started.
 func New(set *bootstrap.Settings, l log.Interface) *Core {
-	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(), registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}}
+	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(),
+		registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}, life: rand.Uint64() | 1, unheard: map[string]uint64{}}
 	c.table = newTable(func() { c.enqueue(func() { c.each(func(f *feed) { f.wake() }) }) })
 	c.peers = newPeers(set)
 	return c
@@ -138,13 +147,45 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.commands:
+			c.turn()
 			f()
 		case <-tick.C:
-			c.registry.Step(c.now())
+			c.turn()
+			c.tick()
 		}
 	}
 }
 
+// turn notes that the owner goes on. Danger: a process that stood still finds all its feeds silent,
+// and its agents as lost as it was itself: all of them would be told of one another's loss, and of
+// their return.
+func (c *Core) turn() {
+	now := c.now()
+	if now-c.turned > feedTimeout {
+		c.settled = now + settleFor
+	}
+	c.turned = now
+}
+
+// settling says whether the process has stood still a moment ago, so that who is heard is not known
+// yet. Meanwhile agents are told of no others.
+func (c *Core) settling() bool { return c.now() < c.settled }
+
+func (c *Core) tick() {
+	if c.registry.Step(c.now()) {
+		c.revisions.Removed(func(agent string) bool { return c.registry.Station(agent) != nil })
+	}
+	if c.settling() || c.settled == 0 {
+		return
+	}
+	c.settled = 0
+	for agent, life := range c.unheard {
+		c.lose(agent, life)
+	}
+	clear(c.unheard)
+	c.each(func(f *feed) { f.wake() })
+}
+
 // uses are what agents and other core machines connect for.
 func (c *Core) uses() map[string]func(transport.Hello, *transport.Conn) {
 	return map[string]func(transport.Hello, *transport.Conn){
--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -17,21 +17,22 @@
 
 // feed is the link from one agent.
 type feed struct {
-	agent   string // ip
-	conn    *transport.Conn
-	woken   chan struct{}
-	dirty   map[string]bool // stations to be told of; the owner's
-	whole   bool            // nothing has been told yet
-	known   bool            // it has said what it has
-	have    uint64          // index of the configuration that it has, or has been told of
-	want    uint64          // not 0: the whole configuration, of this index or a later one
-	cores   []string        // told last
-	proven  uint64          // to be answered; the owner's
-	min     uint64          // life that the agent's must be above
-	life    uint64
-	beats   []waiting
-	last    uint64
-	replies map[uint64]chan int
+	agent    string // ip
+	conn     *transport.Conn
+	woken    chan struct{}
+	dirty    map[string]bool // stations to be told of; the owner's
+	whole    bool            // nothing has been told yet
+	known    bool            // it has said what it has
+	have     uint64          // index of the configuration that it has, or has been told of
+	want     uint64          // not 0: the whole configuration, of this index or a later one
+	cores    []string        // told last
+	proven   uint64          // to be answered; the owner's
+	revision uint64          // of the stations, told last
+	min      uint64          // life that the agent's must be above
+	life     uint64
+	beats    []waiting
+	last     uint64
+	replies  map[uint64]chan int
 }
 
 // waiting is a backend's call that is to be told to the agent beside it.
@@ -63,12 +64,12 @@
 	if err != nil {
 		return
 	}
-	first, err := greet(conn)
+	first, err := c.greet(conn)
 	if err != nil {
 		return
 	}
 	f := newFeed(ip, conn)
-	if !c.open(f) {
+	if !c.open(f, first.Resume) {
 		return
 	}
 	ended := make(chan struct{})
@@ -79,9 +80,9 @@
 }
 
 // greet sends the first word of a feed, and returns the agent's, which answers it.
-func greet(conn *transport.Conn) (*transport.Up, error) {
+func (c *Core) greet(conn *transport.Conn) (*transport.Up, error) {
 	conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-	if err := conn.Send(&transport.Down{}, nil); err != nil {
+	if err := conn.Send(&transport.Down{Core: c.life}, nil); err != nil {
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Now().Add(feedTimeout))
@@ -90,7 +91,7 @@
 }
 
 // open makes a feed the agent's feed, in place of the one before.
-func (c *Core) open(f *feed) bool {
+func (c *Core) open(f *feed, heard transport.Resume) bool {
 	opened := make(chan bool, 1)
 	c.do(func() {
 		old := c.feeds[f.agent]
@@ -102,11 +103,28 @@
 			old.conn.Close()
 		}
 		c.feeds[f.agent] = f
+		delete(c.unheard, f.agent)
+		c.resume(f, heard)
 		opened <- true
 	})
 	return <-opened
 }
 
+// resume has an agent told what has changed since it last heard this process, if that is known.
+func (c *Core) resume(f *feed, heard transport.Resume) {
+	if heard.Core != c.life {
+		return
+	}
+	changed, ok := c.revisions.Since(heard.Revision)
+	if !ok {
+		return
+	}
+	f.whole = false
+	for _, agent := range changed {
+		f.dirty[agent] = true
+	}
+}
+
 // receive takes in what an agent says until its connection breaks or it is silent for too long.
 func (c *Core) receive(f *feed, up *transport.Up) {
 	for {
@@ -127,10 +145,20 @@
 	}
 	delete(c.feeds, f.agent)
 	delete(c.asking, f)
-	if c.registry.Lost("feeds", f.agent, f.life) {
+	if c.settling() {
+		c.unheard[f.agent] = f.life
+		return
+	}
+	c.lose(f.agent, f.life)
+}
+
+// lose takes in that an agent is not heard any more.
+func (c *Core) lose(agent string, life uint64) {
+	if c.registry.Lost("feeds", agent, life) {
+		c.revisions.Lost(agent)
 		c.count.lost.Add(1)
-		c.log.WithField("agent", f.agent).Info("agent lost")
-		c.announce(f.agent)
+		c.log.WithField("agent", agent).Info("agent lost")
+		c.announce(agent)
 	}
 }
 
@@ -171,10 +199,20 @@
 
 // hear takes in an agent's word of itself.
 func (c *Core) hear(s transport.Station) {
-	c.left.note(c.registry.Station(s.Agent), &s)
-	if c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: s}}) {
-		c.announce(s.Agent)
+	before, known := c.registry.Of(c.now(), s.Agent)
+	if known {
+		c.left.note(&before.Station, &s)
 	}
+	if !c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: s}}) {
+		return
+	}
+	if known && before.Lost {
+		c.revisions.Back(s.Agent)
+	}
+	if !known || s.Newer(&before.Station) {
+		c.revisions.Said(s.Agent)
+	}
+	c.announce(s.Agent)
 }
 
 // prove finds out what is current, and has those agents told that asked before. One read serves all who have asked when it begins:
@@ -273,6 +311,33 @@
 		}
 		f.have = s.index
 	}
+	told := !c.settling() && c.nextStations(f, &d)
+	if !slices.Equal(f.cores, c.cores) {
+		d.Cores, f.cores = c.cores, c.cores
+	}
+	if told {
+		if now := c.revisions.Now(); f.revision != now {
+			d.Revision, f.revision = now, now
+		}
+		if f.known { // a proof without an index would prove any configuration
+			d.Fresh, f.proven = f.proven, 0
+		}
+	}
+	d.MinLife, f.min = f.min, 0
+	if len(f.beats) > 0 {
+		w := f.beats[0]
+		f.beats = f.beats[1:]
+		d.Beat, d.Number = &w.beat, w.number
+		if len(f.beats) > 0 {
+			f.wake()
+		}
+	}
+	return d, raw
+}
+
+// nextStations fills in stations that the agent has not been told of. It reports whether there are
+// no more.
+func (c *Core) nextStations(f *feed, d *transport.Down) bool {
 	if f.whole {
 		d.Whole, f.whole = true, false
 		clear(f.dirty)
@@ -283,29 +348,14 @@
 	for agent := range f.dirty {
 		if len(d.Stations) == mostStations {
 			f.wake()
-			break
+			return false
 		}
 		if h, ok := c.registry.Of(c.now(), agent); ok {
 			d.Stations = append(d.Stations, h)
 		}
 		delete(f.dirty, agent)
 	}
-	if !slices.Equal(f.cores, c.cores) {
-		d.Cores, f.cores = c.cores, c.cores
-	}
-	if len(f.dirty) == 0 && f.known { // a proof without an index would prove any configuration
-		d.Fresh, f.proven = f.proven, 0
-	}
-	d.MinLife, f.min = f.min, 0
-	if len(f.beats) > 0 {
-		w := f.beats[0]
-		f.beats = f.beats[1:]
-		d.Beat, d.Number = &w.beat, w.number
-		if len(f.beats) > 0 {
-			f.wake()
-		}
-	}
-	return d, raw
+	return true
 }
 
 // pass hands a backend's call to the agent beside it, and returns the agent's answer.
--- a/internal/mesh/registry/table.go
+++ b/internal/mesh/registry/table.go
@@ -58,8 +58,14 @@
 	return s
 }
 
+func (t *Table) isUp(name string) bool {
+	s := t.sources[name]
+	return s != nil && s.up
+}
+
 // Hear takes in what a source tells. Whole says that it tells of all that it knows.
 func (t *Table) Hear(now time.Duration, from string, whole bool, heard []transport.Heard) (changed bool) {
+	changed = !t.isUp(from) // what it told before counts again
 	s := t.source(from)
 	if whole {
 		clear(s.heard)
--- a/internal/mesh/scaletest/hollow.go
+++ b/internal/mesh/scaletest/hollow.go
@@ -17,10 +17,11 @@
 
 // As package sidecar has them.
 const (
-	heartbeat   = 500 * time.Millisecond
-	feedTimeout = 1700 * time.Millisecond
-	redialMin   = 100 * time.Millisecond
-	redialMax   = time.Second
+	greetTimeout = 5 * time.Second
+	heartbeat    = 500 * time.Millisecond
+	feedTimeout  = 1700 * time.Millisecond
+	redialMin    = 100 * time.Millisecond
+	redialMax    = time.Second
 )
 
 // fleet is all hollow agents.
@@ -64,6 +65,9 @@
 	up   bool
 	want chan uint64
 	lost map[string]bool
+
+	process uint64 // number of the core process
+	resume  transport.Resume
 }
 
 func newFleet(r *run) *fleet {
@@ -150,7 +154,11 @@
 		defer close(ended)
 		for {
 			var d transport.Down
-			c.SetReadDeadline(time.Now().Add(feedTimeout))
+			patience := greetTimeout
+			if heard {
+				patience = feedTimeout
+			}
+			c.SetReadDeadline(time.Now().Add(patience))
 			if c.Receive(&d) != nil {
 				return
 			}
@@ -175,7 +183,7 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
-	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1}
+	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1, Resume: h.resume(core)}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	h.mu.Lock()
@@ -208,6 +216,12 @@
 func (h *hollow) hear(core int, d *transport.Down) {
 	h.mu.Lock()
 	h.feeds[core].up = true
+	if d.Core != 0 {
+		h.feeds[core].process = d.Core
+	}
+	if d.Revision != 0 {
+		h.feeds[core].resume = transport.Resume{Core: h.feeds[core].process, Revision: d.Revision}
+	}
 	if d.Whole { // what this core machine does not tell of again, it does not hold against anybody's loss
 		clear(h.feeds[core].lost)
 		for _, agent := range h.fleet.watched() {
@@ -231,6 +245,13 @@
 	}
 }
 
+// resume is what the agent has heard of a core process.
+func (h *hollow) resume(core int) transport.Resume {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.feeds[core].resume
+}
+
 // take follows the configuration's index as package sidecar does, and asks one core machine for the whole where steps don't lead on.
 func (h *hollow) take(d *transport.Down) {
 	h.newest = max(h.newest, d.Index)
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -205,6 +205,12 @@
 	a.host.Tick()
 	if a.table.Step(a.now()) {
 		a.dirty = true
+		// Danger: a core machine that is away now would not tell again of what is forgotten here.
+		for _, f := range a.feeds {
+			if !f.alive {
+				f.resume.Store(nil)
+			}
+		}
 	}
 	a.links.Sweep(time.Now())
 	a.reread()
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -15,9 +15,12 @@
 const (
 	heartbeat   = 500 * time.Millisecond  // of a feed on which there is nothing to say
 	feedTimeout = 1700 * time.Millisecond // of silence, until a feed is given up: three heartbeats
-	dialTimeout = 600 * time.Millisecond
-	redialMin   = 100 * time.Millisecond // until a feed is opened anew, doubling
-	redialMax   = time.Second
+	// Of the first word of a core machine. One that stands still accepts all the same: to wait costs
+	// nothing, and each connection that is given up is one more that it finds when it goes on.
+	greetTimeout = 5 * time.Second
+	dialTimeout  = 600 * time.Millisecond
+	redialMin    = 100 * time.Millisecond // until a feed is opened anew, doubling
+	redialMax    = time.Second
 
 	mostFeeds = 9
 	askAgain  = 1500 * time.Millisecond // for the whole configuration, elsewhere: sooner, one on its way over a busy link is sent twice
@@ -35,6 +38,9 @@
 	alive bool              // the core machine has been heard over the present connection; the owner's
 	index uint64            // of the configuration there, as told last; the owner's
 	cores []string          // members of the agreement, as told last; the owner's
+
+	process uint64                           // number of the core process that it hears; the owner's
+	resume  atomic.Pointer[transport.Resume] // what has been heard of all stations; nil: not all
 }
 
 func (f *feed) wake() {
@@ -79,6 +85,25 @@
 	return a.members
 }
 
+// hearStations takes in what a core machine says of agents.
+func (a *Agent) hearStations(f *feed, d *transport.Down) {
+	if d.Core != 0 {
+		f.process = d.Core
+	}
+	if d.Whole {
+		f.resume.Store(nil)
+	}
+	if d.Stations == nil && !d.Whole && d.Revision == 0 {
+		return
+	}
+	if a.table.Hear(a.now(), f.core, d.Whole, d.Stations) {
+		a.dirty = true
+	}
+	if d.Revision != 0 {
+		f.resume.Store(&transport.Resume{Core: f.process, Revision: d.Revision})
+	}
+}
+
 // wantedCores returns the core machines that an agent keeps feeds to: all that any list names, those
 // named most often first, and the seeds as far as there is room.
 //
@@ -170,8 +195,9 @@
 // receive takes in what the core machine says until the connection breaks or it is silent for too
 // long. Greeted is closed once it has said anything.
 func (a *Agent) receive(f *feed, c *transport.Conn, greeted chan struct{}) {
-	for first := true; ; first = false {
-		c.SetReadDeadline(time.Now().Add(feedTimeout))
+	patience := greetTimeout
+	for first := true; ; first, patience = false, feedTimeout {
+		c.SetReadDeadline(time.Now().Add(patience))
 		var d transport.Down
 		if c.Receive(&d) != nil {
 			return
@@ -191,6 +217,7 @@
 func (a *Agent) send(ctx context.Context, f *feed, c *transport.Conn, ended chan struct{}) {
 	said := (*transport.Station)(nil)
 	fresh := uint64(1)
+	resume := f.resume.Load()
 	beat := time.NewTimer(0)
 	defer beat.Stop()
 	for {
@@ -202,6 +229,9 @@
 		up.Want = f.want.Swap(0)
 		if up.Fresh = fresh; fresh != 0 {
 			fresh = 0
+			if resume != nil {
+				up.Resume = *resume
+			}
 		}
 		select {
 		case u := <-f.up:
@@ -239,11 +269,7 @@
 		a.say()
 	}
 	a.take(f, d, whole)
-	if d.Stations != nil || d.Whole {
-		if a.table.Hear(a.now(), f.core, d.Whole, d.Stations) {
-			a.dirty = true
-		}
-	}
+	a.hearStations(f, d)
 	if d.Fresh != 0 {
 		a.shown = f.heard
 		if !a.current {
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -88,6 +88,14 @@
 	Fresh   uint64 // not 0: answer with this number once what you have sent is current
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
+	Resume  Resume // with the first message of a feed: what has been heard before
+}
+
+// Resume says that an agent has heard all stations of a core process up to a revision. The zero
+// value is of an agent that has not.
+type Resume struct {
+	Core     uint64 // Down.Core
+	Revision uint64 // Down.Revision
 }
 
 // Step is an order that changed the configuration, and the indexes before and after it.
@@ -109,6 +117,8 @@
 	MinLife  uint64   // the agent's life must be above this: an earlier one of it was heard with it
 	Beat     *Beat
 	Number   uint64 // of Beat
+	Core     uint64 // with the first message of a feed: the core process, by a number of its own
+	Revision uint64 // not 0: all stations have been told up to this
 }
 
 // Heard is a station and whether the core machine hears it.
--- a/internal/mesh/transport/server.go
+++ b/internal/mesh/transport/server.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"time"
+
+	"example.org/micaline/internal/tcp"
 )
 
 const (
@@ -34,6 +37,10 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
+	if t, ok := raw.(syscall.Conn); ok && tcp.HungUp(t) {
+		raw.Close() // cheaper than to read its Hello: after a stall of the process there are thousands
+		return
+	}
 	Bound(raw)
 	c := NewConn(raw)
 	defer c.Close()
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Dial opens a connection without keep-alive probes, which do not notice a machine that has vanished in time to matter.
@@ -53,6 +55,22 @@
 	return err != nil || ended
 }
 
+// HungUp says that the other side of a connection has closed it, also where there is something left
+// to read.
+func HungUp(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hungUp := false
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		hungUp = err == nil && n == 1 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || hungUp
+}
+
 // Waiting reads what a connection has received, without waiting, whatever its deadline. It returns how many bytes there
 // were, 0 also if the connection has ended.
 func Waiting(c syscall.Conn, b []byte) (n int) {
