--- a/internal/mesh/controlplane/servers.go
+++ b/internal/mesh/controlplane/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 
@@ -70,11 +69,6 @@
 	acknowledge(w)
 }
 
-func acknowledge(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "application/json")
-	io.WriteString(w, "{}")
-}
-
 // find returns the agent beside a backend, or whether that has said that the backend left.
 func (c *Core) find(id string) (agent string, left bool) {
 	done := make(chan struct{})
