--- /dev/null
+++ b/internal/mesh/controlplane/feed_test.go
@@ -0,0 +1,257 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/transport"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+// withCore runs a core process without its agreement in virtual time.
+func withCore(t *testing.T, f func(c *Core)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(&bootstrap.Settings{}, &log.Logger{Handler: discard.Default})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { c.own(ctx); close(ended) }()
+		f(c)
+		time.Sleep(time.Minute) // all feeds have ended by their timeouts
+		cancel()
+		<-ended
+	})
+}
+
+// owned returns what the owner sees.
+func owned[T any](c *Core, f func() T) T {
+	answer := make(chan T, 1)
+	c.do(func() { answer <- f() })
+	return <-answer
+}
+
+// agent is the other end of a feed.
+type agent struct {
+	t    *testing.T
+	ip   string
+	conn *transport.Conn
+	core uint64 // process that greeted it
+	got  chan transport.Down
+}
+
+// dial opens a feed up to the greeting.
+func dial(t *testing.T, c *Core, ip string) *agent {
+	near, far := net.Pipe()
+	go func() {
+		k := transport.NewConn(far)
+		defer k.Close()
+		c.serveFeed(ip+":8620", k)
+	}()
+	a := &agent{t: t, ip: ip, conn: transport.NewConn(near), got: make(chan transport.Down, 64)}
+	a.conn.SetDeadline(time.Now().Add(time.Minute))
+	var greeting transport.Down
+	require.NoError(t, a.conn.Receive(&greeting))
+	require.Empty(t, greeting.Stations)
+	require.False(t, greeting.Whole)
+	a.core = greeting.Core
+	go func() {
+		defer close(a.got)
+		for {
+			var d transport.Down
+			if a.conn.Receive(&d) != nil {
+				return
+			}
+			a.got <- d
+		}
+	}()
+	return a
+}
+
+// answer says the first word, and beats until the test is over or the feed has ended.
+func (a *agent) answer(resume transport.Resume) {
+	s := &transport.Station{Agent: a.ip, Life: 1, Seq: 1, Open: true}
+	require.NoError(a.t, a.conn.Send(&transport.Up{Station: s, Resume: resume}, nil))
+	go func() {
+		for a.conn.Send(&transport.Up{}, nil) == nil {
+			time.Sleep(heartbeat)
+		}
+	}()
+}
+
+// hear collects until all has been told up to a revision.
+func (a *agent) hear() (stations int, whole bool, resume transport.Resume) {
+	for d := range a.got {
+		stations += len(d.Stations)
+		whole = whole || d.Whole
+		if d.Revision != 0 {
+			return stations, whole, transport.Resume{Core: a.core, Revision: d.Revision}
+		}
+	}
+	a.t.Error("the feed has ended")
+	return
+}
+
+// TestDeadConnectionsCostNothing has connections wait whose agent has gone, as after a stall of the
+// process: they neither replace the live feed nor are told anything.
+func TestDeadConnectionsCostNothing(t *testing.T) {
+	withCore(t, func(c *Core) {
+		live := dial(t, c, "10.0.0.1")
+		live.answer(transport.Resume{})
+		live.hear()
+		before := owned(c, func() *feed { return c.feeds["10.0.0.1"] })
+		for range 20 {
+			dead := dial(t, c, "10.0.0.1")
+			dead.conn.Close()
+		}
+		silent := dial(t, c, "10.0.0.1")
+		time.Sleep(2 * feedTimeout)
+		synctest.Wait()
+		require.Same(t, before, owned(c, func() *feed { return c.feeds["10.0.0.1"] }))
+		_, open := <-silent.got
+		require.False(t, open, "it was told something, or is still served")
+		live.conn.Close()
+	})
+}
+
+// TestWhatWasHeardIsNotToldAgain has an agent come back over a new connection.
+func TestWhatWasHeardIsNotToldAgain(t *testing.T) {
+	withCore(t, func(c *Core) {
+		var others []*agent
+		for i := range 100 {
+			a := dial(t, c, fmt.Sprintf("10.0.1.%d", i))
+			a.answer(transport.Resume{})
+			others = append(others, a)
+			go func() {
+				for range a.got {
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		a := dial(t, c, "10.0.0.1")
+		a.answer(transport.Resume{})
+		stations, whole, resume := a.hear()
+		require.True(t, whole)
+		require.GreaterOrEqual(t, stations, 100)
+		time.Sleep(time.Second)
+		for len(a.got) > 0 {
+			if d := <-a.got; d.Revision != 0 {
+				resume.Revision = d.Revision
+			}
+		}
+		a.conn.Close()
+		time.Sleep(time.Second)
+
+		others[0].conn.Close() // which is lost meanwhile
+		time.Sleep(time.Second)
+		back := dial(t, c, "10.0.0.1")
+		back.answer(resume)
+		stations, whole, _ = back.hear()
+		require.False(t, whole)
+		require.LessOrEqual(t, stations, 2, "the one that is lost, and its own")
+
+		stranger := dial(t, c, "10.0.0.2")
+		stranger.answer(transport.Resume{Core: resume.Core + 1, Revision: resume.Revision})
+		_, whole, _ = stranger.hear()
+		require.True(t, whole, "what another process told says nothing here")
+		for _, a := range append(others, back, stranger) {
+			a.conn.Close()
+		}
+	})
+}
+
+// TestStallTakesNobodyOut has the process stand still: agents whose feeds ended in it are not lost
+// before they had time to come back, and nobody is told of others before that.
+func TestStallTakesNobodyOut(t *testing.T) {
+	withCore(t, func(c *Core) {
+		a, gone := dial(t, c, "10.0.0.1"), dial(t, c, "10.0.0.2")
+		a.answer(transport.Resume{})
+		gone.answer(transport.Resume{})
+		time.Sleep(time.Second)
+		c.do(func() { time.Sleep(20 * time.Second) }) // the owner stands still; feeds run into their timeouts
+		time.Sleep(21 * time.Second)
+		lost := func(ip string) bool {
+			return owned(c, func() bool { h, _ := c.registry.Of(c.now(), ip); return h.Lost })
+		}
+		a.conn.Close()
+		gone.conn.Close()
+		require.False(t, lost("10.0.0.1"))
+		back := dial(t, c, "10.0.0.1")
+		back.answer(transport.Resume{})
+		time.Sleep(settleFor + 2*time.Second)
+		require.False(t, lost("10.0.0.1"))
+		require.True(t, lost("10.0.0.2"), "who does not come back is lost")
+		back.conn.Close()
+	})
+}
+
+// TestProofNeedsAnIndex has a proof due on a feed whose agent has not said what it has: it would
+// make an agent ready with whatever it had.
+func TestProofNeedsAnIndex(t *testing.T) {
+	c := New(&bootstrap.Settings{}, &log.Logger{Handler: discard.Default})
+	f := newFeed("10.0.0.1", nil)
+	f.proven = 7
+	d, _ := c.next(f)
+	require.Zero(t, d.Fresh)
+	f.known = true
+	d, _ = c.next(f)
+	require.EqualValues(t, 7, d.Fresh)
+}
+
+// TestDepartureIsConfirmedByItsAgent has a core machine that has not heard of a backend, as one that
+// is cut off from the agents, be told that it leaves.
+func TestDepartureIsConfirmedByItsAgent(t *testing.T) {
+	withCore(t, func(c *Core) {
+		status := func(id string) int {
+			w := httptest.NewRecorder()
+			c.handler().ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/api/servers/"+id, nil))
+			return w.Code
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status("i-1"))
+		say := func(life, seq uint64, id string) {
+			s := transport.Station{Agent: "10.0.0.1", Life: life, Seq: seq}
+			if id != "" {
+				s.Backend = &transport.Backend{ID: id}
+			}
+			owned(c, func() bool { c.hear(s); return true })
+		}
+		say(1, 1, "i-1")
+		require.Equal(t, http.StatusServiceUnavailable, status("i-1"), "its agent has no feed here")
+		say(2, 1, "") // the agent starts again, and has not heard of its backend yet
+		require.Equal(t, http.StatusServiceUnavailable, status("i-1"))
+		say(2, 2, "i-2")
+		say(2, 3, "")
+		require.Equal(t, http.StatusOK, status("i-2"), "its agent has said so")
+	})
+}
+
+// TestCallOfWhoHasGoneIsDropped has a call wait in the sockets of a process that stands still while
+// its caller goes on elsewhere.
+func TestCallOfWhoHasGoneIsDropped(t *testing.T) {
+	served := make(chan bool, 2)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	call := func() net.Conn {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		require.NoError(t, err)
+		fmt.Fprint(c, "POST /api/drain-zone/z HTTP/1.1\r\nHost: core\r\nContent-Length: 0\r\n\r\n")
+		return c
+	}
+	call().Close()
+	waits := call()
+	defer waits.Close()
+	s := &http.Server{ConnContext: withConnection, Handler: forPresent(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- true }))}
+	go s.Serve(l)
+	defer s.Close()
+	waits.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = waits.Read(make([]byte, 12))
+	require.NoError(t, err)
+	require.Len(t, served, 1)
+}
--- /dev/null
+++ b/internal/mesh/meshtest/links.go
@@ -0,0 +1,101 @@
+package meshtest
+
+import (
+	"fmt"
+
+	"example.org/micaline/internal/childprocess"
+	"example.org/micaline/internal/mesh/meshtest/relay"
+)
+
+// Way is which of a machine's bytes a cut holds up.
+type Way uint8
+
+// The ways.
+const (
+	Outgoing Way = 1 << iota
+	Incoming
+	BothWays = Outgoing | Incoming
+)
+
+// ends are the machine that dials and the core machine that is dialed.
+type ends struct{ from, to *Machine }
+
+// links are what processes say to core machines over.
+type links map[ends]*relay.Link
+
+func (l links) close() {
+	for _, link := range l {
+		link.Close()
+	}
+}
+
+// meshPort is where a process hears the others of the mesh, and where it dials them. With links it
+// is another one for each process: what one dials on the machine of another is then a link's.
+func (m *Machine) meshPort() int {
+	if !m.g.opt.Links {
+		return firstSpare
+	}
+	for i, other := range m.g.all() {
+		if other == m {
+			return firstSpare + i
+		}
+	}
+	return firstSpare
+}
+
+// connect opens the links from all machines to all core machines.
+func (g *Ground) connect() error {
+	g.links = links{}
+	for _, from := range g.all() {
+		for _, to := range g.Cores {
+			if from == to {
+				continue
+			}
+			link, err := relay.Listen(to.at(from.meshPort()), to.at(to.meshPort()), uint64(len(g.links)))
+			if err != nil {
+				return fmt.Errorf("the link from %s to %s: %w", from.Name, to.Name, err)
+			}
+			g.links[ends{from, to}] = link
+		}
+	}
+	return nil
+}
+
+// Cut holds up what a core machine says to others, or hears of them, until Join.
+func (m *Machine) Cut(way Way, others ...*Machine) {
+	m.hit(false, func(*childprocess.Process) {
+		for _, other := range others {
+			m.cut(way, other)
+		}
+	})
+}
+
+func (m *Machine) cut(way Way, other *Machine) {
+	dialed, dialing := m.g.links[ends{other, m}], m.g.links[ends{m, other}]
+	for _, link := range []struct {
+		link    *relay.Link
+		out, in relay.Direction
+	}{{dialed, relay.ToClient, relay.ToServer}, {dialing, relay.ToServer, relay.ToClient}} {
+		if link.link == nil {
+			continue
+		}
+		if way&Outgoing != 0 {
+			link.link.Cut(link.out)
+		}
+		if way&Incoming != 0 {
+			link.link.Cut(link.in)
+		}
+	}
+}
+
+// Join ends all cuts of a core machine.
+func (m *Machine) Join() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for e, link := range m.g.links {
+		if e.from == m || e.to == m {
+			link.Heal()
+		}
+	}
+	m.mended()
+}
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -87,7 +87,7 @@
 		seeds = append(seeds, c.at(controlPort))
 	}
 	set("seed_nodes", strings.Join(seeds, ","))
-	set("spare_ports", fmt.Sprintf("%d,%d", firstSpare, lastSpare))
+	set("spare_ports", fmt.Sprintf("%d,%d", m.meshPort(), m.meshPort()+lastSpare-firstSpare))
 	set("first_start", m.first)
 	set("counted", m.core())
 	set("limits.memory_mb", 280)
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -7,8 +7,8 @@
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
 // Story. Processes may be killed, stopped, continued, told to end, started again, and their disks
 // wiped; backends may leave and come back as new lives; zones may be evacuated, and the
-// configuration changed. Links can't be cut: a machine that is stopped is as near to that as it
-// gets.
+// configuration changed. Links to core machines can be cut, each direction by itself
+// (Options.Links).
 //
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
@@ -61,6 +61,7 @@
 	Agents  int    // 3 at least
 	Rate    float64
 	Work    time.Duration // of a backend with a request, on the mean
+	Links   bool          // what processes say to core machines passes links that can be cut
 }
 
 // Ground is a mesh that runs.
@@ -78,6 +79,7 @@
 	clients  sync.WaitGroup
 	tally    tally
 	headless *Trouble // the core lacks a majority; guarded by the record
+	links    links
 }
 
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
@@ -123,6 +125,11 @@
 		g.Agents = append(g.Agents, m)
 	}
 	g.Operator = newOperator(g)
+	if o.Links {
+		if err := g.connect(); err != nil {
+			return g, err
+		}
+	}
 	for _, m := range g.all() {
 		if err := m.Start(); err != nil {
 			return g, err
@@ -299,6 +306,7 @@
 		}
 		m.close()
 	}
+	g.links.close()
 	if g.guard != nil {
 		g.guard.Close()
 	}
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -53,6 +53,7 @@
 		"a zone is evacuated and taken back":              evacuated,
 		"two operators send one version":                  twoOperators,
 		"an agent ends in order while the leader is mute": endsInOrder,
+		"a core machine is cut off":                       cutOff,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -63,7 +64,7 @@
 				at = filepath.Join(*keepFlag, filepath.Base(t.Name()))
 				require.NoError(t, os.MkdirAll(at, 0o700))
 			}
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond})
+			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond, Links: name == "a core machine is cut off"})
 			require.NoError(t, err)
 			defer g.Close()
 			story(t, ctx, g)
