--- a/internal/mesh/meshtest/links_test.go
+++ b/internal/mesh/meshtest/links_test.go
@@ -42,6 +42,9 @@
 		if !cut.agents {
 			confirmsNothing(t, g, victim, g.Route(0, g.services[v%2], v))
 		}
+		if cut.way == BothWays && !cut.agents {
+			neverReady(t, ctx, g, g.Agents[0], victim)
+		}
 		restarted := g.Agents[v%len(g.Agents)]
 		restarted.Kill()
 		require.NoError(t, restarted.Start())
@@ -54,6 +57,27 @@
 	}
 }
 
+// proofFor is longer than a core machine takes to prove what is current, and to try that again.
+const proofFor = 2500 * time.Millisecond
+
+// neverReady has an agent start that reaches none but a core machine that is cut off: nobody can
+// tell it that its configuration is current, so it is not ready before it reaches others.
+func neverReady(t *testing.T, ctx context.Context, g *Ground, m, cutOff *Machine) {
+	m.Kill()
+	for _, c := range g.Cores {
+		if c != cutOff {
+			m.Cut(BothWays, c)
+		}
+	}
+	require.NoError(t, m.Start())
+	require.NoError(t, g.Await(ctx, "it hears of a configuration", func() bool { return m.seen().index > 0 }))
+	short, cancel := context.WithTimeout(ctx, proofFor)
+	defer cancel()
+	require.Error(t, g.Await(short, "it is ready without a proof", m.in.Load))
+	m.Join()
+	require.NoError(t, g.Await(ctx, "it is ready with one", m.in.Load))
+}
+
 // confirmsNothing has a core machine that is cut off asked for what others have acknowledged.
 func confirmsNothing(t *testing.T, g *Ground, m *Machine, item Item) {
 	for _, call := range []struct {
--- a/internal/mesh/sidecar/feed_test.go
+++ b/internal/mesh/sidecar/feed_test.go
@@ -3,9 +3,38 @@
 import (
 	"testing"
 
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/registry"
+	"example.org/micaline/internal/mesh/transport"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 )
 
+// TestReadyOnlyWithProof has an agent start that hears a configuration from a core machine that is
+// cut off, and the proof of a later one from another.
+func TestReadyOnlyWithProof(t *testing.T) {
+	order := meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: "z"}
+	config, err := meshconfig.New().Carry(&order)
+	require.NoError(t, err)
+	down := func(index uint64) *transport.Down {
+		return &transport.Down{Index: index, Digest: meshconfig.Digest(config.Encode()), Steps: []transport.Step{{Index: index, Order: order}}}
+	}
+	a := &Agent{config: meshconfig.New(), table: registry.New(), feeds: map[string]*feed{}, commands: make(chan func(), queue), life: 1,
+		log: &log.Logger{Handler: discard.Default}}
+	stale, sound := &feed{core: "a", woken: make(chan struct{}, 1)}, &feed{core: "b", woken: make(chan struct{}, 1)}
+	a.feeds["a"], a.feeds["b"] = stale, sound
+	a.hear(stale, down(3), nil)
+	require.EqualValues(t, 3, a.index)
+	require.False(t, a.proven, "nobody has said that this is current")
+	a.hear(sound, &transport.Down{Index: 5, Fresh: 1}, nil)
+	require.False(t, a.proven, "it does not have what is current")
+	a.hear(stale, &transport.Down{Index: 3}, nil)
+	require.False(t, a.proven)
+	a.hear(sound, &transport.Down{Index: 5, Digest: meshconfig.Digest(config.Encode()), Steps: []transport.Step{{Before: 3, Index: 5, Order: order}}}, nil)
+	require.True(t, a.proven)
+}
+
 // TestFeedsFollowEveryList has an agent hear a core machine that is cut off from the others, and
 // names the members of before two replacements, behind one that names those of now.
 func TestFeedsFollowEveryList(t *testing.T) {
