--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -47,7 +47,7 @@
 	peers *peers
 	count counters
 
-	askers   transport.Askers
+	stats    transport.StatsServer
 	commands chan func()
 	began    time.Time
 	registry *registry.Table
@@ -201,7 +201,7 @@
 	return map[string]func(transport.Hello, *transport.Conn){
 		transport.Peer:    func(_ transport.Hello, k *transport.Conn) { c.receivePeer(k) },
 		transport.FeedUse: func(h transport.Hello, k *transport.Conn) { c.serveFeed(h.From, k) },
-		transport.Stats:   func(_ transport.Hello, k *transport.Conn) { c.askers.Serve(k, c.figures) },
+		transport.Stats:   func(_ transport.Hello, k *transport.Conn) { c.stats.Serve(k, c.figures) },
 	}
 }
 
--- a/internal/mesh/controlplane/feed_test.go
+++ b/internal/mesh/controlplane/feed_test.go
@@ -182,7 +182,8 @@
 		}
 		a.conn.Close()
 		gone.conn.Close()
-		require.False(t, lost("10.0.0.1"))
+		synctest.Wait()
+		require.False(t, lost("10.0.0.1"), "nobody had time to come back")
 		back := dial(t, c, "10.0.0.1")
 		back.answer(transport.Resume{})
 		time.Sleep(settleFor + 2*time.Second)
--- a/internal/mesh/exporter/exporter_test.go
+++ b/internal/mesh/exporter/exporter_test.go
@@ -21,7 +21,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	var askers transport.Askers
+	var stats  transport.StatsServer
 	go func() {
 		for {
 			raw, err := l.Accept()
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -44,7 +44,7 @@
 	sender *outbound.Sender
 	links  *transport.Pool
 	ready  atomic.Bool
-	askers transport.Askers
+	stats  transport.StatsServer
 	went   atomic.Bool // told to end
 
 	refused refusals
@@ -145,7 +145,7 @@
 func (a *Agent) uses() map[string]func(transport.Hello, *transport.Conn) {
 	return map[string]func(transport.Hello, *transport.Conn){
 		transport.Exchange: func(_ transport.Hello, c *transport.Conn) { a.host.Serve(c) },
-		transport.Stats:    func(_ transport.Hello, c *transport.Conn) { a.askers.Serve(c, a.figures) },
+		transport.Stats:    func(_ transport.Hello, c *transport.Conn) { a.stats.Serve(c, a.figures) },
 	}
 }
 
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -13,9 +13,9 @@
 const Stats = "stats"
 
 const (
-	mostAskers  = 8                // connections for figures that a process serves at once
-	askerIdle   = 90 * time.Second // between two questions: longer than figures are usually asked for
-	mostSamples = 8192             // of one answer, which is far above what a process has
+	maxStatsConns = 8                // connections for figures that a process serves at once
+	statsIdle     = 90 * time.Second // between two questions: longer than figures are usually asked for
+	mostSamples   = 8192             // of one answer, which is far above what a process has
 )
 
 // Question asks for the figures as they are now.
@@ -73,18 +73,18 @@
 	Link    string // where processes of the mesh do
 }
 
-// Askers serves connections for figures. The zero value is ready.
-type Askers struct{ now atomic.Int32 }
+// StatsServer serves connections for figures. The zero value is ready.
+type StatsServer struct{ now atomic.Int32 }
 
 // Serve answers questions on a connection until it ends. Answer may be called from several
 // goroutines at once; nil closes.
-func (a *Askers) Serve(c *Conn, answer func(Question) *Figures) {
-	defer a.now.Add(-1)
-	if a.now.Add(1) > mostAskers {
+func (s *StatsServer) Serve(c *Conn, answer func(Question) *Figures) {
+	defer s.now.Add(-1)
+	if s.now.Add(1) > maxStatsConns {
 		return
 	}
 	for {
-		c.SetReadDeadline(time.Now().Add(askerIdle))
+		c.SetReadDeadline(time.Now().Add(statsIdle))
 		var q Question
 		if c.Receive(&q) != nil {
 			return
