--- a/internal/mesh/exporter/exporter_test.go
+++ b/internal/mesh/exporter/exporter_test.go
@@ -21,23 +21,13 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	var stats  transport.StatsServer
-	go func() {
-		for {
-			raw, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				c := transport.NewConn(raw)
-				defer c.Close()
-				var hello transport.Hello
-				if c.Receive(&hello) == nil && hello.Use == transport.Stats {
-					askers.Serve(c, func(transport.Question) *transport.Figures { return answer() })
-				}
-			}()
-		}
-	}()
+	var stats transport.StatsServer
+	server := &transport.Server{Uses: map[string]func(transport.Hello, *transport.Conn){
+		transport.Stats: func(_ transport.Hello, c *transport.Conn) {
+			stats.Serve(c, func(transport.Question) *transport.Figures { return answer() })
+		},
+	}}
+	go server.Serve(l)
 	return l.Addr().String()
 }
 
