--- a/internal/mesh/meshtest/relay/relay.go
+++ b/internal/mesh/meshtest/relay/relay.go
@@ -130,6 +130,17 @@
 	l.chance, l.random = chance, faults
 }
 
+// Clear takes back the faults that wait for their turn, and says how many there were.
+func (l *Link) Clear() (waited int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, queue := range l.next {
+		waited += len(queue)
+	}
+	clear(l.next)
+	return waited
+}
+
 // Counts says how many connections were opened to the target, and how many faults were applied.
 func (l *Link) Counts() (connections, faults int) {
 	l.mu.Lock()
