--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -7,9 +7,8 @@
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
 // Story. Processes may be killed, stopped, continued, told to end, started again, and their disks
 // wiped; backends may leave and come back as new lives; zones may be evacuated, and the
-// configuration changed. Where Options.AgentLinks says so, clients, gates and backends are reached through
-// links that can be broken; those to the core can't be: a machine that is stopped is as near to that
-// as it gets.
+// configuration changed. Links can be broken: those to clients, gates and backends (Options.AgentLinks), or
+// those to core machines (Options.CoreLinks), each direction by itself.
 //
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
@@ -65,6 +64,7 @@
 	AgentLinks bool          // clients, gates and backends are reached through links that can be broken
 	Seed       uint64        // of the links' faults
 	GiveUp     float64       // share of the tries that a client gives up early
+	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
 // Ground is a mesh that runs.
@@ -73,15 +73,16 @@
 	Agents   []*Machine
 	Operator *Operator
 
-	opt      Options
-	dir      string
-	record   *record
-	guard    net.Listener
-	services []string
-	stop     context.CancelFunc // of the clients
-	clients  sync.WaitGroup
-	tally    tally
-	headless *Trouble // the core lacks a majority; guarded by the record
+	opt       Options
+	dir       string
+	record    *record
+	guard     net.Listener
+	services  []string
+	stop      context.CancelFunc // of the clients
+	clients   sync.WaitGroup
+	tally     tally
+	headless  *Trouble // the core lacks a majority; guarded by the record
+	coreLinks coreLinks
 }
 
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
@@ -133,6 +134,11 @@
 		}
 	}
 	g.Operator = newOperator(g)
+	if o.CoreLinks {
+		if err := g.connectCore(); err != nil {
+			return g, err
+		}
+	}
 	for _, m := range g.all() {
 		if err := m.Start(); err != nil {
 			return g, err
@@ -312,6 +318,7 @@
 		}
 		m.close()
 	}
+	g.coreLinks.close()
 	if g.guard != nil {
 		g.guard.Close()
 	}
