--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -6,44 +6,44 @@
 	"example.org/micaline/internal/mesh/meshconfig"
 )
 
-// Ask is a request that a sender hands to a gate. Body raw bytes follow it.
-type Ask struct {
-	Number  uint64 // of the exchange on its connection, from 1; the replies repeat it
-	Life    uint64 // of the gate's process for which it is meant
-	Try     string // the client's id of this try
-	Target  string // id of the backend's life that must run it
-	Method  string
-	URI     string
-	Host    string
-	Caller  string // the service of the machine on which the request began
-	Unsafe  bool   // must not run twice
-	Inner   bool   // called by a run of a backend
-	Repeat  bool   // a further attempt, or called by a run of one
-	Left    time.Duration
-	Aim     time.Duration // until when an answer earns its full worth, from now
-	Rank    int
-	Header  []string // names and values in turn
-	Body    int64
-	Sum     uint32        // of the body, by Sum
-	Hold    bool          // the body comes only once a Reply says Go: it is long, and may be refused
-	Patient time.Duration // the longest that it may wait at the gate before it is refused
+// Request is one that a sender hands to a gate. Body raw bytes follow it.
+type Request struct {
+	Number         uint64 // of the exchange on its connection, from 1; the replies repeat it
+	Life           uint64 // of the gate's process for which it is meant
+	Try            string // the client's id of this try
+	Target         string // id of the backend's life that must run it
+	Method         string
+	URI            string
+	Host           string
+	Caller         string // the service of the machine on which the request began
+	Unsafe         bool   // must not run twice
+	Inner          bool   // called by a run of a backend
+	Repeat         bool   // a further attempt, or called by a run of one
+	Left           time.Duration
+	Aim            time.Duration // until when an answer earns its full worth, from now
+	Rank           int
+	Header         []string // names and values in turn
+	Body           int64
+	Sum            uint32        // of the body, by Sum
+	ExpectContinue bool          // the body comes only once a Reply says Continue: it is long, and may be refused
+	Patient        time.Duration // the longest that it may wait at the gate before it is refused
 }
 
 // Reply is a gate's answer. Body raw bytes follow it.
 type Reply struct {
-	Number  uint64 // of the Ask
-	Verdict Verdict
-	Reason  Reason
-	After   time.Duration
-	Status  int
-	Header  []string
-	Body    int64
-	Sum     uint32 // of the body, by Sum
-	Load    Load
-	Arrived bool          // it reached the backend, which did not run it
-	Go      bool          // no answer yet: the body may come
-	Inner   bool          // the backend failed after a call of its own had
-	Waited  time.Duration // at the gate, for a slot
+	Number   uint64 // of the Request
+	Verdict  Verdict
+	Reason   Reason
+	After    time.Duration
+	Status   int
+	Header   []string
+	Body     int64
+	Sum      uint32 // of the body, by Sum
+	Load     Load
+	Arrived  bool          // it reached the backend, which did not run it
+	Continue bool          // no answer yet: the body may come
+	Inner    bool          // the backend failed after a call of its own had
+	Waited   time.Duration // at the gate, for a slot
 }
 
 // Load is what a gate knows of its backend: all that reaches it passes the gate.
@@ -93,6 +93,14 @@
 	Fresh   uint64 // not 0: answer with this number once what you have sent is current
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
+	Resume  Resume // with the first message of a feed: what has been heard before
+}
+
+// Resume says that an agent has heard all stations of a core process up to a revision. The zero
+// value is of an agent that has not.
+type Resume struct {
+	Core     uint64 // Down.Core
+	Revision uint64 // Down.Revision
 }
 
 // Step is an order that changed the configuration, and the indexes before and after it.
@@ -114,6 +122,8 @@
 	MinLife  uint64   // the agent's life must be above this: an earlier one of it was heard with it
 	Beat     *Beat
 	Number   uint64 // of Beat
+	Core     uint64 // with the first message of a feed: the core process, by a number of its own
+	Revision uint64 // not 0: all stations have been told up to this
 }
 
 // Heard is a station and whether the core machine hears it.
