--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -165,6 +165,7 @@
 	m.opened = m.log.last() + 1
 	m.log.append(Entry{Index: m.opened, Term: m.hard.Term})
 	m.beatAt = m.now + heartbeat
+	m.commitAtBeat, m.commitBefore, m.ledSince = m.opened, m.opened, m.now
 	m.askLeader(0)
 }
 
--- a/internal/mesh/consensus/leave.go
+++ b/internal/mesh/consensus/leave.go
@@ -6,10 +6,14 @@
 )
 
 const (
-	leaveWithin     = 1500 * time.Millisecond // after this a node leaves as it stands
-	leaveVoteWithin = 900 * time.Millisecond  // after this a leader gives away leadership alone
-	leaveEvery      = 100 * time.Millisecond  // between two requests to the leader
-	leaveCounts     = 2 * healthy             // after the last request, a node counts as staying
+	leaveWithin     = 3 * time.Second        // after this a node leaves as it stands
+	leaveVoteWithin = 900 * time.Millisecond // after this a leader gives away leadership alone
+	leaveEvery      = 100 * time.Millisecond // between two requests to the leader
+	leaveCounts     = 2 * healthy            // after the last request, a node counts as staying
+
+	// learnersJoinWithin is when all learners have found a new leader: until then it can't say that
+	// nobody can take a vote.
+	learnersJoinWithin = electionMax + joinEvery/2
 )
 
 // departure is how far a node is that was told to go.
@@ -17,6 +21,7 @@
 	asked, done      bool
 	voteUntil, until time.Duration
 	repeatAt         time.Duration
+	noSuccessor      bool // seen as the leader: nothing is left to do once another one leads
 }
 
 // Leave begins to give away what this node holds: its vote, where a learner stands by, and its
@@ -40,7 +45,7 @@
 	switch {
 	case !m.isDeparting():
 		return
-	case m.now >= d.until || m.role != leader && m.isOutByCommitted():
+	case m.now >= d.until || m.role != leader && (d.noSuccessor || m.isOutByCommitted()):
 		d.done = true
 		return
 	case m.role == leader:
@@ -61,10 +66,13 @@
 	case m.now < m.departure.voteUntil && m.successorStands():
 		m.planMembers()
 	default:
+		m.departure.noSuccessor = m.now < m.departure.voteUntil && m.ledLong()
 		m.departure.done = !m.HandOver()
 	}
 }
 
+func (m *Machine) ledLong() bool { return m.now-m.ledSince >= learnersJoinWithin }
+
 // successorStands tells whether a learner is there that can take a vote.
 func (m *Machine) successorStands() bool { return slices.ContainsFunc(m.peers, m.mayBecomeReady) }
 
@@ -90,7 +98,7 @@
 	}
 	p := m.peers[i]
 	p.leavingUntil = m.now + leaveCounts
-	if !p.learner && !current.members.joint() && !m.successorStands() {
+	if !p.learner && !current.members.joint() && !m.successorStands() && m.ledLong() {
 		m.send(Message{Kind: LeaveReply, To: msg.From, Reject: true})
 		return
 	}
--- a/internal/mesh/consensus/log.go
+++ b/internal/mesh/consensus/log.go
@@ -98,10 +98,11 @@
 	*l = entryLog{base: s.Index, baseTerm: s.Term, members: []decided{{s.MembersAt, s.Members}}}
 }
 
-// after copies the entries after an index, as many as weigh most bytes at most, and one at least.
-func (l *entryLog) after(index uint64, most uint64) []Entry {
+// between copies the entries after an index up to another one, as many as weigh most bytes at most,
+// and one at least.
+func (l *entryLog) between(index, last, most uint64) []Entry {
 	to := index
-	for to < l.last() && (to == index || l.bytes(index, to+1) <= most) {
+	for to < last && (to == index || l.bytes(index, to+1) <= most) {
 		to++
 	}
 	return slices.Clone(l.entries[index-l.base : to-l.base])
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -37,6 +37,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -176,14 +177,15 @@
 	out, held, waiting      []Message
 
 	// As a leader.
-	peers       []*progress
-	opened      uint64 // the index of the entry that opened the term
-	round       uint64 // of heartbeats
-	reads       []read
-	beatAt      time.Duration
-	moving      *progress // who leadership is handed to
-	movingUntil time.Duration
-	seen        []origin
+	peers                      []*progress
+	opened                     uint64 // the index of the entry that opened the term
+	round                      uint64 // of heartbeats
+	reads                      []read
+	beatAt, ledSince           time.Duration
+	commitAtBeat, commitBefore uint64    // at the last beat, and at the one before
+	moving                     *progress // who leadership is handed to
+	movingUntil                time.Duration
+	seen                       []origin
 
 	// As a learner.
 	outside  Place // members newer than those in the log don't hold us
@@ -363,7 +365,7 @@
 	o.Send, m.out = m.out, nil
 	o.Restore, m.restore = m.restore, nil
 	if m.applied < m.commit {
-		o.Apply = m.log.after(m.applied, 1<<62)[:m.commit-m.applied]
+		o.Apply = m.log.between(m.applied, m.commit, math.MaxUint64)
 		for _, e := range o.Apply {
 			m.onApplied(e)
 		}
@@ -400,7 +402,7 @@
 
 func (m *Machine) save() *Save {
 	s := &Save{Hard: m.hard, Base: m.log.base, BaseTerm: m.log.baseTerm, First: m.handed + 1,
-		Entries: m.log.after(m.handed, 1<<62)}
+		Entries: m.log.between(m.handed, m.log.last(), math.MaxUint64)}
 	if m.baseDirty {
 		s.Snapshot = m.snapshot
 	}
--- a/internal/mesh/consensus/machine_test.go
+++ b/internal/mesh/consensus/machine_test.go
@@ -13,6 +13,7 @@
 
 var seeds = flag.Int("seeds", 400, "how many seeds the explorer plays")
 var firstSeed = flag.Uint64("first", 1, "the first of them")
+var lossSeeds = flag.Int("loss-seeds", 4, "how many seeds of losses and repairs are played, of each deployment")
 var tracing = flag.Bool("tell", false, "tell what goes on")
 
 func TestExplore(t *testing.T) {
--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -107,11 +107,12 @@
 	return slices.Delete(voters, i, i+1)
 }
 
-// readyLearners are the learners that hold all that is committed, and answered just now.
+// readyLearners are the learners that answered just now and hold all that was committed a heartbeat
+// ago. What is committed at this moment is one round trip further, always, while many propose.
 func (m *Machine) readyLearners() []Member {
 	var ready []Member
 	for _, p := range m.peers {
-		if m.mayBecomeReady(p) && p.round > p.since && p.match >= m.commit {
+		if m.mayBecomeReady(p) && p.round > p.since && p.match >= m.commitBefore {
 			ready = append(ready, p.member)
 		}
 	}
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -219,7 +219,7 @@
 func (n *Node) Status() Status { return *n.status.Load() }
 
 // Leave has a learner take this node's vote where one stands by, hands over leadership, and returns
-// when the node may end: after a second and a half at most.
+// when the node may end: after three seconds at most.
 func (n *Node) Leave(ctx context.Context) {
 	w := &waiter{done: make(chan outcome, 1)}
 	select {
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -94,6 +94,7 @@
 	}
 	m.tryHandOver()
 	m.round++
+	m.commitBefore, m.commitAtBeat = m.commitAtBeat, m.commit
 	for _, p := range m.peers {
 		if m.now-p.heard >= healthy && p.stage == streaming {
 			p.stage, p.next = probing, p.match+1
@@ -165,7 +166,8 @@
 	for {
 		quiet := m.now-p.heard >= healthy // who is down gets heartbeats alone
 		full := m.log.bytes(p.match, p.next-1) >= mostInFlight
-		more := p.next <= m.log.last() && !quiet && !full
+		most := m.sendable(p)
+		more := p.next <= most && !quiet && !full
 		if !more && p.sent >= m.round && p.told >= min(m.commit, p.next-1) {
 			return
 		}
@@ -176,7 +178,7 @@
 		msg := Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Index: p.next - 1, LogTerm: term,
 			Commit: m.commit, Sequence: m.round}
 		if more {
-			msg.Entries = m.log.after(p.next-1, mostMessage)
+			msg.Entries = m.log.between(p.next-1, most, mostMessage)
 		}
 		msg.Quiet = !more && p.stage == streaming && p.sent >= m.round
 		m.send(msg)
@@ -189,6 +191,16 @@
 	}
 }
 
+// sendable is how far a peer may hold the log. A learner gets committed entries alone: a voter that
+// is taken out still votes by the joint configuration it knows, and if it held a final one that no
+// incoming voter has kept, it could be neither elected nor vote for those who can be.
+func (m *Machine) sendable(p *progress) uint64 {
+	if p.learner {
+		return m.commit
+	}
+	return m.log.last()
+}
+
 func (m *Machine) onAppend(msg Message) {
 	if !m.heed(msg) {
 		return
--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -32,7 +32,7 @@
 	muteFor   = 1700 * time.Millisecond
 	mostFeeds = 2048
 
-	leaveWithin    = 2 * time.Second
+	leaveWithin    = 3500 * time.Millisecond // longer than the agreement takes at most
 	shutdownWithin = time.Second
 )
 
