--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -2,40 +2,29 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
-	"example.org/micaline/internal/mesh/transport"
 )
 
 const (
 	answerIn  = 900 * time.Millisecond // callers move on after a second
 	mostPatch = 8 << 20                // bytes of a call
-	mostBeat  = 16 << 10
 )
 
 // handler has one object for each resource.
 func (c *Core) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/api/config", &configs{c})
-	mux.Handle("/api/drain-zone/{zone}", &evacuations{c})
+	mux.Handle("/api/drain-zone/{zone}", forPresent(&evacuations{c}))
 	mux.Handle("/api/servers/{id}", &servers{c})
 	mux.Handle("/api/link", &links{c})
 	mux.Handle("/api/backup", &backups{c})
 	return mux
 }
 
-// problem is the body of every answer that says no.
-func problem(w http.ResponseWriter, status int, what string) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(map[string]string{"error": what})
-}
-
 func only(w http.ResponseWriter, methods string) {
 	w.Header().Set("Allow", methods)
 	problem(w, http.StatusMethodNotAllowed, "use "+methods)
@@ -50,23 +39,6 @@
 	return b, true
 }
 
-// agree has an order agreed on and answers the caller.
-func (c *Core) agree(w http.ResponseWriter, r *http.Request, o *meshconfig.Order) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-	defer cancel()
-	result, err := c.node.Propose(ctx, encodeOrder(o))
-	c.count.proposed(result, err)
-	switch {
-	case err != nil:
-		problem(w, statusOf(err), err.Error())
-	case len(result.Reply) > 0:
-		problem(w, http.StatusBadRequest, string(result.Reply))
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		io.WriteString(w, "{}")
-	}
-}
-
 // configs is the configuration.
 type configs struct{ c *Core }
 
@@ -86,12 +58,16 @@
 		if !ok {
 			return
 		}
-		if _, err := meshconfig.ParsePatch(b); err != nil { // what is wrong by itself need not be agreed on
+		p, err := meshconfig.ParsePatch(b)
+		if err == nil {
+			err = p.Contradiction()
+		}
+		if err != nil { // what is wrong by itself need not be agreed on
 			h.c.count.refused.Add(1)
-			problem(w, http.StatusBadRequest, err.Error())
+			refusalOf(err).answer(w)
 			return
 		}
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpPatch, Body: b})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpPatch, Body: b})
 	default:
 		only(w, "GET, PATCH")
 	}
@@ -108,65 +84,10 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: zone})
 	case http.MethodDelete:
-		h.c.agree(w, r, &meshconfig.Order{Op: meshconfig.OpReturn, Zone: zone})
+		h.c.agree(w, r, meshconfig.Order{Op: meshconfig.OpReturn, Zone: zone})
 	default:
 		only(w, "POST, DELETE")
 	}
 }
-
-// servers are the backends. The agent beside one is the owner of what is known of it, so a call that comes here is handed there.
-type servers struct{ c *Core }
-
-func (h *servers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	b := transport.Beat{ID: id}
-	var agent string
-	switch r.Method {
-	case http.MethodPut:
-		text, ok := body(w, r, mostBeat)
-		if !ok {
-			return
-		}
-		var said struct {
-			Address string `json:"address"`
-		}
-		host := ""
-		if err := json.Unmarshal(text, &said); err == nil {
-			host, _, _ = net.SplitHostPort(said.Address)
-		}
-		if host == "" {
-			problem(w, http.StatusBadRequest, "address: not host:port")
-			return
-		}
-		b.Body, agent = text, host
-	case http.MethodDelete:
-		b.Leave = true
-		found := make(chan string, 1)
-		h.c.do(func() {
-			for _, s := range h.c.registry.All(h.c.now()) {
-				if s.Station.Backend != nil && s.Station.Backend.ID == id {
-					found <- s.Station.Agent
-					return
-				}
-			}
-			found <- ""
-		})
-		if agent = <-found; agent == "" {
-			io.WriteString(w, "{}") // gone already
-			return
-		}
-	default:
-		only(w, "PUT, DELETE")
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-	defer cancel()
-	if status := h.c.pass(ctx, agent, b); status != http.StatusOK {
-		problem(w, status, "the agent beside the backend did not take it")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	io.WriteString(w, "{}")
-}
