status names the members that are being replaced; a stalled leader's clock is forgiven by half of replace

A joint configuration shows as "replacing ADDRESS" beside the core machine, as outgoing in JSON and in the log. The time in which a leader itself stood still was taken off the others' silence from 250 ms on; on a busy machine whose beats come late that would have kept a lost voter from being replaced in time. Only a stall of half of the replacement time can make an answering voter look lost, so only that counts.

--- a/cmd/micaline-mesh/status.go
+++ b/cmd/micaline-mesh/status.go
@@ -21,6 +21,7 @@
 	Index    uint64   `json:"index"`
 	Members  []string `json:"members"`
 	Learners []string `json:"learners,omitempty"`
+	Outgoing []string `json:"outgoing,omitempty"`
 	Feeds    int      `json:"feeds"`
 	Error    string   `json:"error,omitempty"`
 }
@@ -73,7 +74,7 @@
 			continue
 		}
 		rows = append(rows, []string{r.Core, r.Zone, r.Role, orDash(r.Leader), number(r.Term), number(r.Commit), number(r.Index),
-			strconv.Itoa(len(r.Members)), strconv.Itoa(r.Feeds), ""})
+			strconv.Itoa(len(r.Members)), strconv.Itoa(r.Feeds), r.change()})
 	}
 	c.table("CORE ZONE ROLE LEADER TERM COMMIT INDEX MEMBERS FEEDS ", rows)
 	fmt.Fprintln(c.out)
@@ -101,7 +102,7 @@
 		}
 		f := core.Figures.Core
 		r := coreRow{Core: core.Control, Node: f.Node, Zone: f.Zone, Role: f.Role, Leader: f.Leader, Term: f.Term, Commit: f.Commit,
-			Index: f.Index, Learners: f.Learners, Feeds: f.Feeds}
+			Index: f.Index, Learners: f.Learners, Outgoing: f.Outgoing, Feeds: f.Feeds}
 		for _, m := range f.Members {
 			r.Members = append(r.Members, m.Control)
 		}
@@ -110,6 +111,14 @@
 	return rows
 }
 
+// change tells which members are being replaced.
+func (r *coreRow) change() string {
+	if len(r.Outgoing) == 0 {
+		return ""
+	}
+	return "replacing " + strings.Join(r.Outgoing, " ")
+}
+
 func agentRows(s *meshclient.Survey) []agentRow {
 	rows, newest := []agentRow{}, s.Newest().Index
 	for i := range s.Agents {
--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -70,7 +70,7 @@
 			next[i] = successor
 		}
 	}
-	for len(next) > members.Target {
+	for len(next) > max(members.Target, 1) {
 		next = m.withoutLeastUseful(next)
 	}
 	for i, v := range next {
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -396,11 +396,11 @@
 		n.options.Log.Warn("another mesh speaks to this one: where one was founded from a backup, a node of before runs on")
 	}
 	if s.Role == old.Role && s.Leader == old.Leader && slices.Equal(s.Members, old.Members) &&
-		slices.Equal(s.Learners, old.Learners) {
+		slices.Equal(s.Learners, old.Learners) && slices.Equal(s.Outgoing, old.Outgoing) {
 		return
 	}
 	n.options.Log.WithFields(log.Fields{"role": s.Role, "leader": s.Leader, "term": s.Term, "members": s.Members,
-		"learners": s.Learners}).Info("agreement")
+		"learners": s.Learners, "outgoing": s.Outgoing}).Info("agreement")
 	if n.options.OnChange != nil {
 		n.options.OnChange(s)
 	}
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -83,7 +83,7 @@
 		m.failReads(ErrNoLeader)
 		return
 	}
-	if stalled >= heartbeat {
+	if stalled >= m.replace/2 {
 		m.forgive(stalled)
 	}
 	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -99,7 +99,7 @@
 	if q.State {
 		answer.Core = &transport.CoreState{Node: c.set.NodeName, Zone: c.set.Zone, Self: c.set.Control, Role: status.Role,
 			Leader: status.Leader, Term: status.Term, Commit: status.Commit, Applied: status.Applied, LeaderChanges: status.LeaderChanges,
-			Learners: status.Learners, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
+			Learners: status.Learners, Outgoing: status.Outgoing, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
 		for _, m := range status.Members {
 			answer.Core.Members = append(answer.Core.Members, transport.Member{Control: m, Link: sidecar.Inner(c.set, m)})
 		}
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -61,6 +61,7 @@
 	LeaderChanges uint64
 	Members       []Member
 	Learners      []string
+	Outgoing      []string // voters that leave, while a change is under way
 	Index         uint64   // of the configuration
 	Evacuated     []string // zones
 	Feeds         int      // agents that it hears itself
