--- a/internal/mesh/consensus/losses_test.go
+++ b/internal/mesh/consensus/losses_test.go
@@ -447,3 +447,42 @@
 	require.Equal(t, members, w.members, "the members change once more")
 	require.Equal(t, l.leads().applied, frozen.applied)
 }
+
+// A lost machine stops counting catchUp after its successor's start. By then the change must be
+// committed, also if the leader was lost, or a standing learner takes its place.
+func TestReplacedInTime(t *testing.T) {
+	const catchUp = 4 * time.Second
+	for _, standing := range []bool{false, true} {
+		var times []time.Duration
+		for seed := uint64(1); seed <= 40; seed++ {
+			l := newLosses(seed, 3, catchUp, 5*time.Second, lossPlant{})
+			w := l.w
+			for _, h := range w.hosts {
+				w.start(h)
+			}
+			w.run(3 * time.Second)
+			if standing {
+				w.start(l.newHost())
+				w.run(time.Second)
+			}
+			lost := w.hosts[:3][w.rng.IntN(3)]
+			if seed%2 == 0 {
+				lost = l.leads()
+			}
+			w.wipe(lost)
+			if !standing {
+				w.run(w.within(500*time.Millisecond, 2*time.Second))
+				w.start(l.newHost())
+			}
+			began := w.now
+			isLost := func(v Member) bool { return v.Address == lost.address }
+			for slices.ContainsFunc(w.members.all(), isLost) {
+				w.run(10 * time.Millisecond)
+				require.Less(t, w.now-began, catchUp*3/4, "seed %d", seed)
+			}
+			times = append(times, w.now-began)
+		}
+		slices.Sort(times)
+		t.Logf("a learner stands by: %v; replaced after %v, longest %v", standing, times[len(times)/2], times[len(times)-1])
+	}
+}
