Consensus: leadership transfer, pending reads and forwarding have the field's names

HandOver is TransferLeadership, with TimeoutNow as its message; ask, giveRead, give and askLeader are pendingRead, forwardRead, forward and resendPending. A node whose disk failed picks its successor as a leaver does: one that stays and, of a joint configuration, an incoming voter. The package comment told of single steps still.

--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -39,7 +39,7 @@
 		m.leader = Member{}
 	}
 	if m.role == leader {
-		m.peers, m.reads, m.moving = nil, nil, nil
+		m.peers, m.reads, m.transferee = nil, nil, nil
 	}
 	if m.role != follower {
 		m.resetElection()
@@ -50,7 +50,7 @@
 	}
 	if m.leader != by {
 		m.ledBy(by)
-		m.askLeader(0)
+		m.resendPending(0)
 	}
 }
 
@@ -159,14 +159,14 @@
 	before, votes := m.led.Vote, m.votes
 	m.ledBy(Member{m.self, m.disk})
 	m.role, m.votes = leader, nil
-	m.peers, m.reads, m.moving = nil, nil, nil
+	m.peers, m.reads, m.transferee = nil, nil, nil
 	m.setPeers()
 	m.countSilenceOf(before, votes)
 	m.opened = m.log.last() + 1
 	m.log.append(Entry{Index: m.opened, Term: m.hard.Term})
 	m.beatAt = m.now + heartbeat
 	m.commitAtBeat, m.commitBefore, m.ledSince = m.opened, m.opened, m.now
-	m.askLeader(0)
+	m.resendPending(0)
 }
 
 // countSilenceOf has the leader of before count as unheard since it was last heard, and not only
@@ -180,12 +180,9 @@
 	}
 }
 
-// HandOver begins to hand leadership to the voter that has most, if we lead. It tells whether it
-// did. Of a joint configuration, only an incoming voter can finish the change.
-func (m *Machine) HandOver() bool {
-	if m.role != leader {
-		return false
-	}
+// transferTarget is the voter that has most, of those that are there and stay; nil if there is none.
+// Of a joint configuration, only an incoming voter can finish the change.
+func (m *Machine) transferTarget() *progress {
 	var to *progress
 	incoming := m.log.current().members.Voters
 	for _, p := range m.peers {
@@ -194,16 +191,26 @@
 			to = p
 		}
 	}
+	return to
+}
+
+// TransferLeadership begins to transfer leadership, if we lead and there is somebody to take it. It
+// tells whether it did.
+func (m *Machine) TransferLeadership() bool {
+	if m.role != leader {
+		return false
+	}
+	to := m.transferTarget()
 	if to == nil {
 		return false
 	}
-	m.moving, m.movingUntil = to, m.now+electionMin
-	m.tryHandOver()
+	m.transferee, m.transferUntil = to, m.now+electionMin
+	m.sendTimeoutNow()
 	return true
 }
 
-func (m *Machine) tryHandOver() {
-	if m.moving != nil && m.moving.match == m.log.last() {
-		m.send(Message{Kind: HandOver, To: m.moving.member.Address})
+func (m *Machine) sendTimeoutNow() {
+	if m.transferee != nil && m.transferee.match == m.log.last() {
+		m.send(Message{Kind: TimeoutNow, To: m.transferee.member.Address})
 	}
 }
--- a/internal/mesh/consensus/leave.go
+++ b/internal/mesh/consensus/leave.go
@@ -62,12 +62,12 @@
 // once that is committed. Where no learner stands by, it gives away leadership alone.
 func (m *Machine) departAsLeader() {
 	switch {
-	case m.moving != nil || m.log.current().members.joint():
+	case m.transferee != nil || m.log.current().members.joint():
 	case m.now < m.departure.voteUntil && m.successorStands():
 		m.planMembers()
 	default:
 		m.departure.noSuccessor = m.now < m.departure.voteUntil && m.ledLong()
-		m.departure.done = !m.HandOver()
+		m.departure.done = !m.TransferLeadership()
 	}
 }
 
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -20,19 +20,18 @@
 //
 // A disk that is lost is another member. Each store draws a number when it is made; votes and
 // acknowledgements carry it, and count only for the member with that number. So a node that has
-// forgotten what it promised is nobody: it asks to be replicated to as a learner, and when it has
-// caught up, the leader takes the lost disk out of the members and then the new one in, by two
-// entries of the log. Both ways any two majorities in succession have a node in common that forgot
-// nothing. With three members the first of them needs both others. The first members don't know
-// each other's numbers: disk 0 stands for a disk made at the first start, until a leader has heard
-// its number and has it written into the members, which changes no majority.
+// lost what it promised is nobody: it asks to be replicated to as a learner, and when it has caught
+// up, the leader has the new disk take the place of the lost one. That needs a majority of the disks
+// that were there before, so with three members both others. The first members don't know each
+// other's numbers: disk 0 stands for a disk made at the first start, until a leader has heard its
+// number and has it written into the members, which changes no majority.
 //
 // A mesh that was founded from a backup is another mesh, at the same addresses and perhaps with the
 // same indexes. Its number stands in its members, and nodes don't heed messages of another number.
 //
-// Members change by one voter at a time, once the change before is committed and the leader has
-// committed an entry of its own term. A voter that is taken out and comes back is told so when it
-// campaigns, and becomes a learner.
+// Members change by joint configurations, each once the change before is committed and the leader
+// has committed an entry of its own term: see members.go. A voter that is taken out and comes back
+// is told so when it campaigns, and becomes a learner.
 package consensus
 
 import (
@@ -53,7 +52,7 @@
 	healthy     = time.Second            // a peer that was heard in this time is there
 	joinFirst   = 125 * time.Millisecond // before a Join is repeated, while nobody replicates to us;
 	joinEvery   = time.Second            // twice as long each time, up to this
-	askAgain    = 500 * time.Millisecond
+	resendAfter = 500 * time.Millisecond
 	installWait = 2 * time.Second // for a snapshot, before it is sent again
 
 	mostPending   = 512     // proposals and reads of one node
@@ -185,8 +184,8 @@
 	reads                      []read
 	beatAt, ledSince           time.Duration
 	commitAtBeat, commitBefore uint64    // at the last beat, and at the one before
-	moving                     *progress // who leadership is handed to
-	movingUntil                time.Duration
+	transferee                 *progress // who leadership is handed to
+	transferUntil              time.Duration
 	seen                       []origin
 
 	// As a learner.
@@ -197,11 +196,11 @@
 	joinedAt time.Duration // when the leader was last asked
 	adopted  time.Duration // when a leader last replicated to this very disk
 
-	departure departure
-	pending   []pending // proposals, in order
-	asks      []ask     // reads
-	done      []Done
-	restore   *Snapshot
+	departure    departure
+	pending      []pending // proposals, in order
+	pendingReads []pendingRead
+	done         []Done
+	restore      *Snapshot
 }
 
 // New makes a machine of what a disk holds. A first member finds the first members in its log: see
@@ -312,7 +311,7 @@
 		m.onAppendReply(msg)
 	case Install:
 		m.onInstall(msg)
-	case HandOver:
+	case TimeoutNow:
 		if msg.Term == m.hard.Term && m.role == follower && m.mayCampaign() {
 			m.campaign(candidate)
 		}
--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -22,7 +22,7 @@
 // configuration holds.
 func (m *Machine) planMembers() {
 	current := m.log.current()
-	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
+	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.transferee != nil {
 		return
 	}
 	members := current.members
@@ -45,7 +45,7 @@
 // leadership to one that is, since it could not commit its own leaving as a voter.
 func (m *Machine) finishChange(members Members) {
 	if !slices.ContainsFunc(members.Voters, m.isSelf) {
-		m.HandOver()
+		m.TransferLeadership()
 		return
 	}
 	members.Old = nil
--- a/internal/mesh/consensus/message.go
+++ b/internal/mesh/consensus/message.go
@@ -12,7 +12,7 @@
 	Append                       // entries of the leader's log, or none: a heartbeat
 	AppendReply                  // a promise: it leaves once the entries are synced
 	Install                      // a snapshot in place of entries that the leader no longer has
-	HandOver                     // campaign now
+	TimeoutNow                   // campaign now: leadership is being transferred
 	Join                         // replicate to me: I am no voter
 	Hint                         // these are the members and the leader that I know
 	Forward                      // append this command
--- a/internal/mesh/consensus/propose.go
+++ b/internal/mesh/consensus/propose.go
@@ -16,8 +16,8 @@
 	sent    time.Duration
 }
 
-// ask is a read of this node.
-type ask struct {
+// pendingRead is a read of this node.
+type pendingRead struct {
 	id    uint64
 	sent  time.Duration
 	known bool
@@ -79,16 +79,16 @@
 	case len(m.pending) >= mostPending || m.role == leader && m.full():
 		m.done = append(m.done, Done{ID: id, Err: ErrBusy})
 		return
-	case m.leader.Address == "" || m.role == leader && m.moving != nil:
+	case m.leader.Address == "" || m.role == leader && m.transferee != nil:
 		m.done = append(m.done, Done{ID: id, Err: ErrNoLeader})
 		return
 	}
 	m.pending = append(m.pending, pending{id: id, command: command})
-	m.give(&m.pending[len(m.pending)-1])
+	m.forward(&m.pending[len(m.pending)-1])
 }
 
-// give gives a proposal to the leader.
-func (m *Machine) give(p *pending) {
+// forward gives a proposal to the leader.
+func (m *Machine) forward(p *pending) {
 	p.term, p.sent = m.hard.Term, m.now
 	if m.role == leader {
 		m.appendCommand(m.life, p.id, p.command)
@@ -107,7 +107,7 @@
 // Cancel forgets a proposal or a read that nobody waits for.
 func (m *Machine) Cancel(id uint64) {
 	m.pending = slices.DeleteFunc(m.pending, func(p pending) bool { return p.id == id })
-	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool { return a.id == id })
+	m.pendingReads = slices.DeleteFunc(m.pendingReads, func(a pendingRead) bool { return a.id == id })
 }
 
 // onForward appends what another node proposes, in the term it believes in. A refusal is certain
@@ -118,7 +118,7 @@
 	if msg.Term > m.hard.Term || !m.fresh(msg.Origin, msg.ID) {
 		return
 	}
-	if m.role == leader && msg.Term == m.hard.Term && m.moving == nil && !m.full() {
+	if m.role == leader && msg.Term == m.hard.Term && m.transferee == nil && !m.full() {
 		m.appendCommand(msg.Origin, msg.ID, msg.Command)
 		return
 	}
@@ -133,9 +133,9 @@
 		return
 	}
 	p := &m.pending[i]
-	if !p.again && m.leader.Address != "" && m.leader.Address != msg.From && (m.role != leader || m.moving == nil && !m.full()) {
+	if !p.again && m.leader.Address != "" && m.leader.Address != msg.From && (m.role != leader || m.transferee == nil && !m.full()) {
 		p.again = true
-		m.give(p)
+		m.forward(p)
 		return
 	}
 	m.done = append(m.done, Done{ID: p.id, Err: ErrNoLeader})
@@ -163,17 +163,17 @@
 // Read asks for a proof that the table here is current.
 func (m *Machine) Read(id uint64) {
 	switch {
-	case len(m.asks) >= mostPending:
+	case len(m.pendingReads) >= mostPending:
 		m.done = append(m.done, Done{ID: id, Err: ErrBusy})
 	case m.leader.Address == "":
 		m.done = append(m.done, Done{ID: id, Err: ErrNoLeader})
 	default:
-		m.asks = append(m.asks, ask{id: id})
-		m.giveRead(&m.asks[len(m.asks)-1])
+		m.pendingReads = append(m.pendingReads, pendingRead{id: id})
+		m.forwardRead(&m.pendingReads[len(m.pendingReads)-1])
 	}
 }
 
-func (m *Machine) giveRead(a *ask) {
+func (m *Machine) forwardRead(a *pendingRead) {
 	a.sent = m.now
 	msg := Message{Kind: ReadAsk, From: m.self, To: m.leader.Address, Origin: m.life, ID: a.id}
 	if m.role == leader {
@@ -183,24 +183,24 @@
 	m.send(msg)
 }
 
-// askLeader gives the leader again what it was given longer ago than this. It tells proposals
+// resendPending gives the leader again what it was given longer ago than this. It tells proposals
 // apart, so they have no second effect; one that was given to a leader of an earlier term waits for
 // the log instead.
-func (m *Machine) askLeader(ago time.Duration) {
-	for i := range m.asks {
-		if a := &m.asks[i]; !a.known && m.now-a.sent >= ago {
-			m.giveRead(a)
+func (m *Machine) resendPending(ago time.Duration) {
+	for i := range m.pendingReads {
+		if a := &m.pendingReads[i]; !a.known && m.now-a.sent >= ago {
+			m.forwardRead(a)
 		}
 	}
 	for i := range m.pending {
 		if p := &m.pending[i]; p.term == m.hard.Term && m.role != leader && m.now-p.sent >= ago {
-			m.give(p)
+			m.forward(p)
 		}
 	}
 }
 
 func (m *Machine) failReads(err error) {
-	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool {
+	m.pendingReads = slices.DeleteFunc(m.pendingReads, func(a pendingRead) bool {
 		if !a.known {
 			m.done = append(m.done, Done{ID: a.id, Err: err})
 		}
@@ -255,7 +255,7 @@
 		m.knowRead(msg.ID, msg.Index)
 		return
 	}
-	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool {
+	m.pendingReads = slices.DeleteFunc(m.pendingReads, func(a pendingRead) bool {
 		refused := a.id == msg.ID && !a.known && m.leader.Address == msg.From
 		if refused {
 			m.done = append(m.done, Done{ID: a.id, Err: ErrNoLeader})
@@ -265,15 +265,15 @@
 }
 
 func (m *Machine) knowRead(id, index uint64) {
-	for i := range m.asks {
-		if a := &m.asks[i]; a.id == id && !a.known {
+	for i := range m.pendingReads {
+		if a := &m.pendingReads[i]; a.id == id && !a.known {
 			a.known, a.index = true, index
 		}
 	}
 }
 
 func (m *Machine) finishReads() {
-	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool {
+	m.pendingReads = slices.DeleteFunc(m.pendingReads, func(a pendingRead) bool {
 		ready := a.known && a.index <= m.applied
 		if ready {
 			m.done = append(m.done, Done{ID: a.id})
--- a/internal/mesh/consensus/reopen.go
+++ b/internal/mesh/consensus/reopen.go
@@ -63,16 +63,11 @@
 	if m.role != leader {
 		return nil
 	}
-	var to *progress
-	for _, p := range m.peers {
-		if !p.learner && m.now-p.heard < healthy && (to == nil || p.match > to.match) {
-			to = p
-		}
-	}
+	to := m.transferTarget()
 	if to == nil {
 		return nil
 	}
-	return []Message{m.signed(Message{Kind: HandOver, To: to.member.Address})}
+	return []Message{m.signed(Message{Kind: TimeoutNow, To: to.member.Address})}
 }
 
 // reopen closes a store that failed and opens it again, until that works, can't work, or the node
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -89,10 +89,10 @@
 	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
 		return p.learner && m.now-p.heard > unheardFactor*m.replace
 	})
-	if m.moving != nil && m.now >= m.movingUntil {
-		m.moving = nil
+	if m.transferee != nil && m.now >= m.transferUntil {
+		m.transferee = nil
 	}
-	m.tryHandOver()
+	m.sendTimeoutNow()
 	m.round++
 	m.commitBefore, m.commitAtBeat = m.commitAtBeat, m.commit
 	for _, p := range m.peers {
@@ -255,7 +255,7 @@
 	m.heard = m.now
 	m.resetElection()
 	if m.mayCampaign() {
-		m.askLeader(askAgain)
+		m.resendPending(resendAfter)
 		return true
 	}
 	if msg.ToDisk == m.disk {
@@ -264,7 +264,7 @@
 	} else if m.now-m.joinedAt >= heartbeat {
 		m.joinAt = m.now
 	}
-	m.askLeader(askAgain)
+	m.resendPending(resendAfter)
 	return true
 }
 
@@ -328,8 +328,8 @@
 	}
 	m.advanceCommit()
 	m.confirmReads()
-	if p == m.moving {
-		m.tryHandOver()
+	if p == m.transferee {
+		m.sendTimeoutNow()
 	}
 	if p.learner {
 		m.planMembers()
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -559,7 +559,7 @@
 			}
 		case 7:
 			for _, h := range w.hosts {
-				w.touch(h, h.life, func(m *Machine) { m.HandOver() })
+				w.touch(h, h.life, func(m *Machine) { m.TransferLeadership() })
 			}
 		case 8:
 			if w.rng.IntN(4) == 0 && w.gone == nil && w.mayWipe() {
--- a/internal/mesh/consensus/whole_test.go
+++ b/internal/mesh/consensus/whole_test.go
@@ -191,7 +191,7 @@
 	c.log.entries, c.log.sums, c.log.members = slices.Clone(m.log.entries), slices.Clone(m.log.sums), slices.Clone(m.log.members)
 	c.votes, c.known, c.seen = slices.Clone(m.votes), slices.Clone(m.known), slices.Clone(m.seen)
 	c.out, c.held, c.waiting = slices.Clone(m.out), slices.Clone(m.held), slices.Clone(m.waiting)
-	c.pending, c.asks, c.done, c.reads = slices.Clone(m.pending), slices.Clone(m.asks), slices.Clone(m.done), slices.Clone(m.reads)
+	c.pending, c.pendingReads, c.done, c.reads = slices.Clone(m.pending), slices.Clone(m.pendingReads), slices.Clone(m.done), slices.Clone(m.reads)
 	c.peers = slices.Clone(m.peers)
 	for i, p := range m.peers {
 		q := *p
