--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -133,27 +133,6 @@
 	}))
 }
 
-func twoOperators(t *testing.T, ctx context.Context, g *Ground) {
-	require.NoError(t, g.Operator.Wrong(ctx, g.Route(1, "nobody", 9), g.Route(0, g.services[1], 9)))
-	errs := make(chan error, 2)
-	for i := range 2 {
-		go func() { errs <- newOperator(g).ChangeAt(ctx, g.Cores[i], g.Route(0, g.services[i], 2)) }()
-	}
-	require.NoError(t, <-errs)
-	require.NoError(t, <-errs)
-	require.NoError(t, g.Calm(ctx, 60))
-	at := map[string]bool{} // services at which the route's requests run by now
-	g.record.note(func(_ time.Duration, s *Story) {
-		from := s.last() + s.Terms.longest()
-		for _, r := range s.Runs {
-			if t := s.Tries[r.Try]; t.Sent > from && t.URI[:len(kinds[0].path)] == kinds[0].path {
-				at[r.Service] = true
-			}
-		}
-	})
-	require.Len(t, at, 1)
-}
-
 func endsInOrder(t *testing.T, ctx context.Context, g *Ground) {
 	mute, m := g.Leader(), g.Agents[0]
 	mute.Stop()
--- a/internal/mesh/meshtest/operator.go
+++ b/internal/mesh/meshtest/operator.go
@@ -19,6 +19,7 @@
 type Operator struct {
 	g      *Ground
 	client *http.Client
+	via    map[*Machine]string // where a core machine is reached, if not at its own address
 
 	mu   sync.Mutex
 	next int // core machine that is asked first
@@ -28,6 +29,21 @@
 	return &Operator{g: g, client: &http.Client{Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}}
 }
 
+// Refused is that a call was refused for good.
+type Refused struct {
+	Status int
+	Answer string
+}
+
+func (e *Refused) Error() string { return fmt.Sprintf("a call was refused: %d %s", e.Status, e.Answer) }
+
+func (o *Operator) address(m *Machine) string {
+	if at, there := o.via[m]; there {
+		return at
+	}
+	return m.at(controlPort)
+}
+
 // order sends a call until it has a clear answer. It begins with a core machine, or with the one
 // that answered last if that is nil.
 func (o *Operator) order(ctx context.Context, first *Machine, method, path string, body []byte) (status int, answer []byte, err error) {
@@ -42,7 +58,7 @@
 	pause := pauseLow
 	for {
 		one, cancel := context.WithTimeout(ctx, orderFor)
-		status, answer := call(one, o.client, method, "http://"+o.g.Cores[at%len(o.g.Cores)].at(controlPort)+path, body)
+		status, answer := call(one, o.client, method, "http://"+o.address(o.g.Cores[at%len(o.g.Cores)])+path, body)
 		cancel()
 		if status != 0 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests && status < 500 {
 			o.mu.Lock()
@@ -91,7 +107,8 @@
 		return err
 	}
 	if status != http.StatusOK {
-		return fmt.Errorf("a change was refused: %d %s", status, answer)
+		o.g.record.note(func(time.Duration, *Story) { c.Invalid = true }) // nothing of it may hold
+		return &Refused{status, string(answer)}
 	}
 	o.g.record.note(func(now time.Duration, _ *Story) { c.Acked = now })
 	return nil
@@ -123,7 +140,7 @@
 func (o *Operator) zone(ctx context.Context, method, zone string) error {
 	status, answer, err := o.order(ctx, nil, method, "/api/drain-zone/"+zone, nil)
 	if err == nil && status/100 != 2 {
-		err = fmt.Errorf("%s of %s was refused: %d %s", method, zone, status, answer)
+		err = fmt.Errorf("%s of %s: %w", method, zone, &Refused{status, string(answer)})
 	}
 	return err
 }
