--- a/internal/mesh/controlplane/answers.go
+++ b/internal/mesh/controlplane/answers.go
@@ -53,7 +53,8 @@
 func decodeRefusal(reply []byte) *refusal {
 	r := new(refusal)
 	if err := json.Unmarshal(reply, r); err != nil {
-		return &refusal{Status: http.StatusInternalServerError, Error: "the table's reply can't be read: " + err.Error()}
+		problem := "the table's reply can't be read: " + err.Error()
+		return &refusal{Status: http.StatusInternalServerError, Error: problem}
 	}
 	return r
 }
--- a/internal/mesh/meshconfig/identity.go
+++ b/internal/mesh/meshconfig/identity.go
@@ -112,8 +112,11 @@
 	return sign + significant + "e" + power.String()
 }
 
-// mostDifferences bounds how many fields a refusal names.
-const mostDifferences = 5
+// What a refusal names: so many fields, and so many bytes of the name of each.
+const (
+	mostDifferences = 5
+	mostFieldName   = 64
+)
 
 // differences names the fields in which two items differ, sorted: metadata and body field by field.
 func differences(a, b *item) []string {
@@ -126,7 +129,7 @@
 	var differ []string
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		if ours[name] != theirs[name] {
-			differ = append(differ, name)
+			differ = append(differ, name[:min(len(name), mostFieldName)])
 		}
 	}
 	if len(differ) > mostDifferences {
