--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -53,19 +53,23 @@
 	joinFirst   = 125 * time.Millisecond // before a Join is repeated, while nobody replicates to us;
 	joinEvery   = time.Second            // twice as long each time, up to this
 	askAgain    = 500 * time.Millisecond
-	installWait = 2 * time.Second // for a snapshot, before it is sent again
-
-	mostPending   = 512     // proposals and reads of one node
-	mostReads     = 1024    // that a leader keeps, of all nodes
-	mostLearners  = 16      //
-	mostKnown     = 32      // addresses that a learner asks
-	mostOrigins   = 64      // lives of processes whose proposals a leader tells apart
-	mostMessage   = 1 << 19 // bytes of entries in one message
-	mostInFlight  = 2 << 20 // bytes of entries that a follower hasn't acknowledged
-	mostOpen      = 8 << 20 // bytes of entries that aren't committed
-	compactAfter  = 512     // entries,
-	compactBytes  = 4 << 20 // or so many bytes
-	unheardFactor = 4       // learners are dropped after this many times Replace
+	chunkWait   = time.Second // for a chunk of a snapshot to be acknowledged, before it is sent again
+	// A sync that takes longer is no contact with the leader any more: see answersEarly.
+	stalledAfter = 4 * time.Second
+
+	mostPending   = 512       // proposals and reads of one node
+	mostReads     = 1024      // that a leader keeps, of all nodes
+	mostLearners  = 16        //
+	mostKnown     = 32        // addresses that a learner asks
+	mostOrigins   = 64        // lives of processes whose proposals a leader tells apart
+	mostMessage   = 64 << 10  // bytes of entries in one message, so that heartbeats don't wait long behind it
+	mostInFlight  = 512 << 10 // bytes of entries that a follower hasn't acknowledged
+	mostChunk     = 32 << 10  // bytes of a snapshot in one message
+	mostSnapshot  = 64 << 20  // bytes of a snapshot
+	mostOpen      = 8 << 20   // bytes of entries that aren't committed
+	compactAfter  = 512       // entries,
+	compactBytes  = 4 << 20   // or so many bytes
+	unheardFactor = 4         // learners are dropped after this many times Replace
 
 	defaultReplace    = 2 * time.Second // half of the time that a repaired machine has to catch up
 	askOutsidersAfter = 2 * electionMax // without a leader, a voter asks others than voters
@@ -174,6 +178,8 @@
 	// waiting until it is synced.
 	hardDirty, baseDirty    bool
 	saving                  bool
+	savingSince             time.Duration
+	savingTerm, syncedTerm  uint64 // the term in the Save under way, and on disk
 	handed, savedTo, synced uint64 // entries up to here were handed out, are in the Save under way, are on disk
 	out, held, waiting      []Message
 
@@ -196,17 +202,21 @@
 	adopted  time.Duration // when a leader last replicated to this very disk
 
 	departure departure
-	pending   []pending // proposals, in order
-	asks      []ask     // reads
-	done      []Done
-	restore   *Snapshot
+	incoming  *incoming // the snapshot that is being received
+	chunk     int       // bytes of one that are sent at a time
+
+	pending []pending // proposals, in order
+	asks    []ask     // reads
+	done    []Done
+	restore *Snapshot
 }
 
 // New makes a machine of what a disk holds. A first member finds the first members in its log: see
 // Found.
 func New(c Config) *Machine {
 	m := &Machine{self: c.Self, seeds: c.Seeds, life: c.Life, replace: c.Replace, rng: c.Rand, disk: c.State.Disk,
-		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, tableAt: c.TableAt, compact: compactAfter}
+		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, tableAt: c.TableAt,
+		compact: compactAfter, chunk: mostChunk, syncedTerm: c.State.Hard.Term}
 	if m.replace == 0 {
 		m.replace = defaultReplace
 	}
@@ -310,6 +320,8 @@
 		m.onAppendReply(msg)
 	case Install:
 		m.onInstall(msg)
+	case InstallReply:
+		m.onInstallReply(msg)
 	case HandOver:
 		if msg.Term == m.hard.Term && m.role == follower && m.mayCampaign() {
 			m.campaign(candidate)
@@ -355,7 +367,7 @@
 		if m.hardDirty || m.baseDirty || m.handed < m.log.last() {
 			o.Save = m.save()
 			m.waiting, m.held = m.held, nil
-			m.saving = true
+			m.saving, m.savingSince, m.savingTerm = true, m.now, m.hard.Term
 		} else if len(m.held) > 0 {
 			held := m.held
 			m.held = nil
@@ -380,7 +392,7 @@
 // Saved tells that the Save under way is synced.
 func (m *Machine) Saved() {
 	m.saving = false
-	m.synced = max(m.synced, m.savedTo)
+	m.synced, m.syncedTerm = max(m.synced, m.savedTo), m.savingTerm
 	waiting := m.waiting
 	m.waiting = nil
 	m.release(waiting)
@@ -425,36 +437,9 @@
 		panic(fmt.Sprintf("consensus: commit goes from %d to %d, and the log ends at %d", m.commit, index, m.log.last()))
 	}
 	m.commit = index
-}
-
-func (m *Machine) compactDue() bool {
-	if m.applied < m.tableAt {
-		return false
-	}
-	from := m.log.base
-	if m.snapshot != nil {
-		from = max(from, m.snapshot.Index)
-	}
-	return m.applied-from >= m.compact || m.log.bytes(from, m.applied) >= compactBytes
-}
-
-// asOfApplied is a snapshot as of the last entry that was applied.
-func (m *Machine) asOfApplied(data []byte) *Snapshot {
-	term, _ := m.log.term(m.applied)
-	members := m.log.at(m.applied)
-	return &Snapshot{Index: m.applied, Term: term, Members: members.members, MembersAt: members.at, Data: data}
-}
-
-// Compact hands over the table's snapshot as of the last entry that was applied.
-func (m *Machine) Compact(data []byte) {
-	m.snapshot = m.asOfApplied(data)
-	to := m.applied
-	for to > m.log.base && m.applied-to < m.compact/2 && m.log.bytes(to-1, m.applied) <= compactBytes/2 {
-		to--
+	if in := m.incoming; in != nil && in.transferID.at.Index <= index {
+		m.incoming = nil
 	}
-	m.log.compact(to)
-	m.handed = max(m.handed, to)
-	m.baseDirty = true
 }
 
 // send fills in who we are. A message that promises something goes through promise instead.
--- a/internal/mesh/consensus/message.go
+++ b/internal/mesh/consensus/message.go
@@ -11,7 +11,7 @@
 	VoteReply                    // a promise: it leaves once the vote is synced
 	Append                       // entries of the leader's log, or none: a heartbeat
 	AppendReply                  // a promise: it leaves once the entries are synced
-	Install                      // a snapshot in place of entries that the leader no longer has
+	Install                      // a chunk of a snapshot in place of entries that the leader no longer has
 	HandOver                     // campaign now
 	Join                         // replicate to me: I am no voter
 	Hint                         // these are the members and the leader that I know
@@ -21,6 +21,7 @@
 	ReadReply                    //
 	Leave                        // I am about to end: have a learner take my vote
 	LeaveReply                   // you have no vote any more, or nobody can take it
+	InstallReply                 // up to where the chunks have come; promises nothing
 )
 
 // Entry is one place of the log: a command, a change of members, or nothing but the opening of a
@@ -82,10 +83,13 @@
 	Entries []Entry
 	Quiet   bool // tells the commit alone: no reply unless the logs disagree
 
-	Sequence uint64 // of the leader's sends, told back by replies
-	Reject   bool   // of replies
-	About    uint64 // the index that doesn't agree; the term in which a refused command was given to the leader
-	Snapshot *Snapshot
+	Sequence uint64    // of the leader's sends, told back by replies
+	Reject   bool      // of replies
+	About    uint64    // the index that doesn't agree; the term in which a refused command was given to the leader
+	Snapshot *Snapshot // its Data is the chunk
+
+	Offset, Size uint64 // of the chunk, or up to where all have come; of the whole snapshot's data
+	Sum          uint32 // of the whole snapshot's data
 
 	Leader    string // known to the sender
 	Members   *Members
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -11,24 +11,24 @@
 const (
 	probing    stage = iota // one message at a time, until it is known where the logs agree
 	streaming               // as much as may be in flight
-	installing              // a snapshot is under way
+	installing              // a snapshot is under way, in chunks
 )
 
 // progress is what a leader knows of a peer.
 type progress struct {
-	member      Member
-	learner     bool
-	disk        uint64 // heard, of a member that is known by disk 0; 0 if not yet
-	stage       stage
-	probed      bool // the one message is under way
-	match       uint64
-	next        uint64
-	told        uint64 // commit
-	heard       time.Duration
-	round       uint64 // of heartbeats, acknowledged,
-	sent        uint64 // and sent
-	since       uint64 // the round at which it became a learner
-	installedAt time.Duration
+	member   Member
+	learner  bool
+	disk     uint64 // heard, of a member that is known by disk 0; 0 if not yet
+	stage    stage
+	probed   bool // the one message is under way
+	match    uint64
+	next     uint64
+	told     uint64 // commit
+	heard    time.Duration
+	round    uint64   // of heartbeats, acknowledged,
+	sent     uint64   // and sent
+	since    uint64   // the round at which it became a learner
+	transfer transfer // while installing
 
 	leavingUntil time.Duration // it said that it is about to end
 }
@@ -99,8 +99,8 @@
 			p.stage, p.next = probing, p.match+1
 		}
 		p.probed = false
-		if p.stage == installing && m.now-p.installedAt >= installWait {
-			p.stage = probing
+		if p.stage == installing && m.now-p.heard >= healthy {
+			p.stage, p.transfer = probing, transfer{}
 		}
 	}
 	m.planMembers()
@@ -147,16 +147,14 @@
 	}
 	if p.stage != installing && p.next <= m.log.base {
 		if m.now-p.heard < healthy { // to who is down, a snapshot would only be traffic
-			p.stage, p.installedAt, p.sent = installing, m.now, m.round
-			p.told = m.commit
-			m.send(Message{Kind: Install, To: p.member.Address, ToDisk: p.member.Disk, Snapshot: m.snapshot,
-				Sequence: m.round})
+			m.beginTransfer(p)
 			return
 		}
 		p.next = m.log.base + 1
 	}
-	if p.stage == installing { // only a heartbeat, at the one index where all logs agree
-		if p.sent < m.round {
+	if p.stage == installing {
+		m.sendChunk(p)
+		if p.sent < m.round { // only a heartbeat, at the one index where all logs agree
 			p.sent = m.round
 			m.send(Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Sequence: m.round})
 		}
@@ -260,6 +258,11 @@
 // promised this leader before and waits for the same sync: however long that takes, one is kept.
 func (m *Machine) acknowledge(msg Message, index uint64) {
 	reply := Message{Kind: AppendReply, To: msg.From, Term: m.hard.Term, Index: index, Sequence: msg.Sequence}
+	if m.answersEarly() {
+		early := reply
+		early.Index = min(index, m.synced)
+		m.send(early)
+	}
 	if i := len(m.held) - 1; i >= 0 {
 		if last := m.held[i]; last.Kind == AppendReply && last.To == reply.To && last.Term == reply.Term {
 			reply.Index, reply.Sequence = max(last.Index, index), max(last.Sequence, msg.Sequence)
@@ -269,6 +272,16 @@
 	m.promise(reply)
 }
 
+// answersEarly tells whether a leader is answered before the sync that is under way is done, with
+// what was on the disk before: without that, disks that are all slow at once, as when all write a
+// snapshot, would cost a leader its quorum. The term has to be on the disk as well, or a leader of
+// an earlier one could take back, after a crash, what was acknowledged. A disk that doesn't answer
+// for long counts as lost, so that another can take its place.
+func (m *Machine) answersEarly() bool {
+	took := m.now - m.savingSince
+	return m.saving && took >= heartbeat && took < stalledAfter && m.syncedTerm == m.hard.Term
+}
+
 // disagree tells the leader where to look next: at our end, or before the term that doesn't fit.
 func (m *Machine) disagree(msg Message, prev uint64) {
 	to := m.log.last()
@@ -311,8 +324,8 @@
 	}
 	p.match = max(p.match, msg.Index)
 	p.next = max(p.next, p.match+1)
-	if p.stage == probing && msg.Index >= p.next-1 || p.stage == installing && p.match >= m.log.base {
-		p.stage, p.next = streaming, p.match+1
+	if p.stage == probing && msg.Index >= p.next-1 || p.stage == installing && p.match >= p.transfer.snapshot.Index {
+		p.stage, p.next, p.transfer = streaming, p.match+1, transfer{}
 	}
 	m.advanceCommit()
 	m.confirmReads()
@@ -345,28 +358,3 @@
 	m.confirmReads()
 	m.planMembers()
 }
-
-func (m *Machine) onInstall(msg Message) {
-	s := msg.Snapshot
-	if s == nil || !m.heed(msg) {
-		return
-	}
-	if s.Index <= m.commit {
-		m.acknowledge(msg, m.commit)
-		return
-	}
-	if term, ok := m.log.term(s.Index); ok && term == s.Term { // the entries are here; they only weren't known to hold
-		m.commitTo(s.Index)
-		m.acknowledge(msg, s.Index)
-		return
-	}
-	m.log.reset(s)
-	m.snapshot, m.restore, m.baseDirty = s, s, true
-	m.handed, m.savedTo, m.synced = s.Index, s.Index, s.Index
-	m.commit, m.applied = s.Index, s.Index
-	for _, p := range m.pending { // their fate is behind the snapshot
-		m.done = append(m.done, Done{ID: p.id, Err: ErrUnknown})
-	}
-	m.pending = nil
-	m.acknowledge(msg, s.Index)
-}
