--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -203,6 +203,10 @@
 		msg.LogTerm = m.log.baseTerm
 	}
 	if term, ok := m.log.term(prev); !ok || term != msg.LogTerm {
+		if ok && prev <= m.commit {
+			panic(fmt.Sprintf("consensus: entry %d is committed in term %d, and the leader of term %d has it of term %d",
+				prev, term, msg.Term, msg.LogTerm))
+		}
 		m.disagree(msg, prev)
 		return
 	}
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -18,6 +18,11 @@
 	forgetVote   bool // the disk doesn't keep votes
 	earlyAck     bool // a leader's own sync is taken for a commit
 	localRead    bool // who leads answers reads alone
+
+	dropTerm     bool // a snapshot is installed without its term
+	mixChunks    bool // a chunk of another snapshot is put behind those that have come
+	keepOldImage bool // the log is compacted on the disk, and the snapshot isn't written
+	oldState     bool // a restarted node has lost what its disk had behind the snapshot
 }
 
 // world is a few machines in virtual time, with a network and disks that fail by a seed, and a
@@ -31,8 +36,12 @@
 	rough   float64       // chance that a message is lost, doubled or late
 	late    time.Duration // by how much at most
 	slow    time.Duration // a sync, at most
-	crashes float64       // chance that a sync ends in a crash, done or not
-	gone    *host         // for good
+	slowest time.Duration // a sync, at times; 0: never
+	compact uint64        // see Machine
+	chunk   int
+	crashes float64 // chance that a sync ends in a crash, done or not
+	broken  float64 // chance that a save fails, done or not, and the node is suspended
+	gone    *host   // for good
 	plant   plant
 	life    uint64
 
@@ -44,6 +53,8 @@
 	acks      int
 	reads     int
 	lost      map[Member]bool // disks
+	installs  int             // of snapshots that came in several chunks
+	suspended int             // disks that failed
 	history   *history        // of what operators saw; nil: not kept
 }
 
@@ -54,6 +65,8 @@
 	life    uint64
 	frozen  time.Duration // until when
 	table   []Entry       // applied commands
+	kept    bool          // the table outlives the machine, whose disk has failed
+	tableAt uint64        // what the table held when the machine was made
 	applied uint64
 	saving  *Save
 	next    uint64
@@ -73,7 +86,7 @@
 
 func newWorld(seed uint64, p plant) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, plant: p, fate: map[uint64]string{},
-		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}, late: time.Second, slow: 5 * time.Millisecond}
+		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}, late: time.Second, slow: 5 * time.Millisecond, compact: 24, chunk: mostChunk}
 	for _, a := range []string{"a", "b", "c", "d"} {
 		w.hosts = append(w.hosts, &host{address: a, first: a != "d"})
 	}
@@ -135,12 +148,26 @@
 	h.life = w.life
 	state := *h.disk
 	state.Entries = slices.Clone(state.Entries)
-	h.machine = New(Config{Self: h.address, Seeds: seedNames, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
-		State: state, Replace: 3 * time.Second})
-	h.machine.compact = 24
+	if err := state.check(); err != nil {
+		w.fail("%s: %v", h.address, err)
+	}
+	if w.plant.oldState && state.Snapshot != nil {
+		state.Entries = state.Entries[:state.Snapshot.Index-state.Base]
+	}
+	h.tableAt = 0
+	if h.kept {
+		h.tableAt = h.applied
+	} else {
+		h.table, h.applied = nil, 0
+	}
+	h.kept = false
+	c := Config{Self: h.address, Seeds: seedNames, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
+		State: state, Replace: 3 * time.Second, TableAt: h.tableAt}
+	h.machine = New(c)
+	h.machine.compact, h.machine.chunk = w.compact, w.chunk
 	h.machine.now = w.now
 	h.machine.resetElection()
-	h.table, h.applied, h.saving, h.next, h.frozen, h.due = nil, 0, nil, 0, 0, 0
+	h.saving, h.next, h.frozen, h.due = nil, 0, 0, 0
 	h.asked, h.isRead, h.early = map[uint64]uint64{}, map[uint64]bool{}, nil
 	if s := state.Snapshot; s != nil {
 		w.restore(h, s)
@@ -162,7 +189,7 @@
 	if h.saving != nil && w.rng.IntN(2) == 0 {
 		w.write(h, h.saving)
 	}
-	h.machine, h.saving = nil, nil
+	h.machine, h.saving, h.kept = nil, nil, false
 }
 
 // mayWipe tells whether the disk of a host may be lost now: all others of the members are whole,
@@ -202,7 +229,7 @@
 	if w.plant.forgetVote {
 		d.Hard.Vote = Member{}
 	}
-	if s.Snapshot != nil {
+	if s.Snapshot != nil && !(w.plant.keepOldImage && d.Snapshot != nil) {
 		d.Snapshot = s.Snapshot
 	}
 	var entries []Entry
@@ -269,6 +296,10 @@
 						}
 						w.after(w.within(0, time.Millisecond), crash)
 					}
+					if w.rng.Float64() < w.broken {
+						w.suspend(h)
+						return
+					}
 					w.write(h, s)
 					h.saving = nil
 					m.Saved()
@@ -303,13 +334,16 @@
 		w.after(delay, func() {
 			h := w.host(msg.To)
 			if !w.cut[[2]string{msg.From, msg.To}] {
-				w.touch(h, h.life, func(m *Machine) { m.Step(msg) })
+				w.touch(h, h.life, func(m *Machine) { w.step(m, msg) })
 			}
 		})
 	}
 }
 
 func (w *world) apply(h *host, e Entry) {
+	if e.Index <= h.tableAt {
+		return
+	}
 	if e.Index != h.applied+1 {
 		w.fail("%s applies %d after %d", h.address, e.Index, h.applied)
 	}
@@ -341,6 +375,9 @@
 }
 
 func (w *world) restore(h *host, s *Snapshot) {
+	if s.Index <= h.tableAt {
+		return
+	}
 	h.table = nil
 	if err := gob.NewDecoder(bytes.NewReader(s.Data)).Decode(&h.table); err != nil {
 		w.fail("%v", err)
@@ -445,7 +482,7 @@
 // nothing.
 func (w *world) heal() {
 	clear(w.cut)
-	w.rough, w.crashes = 0, 0
+	w.rough, w.crashes, w.broken, w.slow = 0, 0, 0, min(w.slow, 100*time.Millisecond)
 	for _, h := range w.hosts {
 		h.frozen = min(h.frozen, w.now)
 		if h != w.gone {
@@ -498,6 +535,9 @@
 	w.late = pick(w, 60*time.Millisecond, 3*time.Second)
 	pause := pick(w, 300*time.Millisecond, 1500*time.Millisecond)
 	w.slow = pick(w, 5*time.Millisecond, 100*time.Millisecond)
+	if w.slowest > 0 && w.rng.IntN(4) == 0 {
+		w.slow = w.slowest
+	}
 	for _, h := range w.hosts {
 		w.after(w.within(0, 2*time.Second), func() { w.start(h) })
 	}
