A configuration's digest is brought up to date by each change, not made anew of all of it

Each change had the core and every agent encode the whole configuration for its digest. Now each item has a digest, and a configuration the sum of them, kept by Apply and by what forgets tombstones.

The tests that compared meshconfig.Digest(Encode()) compare Digest() and the encodings.

--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -264,11 +264,11 @@
 		d.Index = s.index
 		switch {
 		case f.want != 0 && s.index >= f.want:
-			raw, d.Digest = s.encoded()
+			raw, d.Digest = s.encoded(), s.config.Digest()
 			d.Raw, f.want = int64(len(raw)), 0
 		case s.index > f.have:
 			if d.Steps = s.since(f.have); d.Steps != nil {
-				_, d.Digest = s.encoded()
+				d.Digest = s.config.Digest()
 			}
 		}
 		f.have = s.index
--- a/internal/mesh/controlplane/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -63,8 +63,8 @@
 			at = s.Index
 		}
 		require.Equal(t, now.index, at)
-		_, digest := now.encoded()
-		require.Equal(t, digest, meshconfig.Digest(config.Encode()))
+		require.Equal(t, now.config.Digest(), config.Digest())
+		require.Equal(t, now.config.Encode(), config.Encode())
 	}
 	require.Greater(t, followed, 200)
 }
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -27,9 +27,8 @@
 	config *meshconfig.Config
 	steps  []transport.Step // that led here, one after the other, the last few
 
-	once   sync.Once
-	text   []byte
-	digest uint64
+	once sync.Once
+	text []byte
 }
 
 // What is kept of steps: an agent that was away for longer is sent the whole.
@@ -38,13 +37,11 @@
 	mostStepBytes = 64 << 10
 )
 
-// encoded is the configuration as it is sent to agents; made once however many there are.
-func (s *state) encoded() (text []byte, digest uint64) {
-	s.once.Do(func() {
-		s.text = s.config.Encode()
-		s.digest = meshconfig.Digest(s.text)
-	})
-	return s.text, s.digest
+// encoded is the whole configuration as it is sent to agents; made once however many there are, and
+// not at all where all agents take the steps.
+func (s *state) encoded() []byte {
+	s.once.Do(func() { s.text = s.config.Encode() })
+	return s.text
 }
 
 // since returns the steps from an index that an agent has to this state; none if they are not kept.
@@ -114,9 +111,8 @@
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
 	s := t.now.Load()
-	text, _ := s.encoded()
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, text, t.history.Encode()}); err != nil {
+	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode()}); err != nil {
 		panic(err) // plain fields always encode
 	}
 	return b.Bytes()
--- a/internal/mesh/controlplane/table_test.go
+++ b/internal/mesh/controlplane/table_test.go
@@ -96,6 +96,5 @@
 
 // textOf is a state as agents get it.
 func textOf(s *state) string {
-	text, _ := s.encoded()
-	return string(text)
+	return string(s.encoded())
 }
--- a/internal/mesh/meshconfig/encode.go
+++ b/internal/mesh/meshconfig/encode.go
@@ -82,7 +82,7 @@
 		if i.route != nil {
 			domains[i.route.Domain] = true
 		}
-		c.items[i.key] = i
+		c.put(i)
 	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("a configuration that isn't whole: %w", err)
--- a/internal/mesh/meshconfig/meshconfig.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -47,6 +47,7 @@
 	items map[key]*item // with tombstones
 	drops uint64        // tombstones ever made, which puts them in order
 	zones []string      // evacuated, sorted
+	sum   uint64        // of the items' digests: see Digest
 
 	hosts map[string]*prefixes // of the routes that stand, by domain
 }
@@ -96,7 +97,7 @@
 	if len(made.moved) == 0 {
 		return made, nil
 	}
-	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones}
+	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum}
 	if next.items == nil {
 		next.items = make(map[key]*item, len(made.moved))
 	}
@@ -137,7 +138,7 @@
 		tombstone.drop = c.drops
 		i = &tombstone
 	}
-	c.items[i.key] = i
+	c.put(i)
 }
 
 // check sees to it that the configuration is whole. Of several faults it tells the first by name,
@@ -185,6 +186,7 @@
 	slices.SortFunc(dropped, func(a, b *item) int { return cmp.Compare(a.drop, b.drop) })
 	forgotten := dropped[:len(dropped)-MostTombstones]
 	for _, i := range forgotten {
+		c.sum -= i.digest()
 		delete(c.items, i.key)
 	}
 	return forgotten
--- a/internal/mesh/meshconfig/meshconfig_test.go
+++ b/internal/mesh/meshconfig/meshconfig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -269,3 +270,35 @@
 	}
 	return c, true
 }
+
+// The digest that patches bring up to date is that of the configuration read back whole, and another
+// one wherever the configurations differ.
+func TestDigest(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	c, seen := New(), map[uint64]string{}
+	for range 500 {
+		name, version := r.IntN(12), 1+r.IntN(200)
+		body := fmt.Sprintf(`{"add":{"items":[{"item_kind":"services","metadata":{"name":"s%d","version":"%08x"},"body":{"health_path":"/%d"}}]}}`, name, version, r.IntN(9))
+		if r.IntN(3) == 0 {
+			body = fmt.Sprintf(`{"remove":{"services":[{"name":"s%d","version":"%08x"}]}}`, name, version)
+		}
+		p, err := ParsePatch([]byte(body))
+		require.NoError(t, err)
+		c, _, err = c.Apply(p)
+		require.NoError(t, err)
+		if zone := fmt.Sprint(r.IntN(3)); r.IntN(2) == 0 {
+			c = c.Evacuate(zone)
+		} else {
+			c = c.Return(zone)
+		}
+		text := c.Encode()
+		whole, err := Decode(text)
+		require.NoError(t, err)
+		require.Equal(t, whole.Digest(), c.Digest())
+		if was, ok := seen[c.Digest()]; ok {
+			require.Equal(t, was, string(text))
+		}
+		seen[c.Digest()] = string(text)
+	}
+	require.Greater(t, len(seen), 50)
+}
--- a/internal/mesh/meshconfig/order.go
+++ b/internal/mesh/meshconfig/order.go
@@ -1,9 +1,6 @@
 package meshconfig
 
-import (
-	"fmt"
-	"hash/crc64"
-)
+import "fmt"
 
 // Ops of an order.
 const (
@@ -46,8 +43,3 @@
 	}
 	return c, fmt.Errorf("op: %s is not known", o.Op)
 }
-
-var polynomial = crc64.MakeTable(crc64.ECMA)
-
-// Digest tells configurations apart by what Encode gave; never 0, which is none.
-func Digest(encoded []byte) uint64 { return max(1, crc64.Checksum(encoded, polynomial)) }
--- a/internal/mesh/sidecar/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -37,10 +37,11 @@
 // forward returns the configuration at the index that a message tells.
 func forward(config *meshconfig.Config, index uint64, d *transport.Down, whole []byte) (*meshconfig.Config, error) {
 	if len(whole) > 0 {
-		if meshconfig.Digest(whole) != d.Digest {
-			return nil, errors.New("the whole configuration has another digest")
+		config, err := meshconfig.Decode(whole)
+		if err == nil && config.Digest() != d.Digest {
+			err = errors.New("the whole configuration has another digest")
 		}
-		return meshconfig.Decode(whole)
+		return config, err
 	}
 	for i := range d.Steps {
 		s := &d.Steps[i]
@@ -59,7 +60,7 @@
 	if index != d.Index {
 		return nil, errBehind
 	}
-	if meshconfig.Digest(config.Encode()) != d.Digest {
+	if config.Digest() != d.Digest {
 		return nil, errors.New("the configuration has another digest after the steps")
 	}
 	return config, nil
--- a/internal/mesh/sidecar/config_test.go
+++ b/internal/mesh/sidecar/config_test.go
@@ -33,15 +33,15 @@
 	a.hear(f, &transport.Down{Index: 5, Fresh: 1}, nil)
 	require.False(t, a.proven)
 	require.EqualValues(t, 5, asked())
-	a.hear(a.asking, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole) + 1, Raw: int64(len(whole))}, whole)
+	a.hear(a.asking, &transport.Down{Index: 5, Digest: first.Digest() + 1, Raw: int64(len(whole))}, whole)
 	has(0, meshconfig.New())
 	require.EqualValues(t, 5, asked(), "another one is asked for what came spoilt")
-	a.hear(a.asking, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole), Raw: int64(len(whole))}, whole)
+	a.hear(a.asking, &transport.Down{Index: 5, Digest: first.Digest(), Raw: int64(len(whole))}, whole)
 	has(5, first)
 	require.True(t, a.proven)
 	require.Zero(t, asked())
 
-	next := transport.Down{Index: 9, Digest: meshconfig.Digest(second.Encode())}
+	next := transport.Down{Index: 9, Digest: second.Digest()}
 	for _, steps := range [][]transport.Step{{step(7, 9, "b")}, {step(5, 9, "c")}, {step(5, 7, "b")}, {{Before: 5, Index: 9}}} {
 		next.Steps = steps
 		a.hear(f, &next, nil)
@@ -51,7 +51,7 @@
 	next.Steps = []transport.Step{step(2, 5, "a"), step(5, 9, "b")}
 	a.hear(f, &next, nil)
 	has(9, second)
-	a.hear(other, &transport.Down{Index: 5, Digest: meshconfig.Digest(whole), Raw: int64(len(whole))}, whole)
+	a.hear(other, &transport.Down{Index: 5, Digest: first.Digest(), Raw: int64(len(whole))}, whole)
 	has(9, second)
 }
 
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -104,7 +104,7 @@
 // Down is what a core machine says to an agent. Raw bytes follow it: the whole configuration, which an agent gets that wants it.
 type Down struct {
 	Index    uint64 // of the configuration at the core machine
-	Digest   uint64 // of it as it is encoded, with Steps or Raw
+	Digest   uint64 // of it, with Steps or Raw
 	Steps    []Step // that lead to it, from one that the agent has
 	Raw      int64
 	Stations []Heard
