--- a/internal/mesh/controlplane/peers.go
+++ b/internal/mesh/controlplane/peers.go
@@ -65,10 +65,25 @@
 				c.Close()
 			}(c)
 		}
-		c.SetWriteDeadline(time.Now().Add(time.Second))
+		c.SetWriteDeadline(time.Now().Add(sendWithin(m)))
 		if err := c.Send(m, nil); err != nil {
 			c.Close()
 			c = nil
 		}
 	}
 }
+
+const slowestLink = 64 << 10 // bytes a second: over a slower one large commands don't go
+
+// sendWithin is how long a message may take to go out: one with a large command needs its time, or
+// it would be cut and sent again from its start for ever.
+func sendWithin(m consensus.Message) time.Duration {
+	size := len(m.Command)
+	for _, e := range m.Entries {
+		size += len(e.Command)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return time.Second + time.Duration(size)*time.Second/slowestLink
+}
