--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -30,12 +30,13 @@
 	queue     = 1024
 	mostFeeds = 2048
 
+	leaveWithin    = 3500 * time.Millisecond // longer than the agreement takes at most
+	shutdownWithin = time.Second
+
 	heartbeat   = 500 * time.Millisecond
 	feedTimeout = 1700 * time.Millisecond // of silence, until a feed is given up: three heartbeats
 	settleFor   = 2 * time.Second         // after a stall: agents dial again within 1.5 s, and are greeted
 
-	leaveWithin    = 2 * time.Second
-	shutdownWithin = time.Second
 )
 
 // Core is the process. Its fields from registry on belong to the goroutine of own.
