--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -104,7 +104,7 @@
 		set("addresses.outbound", m.at(outboundPort))
 		set("addresses.ready", m.at(readyPort))
 		set("app_address", m.reached(appPort))
-		set("addresses.gate", m.reached(firstSpare))
+		set("addresses.gate", m.reached(m.meshPort()))
 		set("service", m.Service)
 	}
 	t := &m.g.record.story.Terms
