--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -83,17 +83,18 @@
 		m.failReads(ErrNoLeader)
 		return
 	}
-	if stalled >= heartbeat {
+	if stalled >= m.replace/2 {
 		m.forgive(stalled)
 	}
 	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
 		return p.learner && m.now-p.heard > unheardFactor*m.replace
 	})
-	if m.moving != nil && m.now >= m.movingUntil {
-		m.moving = nil
+	if m.transferee != nil && m.now >= m.transferUntil {
+		m.transferee = nil
 	}
-	m.tryHandOver()
+	m.sendTimeoutNow()
 	m.round++
+	m.commitBefore, m.commitAtBeat = m.commitAtBeat, m.commit
 	for _, p := range m.peers {
 		if m.now-p.heard >= healthy && p.stage == streaming {
 			p.stage, p.next = probing, p.match+1
@@ -165,7 +166,8 @@
 	for {
 		quiet := m.now-p.heard >= healthy // who is down gets heartbeats alone
 		full := m.log.bytes(p.match, p.next-1) >= mostInFlight
-		more := p.next <= m.log.last() && !quiet && !full
+		most := m.sendable(p)
+		more := p.next <= most && !quiet && !full
 		if !more && p.sent >= m.round && p.told >= min(m.commit, p.next-1) {
 			return
 		}
@@ -176,7 +178,7 @@
 		msg := Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Index: p.next - 1, LogTerm: term,
 			Commit: m.commit, Sequence: m.round}
 		if more {
-			msg.Entries = m.log.after(p.next-1, mostMessage)
+			msg.Entries = m.log.between(p.next-1, most, mostMessage)
 		}
 		msg.Quiet = !more && p.stage == streaming && p.sent >= m.round
 		m.send(msg)
@@ -189,6 +191,16 @@
 	}
 }
 
+// sendable is how far a peer may hold the log. A learner gets committed entries alone: a voter that
+// is taken out still votes by the joint configuration it knows, and if it held a final one that no
+// incoming voter has kept, it could be neither elected nor vote for those who can be.
+func (m *Machine) sendable(p *progress) uint64 {
+	if p.learner {
+		return m.commit
+	}
+	return m.log.last()
+}
+
 func (m *Machine) onAppend(msg Message) {
 	if !m.heed(msg) {
 		return
@@ -243,7 +255,7 @@
 	m.heard = m.now
 	m.resetElection()
 	if m.mayCampaign() {
-		m.askLeader(askAgain)
+		m.resendPending(resendAfter)
 		return true
 	}
 	if msg.ToDisk == m.disk {
@@ -252,7 +264,7 @@
 	} else if m.now-m.joinedAt >= heartbeat {
 		m.joinAt = m.now
 	}
-	m.askLeader(askAgain)
+	m.resendPending(resendAfter)
 	return true
 }
 
@@ -316,8 +328,8 @@
 	}
 	m.advanceCommit()
 	m.confirmReads()
-	if p == m.moving {
-		m.tryHandOver()
+	if p == m.transferee {
+		m.sendTimeoutNow()
 	}
 	if p.learner {
 		m.planMembers()
