A restored node sends nothing to the lost disk at its own address

While a wiped voter's new disk takes the place of the old one, both are in the joint configuration at one address. Had the new one campaigned or led, it would have sent votes and entries to the lost disk, that is to itself: a vote request ended its own candidacy, and an append of its own term its process.

--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -80,6 +80,7 @@
 		msg := Message{Kind: kind, To: v.Address, Term: term, Index: m.log.last(), LogTerm: m.log.lastTerm(),
 			MembersAt: c.at}
 		switch {
+		case v.Address == m.self && !m.isSelf(v): // the disk that was here before ours
 		case m.isSelf(v):
 			m.promise(Message{Kind: reply, To: m.self, Term: term})
 		case as == candidate: // whoever asks for votes has voted for itself
--- a/internal/mesh/consensus/losses_test.go
+++ b/internal/mesh/consensus/losses_test.go
@@ -486,3 +486,35 @@
 		t.Logf("a learner stands by: %v; replaced after %v, longest %v", standing, times[len(times)/2], times[len(times)-1])
 	}
 }
+
+// A member is told to go while its successor stands by, and at that moment the leader loses its
+// disk. The new leader doesn't know the learner yet; the leaving member waits until it does, since
+// without both there would be no quorum any more.
+func TestLeavesAsTheLeaderIsLost(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		l := newLosses(seed, 3, 4*time.Second, 5*time.Second, lossPlant{})
+		w := l.w
+		for _, h := range w.hosts {
+			w.start(h)
+		}
+		w.run(3 * time.Second)
+		w.start(l.newHost())
+		w.run(l.catchUp)
+		l.begin()
+		leads := l.leads()
+		leaves := w.hosts[0]
+		if leaves == leads {
+			leaves = w.hosts[1]
+		}
+		w.touch(leaves, leaves.life, func(m *Machine) { m.Leave() })
+		w.wipe(leads)
+		l.awaitLeft(leaves)
+		w.run(time.Second)
+		w.start(leads)
+		w.run(9 * time.Second)
+		require.Nil(t, leaves.machine, "seed %d", seed)
+		require.NotNil(t, l.leads(), "seed %d: no quorum", seed)
+		require.NotContains(t, l.leads().machine.Status().Members, leaves.address, "seed %d", seed)
+		require.NotPanics(t, l.checkOrder, "seed %d", seed)
+	}
+}
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -45,7 +45,7 @@
 	var peers []*progress
 	members := m.log.current().members
 	for _, v := range members.all() {
-		if m.isSelf(v) {
+		if v.Address == m.self { // ourselves, or the disk that was here before ours
 			continue
 		}
 		i := slices.IndexFunc(m.peers, func(p *progress) bool {
--- a/internal/mesh/consensus/whole_members_test.go
+++ b/internal/mesh/consensus/whole_members_test.go
@@ -71,7 +71,7 @@
 	s = s.calm()
 	s = s.step(0, func(_ *small, c *cell) { c.machine.beat() })
 	s = s.calm()
-	s.left, s.plant = left, plant
+	s.left, s.plant, s.oneIsLost = left, plant, left.Down != ""
 	return s.step(0, func(_ *small, c *cell) {
 		for _, p := range c.machine.peers {
 			switch {
@@ -83,22 +83,44 @@
 			}
 		}
 		c.machine.planMembers()
-		if !c.machine.log.current().members.joint() {
+		if len(replaced) > 0 && !c.machine.log.current().members.joint() {
 			panic("nobody is replaced")
 		}
 	})
 }
 
+// restored is a small world in which a leads three members, and c has come back with an empty disk
+// and caught up. The joint configuration in which its new disk takes the place of the lost one has
+// just been appended at a.
+func restored(left bounds) *small {
+	s := replacing(bounds{Terms: 2, Link: 4, Campaigners: "a"}, smallPlant{}).calm()
+	s = s.copied()
+	s.start(2, &State{Disk: 13}, 13)
+	s.settle(2)
+	isJoint := func(s *small) bool { return s.cells[0].machine.log.current().members.joint() }
+	s = s.step(2, func(_ *small, c *cell) { c.machine.askToJoin("a") }).calmUntil(isJoint)
+	for !isJoint(s) {
+		s = s.step(0, func(_ *small, c *cell) { c.machine.beat() }).calmUntil(isJoint)
+	}
+	s.left, s.oneIsLost = left, true
+	return s
+}
+
 // calm delivers and syncs until nothing is under way.
-func (s *small) calm() *small {
+func (s *small) calm() *small { return s.calmUntil(func(*small) bool { return false }) }
+
+func (s *small) calmUntil(stop func(*small) bool) *small {
 	for again := true; again; {
 		again = false
 		for i := range s.cells {
+			if stop(s) {
+				return s
+			}
 			if s.cells[i].saving != nil {
 				s, again = s.synced(i), true
 			}
 			for to := range s.cells {
-				for l := s.link(i, to); len(s.links[l]) > 0; {
+				for l := s.link(i, to); len(s.links[l]) > 0 && !stop(s); {
 					f := s.links[l][0]
 					s, again = s.step(to, func(n *small, c *cell) {
 						n.links[l] = n.links[l][1:]
@@ -141,10 +163,10 @@
 // replaced is lost until its successor has had its time, of which the change takes a part; then it
 // counts no more.
 func (s *small) mayBeLost(i int) bool {
-	if s.left.Down == "" {
-		return !s.wiped
+	if s.wiped || wholeNames[i] == s.left.Down {
+		return false
 	}
-	return !s.wiped && wholeNames[i] != s.left.Down && slices.ContainsFunc(s.committed, func(e Entry) bool {
+	return !s.oneIsLost || slices.ContainsFunc(s.committed, func(e Entry) bool {
 		return e.Members != nil && !e.Members.joint()
 	})
 }
@@ -225,6 +247,25 @@
 	}
 }
 
+// A voter's disk is lost, and its new one takes the place of the old one at the same address. It
+// may be elected while both are in the configuration.
+func TestWholeRestored(t *testing.T) {
+	most := 60_000
+	if testing.Short() {
+		most = 5_000
+	}
+	for _, left := range []bounds{{Terms: 2, Link: 1, Items: 1, AtLeader: true}, {Terms: 3, Link: 1, Campaigners: "b"}, {Terms: 3, Link: 1, Campaigners: "c"}} {
+		t.Run(left.Campaigners, func(t *testing.T) {
+			t.Parallel()
+			first := restored(left)
+			first.judge = survivorsSuffice
+			states, all, acked, trouble := whole(t, first, most)
+			t.Logf("%+v: %d states, all of them: %v, %d acknowledged", left, states, all, acked)
+			require.Nil(t, trouble)
+		})
+	}
+}
+
 // Each planted fault is found by what it breaks.
 func TestWholeReplacementFindsPlanted(t *testing.T) {
 	for name, p := range map[string]struct {
--- a/internal/mesh/consensus/whole_test.go
+++ b/internal/mesh/consensus/whole_test.go
@@ -65,6 +65,7 @@
 	plant     smallPlant
 	judge     func(*small) // panics
 	wiped     bool
+	oneIsLost bool // from the start, until its successor is among the voters
 }
 
 // link is where messages from one cell to another are.
