A voter by a change that was never committed finds back: without a leader it asks everybody

A learner may have kept the joint configuration that makes it a voter, and the leader was lost before the others had it. They go on without it; it then campaigned for ever, with a log that nobody takes, and since it took itself for a voter it never asked to be replicated to. Until now a voter without a leader asked only those that are no voters. Test: TestUncommittedVoterFindsBack, which fails without the call.

--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -89,8 +89,8 @@
 			m.send(msg)
 		}
 	}
-	if as == preCandidate && m.now-m.heard >= askOutsidersAfter {
-		m.askOutsiders()
+	if as == preCandidate && m.now-m.heard >= askAllAfter {
+		m.askAllToJoin()
 	}
 }
 
--- a/internal/mesh/consensus/join.go
+++ b/internal/mesh/consensus/join.go
@@ -42,24 +42,20 @@
 		m.askToJoin(m.leader.Address)
 		return
 	}
+	m.askAllToJoin()
+}
+
+// askAllToJoin asks everybody that we know of, voters or not. A voter that finds no leader does so
+// too: all voters that it knows may have been replaced while it was away, or the change that made
+// it one was never committed, and then no election ends that.
+func (m *Machine) askAllToJoin() {
 	for _, v := range m.log.current().members.all() {
 		if v.Address != m.self && !slices.Contains(m.known, v.Address) {
 			m.askToJoin(v.Address)
 		}
 	}
-	for _, a := range m.known {
-		m.askToJoin(a)
-	}
-}
-
-// askOutsiders asks the addresses that are no voters' who the members are. All voters that we know
-// of may have been replaced while we were away, and then an election finds nobody.
-func (m *Machine) askOutsiders() {
-	members := m.log.current().members.all()
 	for _, address := range m.known {
-		if !slices.ContainsFunc(members, func(v Member) bool { return v.Address == address }) {
-			m.askToJoin(address)
-		}
+		m.askToJoin(address)
 	}
 }
 
--- a/internal/mesh/consensus/losses_test.go
+++ b/internal/mesh/consensus/losses_test.go
@@ -518,3 +518,35 @@
 		require.NotPanics(t, l.checkOrder, "seed %d", seed)
 	}
 }
+
+// A learner was told of the joint configuration that makes it a voter, and the leader was lost
+// before anybody else was. The others go on without it, and it finds back to them.
+func TestUncommittedVoterFindsBack(t *testing.T) {
+	l := newLosses(1, 3, 4*time.Second, 5*time.Second, lossPlant{})
+	w := l.w
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	w.run(3 * time.Second)
+	spare := l.newHost()
+	w.start(spare)
+	w.run(time.Second)
+	leads := l.leads()
+	for _, h := range w.hosts[:3] {
+		w.cut[[2]string{leads.address, h.address}] = true
+	}
+	w.touch(leads, leads.life, func(m *Machine) {
+		next := m.log.current().members
+		next.Old = next.Voters
+		next.Voters = append([]Member{{spare.address, spare.disk.Disk}}, next.Old[1:]...)
+		m.appendMembers(next)
+	})
+	w.run(100 * time.Millisecond)
+	require.True(t, spare.disk.newest().joint())
+	w.stop(leads)
+	clear(w.cut)
+	w.run(10 * time.Second)
+	require.Equal(t, l.leads().address, spare.machine.Status().Leader)
+	require.Equal(t, l.leads().applied, spare.applied)
+	require.False(t, spare.machine.log.current().members.joint())
+}
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -67,8 +67,8 @@
 	compactBytes  = 4 << 20 // or so many bytes
 	unheardFactor = 4       // learners are dropped after this many times Replace
 
-	defaultReplace    = 2 * time.Second // half of the time that a repaired machine has to catch up
-	askOutsidersAfter = 2 * electionMax // without a leader, a voter asks others than voters
+	defaultReplace = 2 * time.Second // half of the time that a repaired machine has to catch up
+	askAllAfter    = 2 * electionMax // without a leader, a voter asks everybody who leads
 )
 
 type role uint8
