--- a/internal/mesh/consensus/losses_test.go
+++ b/internal/mesh/consensus/losses_test.go
@@ -486,3 +486,67 @@
 		t.Logf("a learner stands by: %v; replaced after %v, longest %v", standing, times[len(times)/2], times[len(times)-1])
 	}
 }
+
+// A member is told to go while its successor stands by, and at that moment the leader loses its
+// disk. The new leader doesn't know the learner yet; the leaving member waits until it does, since
+// without both there would be no quorum any more.
+func TestLeavesAsTheLeaderIsLost(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		l := newLosses(seed, 3, 4*time.Second, 5*time.Second, lossPlant{})
+		w := l.w
+		for _, h := range w.hosts {
+			w.start(h)
+		}
+		w.run(3 * time.Second)
+		w.start(l.newHost())
+		w.run(l.catchUp)
+		l.begin()
+		leads := l.leads()
+		leaves := w.hosts[0]
+		if leaves == leads {
+			leaves = w.hosts[1]
+		}
+		w.touch(leaves, leaves.life, func(m *Machine) { m.Leave() })
+		w.wipe(leads)
+		l.awaitLeft(leaves)
+		w.run(time.Second)
+		w.start(leads)
+		w.run(9 * time.Second)
+		require.Nil(t, leaves.machine, "seed %d", seed)
+		require.NotNil(t, l.leads(), "seed %d: no quorum", seed)
+		require.NotContains(t, l.leads().machine.Status().Members, leaves.address, "seed %d", seed)
+		require.NotPanics(t, l.checkOrder, "seed %d", seed)
+	}
+}
+
+// A learner was told of the joint configuration that makes it a voter, and the leader was lost
+// before anybody else was. The others go on without it, and it finds back to them.
+func TestUncommittedVoterFindsBack(t *testing.T) {
+	l := newLosses(1, 3, 4*time.Second, 5*time.Second, lossPlant{})
+	w := l.w
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	w.run(3 * time.Second)
+	spare := l.newHost()
+	w.start(spare)
+	w.run(time.Second)
+	leads := l.leads()
+	for _, h := range w.hosts[:3] {
+		w.cut[[2]string{leads.address, h.address}] = true
+	}
+	w.touch(leads, leads.life, func(m *Machine) {
+		next := m.log.current().members
+		next.Old = next.Voters
+		next.Voters = append([]Member{{spare.address, spare.disk.Disk}}, next.Old[1:]...)
+		m.appendMembers(next)
+	})
+	w.run(100 * time.Millisecond)
+	require.True(t, spare.disk.newest().joint())
+	w.stop(leads)
+	clear(w.cut)
+	w.run(10 * time.Second)
+	require.Equal(t, l.leads().address, spare.machine.Status().Leader)
+	require.Equal(t, l.leads().applied, spare.applied)
+	require.False(t, spare.machine.log.current().members.joint())
+}
