--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -22,6 +22,7 @@
 	dropTerm     bool // a snapshot is installed without its term
 	mixChunks    bool // a chunk of another snapshot is put behind those that have come
 	keepOldImage bool // the log is compacted on the disk, and the snapshot isn't written
+	trustFailed  bool // a node whose save failed goes on as if it had not
 	oldState     bool // a restarted node has lost what its disk had behind the snapshot
 }
 
@@ -297,7 +298,12 @@
 						w.after(w.within(0, time.Millisecond), crash)
 					}
 					if w.rng.Float64() < w.broken {
-						w.suspend(h)
+						if !w.plant.trustFailed {
+							w.suspend(h)
+							return
+						}
+						h.saving = nil
+						m.Saved()
 						return
 					}
 					w.write(h, s)
--- a/internal/mesh/consensus/snapshot_test.go
+++ b/internal/mesh/consensus/snapshot_test.go
@@ -75,6 +75,7 @@
 		"a snapshot without its term":           {dropTerm: true},
 		"a chunk of another snapshot":           {mixChunks: true},
 		"compacted beyond the snapshot on disk": {keepOldImage: true},
+		"a failed save is trusted":              {trustFailed: true},
 		"a restarted node has old state":        {oldState: true},
 	} {
 		t.Run(name, func(t *testing.T) {
