--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -18,6 +18,8 @@
 	forgetVote   bool // the disk doesn't keep votes
 	earlyAck     bool // a leader's own sync is taken for a commit
 	localRead    bool // who leads answers reads alone
+	singleSteps  bool // one voter goes in or out at a time, without a joint configuration
+	leavesAtOnce bool // a member that is told to go doesn't wait
 
 	dropTerm     bool // a snapshot is installed without its term
 	mixChunks    bool // a chunk of another snapshot is put behind those that have come
@@ -40,9 +42,10 @@
 	slowest time.Duration // a sync, at times; 0: never
 	compact uint64        // see Machine
 	chunk   int
-	crashes float64 // chance that a sync ends in a crash, done or not
-	broken  float64 // chance that a save fails, done or not, and the node is suspended
-	gone    *host   // for good
+	crashes float64       // chance that a sync ends in a crash, done or not
+	broken  float64       // chance that a save fails, done or not, and the node is suspended
+	gone    *host         // for good
+	replace time.Duration // how long a voter is unheard before a learner takes its place
 	plant   plant
 	life    uint64
 
@@ -76,8 +79,12 @@
 	early   []uint64 // proposals at a leader, for earlyAck
 	due     time.Duration
 	first   bool
+	seeds   []string
+	slow    time.Duration // until when its disk takes slowDisk times as long
 }
 
+const slowDisk = 30
+
 type event struct {
 	at time.Duration
 	do func()
@@ -87,9 +94,9 @@
 
 func newWorld(seed uint64, p plant) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, plant: p, fate: map[uint64]string{},
-		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}, late: time.Second, slow: 5 * time.Millisecond, compact: 24, chunk: mostChunk}
+		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}, late: time.Second, slow: 5 * time.Millisecond, compact: 24, chunk: mostChunk, replace: 3 * time.Second}
 	for _, a := range []string{"a", "b", "c", "d"} {
-		w.hosts = append(w.hosts, &host{address: a, first: a != "d"})
+		w.hosts = append(w.hosts, &host{address: a, first: a != "d", seeds: seedNames})
 	}
 	return w
 }
@@ -162,8 +169,8 @@
 		h.table, h.applied = nil, 0
 	}
 	h.kept = false
-	c := Config{Self: h.address, Seeds: seedNames, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
-		State: state, Replace: 3 * time.Second, TableAt: h.tableAt}
+	c := Config{Self: h.address, Seeds: h.seeds, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
+		State: state, Replace: w.replace, TableAt: h.tableAt}
 	h.machine = New(c)
 	h.machine.compact, h.machine.chunk = w.compact, w.chunk
 	h.machine.now = w.now
@@ -253,6 +260,9 @@
 	}
 	h.machine.Clock(w.now)
 	do(h.machine)
+	if w.plant.singleSteps {
+		takeSingleSteps(h.machine)
+	}
 	if h.machine != nil {
 		w.settle(h)
 	}
@@ -282,7 +292,11 @@
 		}
 		if s := o.Save; s != nil {
 			h.saving = s
-			w.after(w.within(500*time.Microsecond, w.slow), func() {
+			took := w.within(500*time.Microsecond, w.slow)
+			if h.slow > w.now {
+				took *= slowDisk
+			}
+			w.after(took, func() {
 				w.touch(h, life, func(m *Machine) {
 					if w.rng.Float64() < w.crashes { // before what waits for the sync has left, or right after
 						crash := func() {
@@ -591,7 +605,7 @@
 			}
 		case 7:
 			for _, h := range w.hosts {
-				w.touch(h, h.life, func(m *Machine) { m.HandOver() })
+				w.touch(h, h.life, func(m *Machine) { m.TransferLeadership() })
 			}
 		case 8:
 			if w.rng.IntN(4) == 0 && w.gone == nil && w.mayWipe() {
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -26,9 +26,9 @@
 // Machine is a process of the mesh, its disk, and what stands beside it.
 type Machine struct {
 	Name, IP, Zone string
-	Service        string   // "" on a core machine
-	Backend        *Backend // nil on a core machine
-	Links          *Links   // nil on a core machine, and without Options.Links
+	Service        string      // "" on a core machine
+	Backend        *Backend    // nil on a core machine
+	Links          *AgentLinks // nil on a core machine, and without Options.AgentLinks
 
 	g     *Ground
 	first bool // the whole system starts
@@ -88,7 +88,7 @@
 		seeds = append(seeds, c.at(controlPort))
 	}
 	set("seed_nodes", strings.Join(seeds, ","))
-	set("spare_ports", fmt.Sprintf("%d,%d", firstSpare, lastSpare))
+	set("spare_ports", fmt.Sprintf("%d,%d", m.meshPort(), m.meshPort()+lastSpare-firstSpare))
 	set("first_start", m.first)
 	set("counted", m.core())
 	set("limits.memory_mb", 280)
