--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -45,7 +45,7 @@
 	sender *outbound.Sender
 	links  *transport.Pool
 	ready  atomic.Bool
-	askers transport.Askers
+	stats  transport.StatsServer
 	went   atomic.Bool // told to end
 
 	refused refusals
@@ -146,7 +146,7 @@
 func (a *Agent) uses() map[string]func(transport.Hello, *transport.Conn) {
 	return map[string]func(transport.Hello, *transport.Conn){
 		transport.Exchange: func(_ transport.Hello, c *transport.Conn) { a.host.Serve(c) },
-		transport.Stats:    func(_ transport.Hello, c *transport.Conn) { a.askers.Serve(c, a.figures) },
+		transport.Stats:    func(_ transport.Hello, c *transport.Conn) { a.stats.Serve(c, a.figures) },
 	}
 }
 
@@ -208,6 +208,12 @@
 	a.host.Tick()
 	if a.table.Step(a.now()) {
 		a.dirty = true
+		// Danger: a core machine that is away now would not tell again of what is forgotten here.
+		for _, f := range a.feeds {
+			if !f.alive {
+				f.resume.Store(nil)
+			}
+		}
 	}
 	a.links.Sweep(time.Now())
 	a.reread()
