--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -22,7 +22,7 @@
 // configuration holds.
 func (m *Machine) planMembers() {
 	current := m.log.current()
-	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.moving != nil {
+	if m.role != leader || m.commit < m.opened || current.at.Index > m.commit || m.transferee != nil {
 		return
 	}
 	members := current.members
@@ -45,7 +45,7 @@
 // leadership to one that is, since it could not commit its own leaving as a voter.
 func (m *Machine) finishChange(members Members) {
 	if !slices.ContainsFunc(members.Voters, m.isSelf) {
-		m.HandOver()
+		m.TransferLeadership()
 		return
 	}
 	members.Old = nil
@@ -70,7 +70,7 @@
 			next[i] = successor
 		}
 	}
-	for len(next) > members.Target {
+	for len(next) > max(members.Target, 1) {
 		next = m.withoutLeastUseful(next)
 	}
 	for i, v := range next {
@@ -107,11 +107,12 @@
 	return slices.Delete(voters, i, i+1)
 }
 
-// readyLearners are the learners that hold all that is committed, and answered just now.
+// readyLearners are the learners that answered just now and hold all that was committed a heartbeat
+// ago. What is committed at this moment is one round trip further, always, while many propose.
 func (m *Machine) readyLearners() []Member {
 	var ready []Member
 	for _, p := range m.peers {
-		if m.mayBecomeReady(p) && p.round > p.since && p.match >= m.commit {
+		if m.mayBecomeReady(p) && p.round > p.since && p.match >= m.commitBefore {
 			ready = append(ready, p.member)
 		}
 	}
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -222,7 +222,7 @@
 func (n *Node) Status() Status { return *n.status.Load() }
 
 // Leave has a learner take this node's vote where one stands by, hands over leadership, and returns
-// when the node may end: after a second and a half at most.
+// when the node may end: after three seconds at most.
 func (n *Node) Leave(ctx context.Context) {
 	w := &waiter{done: make(chan outcome, 1)}
 	select {
@@ -444,11 +444,11 @@
 		n.options.Log.Warn("another mesh speaks to this one: where one was founded from a backup, a node of before runs on")
 	}
 	if s.Role == old.Role && s.Leader == old.Leader && slices.Equal(s.Members, old.Members) &&
-		slices.Equal(s.Learners, old.Learners) {
+		slices.Equal(s.Learners, old.Learners) && slices.Equal(s.Outgoing, old.Outgoing) {
 		return
 	}
 	n.options.Log.WithFields(log.Fields{"role": s.Role, "leader": s.Leader, "term": s.Term, "members": s.Members,
-		"learners": s.Learners}).Info("agreement")
+		"learners": s.Learners, "outgoing": s.Outgoing}).Info("agreement")
 	if n.options.OnChange != nil {
 		n.options.OnChange(s)
 	}
--- a/internal/mesh/sidecar/feed_test.go
+++ b/internal/mesh/sidecar/feed_test.go
@@ -18,7 +18,7 @@
 	config, err := meshconfig.New().Carry(&order)
 	require.NoError(t, err)
 	down := func(index uint64) *transport.Down {
-		return &transport.Down{Index: index, Digest: meshconfig.Digest(config.Encode()), Steps: []transport.Step{{Index: index, Order: order}}}
+		return &transport.Down{Index: index, Digest: config.Digest(), Steps: []transport.Step{{Index: index, Order: order}}}
 	}
 	a := &Agent{config: meshconfig.New(), table: registry.New(), feeds: map[string]*feed{}, commands: make(chan func(), queue), life: 1,
 		log: &log.Logger{Handler: discard.Default}}
@@ -31,7 +31,7 @@
 	require.False(t, a.proven, "it does not have what is current")
 	a.hear(stale, &transport.Down{Index: 3}, nil)
 	require.False(t, a.proven)
-	a.hear(sound, &transport.Down{Index: 5, Digest: meshconfig.Digest(config.Encode()), Steps: []transport.Step{{Before: 3, Index: 5, Order: order}}}, nil)
+	a.hear(sound, &transport.Down{Index: 5, Digest: config.Digest(), Steps: []transport.Step{{Before: 3, Index: 5, Order: order}}}, nil)
 	require.True(t, a.proven)
 }
 
