--- a/internal/manage/orders.go
+++ b/internal/manage/orders.go
@@ -1,20 +1,16 @@
 package manage
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"regexp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"example.org/micaline/internal/api"
 	"example.org/micaline/internal/change"
-	"example.org/micaline/internal/control"
 	"example.org/micaline/internal/document"
 	"example.org/micaline/internal/inventory"
 	"example.org/micaline/internal/journal"
@@ -77,24 +73,6 @@
 	}
 }
 
-// InstanceReport is what the manager knows of an instance.
-type InstanceReport struct {
-	Name     string            `json:"name"`
-	Address  string            `json:"address"`
-	Labels   map[string]string `json:"labels,omitempty"`
-	State    string            `json:"state"` // as wanted, differs, refuses, silent, not seen
-	Reason   string            `json:"reason,omitempty"`
-	Epoch    string            `json:"epoch,omitempty"`
-	Revision uint64            `json:"revision"`
-	Hash     string            `json:"hash,omitempty"`
-	Wanted   string            `json:"wanted,omitempty"`
-	Rollout  string            `json:"rollout,omitempty"` // that has it in hand
-	Seen     float64           `json:"seen_s"`            // since its last answer; -1 for never
-	Taking   bool              `json:"taking"`
-	Held     int               `json:"held"`
-	Service  control.Service   `json:"service"`
-}
-
 // The states of an instance.
 const (
 	AsWanted = "as wanted"
@@ -105,95 +83,6 @@
 	NotSeen  = "not seen"
 )
 
-func (m *Manager) instance(p *place, t time.Duration) InstanceReport {
-	r := InstanceReport{Name: p.Name, Address: cmp.Or(p.Addr, p.Unix), Labels: p.labels, Wanted: m.wanted[p.Name], Seen: -1}
-	if by, busy := m.busy(p.Name); busy {
-		r.Rollout = by
-	}
-	if p.look != nil {
-		r.Seen = (t - p.looked).Seconds()
-		r.Epoch, r.Revision, r.Hash, r.Taking, r.Held, r.Service = p.look.Epoch, p.look.Revision, p.look.Hash, p.look.Taking, p.look.Held, p.look.Service
-	}
-	switch {
-	case p.look == nil && p.err == nil:
-		r.State = NotSeen
-	case p.err != nil:
-		r.State, r.Reason = Silent, p.err.Error()
-	case r.Wanted == "":
-		r.State = Free
-	case r.Wanted == r.Hash && len(p.look.Mixed) == 0:
-		r.State = AsWanted
-	case p.keeper.Refusal() != "":
-		r.State, r.Reason = Refuses, p.keeper.Refusal()
-	default:
-		r.State = Differs
-	}
-	return r
-}
-
-// Instances returns what is known of those that are chosen, in the order of their names.
-func (m *Manager) Instances(ctx context.Context, selector string) ([]InstanceReport, error) {
-	s, err := parseSelector(selector)
-	if err != nil {
-		return nil, err
-	}
-	all := []InstanceReport{}
-	err = m.look(ctx, func() {
-		t := now()
-		for _, p := range m.chosen(s) {
-			all = append(all, m.instance(p, t))
-		}
-	})
-	return all, err
-}
-
-func parseSelector(text string) (inventory.Selector, error) {
-	s, err := inventory.ParseSelector(text)
-	if err != nil {
-		return s, &api.Problem{Status: 422, Title: "the order can't be used", Detail: err.Error(), Field: "select"}
-	}
-	return s, nil
-}
-
-func (m *Manager) chosen(s inventory.Selector) (all []*place) {
-	for _, name := range slices.Sorted(maps.Keys(m.places)) {
-		if p := m.places[name]; s.Match(name, p.labels) {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
-// Announced takes in where an instance says it is. One of the file stays where the file has it.
-func (m *Manager) Announced(ctx context.Context, in inventory.Instance) error {
-	if in.Unix != "" {
-		return &api.Problem{Status: 422, Title: "the announcement can't be used", Detail: "a socket is on its own machine only", Field: "unix"}
-	}
-	if err := in.Check(); err != nil {
-		var f *api.FieldError
-		p := &api.Problem{Status: 422, Title: "the announcement can't be used", Detail: err.Error()}
-		if errors.As(err, &f) {
-			p.Detail, p.Field = f.What, f.Field
-		}
-		return p
-	}
-	return m.change(ctx, func() error {
-		p := m.places[in.Name]
-		switch {
-		case p != nil && p.announced == 0:
-			return nil
-		case p == nil && len(m.places) >= inventory.MaxInstances:
-			return &api.Problem{Status: 503, Title: "there are too many instances", Detail: fmt.Sprintf("%d are known", len(m.places))}
-		case p == nil || p.Addr != in.Addr || !maps.Equal(p.Labels, in.Labels):
-			p = m.place(in)
-			p.due = 0
-			m.write(announcedBucket, in.Name, in)
-		}
-		p.announced = now()
-		return nil
-	})
-}
-
 // Planned is what an order would do to an instance.
 type Planned struct {
 	Name     string                `json:"name"`
@@ -489,136 +378,3 @@
 	}
 	return m.Status(ctx)
 }
-
-// Status is what a manager says of itself.
-type Status struct {
-	Fence      uint64   `json:"fence"` // 0: it is asking for others' numbers
-	Superseded bool     `json:"superseded"`
-	Journal    string   `json:"journal,omitempty"` // why it can't be written
-	Damaged    []string `json:"damaged,omitempty"` // what of it could not be read
-	Instances  int      `json:"instances"`
-	Reachable  int      `json:"reachable"`
-	AsWanted   int      `json:"as_wanted"`
-	Rollouts   int      `json:"rollouts"`
-}
-
-// Status returns what the manager says of itself.
-func (m *Manager) Status(ctx context.Context) (*Status, error) {
-	var s *Status
-	err := m.look(ctx, func() {
-		s = &Status{Fence: m.fence, Superseded: m.superseded, Damaged: m.damaged, Instances: len(m.places), Rollouts: len(m.rollouts)}
-		if m.failure != nil {
-			s.Journal = m.failure.Error()
-		}
-		for name, p := range m.places {
-			if p.reachable() {
-				s.Reachable++
-				if w := m.wanted[name]; w != "" && w == p.look.Hash && len(p.look.Mixed) == 0 {
-					s.AsWanted++
-				}
-			}
-		}
-	})
-	return s, err
-}
-
-// Report is what a manager says of a rollout.
-type Report struct {
-	ID        string          `json:"id"`
-	Status    string          `json:"status"`
-	Reason    string          `json:"reason,omitempty"`
-	Document  string          `json:"document"`
-	Wave      int             `json:"wave"` // from 1
-	Waves     int             `json:"waves"`
-	Baking    bool            `json:"baking"` // the wave has ended and is watched
-	Took      float64         `json:"took_s"`
-	Summary   rollout.Summary `json:"summary"`
-	Instances []Got           `json:"instances,omitempty"`
-}
-
-// Got is what an instance got.
-type Got struct {
-	Name     string   `json:"name"`
-	Wave     int      `json:"wave"` // from 1
-	State    string   `json:"state"`
-	Epoch    string   `json:"epoch,omitempty"` // of the process that has said so
-	Parts    []string `json:"parts,omitempty"`
-	Revision uint64   `json:"revision"`
-	Left     bool     `json:"left,omitempty"` // the rollout goes on without it
-	Reason   string   `json:"reason,omitempty"`
-	Back     string   `json:"back,omitempty"` // state of what takes it back, or NotNeeded
-	BackWhy  string   `json:"back_reason,omitempty"`
-
-	// As it is now, which may be another process.
-	Now       string `json:"now_epoch,omitempty"`
-	Has       string `json:"now_hash,omitempty"`
-	Reachable bool   `json:"reachable"`
-}
-
-// NotNeeded is said of an instance of which nothing has to be taken back.
-const NotNeeded = "not needed"
-
-// Over says that nothing more happens to the rollout by itself.
-func (r *Report) Over() bool {
-	return r.Status == rollout.Completed.String() || r.Status == rollout.RolledBack.String() || r.Halted()
-}
-
-// Halted says that the rollout waits for an operator.
-func (r *Report) Halted() bool {
-	return r.Status == rollout.Halted.String() || r.Status == rollout.Superseded.String()
-}
-
-func (m *Manager) report(r *rollout.Rollout) *Report {
-	end := r.Ended
-	if end == 0 {
-		end = now()
-	}
-	p := &Report{
-		ID: r.ID, Status: r.Status.String(), Reason: r.Reason, Document: r.Document, Wave: r.Wave + 1, Waves: r.Waves,
-		Baking: r.Baking > 0 && r.Status == rollout.Running, Took: (end - r.Begun).Seconds(), Summary: r.Summary(),
-	}
-	for _, x := range r.Members() {
-		g := Got{Name: x.Name, Wave: x.Wave + 1, State: x.Target.State.String(), Epoch: x.Target.Epoch, Parts: x.Target.Parts, Revision: x.Target.Revision, Left: x.Left, Reason: x.Target.Reason}
-		if x.Backing {
-			g.Back, g.BackWhy = x.Back.State.String(), x.Back.Reason
-		}
-		if x.Ended {
-			g.Back, g.BackWhy = NotNeeded, "the process that had it has ended"
-		}
-		if at := m.places[x.Name]; at != nil && at.look != nil {
-			g.Now, g.Has, g.Reachable = at.look.Epoch, at.look.Hash, at.err == nil
-		}
-		p.Instances = append(p.Instances, g)
-	}
-	slices.SortFunc(p.Instances, func(a, b Got) int { return cmp.Or(cmp.Compare(a.Wave, b.Wave), strings.Compare(a.Name, b.Name)) })
-	return p
-}
-
-// Report returns what became of a rollout.
-func (m *Manager) Report(ctx context.Context, id string) (*Report, error) {
-	var p *Report
-	if err := m.look(ctx, func() {
-		if r := m.rollouts[id]; r != nil {
-			p = m.report(r)
-		}
-	}); err != nil {
-		return nil, err
-	}
-	if p == nil {
-		return nil, &api.Problem{Status: 404, Title: "there is no such rollout", Detail: id, Field: "id"}
-	}
-	return p, nil
-}
-
-// Reports returns all rollouts, the newest first, without their instances.
-func (m *Manager) Reports(ctx context.Context) ([]*Report, error) {
-	all := []*Report{}
-	err := m.look(ctx, func() {
-		for _, id := range slices.Backward(m.order) {
-			p := m.report(m.rollouts[id])
-			p.Instances = nil
-			all = append(all, p)
-		}
-	})
-	return all, err
-}
