--- a/internal/ground/builds_test.go
+++ b/internal/ground/builds_test.go
@@ -41,7 +41,7 @@
 
 // rollBack puts a manager back to the build before, whose program is to refuse the journal of the new one by a record's name, and has it
 // go on as the new one.
-func (h *hall) rollBack(name, old string) {
+func (h *managerGroup) rollBack(name, old string) {
 	was := h.Older
 	as := func(older map[string]string) {
 		h.Older = older
--- a/internal/ground/paced_test.go
+++ b/internal/ground/paced_test.go
@@ -22,7 +22,7 @@
 var granted = regexp.MustCompile(`Duty:` + paces + ` .* Why:granted`)
 
 // known is what some member of the group says of the duty, used to know whom to harm.
-func (h *hall) known() (d duty.Duty, history string) {
+func (h *managerGroup) known() (d duty.Duty, history string) {
 	for _, name := range h.Names {
 		ctx, cancel := context.WithTimeout(h.t.Context(), 300*time.Millisecond)
 		all, err := h.duties[name].Duties(ctx)
@@ -49,34 +49,34 @@
 	follow bool // somebody must have followed, or nothing was shown
 	mixed  bool // a manager and two agents are of the build before
 	fault  scenario.Fault
-	harm   func(h *hall, pacer string, kill chan<- string)
+	harm   func(h *managerGroup, pacer string, kill chan<- string)
 }{
 	"all is well with the group": {grants: 1, follow: true},
-	"the pacer is killed":        {grants: 2, harm: func(h *hall, pacer string, kill chan<- string) { kill <- pacer }},
+	"the pacer is killed":        {grants: 2, harm: func(h *managerGroup, pacer string, kill chan<- string) { kill <- pacer }},
 	"the pacer is stopped and continued": {
 		grants: 2, fault: scenario.Fault{Kind: "freeze-agent", Zone: "b", At: scenario.Duration(10500 * time.Millisecond), For: scenario.Duration(5 * time.Second), Share: 1},
-		harm: func(h *hall, pacer string, _ chan<- string) {
+		harm: func(h *managerGroup, pacer string, _ chan<- string) {
 			h.duties[h.lead()].Hand(h.t.Context(), paces, map[string]string{"a2": "a5"}[pacer]+map[bool]string{true: "a2"}[pacer != "a2"]) // agents of site b
 		},
 	},
-	"the pacer hears nothing of the group and is not heard": {grants: 2, harm: func(h *hall, pacer string, _ chan<- string) {
+	"the pacer hears nothing of the group and is not heard": {grants: 2, harm: func(h *managerGroup, pacer string, _ chan<- string) {
 		h.Net.Apply(network.Rule{Match: func(from, to string) bool { return from == pacer && h.manager(to) }, Change: func(c *network.Conditions) { c.Cut = true }})
 	}},
-	"the group is lost while the site is away": {grants: 0, harm: func(h *hall, _ string, _ chan<- string) {
+	"the group is lost while the site is away": {grants: 0, harm: func(h *managerGroup, _ string, _ chan<- string) {
 		h.Kill(h.Names[0])
 		h.Kill(h.Names[1])
 	}},
-	"a manager hears the others and is not heard": {grants: 1, harm: func(h *hall, _ string, _ chan<- string) {
+	"a manager hears the others and is not heard": {grants: 1, harm: func(h *managerGroup, _ string, _ chan<- string) {
 		h.Net.Apply(network.Rule{Match: func(from, to string) bool { return from == "m2" && h.manager(to) }, Change: func(c *network.Conditions) { c.Cut = true }})
 	}},
-	"two builds side by side, and one goes back": {grants: 1, mixed: true, harm: func(h *hall, _ string, _ chan<- string) {
+	"two builds side by side, and one goes back": {grants: 1, mixed: true, harm: func(h *managerGroup, _ string, _ chan<- string) {
 		h.rollBack("m1", h.Older["m3"])
 	}},
-	"the lead is killed while the site is away": {grants: 1, harm: func(h *hall, _ string, _ chan<- string) { h.Kill(h.lead()) }},
+	"the lead is killed while the site is away": {grants: 1, harm: func(h *managerGroup, _ string, _ chan<- string) { h.Kill(h.lead()) }},
 }
 
 // manager says whether an address is a manager's.
-func (h *hall) manager(addr string) bool {
+func (h *managerGroup) manager(addr string) bool {
 	for _, name := range h.Names {
 		if h.Addr(name) == addr {
 			return true
--- a/internal/group/explore_test.go
+++ b/internal/group/explore_test.go
@@ -21,24 +21,24 @@
 	"example.org/micaline/internal/planted"
 )
 
-// hall plays a group whose members are killed, cut off and given the wrong disks, in a time of its own.
-type hall struct {
-	rng   *rand.Rand
-	now   int // ticks
-	seats []*seat
-	mail  []letter
-	plant string
+// simulation plays a group whose members are killed, cut off and given the wrong disks, in a time of its own.
+type simulation struct {
+	rng      *rand.Rand
+	now      int // ticks
+	replicas []*replica
+	mail     []delivery
+	plant    string
 
 	images  map[uint64][]byte // by applied index
 	told    map[string]string // key: value of writes that were told as done
 	orders  int
 	epochs  map[uint64]uint64 // of the last write, by applied index
-	carried map[string]bool   // by seat and order
+	carried map[string]bool   // by replica and order
 	found   []string
 }
 
-// seat is a member's place: its disk outlives its processes.
-type seat struct {
+// replica is a member's place: its disk outlives its processes.
+type replica struct {
 	name   string
 	disk   *journal.Memory
 	old    *journal.Memory // a copy of the disk of long ago
@@ -54,9 +54,9 @@
 	seen   uint64   // applied index that was last compared
 }
 
-type letter struct {
+type delivery struct {
 	at       int
-	from, to *seat
+	from, to *replica
 	life     *Core
 	id       uint64
 	boot     Boot
@@ -67,7 +67,7 @@
 
 const writing = "writer"
 
-func (h *hall) fail(property, format string, args ...any) {
+func (h *simulation) fail(property, format string, args ...any) {
 	if len(h.found) < 6 {
 		h.found = append(h.found, fmt.Sprintf("%s: at %d: ", property, h.now)+fmt.Sprintf(format, args...))
 	}
@@ -83,9 +83,9 @@
 	return c
 }
 
-func (h *hall) boot(s *seat, found bool) {
+func (h *simulation) boot(s *replica, found bool) {
 	id := h.rng.Uint64()>>1 + 1
-	core, records, err := Load(s.disk, s.name, len(h.seats)-1, []string{"data"}, id, h.rng.Uint64())
+	core, records, err := Load(s.disk, s.name, len(h.replicas)-1, []string{"data"}, id, h.rng.Uint64())
 	if err != nil {
 		h.fail("Start", "%s: %v", s.name, err)
 		return
@@ -105,8 +105,8 @@
 }
 
 // confirm has the others say what they know of a member that its journal says votes alone.
-func (h *hall) confirm(s *seat) {
-	for _, o := range h.seats {
+func (h *simulation) confirm(s *replica) {
+	for _, o := range h.replicas {
 		if o == s || o.core == nil || h.now < o.cut || h.now < s.cut {
 			continue
 		}
@@ -119,8 +119,8 @@
 	}
 }
 
-func (h *hall) lead() *seat {
-	for _, s := range h.seats {
+func (h *simulation) lead() *replica {
+	for _, s := range h.replicas {
 		if s.core != nil && s.core.leads() == nil {
 			return s
 		}
@@ -129,13 +129,13 @@
 }
 
 // bearsLoss says whether a majority of the voters is left when one of them loses its disk.
-func (h *hall) bearsLoss() bool {
+func (h *simulation) bearsLoss() bool {
 	lead := h.lead()
-	return lead != nil && len(h.seats) > 3 && len(lead.core.conf.Voters) >= 3
+	return lead != nil && len(h.replicas) > 3 && len(lead.core.conf.Voters) >= 3
 }
 
 // drain does what a member has to do; it may be killed before any part of it.
-func (h *hall) drain(s *seat) {
+func (h *simulation) drain(s *replica) {
 	for s.core != nil {
 		if h.plant == "what was written last is forgotten" {
 			delete(s.core.state.Wrote, writing)
@@ -178,7 +178,7 @@
 	}
 }
 
-func (h *hall) compare(s *seat) {
+func (h *simulation) compare(s *replica) {
 	if s.seen == s.core.state.Applied {
 		return
 	}
@@ -191,12 +191,12 @@
 	}
 }
 
-func (h *hall) kill(s *seat) {
+func (h *simulation) kill(s *replica) {
 	s.core, s.epoch, s.open, s.seen = nil, 0, nil, 0
 	s.down = h.now + h.rng.IntN(60)
 }
 
-func (h *hall) post(s *seat, m *raftpb.Message) {
+func (h *simulation) post(s *replica, m *raftpb.Message) {
 	text, _ := proto.Marshal(m)
 	for range 1 + h.rng.IntN(20)/19 {
 		if h.now < 600 && h.rng.IntN(25) == 0 || h.now < s.cut {
@@ -206,9 +206,9 @@
 		c := &raftpb.Message{}
 		proto.Unmarshal(text, c)
 		there := false
-		for _, to := range h.seats {
+		for _, to := range h.replicas {
 			if to.core != nil && (to.core.self.ID == m.GetTo() || s.core.state.Members[m.GetTo()] != nil && s.core.state.Members[m.GetTo()].Name == to.name) {
-				h.mail = append(h.mail, letter{h.now + h.rng.IntN(3), s, to, s.core, s.core.self.ID, s.core.self.Boot, c})
+				h.mail = append(h.mail, delivery{h.now + h.rng.IntN(3), s, to, s.core, s.core.self.ID, s.core.self.Boot, c})
 				there = true
 			}
 		}
@@ -218,7 +218,7 @@
 	}
 }
 
-func (h *hall) result(s *seat, r Result) {
+func (h *simulation) result(s *replica, r Result) {
 	if s.open == nil || s.open.ID != r.ID {
 		return
 	}
@@ -235,7 +235,7 @@
 }
 
 // act has a member want something: the duty, or to write under it.
-func (h *hall) act(s *seat) {
+func (h *simulation) act(s *replica) {
 	if s.open != nil {
 		if h.rng.IntN(30) == 0 {
 			s.core.propose(s.open) // again: nobody knows what became of it
@@ -261,7 +261,7 @@
 	s.core.propose(s.open)
 }
 
-func (h *hall) step() {
+func (h *simulation) step() {
 	h.now++
 	for i := 0; i < len(h.mail); i++ {
 		l := h.mail[i]
@@ -291,7 +291,7 @@
 		l.to.core.Step(l.m)
 		h.drain(l.to)
 	}
-	for _, s := range h.seats {
+	for _, s := range h.replicas {
 		if s.core == nil {
 			if h.now >= s.down {
 				h.boot(s, false)
@@ -308,7 +308,7 @@
 			for _, op := range s.core.clock.Due(time.Duration(h.now)*tick, &s.core.state.Leases) {
 				s.core.propose(&command{Lease: &op})
 			}
-			for _, o := range h.seats {
+			for _, o := range h.replicas {
 				if o.core != nil && h.now >= o.cut && h.now >= s.cut && o.core.wrong == nil {
 					if m := s.core.member(o.name); m == nil || m.ID != o.core.self.ID {
 						if err := s.core.Add(o.name, o.core.self.ID); err != nil && m != nil && !strings.Contains(err.Error(), "another disk") {
@@ -325,7 +325,7 @@
 	if h.now >= 600 {
 		return
 	}
-	s := h.seats[h.rng.IntN(len(h.seats))]
+	s := h.replicas[h.rng.IntN(len(h.replicas))]
 	switch h.rng.IntN(150) {
 	case 0:
 		h.kill(s)
@@ -336,11 +336,11 @@
 			s.old, s.copied = copyOf(s.disk), append(slices.Clone(s.core.self.Past), s.core.self.Life)
 		}
 	case 4: // once, a disk of long ago comes back, or none
-		if s.core != nil && s.core.found && h.now > 200 && !slices.ContainsFunc(h.seats, func(o *seat) bool { return o.wrong }) && h.bearsLoss() {
+		if s.core != nil && s.core.found && h.now > 200 && !slices.ContainsFunc(h.replicas, func(o *replica) bool { return o.wrong }) && h.bearsLoss() {
 			switch {
 			case h.rng.IntN(2) == 0:
 				s.disk = &journal.Memory{}
-			case s.old != nil && slices.ContainsFunc(h.seats, func(o *seat) bool {
+			case s.old != nil && slices.ContainsFunc(h.replicas, func(o *replica) bool {
 				return o.core != nil && o.core.self.Known[s.id].Life != 0 && !slices.Contains(s.copied, o.core.self.Known[s.id].Life)
 			}):
 				s.disk = s.old
@@ -358,15 +358,15 @@
 
 func play(t *testing.T, seed uint64, size int, plant string, written *int) []string {
 	cryptotest.SetGlobalRandom(t, seed) // raft draws its election timeouts from the process's random source
-	h := &hall{rng: rand.New(rand.NewPCG(seed, 2)), plant: plant, images: map[uint64][]byte{}, told: map[string]string{}, epochs: map[uint64]uint64{}, carried: map[string]bool{}}
+	h := &simulation{rng: rand.New(rand.NewPCG(seed, 2)), plant: plant, images: map[uint64][]byte{}, told: map[string]string{}, epochs: map[uint64]uint64{}, carried: map[string]bool{}}
 	for i := range size {
-		s := &seat{name: fmt.Sprint("m", i+1), disk: &journal.Memory{}}
-		h.seats = append(h.seats, s)
+		s := &replica{name: fmt.Sprint("m", i+1), disk: &journal.Memory{}}
+		h.replicas = append(h.replicas, s)
 	}
-	for i, s := range h.seats {
+	for i, s := range h.replicas {
 		h.boot(s, i == 0)
 	}
-	if founder := h.seats[0]; h.rng.IntN(2) == 0 {
+	if founder := h.replicas[0]; h.rng.IntN(2) == 0 {
 		founder.old, founder.copied = copyOf(founder.disk), []uint64{founder.core.self.Life}
 	}
 	for h.now < 1000 {
@@ -374,14 +374,14 @@
 	}
 	lead := h.lead()
 	if lead == nil {
-		for _, s := range h.seats {
+		for _, s := range h.replicas {
 			if s.core != nil {
 				h.fail("Back", "%s does not lead: %v, members %v", s.name, s.core.part(), s.core.conf)
 			}
 		}
 		return append(h.found, "Back: nobody leads in the end")
 	}
-	for _, s := range h.seats {
+	for _, s := range h.replicas {
 		switch {
 		case s.wrong:
 			if s.core != nil && s.core.part() == nil {
