--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -11,24 +11,24 @@
 const (
 	probing    stage = iota // one message at a time, until it is known where the logs agree
 	streaming               // as much as may be in flight
-	installing              // a snapshot is under way
+	installing              // a snapshot is under way, in chunks
 )
 
 // progress is what a leader knows of a peer.
 type progress struct {
-	member      Member
-	learner     bool
-	disk        uint64 // heard, of a member that is known by disk 0; 0 if not yet
-	stage       stage
-	probed      bool // the one message is under way
-	match       uint64
-	next        uint64
-	told        uint64 // commit
-	heard       time.Duration
-	round       uint64 // of heartbeats, acknowledged,
-	sent        uint64 // and sent
-	since       uint64 // the round at which it became a learner
-	installedAt time.Duration
+	member   Member
+	learner  bool
+	disk     uint64 // heard, of a member that is known by disk 0; 0 if not yet
+	stage    stage
+	probed   bool // the one message is under way
+	match    uint64
+	next     uint64
+	told     uint64 // commit
+	heard    time.Duration
+	round    uint64   // of heartbeats, acknowledged,
+	sent     uint64   // and sent
+	since    uint64   // the round at which it became a learner
+	transfer transfer // while installing
 
 	leavingUntil time.Duration // it said that it is about to end
 }
@@ -83,24 +83,25 @@
 		m.failReads(ErrNoLeader)
 		return
 	}
-	if stalled >= heartbeat {
+	if stalled >= m.replace/2 {
 		m.forgive(stalled)
 	}
 	m.peers = slices.DeleteFunc(m.peers, func(p *progress) bool {
 		return p.learner && m.now-p.heard > unheardFactor*m.replace
 	})
-	if m.moving != nil && m.now >= m.movingUntil {
-		m.moving = nil
+	if m.transferee != nil && m.now >= m.transferUntil {
+		m.transferee = nil
 	}
-	m.tryHandOver()
+	m.sendTimeoutNow()
 	m.round++
+	m.commitBefore, m.commitAtBeat = m.commitAtBeat, m.commit
 	for _, p := range m.peers {
 		if m.now-p.heard >= healthy && p.stage == streaming {
 			p.stage, p.next = probing, p.match+1
 		}
 		p.probed = false
-		if p.stage == installing && m.now-p.installedAt >= installWait {
-			p.stage = probing
+		if p.stage == installing && m.now-p.heard >= healthy {
+			p.stage, p.transfer = probing, transfer{}
 		}
 	}
 	m.planMembers()
@@ -147,16 +148,14 @@
 	}
 	if p.stage != installing && p.next <= m.log.base {
 		if m.now-p.heard < healthy { // to who is down, a snapshot would only be traffic
-			p.stage, p.installedAt, p.sent = installing, m.now, m.round
-			p.told = m.commit
-			m.send(Message{Kind: Install, To: p.member.Address, ToDisk: p.member.Disk, Snapshot: m.snapshot,
-				Sequence: m.round})
+			m.beginTransfer(p)
 			return
 		}
 		p.next = m.log.base + 1
 	}
-	if p.stage == installing { // only a heartbeat, at the one index where all logs agree
-		if p.sent < m.round {
+	if p.stage == installing {
+		m.sendChunk(p)
+		if p.sent < m.round { // only a heartbeat, at the one index where all logs agree
 			p.sent = m.round
 			m.send(Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Sequence: m.round})
 		}
@@ -165,7 +164,8 @@
 	for {
 		quiet := m.now-p.heard >= healthy // who is down gets heartbeats alone
 		full := m.log.bytes(p.match, p.next-1) >= mostInFlight
-		more := p.next <= m.log.last() && !quiet && !full
+		most := m.sendable(p)
+		more := p.next <= most && !quiet && !full
 		if !more && p.sent >= m.round && p.told >= min(m.commit, p.next-1) {
 			return
 		}
@@ -176,7 +176,7 @@
 		msg := Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Index: p.next - 1, LogTerm: term,
 			Commit: m.commit, Sequence: m.round}
 		if more {
-			msg.Entries = m.log.after(p.next-1, mostMessage)
+			msg.Entries = m.log.between(p.next-1, most, mostMessage)
 		}
 		msg.Quiet = !more && p.stage == streaming && p.sent >= m.round
 		m.send(msg)
@@ -189,6 +189,16 @@
 	}
 }
 
+// sendable is how far a peer may hold the log. A learner gets committed entries alone: a voter that
+// is taken out still votes by the joint configuration it knows, and if it held a final one that no
+// incoming voter has kept, it could be neither elected nor vote for those who can be.
+func (m *Machine) sendable(p *progress) uint64 {
+	if p.learner {
+		return m.commit
+	}
+	return m.log.last()
+}
+
 func (m *Machine) onAppend(msg Message) {
 	if !m.heed(msg) {
 		return
@@ -205,6 +215,10 @@
 		msg.LogTerm = m.log.baseTerm
 	}
 	if term, ok := m.log.term(prev); !ok || term != msg.LogTerm {
+		if ok && prev <= m.commit {
+			panic(fmt.Sprintf("consensus: entry %d is committed in term %d, and the leader of term %d has it of term %d",
+				prev, term, msg.Term, msg.LogTerm))
+		}
 		m.disagree(msg, prev)
 		return
 	}
@@ -243,7 +257,7 @@
 	m.heard = m.now
 	m.resetElection()
 	if m.mayCampaign() {
-		m.askLeader(askAgain)
+		m.resendPending(resendAfter)
 		return true
 	}
 	if msg.ToDisk == m.disk {
@@ -252,7 +266,7 @@
 	} else if m.now-m.joinedAt >= heartbeat {
 		m.joinAt = m.now
 	}
-	m.askLeader(askAgain)
+	m.resendPending(resendAfter)
 	return true
 }
 
@@ -260,6 +274,11 @@
 // promised this leader before and waits for the same sync: however long that takes, one is kept.
 func (m *Machine) acknowledge(msg Message, index uint64) {
 	reply := Message{Kind: AppendReply, To: msg.From, Term: m.hard.Term, Index: index, Sequence: msg.Sequence}
+	if m.answersEarly() {
+		early := reply
+		early.Index = min(index, m.synced)
+		m.send(early)
+	}
 	if i := len(m.held) - 1; i >= 0 {
 		if last := m.held[i]; last.Kind == AppendReply && last.To == reply.To && last.Term == reply.Term {
 			reply.Index, reply.Sequence = max(last.Index, index), max(last.Sequence, msg.Sequence)
@@ -269,6 +288,16 @@
 	m.promise(reply)
 }
 
+// answersEarly tells whether a leader is answered before the sync that is under way is done, with
+// what was on the disk before: without that, disks that are all slow at once, as when all write a
+// snapshot, would cost a leader its quorum. The term has to be on the disk as well, or a leader of
+// an earlier one could take back, after a crash, what was acknowledged. A disk that doesn't answer
+// for long counts as lost, so that another can take its place.
+func (m *Machine) answersEarly() bool {
+	took := m.now - m.savingSince
+	return m.saving && took >= heartbeat && took < stalledAfter && m.syncedTerm == m.hard.Term
+}
+
 // disagree tells the leader where to look next: at our end, or before the term that doesn't fit.
 func (m *Machine) disagree(msg Message, prev uint64) {
 	to := m.log.last()
@@ -311,13 +340,13 @@
 	}
 	p.match = max(p.match, msg.Index)
 	p.next = max(p.next, p.match+1)
-	if p.stage == probing && msg.Index >= p.next-1 || p.stage == installing && p.match >= m.log.base {
-		p.stage, p.next = streaming, p.match+1
+	if p.stage == probing && msg.Index >= p.next-1 || p.stage == installing && p.match >= p.transfer.snapshot.Index {
+		p.stage, p.next, p.transfer = streaming, p.match+1, transfer{}
 	}
 	m.advanceCommit()
 	m.confirmReads()
-	if p == m.moving {
-		m.tryHandOver()
+	if p == m.transferee {
+		m.sendTimeoutNow()
 	}
 	if p.learner {
 		m.planMembers()
@@ -345,28 +374,3 @@
 	m.confirmReads()
 	m.planMembers()
 }
-
-func (m *Machine) onInstall(msg Message) {
-	s := msg.Snapshot
-	if s == nil || !m.heed(msg) {
-		return
-	}
-	if s.Index <= m.commit {
-		m.acknowledge(msg, m.commit)
-		return
-	}
-	if term, ok := m.log.term(s.Index); ok && term == s.Term { // the entries are here; they only weren't known to hold
-		m.commitTo(s.Index)
-		m.acknowledge(msg, s.Index)
-		return
-	}
-	m.log.reset(s)
-	m.snapshot, m.restore, m.baseDirty = s, s, true
-	m.handed, m.savedTo, m.synced = s.Index, s.Index, s.Index
-	m.commit, m.applied = s.Index, s.Index
-	for _, p := range m.pending { // their fate is behind the snapshot
-		m.done = append(m.done, Done{ID: p.id, Err: ErrUnknown})
-	}
-	m.pending = nil
-	m.acknowledge(msg, s.Index)
-}
--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -17,21 +17,22 @@
 
 // feed is the link from one agent.
 type feed struct {
-	agent   string // ip
-	conn    *transport.Conn
-	woken   chan struct{}
-	dirty   map[string]bool // stations to be told of; the owner's
-	whole   bool            // nothing has been told yet
-	known   bool            // it has said what it has
-	have    uint64          // index of the configuration that it has, or has been told of
-	want    uint64          // not 0: the whole configuration, of this index or a later one
-	cores   []string        // told last
-	proven  uint64          // to be answered; the owner's
-	min     uint64          // life that the agent's must be above
-	life    uint64
-	beats   []waiting
-	last    uint64
-	replies map[uint64]chan int
+	agent    string // ip
+	conn     *transport.Conn
+	woken    chan struct{}
+	dirty    map[string]bool // stations to be told of; the owner's
+	whole    bool            // nothing has been told yet
+	known    bool            // it has said what it has
+	have     uint64          // index of the configuration that it has, or has been told of
+	want     uint64          // not 0: the whole configuration, of this index or a later one
+	cores    []string        // told last
+	proven   uint64          // to be answered; the owner's
+	revision uint64          // of the stations, told last
+	min      uint64          // life that the agent's must be above
+	life     uint64
+	beats    []waiting
+	last     uint64
+	replies  map[uint64]chan int
 }
 
 // waiting is a backend's call that is to be told to the agent beside it.
@@ -40,6 +41,11 @@
 	beat   transport.Beat
 }
 
+func newFeed(agent string, conn *transport.Conn) *feed {
+	return &feed{agent: agent, conn: conn, woken: make(chan struct{}, 1), dirty: map[string]bool{},
+		whole: true, replies: map[uint64]chan int{}}
+}
+
 func (f *feed) wake() {
 	select {
 	case f.woken <- struct{}{}:
@@ -47,51 +53,113 @@
 	}
 }
 
-// feed serves one agent until its connection ends.
-func (c *Core) feed(from string, k *transport.Conn) {
+// serveFeed serves one agent until its connection ends.
+//
+// Danger: while this process stood still its kernel went on accepting, and each agent dialed again
+// and again. So the connections that wait are many, all but the last of an agent are dead, and one
+// that is dead must neither replace a live feed nor be sent the table. Who dialed is greeted with an
+// empty message, and has a feed once it has answered that.
+func (c *Core) serveFeed(from string, conn *transport.Conn) {
 	ip, _, err := net.SplitHostPort(from)
 	if err != nil {
 		return
 	}
-	f := &feed{agent: ip, conn: k, woken: make(chan struct{}, 1), dirty: map[string]bool{}, whole: true, replies: map[uint64]chan int{}}
-	in := make(chan bool, 1)
+	first, err := c.greet(conn)
+	if err != nil {
+		return
+	}
+	f := newFeed(ip, conn)
+	if !c.open(f, first.Resume) {
+		return
+	}
+	ended := make(chan struct{})
+	go c.send(f, ended)
+	c.receive(f, first)
+	close(ended)
+	c.do(func() { c.closed(f) })
+}
+
+// greet sends the first word of a feed, and returns the agent's, which answers it.
+func (c *Core) greet(conn *transport.Conn) (*transport.Up, error) {
+	conn.SetWriteDeadline(time.Now().Add(feedTimeout))
+	if err := conn.Send(&transport.Down{Core: c.life}, nil); err != nil {
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Now().Add(feedTimeout))
+	first := new(transport.Up)
+	return first, conn.Receive(first)
+}
+
+// open makes a feed the agent's feed, in place of the one before.
+func (c *Core) open(f *feed, heard transport.Resume) bool {
+	opened := make(chan bool, 1)
 	c.do(func() {
-		if old := c.feeds[ip]; old != nil {
-			old.conn.Close()
-		} else if len(c.feeds) >= mostFeeds {
-			in <- false
+		old := c.feeds[f.agent]
+		if old == nil && len(c.feeds) >= mostFeeds {
+			opened <- false
 			return
 		}
-		c.feeds[ip] = f
-		in <- true
+		if old != nil {
+			old.conn.Close()
+		}
+		c.feeds[f.agent] = f
+		delete(c.unheard, f.agent)
+		c.resume(f, heard)
+		opened <- true
 	})
-	if !<-in {
+	return <-opened
+}
+
+// resume has an agent told what has changed since it last heard this process, if that is known.
+func (c *Core) resume(f *feed, heard transport.Resume) {
+	if heard.Core != c.life {
 		return
 	}
-	ended := make(chan struct{})
-	go c.tell(f, ended)
+	changed, ok := c.revisions.Since(heard.Revision)
+	if !ok {
+		return
+	}
+	f.whole = false
+	for _, agent := range changed {
+		f.dirty[agent] = true
+	}
+}
+
+// receive takes in what an agent says until its connection breaks or it is silent for too long.
+func (c *Core) receive(f *feed, up *transport.Up) {
 	for {
-		k.SetReadDeadline(time.Now().Add(muteFor))
-		var up transport.Up
-		if k.Receive(&up) != nil {
-			break
+		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 {
+			c.do(func() { c.heard(f, said) })
 		}
-		if up.Station != nil || up.Want != 0 || up.Fresh != 0 || up.Handed != 0 {
-			c.do(func() { c.heard(f, &up) })
+		f.conn.SetReadDeadline(time.Now().Add(feedTimeout))
+		if up = new(transport.Up); f.conn.Receive(up) != nil {
+			return
 		}
 	}
-	close(ended)
-	c.do(func() {
-		if c.feeds[ip] != f {
-			return // it has come back already
-		}
-		delete(c.feeds, ip)
-		if c.registry.Lost("feeds", ip, f.life) {
-			c.count.lost.Add(1)
-			c.log.WithField("agent", ip).Info("agent lost")
-			c.spread(ip)
-		}
-	})
+}
+
+// closed takes in that a feed has ended.
+func (c *Core) closed(f *feed) {
+	if c.feeds[f.agent] != f {
+		return // it has come back already
+	}
+	delete(c.feeds, f.agent)
+	delete(c.asking, f)
+	if c.settling() {
+		c.unheard[f.agent] = f.life
+		return
+	}
+	c.lose(f.agent, f.life)
+}
+
+// lose takes in that an agent is not heard any more.
+func (c *Core) lose(agent string, life uint64) {
+	if c.registry.Lost("feeds", agent, life) {
+		c.revisions.Lost(agent)
+		c.count.lost.Add(1)
+		c.log.WithField("agent", agent).Info("agent lost")
+		c.announce(agent)
+	}
 }
 
 // heard takes in what an agent says.
@@ -114,9 +182,7 @@
 			f.wake()
 		} else {
 			f.life = s.Life
-			if c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: *s}}) {
-				c.spread(f.agent)
-			}
+			c.hear(*s)
 		}
 	}
 	if up.Fresh != 0 {
@@ -131,6 +197,24 @@
 	}
 }
 
+// hear takes in an agent's word of itself.
+func (c *Core) hear(s transport.Station) {
+	before, known := c.registry.Of(c.now(), s.Agent)
+	if known {
+		c.left.note(&before.Station, &s)
+	}
+	if !c.registry.Hear(c.now(), "feeds", false, []transport.Heard{{Station: s}}) {
+		return
+	}
+	if known && before.Lost {
+		c.revisions.Back(s.Agent)
+	}
+	if !known || s.Newer(&before.Station) {
+		c.revisions.Said(s.Agent)
+	}
+	c.announce(s.Agent)
+}
+
 // prove finds out what is current, and has those agents told that asked before. One read serves all who have asked when it begins:
 // after a start each agent asks, and as many reads would crowd out the agreement's own messages.
 func (c *Core) prove() {
@@ -163,17 +247,17 @@
 	}()
 }
 
-// spread has all agents told of one.
-func (c *Core) spread(agent string) {
+// announce has all agents told of one.
+func (c *Core) announce(agent string) {
 	c.each(func(f *feed) {
 		f.dirty[agent] = true
 		f.wake()
 	})
 }
 
-// tell sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
+// send sends an agent what it has not heard yet, and a heartbeat where there is nothing. What comes within a gap goes out together:
 // when a zone goes, each of its agents is news to all others.
-func (c *Core) tell(f *feed, ended chan struct{}) {
+func (c *Core) send(f *feed, ended chan struct{}) {
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
 	for {
@@ -187,7 +271,7 @@
 			next <- message{d, raw}
 		})
 		m := <-next
-		f.conn.SetWriteDeadline(time.Now().Add(muteFor))
+		f.conn.SetWriteDeadline(time.Now().Add(feedTimeout))
 		if f.conn.Send(&m.down, m.raw) != nil {
 			f.conn.Close()
 			return
@@ -218,15 +302,42 @@
 		d.Index = s.index
 		switch {
 		case f.want != 0 && s.index >= f.want:
-			raw, d.Digest = s.encoded()
+			raw, d.Digest = s.encoded(), s.config.Digest()
 			d.Raw, f.want = int64(len(raw)), 0
 		case s.index > f.have:
 			if d.Steps = s.since(f.have); d.Steps != nil {
-				_, d.Digest = s.encoded()
+				d.Digest = s.config.Digest()
 			}
 		}
 		f.have = s.index
 	}
+	told := !c.settling() && c.nextStations(f, &d)
+	if !slices.Equal(f.cores, c.cores) {
+		d.Cores, f.cores = c.cores, c.cores
+	}
+	if told {
+		if now := c.revisions.Now(); f.revision != now {
+			d.Revision, f.revision = now, now
+		}
+		if f.known { // a proof without an index would prove any configuration
+			d.Fresh, f.proven = f.proven, 0
+		}
+	}
+	d.MinLife, f.min = f.min, 0
+	if len(f.beats) > 0 {
+		w := f.beats[0]
+		f.beats = f.beats[1:]
+		d.Beat, d.Number = &w.beat, w.number
+		if len(f.beats) > 0 {
+			f.wake()
+		}
+	}
+	return d, raw
+}
+
+// nextStations fills in stations that the agent has not been told of. It reports whether there are
+// no more.
+func (c *Core) nextStations(f *feed, d *transport.Down) bool {
 	if f.whole {
 		d.Whole, f.whole = true, false
 		clear(f.dirty)
@@ -237,29 +348,14 @@
 	for agent := range f.dirty {
 		if len(d.Stations) == mostStations {
 			f.wake()
-			break
+			return false
 		}
 		if h, ok := c.registry.Of(c.now(), agent); ok {
 			d.Stations = append(d.Stations, h)
 		}
 		delete(f.dirty, agent)
 	}
-	if !slices.Equal(f.cores, c.cores) {
-		d.Cores, f.cores = c.cores, c.cores
-	}
-	if len(f.dirty) == 0 {
-		d.Fresh, f.proven = f.proven, 0
-	}
-	d.MinLife, f.min = f.min, 0
-	if len(f.beats) > 0 {
-		w := f.beats[0]
-		f.beats = f.beats[1:]
-		d.Beat, d.Number = &w.beat, w.number
-		if len(f.beats) > 0 {
-			f.wake()
-		}
-	}
-	return d, raw
+	return true
 }
 
 // pass hands a backend's call to the agent beside it, and returns the agent's answer.
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"example.org/micaline/internal/mesh/consensus"
 	"example.org/micaline/internal/mesh/meshmetrics"
@@ -49,20 +48,7 @@
 // figures answers a question for the core machine's figures; nil if the owner does not get to it in
 // time.
 func (c *Core) figures(q transport.Question) *transport.Figures {
-	answer := make(chan *transport.Figures, 1)
-	late := time.NewTimer(2 * answerIn)
-	defer late.Stop()
-	select {
-	case c.commands <- func() { answer <- c.counted(q) }:
-	case <-late.C:
-		return nil
-	}
-	select {
-	case f := <-answer:
-		return f
-	case <-late.C:
-		return nil
-	}
+	return transport.CountedBy(c.commands, 2*answerIn, func() *transport.Figures { return c.counted(q) })
 }
 
 // counted is the owner's.
@@ -113,7 +99,7 @@
 	if q.State {
 		answer.Core = &transport.CoreState{Node: c.set.NodeName, Zone: c.set.Zone, Self: c.set.Control, Role: status.Role,
 			Leader: status.Leader, Term: status.Term, Commit: status.Commit, Applied: status.Applied, LeaderChanges: status.LeaderChanges,
-			Learners: status.Learners, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
+			Learners: status.Learners, Outgoing: status.Outgoing, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
 		for _, m := range status.Members {
 			answer.Core.Members = append(answer.Core.Members, transport.Member{Control: m, Link: sidecar.Inner(c.set, m)})
 		}
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -26,8 +26,9 @@
 // Machine is a process of the mesh, its disk, and what stands beside it.
 type Machine struct {
 	Name, IP, Zone string
-	Service        string   // "" on a core machine
-	Backend        *Backend // nil on a core machine
+	Service        string      // "" on a core machine
+	Backend        *Backend    // nil on a core machine
+	Links          *AgentLinks // nil on a core machine, and without Options.AgentLinks
 
 	g     *Ground
 	first bool // the whole system starts
@@ -87,7 +88,7 @@
 		seeds = append(seeds, c.at(controlPort))
 	}
 	set("seed_nodes", strings.Join(seeds, ","))
-	set("spare_ports", fmt.Sprintf("%d,%d", firstSpare, lastSpare))
+	set("spare_ports", fmt.Sprintf("%d,%d", m.meshPort(), m.meshPort()+lastSpare-firstSpare))
 	set("first_start", m.first)
 	set("counted", m.core())
 	set("limits.memory_mb", 280)
@@ -102,7 +103,8 @@
 		set("addresses.inbound", m.at(inboundPort))
 		set("addresses.outbound", m.at(outboundPort))
 		set("addresses.ready", m.at(readyPort))
-		set("app_address", m.at(appPort))
+		set("app_address", m.reached(appPort))
+		set("addresses.gate", m.reached(firstSpare))
 		set("service", m.Service)
 	}
 	t := &m.g.record.story.Terms
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -7,8 +7,8 @@
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
 // Story. Processes may be killed, stopped, continued, told to end, started again, and their disks
 // wiped; backends may leave and come back as new lives; zones may be evacuated, and the
-// configuration changed. Links can't be cut: a machine that is stopped is as near to that as it
-// gets.
+// configuration changed. Links can be broken: those to clients, gates and backends (Options.AgentLinks), or
+// those to core machines (Options.CoreLinks), each direction by itself.
 //
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
@@ -56,11 +56,15 @@
 
 // Options say what a ground is like.
 type Options struct {
-	Program string // the built micaline-mesh
-	Dir     string // for settings, disks and logs, and empty; "": one that is taken away at the end
-	Agents  int    // 3 at least
-	Rate    float64
-	Work    time.Duration // of a backend with a request, on the mean
+	Program    string // the built micaline-mesh
+	Dir        string // for settings, disks and logs, and empty; "": one that is taken away at the end
+	Agents     int    // 3 at least
+	Rate       float64
+	Work       time.Duration // of a backend with a request, on the mean
+	AgentLinks bool          // clients, gates and backends are reached through links that can be broken
+	Seed       uint64        // of the links' faults
+	GiveUp     float64       // share of the tries that a client gives up early
+	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
 // Ground is a mesh that runs.
@@ -69,15 +73,16 @@
 	Agents   []*Machine
 	Operator *Operator
 
-	opt      Options
-	dir      string
-	record   *record
-	guard    net.Listener
-	services []string
-	stop     context.CancelFunc // of the clients
-	clients  sync.WaitGroup
-	tally    tally
-	headless *Trouble // the core lacks a majority; guarded by the record
+	opt       Options
+	dir       string
+	record    *record
+	guard     net.Listener
+	services  []string
+	stop      context.CancelFunc // of the clients
+	clients   sync.WaitGroup
+	tally     tally
+	headless  *Trouble // the core lacks a majority; guarded by the record
+	coreLinks coreLinks
 }
 
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
@@ -121,8 +126,19 @@
 		m := g.machine(fmt.Sprintf("agent-%d", i+1), fmt.Sprintf("%s.%d", net, 11+i), zones[i%len(zones)], service)
 		m.Backend = newBackend(g, m)
 		g.Agents = append(g.Agents, m)
+		if o.AgentLinks {
+			if m.Links, err = newAgentLinks(m, o.Seed+uint64(i)); err != nil {
+				return g, err
+			}
+			g.record.story.Broken = true
+		}
 	}
 	g.Operator = newOperator(g)
+	if o.CoreLinks {
+		if err := g.connectCore(); err != nil {
+			return g, err
+		}
+	}
 	for _, m := range g.all() {
 		if err := m.Start(); err != nil {
 			return g, err
@@ -297,8 +313,12 @@
 		if m.Backend != nil {
 			m.Backend.close()
 		}
+		if m.Links != nil {
+			m.Links.close()
+		}
 		m.close()
 	}
+	g.coreLinks.close()
 	if g.guard != nil {
 		g.guard.Close()
 	}
--- a/internal/mesh/scaletest/hollow.go
+++ b/internal/mesh/scaletest/hollow.go
@@ -17,10 +17,11 @@
 
 // As package sidecar has them.
 const (
-	heartbeat = 500 * time.Millisecond
-	muteFor   = 1700 * time.Millisecond
-	againLow  = 100 * time.Millisecond
-	againHigh = time.Second
+	greetTimeout = 5 * time.Second
+	heartbeat    = 500 * time.Millisecond
+	feedTimeout  = 1700 * time.Millisecond
+	redialMin    = 100 * time.Millisecond
+	redialMax    = time.Second
 )
 
 // fleet is all hollow agents.
@@ -64,6 +65,9 @@
 	up   bool
 	want chan uint64
 	lost map[string]bool
+
+	process uint64 // number of the core process
+	resume  transport.Resume
 }
 
 func newFleet(r *run) *fleet {
@@ -102,16 +106,16 @@
 }
 
 func (h *hollow) keep(ctx context.Context, core int) {
-	wait := againLow
+	wait := redialMin
 	for ctx.Err() == nil {
 		if h.serve(ctx, core) {
-			wait = againLow
+			wait = redialMin
 		}
 		h.mu.Lock()
 		h.feeds[core].up = false
 		h.mu.Unlock()
 		pause(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, againHigh)
+		wait = min(2*wait, redialMax)
 	}
 }
 
@@ -145,19 +149,26 @@
 	if c.Send(transport.Hello{Version: transport.Version, Use: transport.FeedUse, From: control(h.ip)}, nil) != nil {
 		return false
 	}
-	ended := make(chan struct{})
+	ended, greeted := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
 		for {
 			var d transport.Down
-			c.SetReadDeadline(time.Now().Add(muteFor))
+			patience := greetTimeout
+			if heard {
+				patience = feedTimeout
+			}
+			c.SetReadDeadline(time.Now().Add(patience))
 			if c.Receive(&d) != nil {
 				return
 			}
 			if _, err := c.Body(d.Raw, 64<<20); err != nil {
 				return
 			}
-			heard = true
+			if !heard {
+				heard = true
+				close(greeted)
+			}
 			h.fleet.messDown.Add(1)
 			h.hear(core, &d)
 			if h.mute.Load() {
@@ -167,7 +178,12 @@
 		}
 	}()
 	defer func() { c.Close(); <-ended }()
-	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1}
+	select {
+	case <-greeted:
+	case <-ended:
+	case <-ctx.Done():
+	}
+	up := transport.Up{Station: h.station.Load(), Have: h.index(), Fresh: 1, Resume: h.resume(core)}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	h.mu.Lock()
@@ -175,7 +191,7 @@
 	h.mu.Unlock()
 	for {
 		if !h.mute.Load() {
-			c.SetWriteDeadline(time.Now().Add(muteFor))
+			c.SetWriteDeadline(time.Now().Add(feedTimeout))
 			if c.Send(&up, nil) != nil {
 				return heard
 			}
@@ -200,6 +216,12 @@
 func (h *hollow) hear(core int, d *transport.Down) {
 	h.mu.Lock()
 	h.feeds[core].up = true
+	if d.Core != 0 {
+		h.feeds[core].process = d.Core
+	}
+	if d.Revision != 0 {
+		h.feeds[core].resume = transport.Resume{Core: h.feeds[core].process, Revision: d.Revision}
+	}
 	if d.Whole { // what this core machine does not tell of again, it does not hold against anybody's loss
 		clear(h.feeds[core].lost)
 		for _, agent := range h.fleet.watched() {
@@ -223,6 +245,13 @@
 	}
 }
 
+// resume is what the agent has heard of a core process.
+func (h *hollow) resume(core int) transport.Resume {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.feeds[core].resume
+}
+
 // take follows the configuration's index as package sidecar does, and asks one core machine for the whole where steps don't lead on.
 func (h *hollow) take(d *transport.Down) {
 	h.newest = max(h.newest, d.Index)
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -13,9 +13,9 @@
 const Stats = "stats"
 
 const (
-	mostAskers  = 8                // connections for figures that a process serves at once
-	askerIdle   = 90 * time.Second // between two questions: longer than figures are usually asked for
-	mostSamples = 8192             // of one answer, which is far above what a process has
+	maxStatsConns = 8                // connections for figures that a process serves at once
+	statsIdle     = 90 * time.Second // between two questions: longer than figures are usually asked for
+	mostSamples   = 8192             // of one answer, which is far above what a process has
 )
 
 // Question asks for the figures as they are now.
@@ -61,6 +61,7 @@
 	LeaderChanges uint64
 	Members       []Member
 	Learners      []string
+	Outgoing      []string // voters that leave, while a change is under way
 	Index         uint64   // of the configuration
 	Evacuated     []string // zones
 	Feeds         int      // agents that it hears itself
@@ -73,18 +74,18 @@
 	Link    string // where processes of the mesh do
 }
 
-// Askers serves connections for figures. The zero value is ready.
-type Askers struct{ now atomic.Int32 }
+// StatsServer serves connections for figures. The zero value is ready.
+type StatsServer struct{ now atomic.Int32 }
 
 // Serve answers questions on a connection until it ends. Answer may be called from several
 // goroutines at once; nil closes.
-func (a *Askers) Serve(c *Conn, answer func(Question) *Figures) {
-	defer a.now.Add(-1)
-	if a.now.Add(1) > mostAskers {
+func (s *StatsServer) Serve(c *Conn, answer func(Question) *Figures) {
+	defer s.now.Add(-1)
+	if s.now.Add(1) > maxStatsConns {
 		return
 	}
 	for {
-		c.SetReadDeadline(time.Now().Add(askerIdle))
+		c.SetReadDeadline(time.Now().Add(statsIdle))
 		var q Question
 		if c.Receive(&q) != nil {
 			return
@@ -100,6 +101,25 @@
 	}
 }
 
+// CountedBy has the goroutine that owns a process's state count, through its queue of commands. It
+// returns nil if the owner does not get to it in time: a process that hangs must not look well.
+func CountedBy(owner chan<- func(), wait time.Duration, count func() *Figures) *Figures {
+	answer := make(chan *Figures, 1)
+	late := time.NewTimer(wait)
+	defer late.Stop()
+	select {
+	case owner <- func() { answer <- count() }:
+	case <-late.C:
+		return nil
+	}
+	select {
+	case f := <-answer:
+		return f
+	case <-late.C:
+		return nil
+	}
+}
+
 // AskStats asks the process at a link address once.
 func AskStats(ctx context.Context, link string, q Question) (*Figures, error) {
 	c, err := Dial(ctx, Stats, "", link)
