--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -39,17 +39,7 @@
 // Clients that keep connections without a request do not shut out others, and a request that is open is not
 // disturbed by them.
 func TestSilentClientsMakeRoom(t *testing.T) {
-	goOn := make(chan struct{})
-	b := newBackend(t, func(int, *http.Request) (string, bool) {
-		<-goOn
-		return okText, false
-	})
-	a := agentFor(t, testSettings, b)
-	first := make(chan int, 1)
-	go func() {
-		status, _ := a.do(t, a.request("unsafe", "15000m"))
-		first <- status
-	}()
+	a, b, goOn, first := sendHeldRequest(t)
 	receive(t, "request", b.Got)
 	silent := make([]net.Conn, 1024)
 	for i := range silent {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// sendHeldRequest starts an agent over a backend that answers once goOn is closed or sent to, and sends it a request; status is
+// told what the client got.
+func sendHeldRequest(t *testing.T) (a *running, backend *standin.Script, goOn chan struct{}, status chan int) {
+	t.Helper()
+	goOn, status = make(chan struct{}), make(chan int, 1)
+	backend = newBackend(t, func(int, *http.Request) (string, bool) {
+		<-goOn
+		return okText, false
+	})
+	a = agentFor(t, testSettings, backend)
+	go func() {
+		got, _ := a.do(t, a.request("unsafe", "15000m"))
+		status <- got
+	}()
+	return a, backend, goOn, status
+}
+
 // request makes a client's request of a class.
 func (r *running) request(class string, budget string) *http.Request {
 	method, body := http.MethodPost, "body of "+class
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -16,17 +16,7 @@
 
 // The id of a request that is open, or was a moment ago, is no other's: the second is refused and the first served.
 func TestCallIDsAreUsedOnce(t *testing.T) {
-	goOn := make(chan struct{})
-	b := newBackend(t, func(int, *http.Request) (string, bool) {
-		<-goOn
-		return okText, false
-	})
-	a := agentFor(t, testSettings, b)
-	first := make(chan int, 1)
-	go func() {
-		status, _ := a.do(t, a.request("unsafe", "15000m"))
-		first <- status
-	}()
+	a, b, goOn, first := sendHeldRequest(t)
 	id := receive(t, "request", b.Got).Header.Get(callIDHeader)
 	again := func() int {
 		req := a.request("unsafe", "15000m")
