Tests of held-up orders and of broken hops read what others write under its lock

test.sh on a fresh clone found two data races, both between a test and its own stand-ins: the hook that holds messages was set without the lock that send reads it under, and the runs were counted while a request that was sent twice on purpose was still at work. No product code is concerned.

--- a/internal/mesh/controlplane/orders_history_test.go
+++ b/internal/mesh/controlplane/orders_history_test.go
@@ -260,12 +260,12 @@
 				time.Sleep(simLate) // by now somebody leads
 				follower := slices.IndexFunc(s.cores, func(c *simCore) bool { return c.core.node.Status().Role == "follower" })
 				released := make(chan struct{})
-				s.hold = func(m consensus.Message) <-chan struct{} {
+				s.holdUp(func(m consensus.Message) <-chan struct{} {
 					if m.Kind == consensus.Forward && m.From == simName(follower) {
 						return released
 					}
 					return nil
-				}
+				})
 				status, _ := s.call(s.rng, follower, http.MethodPost, "/api/drain-zone/"+simZone, nil)
 				require.NotEqual(t, http.StatusOK, status)
 				other := (follower + 1) % simCores
--- a/internal/mesh/controlplane/orders_sim_test.go
+++ b/internal/mesh/controlplane/orders_sim_test.go
@@ -148,6 +148,13 @@
 	return s.cores[n]
 }
 
+// holdUp has messages wait until the channels that hold gives for them are closed.
+func (s *sim) holdUp(hold func(m consensus.Message) (until <-chan struct{})) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = hold
+}
+
 // send hands a message over, late at times; a cut loses it.
 func (s *sim) send(m consensus.Message) {
 	var b bytes.Buffer
--- a/internal/mesh/outbound/answers_test.go
+++ b/internal/mesh/outbound/answers_test.go
@@ -372,8 +372,10 @@
 		}
 	}
 	p.settle()
+	p.mu.Lock() // what was sent twice may still be at work
+	defer p.mu.Unlock()
 	t.Logf("%d faults, %d requests, %d ran", p.cases, len(p.asked), len(p.runs))
-	return p.found
+	return slices.Clone(p.found)
 }
 
 // TestEveryByte breaks each hop of a request's way at bytes a stride apart, and judges by what
