Feeds: a long configuration may take as long as its link needs

Core and agent gave a whole configuration 1.7 s, the silence after which a feed is given up, to pass whole. One of some megabytes for many agents at once does not pass in that time: each feed broke, was opened anew and began from the start. Now 64 KB have to pass in that time; and while one arrives, for 8 s at most, no other core machine is asked for it as well.

--- a/internal/mesh/controlplane/feed_send.go
+++ b/internal/mesh/controlplane/feed_send.go
@@ -29,7 +29,7 @@
 		})
 		m := <-next
 		f.conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-		if f.conn.Send(&m.down, m.raw) != nil {
+		if f.conn.Send(&m.down, nil) != nil || f.conn.SendLong(m.raw, feedTimeout) != nil {
 			f.conn.Close()
 			return
 		}
--- a/internal/mesh/sidecar/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -68,7 +68,7 @@
 
 // askWhole asks one core machine for the whole configuration if there is a later one than the agent has; another one if no answer comes.
 func (a *Agent) askWhole() {
-	if a.newest <= a.index || a.asking != nil && time.Since(a.asked) < askAgain {
+	if a.newest <= a.index || a.awaits() {
 		return
 	}
 	var able []*feed // those that have it: one that is cut off from the others would not answer
@@ -86,5 +86,26 @@
 	a.asking, a.asked = able[rand.N(len(able))], time.Now()
 	a.asking.want.Store(a.newest)
 	a.asking.wake()
-	time.AfterFunc(askAgain, func() { a.do(a.askWhole) })
+	a.askLater(askAgain)
+}
+
+// awaits says whether what was asked for last may still come.
+func (a *Agent) awaits() bool {
+	if a.asking == nil {
+		return false
+	}
+	asked := time.Since(a.asked)
+	return asked < askAgain || asked < arriveWithin && a.asking.arriving.Load()
+}
+
+func (a *Agent) askLater(wait time.Duration) {
+	time.AfterFunc(wait, func() {
+		a.do(func() {
+			if a.asking != nil && a.asking.arriving.Load() && a.awaits() {
+				a.askLater(askAgain)
+			} else {
+				a.askWhole()
+			}
+		})
+	})
 }
--- a/internal/mesh/sidecar/config_test.go
+++ b/internal/mesh/sidecar/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"example.org/micaline/internal/mesh/bootstrap"
 	"example.org/micaline/internal/mesh/meshconfig"
@@ -80,3 +82,37 @@
 	}
 	require.Zero(t, stale.want.Load(), "one that is behind is asked for what it does not have")
 }
+
+// TestWholeThatArrivesIsWaitedFor has a whole configuration arrive for longer than it takes until
+// another core machine is asked for one that does not.
+func TestWholeThatArrivesIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Agent{feeds: map[string]*feed{}, newest: 5, commands: make(chan func(), queue)}
+		for _, core := range []string{"a", "b"} {
+			a.feeds[core] = &feed{core: core, alive: true, index: 5, woken: make(chan struct{}, 1)}
+		}
+		work := func(d time.Duration) { // as the owner does
+			for end := time.After(d); ; {
+				select {
+				case command := <-a.commands:
+					command()
+				case <-end:
+					return
+				}
+			}
+		}
+		a.askWhole()
+		first := a.asking
+		first.arriving.Store(true)
+		work(arriveWithin - time.Second)
+		require.Same(t, first, a.asking)
+		work(askAgain + time.Second)
+		require.NotSame(t, first, a.asking, "it arrives for too long")
+		silent := a.asking
+		work(askAgain + time.Millisecond)
+		require.Same(t, first, a.asking, "nothing arrives of what %s was asked for", silent.core)
+		first.arriving.Store(false)
+		a.index = a.newest
+		work(2 * askAgain)
+	})
+}
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -23,8 +23,11 @@
 	redialMax    = time.Second
 
 	mostFeeds = 9
-	askAgain  = 1500 * time.Millisecond // for the whole configuration, elsewhere: sooner, one on its way over a busy link is sent twice
-	mostWhole = 32 << 20                // bytes of a configuration
+	askAgain  = 1500 * time.Millisecond // for the whole configuration, elsewhere
+	// Of one that arrives, until it is asked for elsewhere: each that is sent twice makes busy links
+	// busier, so one that passes at all is waited for.
+	arriveWithin = 8 * time.Second
+	mostWhole    = 32 << 20 // bytes of a configuration
 )
 
 // feed is the link to one core machine.
@@ -35,9 +38,11 @@
 	up    chan transport.Up // answers to beats that came over it
 	heard time.Time         // when the core machine last said anything; the owner's
 	want  atomic.Uint64     // to be asked for: the whole configuration, of this index or a later one
-	alive bool              // the core machine has been heard over the present connection; the owner's
-	index uint64            // of the configuration there, as told last; the owner's
-	cores []string          // members of the agreement, as told last; the owner's
+	// A whole configuration is on its way.
+	arriving atomic.Bool
+	alive    bool     // the core machine has been heard over the present connection; the owner's
+	index    uint64   // of the configuration there, as told last; the owner's
+	cores    []string // members of the agreement, as told last; the owner's
 
 	process uint64                           // number of the core process that it hears; the owner's
 	resume  atomic.Pointer[transport.Resume] // what has been heard of all stations; nil: not all
@@ -202,7 +207,9 @@
 		if c.Receive(&d) != nil {
 			return
 		}
-		whole, err := c.Body(d.Raw, mostWhole)
+		f.arriving.Store(d.Raw > 0)
+		whole, err := c.LongBody(d.Raw, mostWhole, feedTimeout)
+		f.arriving.Store(false)
 		if err != nil {
 			return
 		}
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -20,6 +20,7 @@
 	"hash/crc32"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,6 +103,37 @@
 	return err
 }
 
+// chunk is how much of a long body has to pass within the patience, in bytes.
+const chunk = 64 << 10
+
+// SendLong writes raw bytes that belong to a message sent before. It fails once nothing of them
+// passes for as long as the patience: how long all of them take is up to the link.
+func (c *Conn) SendLong(raw []byte, patience time.Duration) error {
+	for part := range slices.Chunk(raw, chunk) {
+		c.SetWriteDeadline(time.Now().Add(patience))
+		if err := c.SendRaw(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// LongBody reads the raw bytes behind a message as SendLong writes them.
+func (c *Conn) LongBody(n, most int64, patience time.Duration) ([]byte, error) {
+	if n < 0 || n > most {
+		return nil, oops.Code("body").Errorf("a body of %d bytes, at most %d are taken", n, most)
+	}
+	body := make([]byte, n)
+	for part := range slices.Chunk(body, chunk) {
+		c.lr.N = int64(len(part))
+		c.SetReadDeadline(time.Now().Add(patience))
+		if _, err := io.ReadFull(c.r, part); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // Receive reads the next message into a pointer.
 func (c *Conn) Receive(message any) error {
 	c.lr.N = mostHead
