Feeds: after a large change agents ask for steps, not for the whole

A change of more than 64 KB was not kept as a step: each agent, which had all but that change, asked for the whole configuration, and while that came every further change made it ask again. Steps are now kept as long as they are smaller than the whole (4 MB at most), and who asks says what it has and is sent the steps from there where they are smaller. Unasked, 64 KB are sent as before, since each core machine tells each agent. An agent whose steps led elsewhere asks for the whole.

Up.Since and Down.RawSteps are new and optional: older programs ignore the first, are never sent the second, and are sent the whole.

--- a/internal/mesh/controlplane/feed_send.go
+++ b/internal/mesh/controlplane/feed_send.go
@@ -59,10 +59,15 @@
 		d.Index = s.index
 		switch {
 		case f.want != 0 && s.index >= f.want:
-			raw, d.Digest = s.encoded(), s.config.Digest()
+			if raw = s.stepsSince(f.since); raw != nil {
+				d.RawSteps = true
+			} else {
+				raw = s.encoded()
+			}
+			d.Digest = s.config.Digest()
 			d.Raw, f.want = int64(len(raw)), 0
 		case s.index > f.have:
-			if d.Steps = s.since(f.have); d.Steps != nil {
+			if d.Steps = s.pushed(f.have); d.Steps != nil {
 				d.Digest = s.config.Digest()
 			}
 		}
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -29,12 +29,24 @@
 
 	once sync.Once
 	text []byte
+
+	asked encodedSteps // last; the owner's of the feeds
+}
+
+// encodedSteps are the steps from an index: after a large change all agents ask for the same.
+type encodedSteps struct {
+	since uint64
+	raw   []byte
 }
 
-// What is kept of steps: an agent that was away for longer is sent the whole.
+// What is kept of steps: an agent that was away for longer is sent the whole. Beyond pushedBytes
+// they are kept as long as they are smaller than the whole.
 const (
 	mostSteps     = 64
-	mostStepBytes = 64 << 10
+	mostStepBytes = 4 << 20
+	// pushedBytes is what an agent is sent of steps unasked. Each core machine tells each agent, so
+	// larger ones would come as many times as there are core machines: the agent asks one of them.
+	pushedBytes = 64 << 10
 )
 
 // encoded is the whole configuration as it is sent to agents; made once however many there are, and
@@ -54,12 +66,42 @@
 	return nil
 }
 
+// pushed returns the steps that an agent is sent unasked; none if they are too large for that.
+func (s *state) pushed(have uint64) []transport.Step {
+	steps := s.since(have)
+	if sizeOf(steps) > pushedBytes {
+		return nil
+	}
+	return steps
+}
+
+// stepsSince returns the encoded steps from an index to this state; none if they are not kept, or
+// the whole is no larger. One goroutine alone calls it.
+func (s *state) stepsSince(have uint64) []byte {
+	if have != 0 && s.asked.since == have {
+		return s.asked.raw
+	}
+	steps := s.since(have)
+	if len(steps) == 0 || sizeOf(steps) >= max(s.config.Size(), pushedBytes) {
+		return nil
+	}
+	s.asked = encodedSteps{have, transport.EncodeSteps(steps)}
+	return s.asked.raw
+}
+
+func sizeOf(steps []transport.Step) (size int) {
+	for i := range steps {
+		size += len(steps[i].Order.Body)
+	}
+	return size
+}
+
 // after returns the state that a step leads to.
 func (s *state) after(index uint64, next *meshconfig.Config, o *meshconfig.Order) *state {
 	steps := append(s.steps[:len(s.steps):len(s.steps)], transport.Step{Before: s.index, Index: index, Order: *o})
-	size := 0
+	size, most := 0, min(max(next.Size(), pushedBytes), mostStepBytes)
 	for i := len(steps) - 1; i >= 0; i-- {
-		if size += len(steps[i].Order.Body); size > mostStepBytes || len(steps)-i > mostSteps {
+		if size += len(steps[i].Order.Body); size > most || len(steps)-i > mostSteps {
 			steps = slices.Clone(steps[i+1:])
 			break
 		}
--- a/internal/mesh/controlplane/table_bench_test.go
+++ b/internal/mesh/controlplane/table_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"example.org/micaline/internal/mesh/meshconfig"
@@ -32,6 +33,15 @@
 	return &meshconfig.Order{Op: meshconfig.OpPatch, Body: fmt.Appendf(nil, `{"add":{"items":[%s]}}`, routeItem(i, version))}
 }
 
+// routesOrder sets a number of routes.
+func routesOrder(first, number, version int) *meshconfig.Order {
+	items := make([]string, number)
+	for i := range items {
+		items[i] = routeItem(first+i, version)
+	}
+	return &meshconfig.Order{Op: meshconfig.OpPatch, Body: fmt.Appendf(nil, `{"add":{"items":[%s]}}`, strings.Join(items, ","))}
+}
+
 // What a change of one route costs the core, which applies it and tells all agents a digest, and
 // each agent, which takes the step and compares the digest.
 func BenchmarkChange(b *testing.B) {
--- a/internal/mesh/meshconfig/digest.go
+++ b/internal/mesh/meshconfig/digest.go
@@ -24,9 +24,11 @@
 func (c *Config) put(i *item) {
 	if old := c.items[i.key]; old != nil {
 		c.sum -= old.digest()
+		c.size -= len(old.raw)
 	}
 	c.items[i.key] = i
 	c.sum += i.digest()
+	c.size += len(i.raw)
 }
 
 // digest is of what Encode gives of an item.
--- a/internal/mesh/meshconfig/meshconfig.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -48,6 +48,7 @@
 	drops uint64        // tombstones ever made, which puts them in order
 	zones []string      // evacuated, sorted
 	sum   uint64        // of the items' digests: see Digest
+	size  int           // of the items' text
 
 	hosts map[string]*prefixes // of the routes that stand, by domain
 }
@@ -97,7 +98,7 @@
 	if len(made.moved) == 0 {
 		return made, nil
 	}
-	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum}
+	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum, size: c.size}
 	if next.items == nil {
 		next.items = make(map[key]*item, len(made.moved))
 	}
@@ -187,11 +188,15 @@
 	forgotten := dropped[:len(dropped)-MostTombstones]
 	for _, i := range forgotten {
 		c.sum -= i.digest()
+		c.size -= len(i.raw)
 		delete(c.items, i.key)
 	}
 	return forgotten
 }
 
+// Size is how many bytes of text the items have that stand: a little less than Encode gives.
+func (c *Config) Size() int { return c.size }
+
 // Evacuate returns the configuration in which the zone is evacuated. Beyond MostZones it is c: ask
 // Evacuated before you acknowledge.
 func (c *Config) Evacuate(zone string) *Config {
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -61,6 +61,7 @@
 	newest  uint64        // index that a core machine has told of
 	asking  *feed         // for the whole configuration
 	asked   time.Time
+	odd     bool   // what came last did not lead to what was agreed on: only the whole will do
 	current bool   // a core machine has proven that
 	least   uint64 // this index was current after the start
 	proven  bool   // and the configuration is of it or a later one
--- a/internal/mesh/sidecar/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -28,7 +28,9 @@
 		a.config, a.index, a.dirty = config, d.Index, true
 		a.have.Store(a.index)
 		a.log.WithField("index", a.index).WithField("items", config.Summary()).Info("configuration")
+		a.odd = false
 	case err != errBehind:
+		a.odd = true
 		a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
 	}
 	a.askWhole()
@@ -36,15 +38,22 @@
 
 // forward returns the configuration at the index that a message tells.
 func forward(config *meshconfig.Config, index uint64, d *transport.Down, whole []byte) (*meshconfig.Config, error) {
-	if len(whole) > 0 {
+	steps := d.Steps
+	switch {
+	case d.RawSteps:
+		var err error
+		if steps, err = transport.DecodeSteps(whole); err != nil {
+			return nil, err
+		}
+	case len(whole) > 0:
 		config, err := meshconfig.Decode(whole)
 		if err == nil && config.Digest() != d.Digest {
 			err = errors.New("the whole configuration has another digest")
 		}
 		return config, err
 	}
-	for i := range d.Steps {
-		s := &d.Steps[i]
+	for i := range steps {
+		s := &steps[i]
 		if s.Index <= index {
 			continue
 		}
@@ -84,6 +93,11 @@
 		return // the next that is heard is asked
 	}
 	a.asking, a.asked = able[rand.N(len(able))], time.Now()
+	if a.odd {
+		a.asking.since.Store(0)
+	} else {
+		a.asking.since.Store(a.index)
+	}
 	a.asking.want.Store(a.newest)
 	a.asking.wake()
 	a.askLater(askAgain)
--- a/internal/mesh/sidecar/config_test.go
+++ b/internal/mesh/sidecar/config_test.go
@@ -55,6 +55,21 @@
 	has(9, second)
 	a.hear(other, &transport.Down{Index: 5, Digest: first.Digest(), Raw: int64(len(whole))}, whole)
 	has(9, second)
+
+	third := second.Evacuate("c")
+	a.asking = nil
+	a.hear(f, &transport.Down{Index: 12}, nil)
+	require.EqualValues(t, 9, a.asking.since.Load(), "steps from what it has will do")
+	raw := transport.EncodeSteps([]transport.Step{step(9, 12, "d")})
+	a.hear(a.asking, &transport.Down{Index: 12, Digest: third.Digest(), RawSteps: true}, raw)
+	has(9, second)
+	require.Zero(t, a.asking.since.Load(), "the steps led elsewhere")
+	raw = transport.EncodeSteps([]transport.Step{step(5, 9, "b"), step(9, 12, "c")})
+	a.hear(a.asking, &transport.Down{Index: 12, Digest: third.Digest(), RawSteps: true}, raw)
+	has(12, third)
+	a.asking = nil
+	a.hear(f, &transport.Down{Index: 13}, nil)
+	require.EqualValues(t, 12, a.asking.since.Load())
 }
 
 // TestWholeIsAskedForOnce provokes CONFIG on thin links: a whole configuration that is on its way is
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -32,17 +32,17 @@
 
 // feed is the link to one core machine.
 type feed struct {
-	core  string
-	stop  context.CancelFunc
-	woken chan struct{}
-	up    chan transport.Up // answers to beats that came over it
-	heard time.Time         // when the core machine last said anything; the owner's
-	want  atomic.Uint64     // to be asked for: the whole configuration, of this index or a later one
-	// A whole configuration is on its way.
-	arriving atomic.Bool
-	alive    bool     // the core machine has been heard over the present connection; the owner's
-	index    uint64   // of the configuration there, as told last; the owner's
-	cores    []string // members of the agreement, as told last; the owner's
+	core     string
+	stop     context.CancelFunc
+	woken    chan struct{}
+	up       chan transport.Up // answers to beats that came over it
+	heard    time.Time         // when the core machine last said anything; the owner's
+	since    atomic.Uint64     // with want: what the agent has, or 0 if it does not trust it
+	want     atomic.Uint64     // to be asked for: the whole configuration, of this index or a later one
+	arriving atomic.Bool       // raw bytes of a configuration are on their way
+	alive    bool              // the core machine has been heard over the present connection; the owner's
+	index    uint64            // of the configuration there, as told last; the owner's
+	cores    []string          // members of the agreement, as told last; the owner's
 
 	process uint64                           // number of the core process that it hears; the owner's
 	resume  atomic.Pointer[transport.Resume] // what has been heard of all stations; nil: not all
@@ -233,7 +233,9 @@
 			said, up.Station = s, s
 			up.Have = a.have.Load()
 		}
-		up.Want = f.want.Swap(0)
+		if up.Want = f.want.Swap(0); up.Want != 0 {
+			up.Since = f.since.Load()
+		}
 		if up.Fresh = fresh; fresh != 0 {
 			fresh = 0
 			if resume != nil {
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -1,9 +1,12 @@
 package transport
 
 import (
+	"bytes"
+	"encoding/gob"
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
+	"github.com/samber/oops"
 )
 
 // Request is one that a sender hands to a gate. Body raw bytes follow it.
@@ -90,6 +93,7 @@
 	Station *Station
 	Have    uint64 // index of the configuration that the agent has; told with every station
 	Want    uint64 // not 0: send the whole configuration, of this index or a later one
+	Since   uint64 // with Want, not 0: the steps from this index, which the agent has, do as well
 	Fresh   uint64 // not 0: answer with this number once what you have sent is current
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
@@ -109,12 +113,31 @@
 	Order         meshconfig.Order
 }
 
-// Down is what a core machine says to an agent. Raw bytes follow it: the whole configuration, which an agent gets that wants it.
+// EncodeSteps gives steps as the raw bytes behind a Down: within it, large ones would stay in the
+// buffers of each connection.
+func EncodeSteps(steps []Step) []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(steps); err != nil {
+		panic(err) // plain fields always encode
+	}
+	return b.Bytes()
+}
+
+// DecodeSteps reads what EncodeSteps gave.
+func DecodeSteps(raw []byte) ([]Step, error) {
+	var steps []Step
+	err := gob.NewDecoder(bytes.NewReader(raw)).Decode(&steps)
+	return steps, oops.In("steps").Wrap(err)
+}
+
+// Down is what a core machine says to an agent. Raw bytes follow it: the whole
+// configuration, or steps to it, which an agent gets that wants it.
 type Down struct {
 	Index    uint64 // of the configuration at the core machine
 	Digest   uint64 // of it, with Steps or Raw
 	Steps    []Step // that lead to it, from one that the agent has
 	Raw      int64
+	RawSteps bool // Raw is of EncodeSteps rather than the whole configuration
 	Stations []Heard
 	Whole    bool // what was told before is void: all that there are follow, in this message and the next
 	Fresh    uint64
