--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"example.org/micaline/internal/mesh/bootstrap"
@@ -48,6 +49,9 @@
 	peers *peers
 	count counters
 
+	telling atomic.Bool   // feeds are about to be told of a changed configuration
+	told    time.Duration // when they were, or will be; the node's goroutine's
+
 	stats    transport.StatsServer
 	commands chan func()
 	began    time.Time
@@ -69,11 +73,31 @@
 func New(set *bootstrap.Settings, l log.Interface) *Core {
 	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(),
 		registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}, life: rand.Uint64() | 1, unheard: map[string]uint64{}}
-	c.table = newTable(func() { c.enqueue(func() { c.each(func(f *feed) { f.wake() }) }) })
+	c.table = newTable(c.configChanged)
 	c.peers = newPeers(set)
 	return c
 }
 
+// configChanged has all agents told. What changes within a gap is told together: a process that has
+// started carries out all that was agreed on since its snapshot at once, and each order would be a
+// message to every agent. The node's goroutine calls it.
+func (c *Core) configChanged() {
+	if !c.telling.CompareAndSwap(false, true) {
+		return
+	}
+	tell := func() {
+		c.telling.Store(false)
+		c.each(func(f *feed) { f.wake() })
+	}
+	now := c.now()
+	c.told = max(now, c.told+gap)
+	if c.told == now {
+		c.enqueue(tell)
+		return
+	}
+	time.AfterFunc(c.told-now, func() { c.enqueue(tell) })
+}
+
 // enqueue queues a command without waiting; the queue's bound is far above what may be due at once, and who finds it full waits beside.
 func (c *Core) enqueue(f func()) {
 	select {
--- a/internal/mesh/controlplane/feed_test.go
+++ b/internal/mesh/controlplane/feed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/transport"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -256,3 +257,42 @@
 	require.NoError(t, err)
 	require.Len(t, served, 1)
 }
+
+// TestManyChangesAreToldTogether has a core machine carry out at once what was agreed on since its
+// snapshot, as after a start: an agent is told in a few messages, and of a lone change at once.
+func TestManyChangesAreToldTogether(t *testing.T) {
+	withCore(t, func(c *Core) {
+		a := dial(t, c, "10.0.0.1")
+		a.answer(transport.Resume{})
+		a.hear()
+		time.Sleep(time.Second)
+		const changes = 100
+		evacuate := func(index uint64) {
+			c.table.Apply(index, encodeOrder(&meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: fmt.Sprint("zone", index)}))
+		}
+		told := func(index uint64) (messages int) { // until an index is told
+			for d := range a.got {
+				messages++
+				if d.Index == index {
+					require.Equal(t, c.table.now.Load().config.Digest(), d.Digest)
+					return messages
+				}
+			}
+			return 0
+		}
+		for len(a.got) > 0 {
+			<-a.got
+		}
+		for index := uint64(1); index <= changes; index++ {
+			evacuate(index)
+			time.Sleep(time.Millisecond)
+		}
+		require.Less(t, told(changes), 8)
+		time.Sleep(time.Second)
+		began := time.Now()
+		evacuate(changes + 1)
+		told(changes + 1)
+		require.Zero(t, time.Since(began))
+		a.conn.Close()
+	})
+}
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -42,7 +42,7 @@
 // What is kept of steps: an agent that was away for longer is sent the whole. Beyond pushedBytes
 // they are kept as long as they are smaller than the whole.
 const (
-	mostSteps     = 64
+	mostSteps     = 256
 	mostStepBytes = 4 << 20
 	// pushedBytes is what an agent is sent of steps unasked. Each core machine tells each agent, so
 	// larger ones would come as many times as there are core machines: the agent asks one of them.
