Core: orders carried out at once are shown at once

Now they are told of the last.

Steps are appended in place, since each state is followed by one other.

Planted: states shown within a batch fail TestBatchShowsItsEndOnly.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -32,6 +32,11 @@
 	Restore(index uint64, snapshot []byte) error
 }
 
+// Batcher is a Table that is told which entries are applied at once: those of apply.
+type Batcher interface {
+	Batch(apply func())
+}
+
 // Options are what a Node is started with.
 type Options struct {
 	Self       string
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -405,6 +405,16 @@
 		}
 		n.tableAt = s.Index
 	}
+	apply := func() { n.apply(entries) }
+	if table, ok := n.options.Table.(Batcher); ok && len(entries) > 1 {
+		table.Batch(apply)
+	} else {
+		apply()
+	}
+	return nil
+}
+
+func (n *Node) apply(entries []Entry) {
 	for _, e := range entries {
 		if e.Index <= n.tableAt {
 			continue
@@ -418,7 +428,6 @@
 			n.replies[e.ID] = reply
 		}
 	}
-	return nil
 }
 
 // leave answers those who wait until this node may end.
--- a/internal/mesh/controlplane/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -112,3 +112,23 @@
 	}
 	require.Empty(t, table.now.Load().since(before.index), "more than the whole is kept of steps")
 }
+
+// TestBatchShowsItsEndOnly has a table carry out orders as after a start: nobody sees a state in
+// between, and the steps lead from the state before to the one after.
+func TestBatchShowsItsEndOnly(t *testing.T) {
+	changes := 0
+	table := newTable(func() { changes++ })
+	before := table.now.Load()
+	table.Batch(func() {
+		for index := uint64(1); index <= 100; index++ {
+			table.Apply(index, encodeOrder(&meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: fmt.Sprint("zone", index)}))
+			require.Same(t, before, table.now.Load())
+		}
+	})
+	now := table.now.Load()
+	require.Equal(t, 1, changes)
+	require.EqualValues(t, 100, now.index)
+	require.Len(t, now.since(0), 100)
+	table.Batch(func() {})
+	require.Equal(t, 1, changes, "nothing has changed")
+}
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -98,7 +98,9 @@
 
 // after returns the state that a step leads to.
 func (s *state) after(index uint64, next *meshconfig.Config, o *meshconfig.Order) *state {
-	steps := append(s.steps[:len(s.steps):len(s.steps)], transport.Step{Before: s.index, Index: index, Order: *o})
+	// The array is shared with the states before, which see no more of it than they have: each state
+	// is followed by one other.
+	steps := append(s.steps, transport.Step{Before: s.index, Index: index, Order: *o})
 	size, most := 0, min(max(next.Size(), pushedBytes), mostStepBytes)
 	for i := len(steps) - 1; i >= 0; i-- {
 		if size += len(steps[i].Order.Body); size > most || len(steps)-i > mostSteps {
@@ -111,18 +113,40 @@
 
 // table is the state that the agreement drives. The node's goroutine alone changes it.
 type table struct {
-	now     atomic.Pointer[state]
-	applied atomic.Uint64       // index of the last order, whatever came of it
-	history *meshconfig.History // of the node's goroutine
-	changed func()              // must not block
+	now     atomic.Pointer[state] // as others see it
+	newest  *state                // of the node's goroutine: ahead of now within a batch
+	batch   bool                  // one is under way; of the node's goroutine
+	applied atomic.Uint64         // index of the last order, whatever came of it
+	history *meshconfig.History   // of the node's goroutine
+	changed func()                // must not block
 }
 
 func newTable(changed func()) *table {
 	t := &table{changed: changed, history: meshconfig.NewHistory()}
-	t.now.Store(&state{config: meshconfig.New()})
+	t.newest = &state{config: meshconfig.New()}
+	t.now.Store(t.newest)
 	return t
 }
 
+// Batch has a number of orders carried out, and shows what they lead to. A process that starts
+// carries out all orders since its snapshot: agents that were sent states in between would each ask
+// for several, and the process would be busy with that instead of with the agreement.
+func (t *table) Batch(apply func()) {
+	t.batch = true
+	apply()
+	t.batch = false
+	t.show()
+}
+
+// show has others see the newest state.
+func (t *table) show() {
+	if t.batch || t.now.Load() == t.newest {
+		return
+	}
+	t.now.Store(t.newest)
+	t.changed()
+}
+
 // Apply carries out an order. The reply is empty, or the encoded refusal: validity, and whether the
 // order contradicts an earlier one, are judged here, where the order of all calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
@@ -131,14 +155,14 @@
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return refusalOf(err).encode()
 	}
-	old := t.now.Load()
+	old := t.newest
 	next, err := t.history.Carry(index, old.config, &o)
 	if err != nil {
 		return refusalOf(err).encode()
 	}
 	if next != old.config {
-		t.now.Store(old.after(index, next, &o))
-		t.changed()
+		t.newest = old.after(index, next, &o)
+		t.show()
 	}
 	return nil
 }
@@ -152,7 +176,7 @@
 
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
-	s := t.now.Load()
+	s := t.newest
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode()}); err != nil {
 		panic(err) // plain fields always encode
@@ -178,7 +202,7 @@
 	}
 	t.history = history
 	t.applied.Store(index)
-	t.now.Store(&state{index: k.Index, config: config})
-	t.changed()
+	t.newest = &state{index: k.Index, config: config}
+	t.show()
 	return nil
 }
