--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -29,12 +29,24 @@
 
 	once sync.Once
 	text []byte
+
+	asked encodedSteps // last; the owner's of the feeds
+}
+
+// encodedSteps are the steps from an index: after a large change all agents ask for the same.
+type encodedSteps struct {
+	since uint64
+	raw   []byte
 }
 
-// What is kept of steps: an agent that was away for longer is sent the whole.
+// What is kept of steps: an agent that was away for longer is sent the whole. Beyond pushedBytes
+// they are kept as long as they are smaller than the whole.
 const (
-	mostSteps     = 64
-	mostStepBytes = 64 << 10
+	mostSteps     = 256
+	mostStepBytes = 4 << 20
+	// pushedBytes is what an agent is sent of steps unasked. Each core machine tells each agent, so
+	// larger ones would come as many times as there are core machines: the agent asks one of them.
+	pushedBytes = 64 << 10
 )
 
 // encoded is the whole configuration as it is sent to agents; made once however many there are, and
@@ -54,12 +66,44 @@
 	return nil
 }
 
+// pushed returns the steps that an agent is sent unasked; none if they are too large for that.
+func (s *state) pushed(have uint64) []transport.Step {
+	steps := s.since(have)
+	if sizeOf(steps) > pushedBytes {
+		return nil
+	}
+	return steps
+}
+
+// stepsSince returns the encoded steps from an index to this state; none if they are not kept, or
+// the whole is no larger. One goroutine alone calls it.
+func (s *state) stepsSince(have uint64) []byte {
+	if have != 0 && s.asked.since == have {
+		return s.asked.raw
+	}
+	steps := s.since(have)
+	if len(steps) == 0 || sizeOf(steps) >= max(s.config.Size(), pushedBytes) {
+		return nil
+	}
+	s.asked = encodedSteps{have, transport.EncodeSteps(steps)}
+	return s.asked.raw
+}
+
+func sizeOf(steps []transport.Step) (size int) {
+	for i := range steps {
+		size += len(steps[i].Order.Body)
+	}
+	return size
+}
+
 // after returns the state that a step leads to.
 func (s *state) after(index uint64, next *meshconfig.Config, o *meshconfig.Order) *state {
-	steps := append(s.steps[:len(s.steps):len(s.steps)], transport.Step{Before: s.index, Index: index, Order: *o})
-	size := 0
+	// The array is shared with the states before, which see no more of it than they have: each state
+	// is followed by one other.
+	steps := append(s.steps, transport.Step{Before: s.index, Index: index, Order: *o})
+	size, most := 0, min(max(next.Size(), pushedBytes), mostStepBytes)
 	for i := len(steps) - 1; i >= 0; i-- {
-		if size += len(steps[i].Order.Body); size > mostStepBytes || len(steps)-i > mostSteps {
+		if size += len(steps[i].Order.Body); size > most || len(steps)-i > mostSteps {
 			steps = slices.Clone(steps[i+1:])
 			break
 		}
@@ -69,18 +113,40 @@
 
 // table is the state that the agreement drives. The node's goroutine alone changes it.
 type table struct {
-	now     atomic.Pointer[state]
-	applied atomic.Uint64       // index of the last order, whatever came of it
-	history *meshconfig.History // of the node's goroutine
-	changed func()              // must not block
+	now     atomic.Pointer[state] // as others see it
+	newest  *state                // of the node's goroutine: ahead of now within a batch
+	batch   bool                  // one is under way; of the node's goroutine
+	applied atomic.Uint64         // index of the last order, whatever came of it
+	history *meshconfig.History   // of the node's goroutine
+	changed func()                // must not block
 }
 
 func newTable(changed func()) *table {
 	t := &table{changed: changed, history: meshconfig.NewHistory()}
-	t.now.Store(&state{config: meshconfig.New()})
+	t.newest = &state{config: meshconfig.New()}
+	t.now.Store(t.newest)
 	return t
 }
 
+// Batch has a number of orders carried out, and shows what they lead to. A process that starts
+// carries out all orders since its snapshot: agents that were sent states in between would each ask
+// for several, and the process would be busy with that instead of with the agreement.
+func (t *table) Batch(apply func()) {
+	t.batch = true
+	apply()
+	t.batch = false
+	t.show()
+}
+
+// show has others see the newest state.
+func (t *table) show() {
+	if t.batch || t.now.Load() == t.newest {
+		return
+	}
+	t.now.Store(t.newest)
+	t.changed()
+}
+
 // Apply carries out an order. The reply is empty, or the encoded refusal: validity, and whether the
 // order contradicts an earlier one, are judged here, where the order of all calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
@@ -89,14 +155,14 @@
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return refusalOf(err).encode()
 	}
-	old := t.now.Load()
+	old := t.newest
 	next, err := t.history.Carry(index, old.config, &o)
 	if err != nil {
 		return refusalOf(err).encode()
 	}
 	if next != old.config {
-		t.now.Store(old.after(index, next, &o))
-		t.changed()
+		t.newest = old.after(index, next, &o)
+		t.show()
 	}
 	return nil
 }
@@ -110,7 +176,7 @@
 
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
-	s := t.now.Load()
+	s := t.newest
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode()}); err != nil {
 		panic(err) // plain fields always encode
@@ -136,7 +202,7 @@
 	}
 	t.history = history
 	t.applied.Store(index)
-	t.now.Store(&state{index: k.Index, config: config})
-	t.changed()
+	t.newest = &state{index: k.Index, config: config}
+	t.show()
 	return nil
 }
--- a/internal/mesh/sidecar/config.go
+++ b/internal/mesh/sidecar/config.go
@@ -28,7 +28,9 @@
 		a.config, a.index, a.dirty = config, d.Index, true
 		a.have.Store(a.index)
 		a.log.WithField("index", a.index).WithField("items", config.Summary()).Info("configuration")
+		a.odd = false
 	case err != errBehind:
+		a.odd = true
 		a.log.WithError(err).WithField("core", f.core).Error("configuration kept as it was")
 	}
 	a.askWhole()
@@ -36,15 +38,22 @@
 
 // forward returns the configuration at the index that a message tells.
 func forward(config *meshconfig.Config, index uint64, d *transport.Down, whole []byte) (*meshconfig.Config, error) {
-	if len(whole) > 0 {
+	steps := d.Steps
+	switch {
+	case d.RawSteps:
+		var err error
+		if steps, err = transport.DecodeSteps(whole); err != nil {
+			return nil, err
+		}
+	case len(whole) > 0:
 		config, err := meshconfig.Decode(whole)
 		if err == nil && config.Digest() != d.Digest {
 			err = errors.New("the whole configuration has another digest")
 		}
 		return config, err
 	}
-	for i := range d.Steps {
-		s := &d.Steps[i]
+	for i := range steps {
+		s := &steps[i]
 		if s.Index <= index {
 			continue
 		}
@@ -68,7 +77,7 @@
 
 // askWhole asks one core machine for the whole configuration if there is a later one than the agent has; another one if no answer comes.
 func (a *Agent) askWhole() {
-	if a.newest <= a.index || a.asking != nil && time.Since(a.asked) < askAgain {
+	if a.newest <= a.index || a.awaits() {
 		return
 	}
 	var able []*feed // those that have it: one that is cut off from the others would not answer
@@ -84,7 +93,33 @@
 		return // the next that is heard is asked
 	}
 	a.asking, a.asked = able[rand.N(len(able))], time.Now()
+	if a.odd {
+		a.asking.since.Store(0)
+	} else {
+		a.asking.since.Store(a.index)
+	}
 	a.asking.want.Store(a.newest)
 	a.asking.wake()
-	time.AfterFunc(askAgain, func() { a.do(a.askWhole) })
+	a.askLater(askAgain)
+}
+
+// awaits says whether what was asked for last may still come.
+func (a *Agent) awaits() bool {
+	if a.asking == nil {
+		return false
+	}
+	asked := time.Since(a.asked)
+	return asked < askAgain || asked < arriveWithin && a.asking.arriving.Load()
+}
+
+func (a *Agent) askLater(wait time.Duration) {
+	time.AfterFunc(wait, func() {
+		a.do(func() {
+			if a.asking != nil && a.asking.arriving.Load() && a.awaits() {
+				a.askLater(askAgain)
+			} else {
+				a.askWhole()
+			}
+		})
+	})
 }
