A test's link no longer deadlocks when it is reset while a connection comes up

Link.Reset held the link's lock while it took each connection's, and connection.dial held the connection's while it counted under the link's. Ruled out: a slow machine (load below 1), the product (no mesh process takes part in the lock). Neither lock is held while the other is taken now. TestResetWhileConnectionsComeUp fails before (20 s, resets don't end) and passes in 0.1 s.

--- a/internal/mesh/meshtest/relay/connection.go
+++ b/internal/mesh/meshtest/relay/connection.go
@@ -13,8 +13,8 @@
 	link   *Link
 	client net.Conn
 
-	mu     sync.Mutex
-	server net.Conn // nil until it is open
+	mu     sync.Mutex // never held while the link's is taken, nor the other way round
+	server net.Conn   // nil until it is open
 	over   bool
 	ended  chan struct{}
 }
@@ -70,16 +70,22 @@
 		c.reset() // as the target's own kernel would
 		return false
 	}
+	if !c.keep(server) {
+		abort(server)
+		return false
+	}
+	c.link.countOpened()
+	return true
+}
+
+// keep makes a connection to the target this one's own. It reports false where this one has ended.
+func (c *connection) keep(server net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.over {
-		abort(server)
 		return false
 	}
 	c.server = server
-	c.link.mu.Lock()
-	c.link.passed++
-	c.link.mu.Unlock()
 	return true
 }
 
--- a/internal/mesh/meshtest/relay/relay.go
+++ b/internal/mesh/meshtest/relay/relay.go
@@ -15,8 +15,10 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -104,8 +106,9 @@
 // Reset resets all connections that are open.
 func (l *Link) Reset() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range open {
 		c.reset()
 	}
 }
@@ -157,6 +160,12 @@
 	return err
 }
 
+func (l *Link) countOpened() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passed++
+}
+
 func (l *Link) change(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/mesh/meshtest/relay/relay_test.go
+++ b/internal/mesh/meshtest/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,3 +145,42 @@
 		require.Error(t, err)
 	}
 }
+
+// A reset while connections come up waits for none of them, nor they for it.
+func TestResetWhileConnectionsComeUp(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", echo(t), 1)
+	require.NoError(t, err)
+	over := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				if c, err := net.DialTimeout("tcp4", l.Address(), patience); err == nil {
+					abort(c)
+				}
+			}
+		})
+	}
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		for opened := 0; opened < 500; opened, _ = l.Counts() {
+			l.Reset()
+		}
+	}()
+	select {
+	case <-finished:
+	case <-time.After(4 * patience):
+		t.Error("the resets don't end")
+	}
+	close(over)
+	if !t.Failed() { // a link that hangs can't be closed either
+		clients.Wait()
+		require.NoError(t, l.Close())
+	}
+}
