--- a/internal/mesh/outbound/answers_test.go
+++ b/internal/mesh/outbound/answers_test.go
@@ -84,12 +84,27 @@
 	}
 	p.sender = sender(t.(*testing.T), gates...)
 	limits(p.sender)
-	p.client = p.linkTo(p.listen(func(l net.Listener) {
-		(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.current().ServeHTTP(w, r) })}).Serve(l)
-	}), 9)
+	p.client = p.linkTo(p.listen(func(l net.Listener) { p.clientServer().Serve(l) }), 9)
 	return p
 }
 
+// senderKey is the key of a connection's context under which its sender stands.
+type senderKey struct{}
+
+// clientServer serves clients. A connection belongs to the sender that is there when it is accepted,
+// as it belongs to a process: a doubled request that is read once the sender was made anew meets the
+// one that remembers its id.
+func (p *path) clientServer() *http.Server {
+	return &http.Server{
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, senderKey{}, p.current())
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Context().Value(senderKey{}).(*Sender).ServeHTTP(w, r)
+		}),
+	}
+}
+
 // limits lets long bodies pass, which the other tests' configuration does not.
 func limits(s *Sender) {
 	patch := `{"add":{"items":[{"item_kind":"limits","metadata":{"version":"2"},"body":{"header_bytes":16384,"body_bytes":1000000,"header_wait":"3s","idle":"15s"}}]}}`
