Consensus: what was committed is applied eight entries at a time, heartbeats in between

Output.Behind says that more follows; the node then looks at what has come first. The table is shown where a backlog ends, and before anybody is told that something is done.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -32,9 +32,11 @@
 	Restore(index uint64, snapshot []byte) error
 }
 
-// Batcher is a Table that is told which entries are applied at once: those of apply.
+// Batcher is a Table that shows others what entries lead to, and is told when that is worth it.
 type Batcher interface {
-	Batch(apply func())
+	// Batch has entries applied. Unless more of them follow at once, and nobody waits for what these
+	// lead to, all that was applied is shown.
+	Batch(apply func(), show bool)
 }
 
 // Options are what a Node is started with.
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -67,6 +67,7 @@
 	mostChunk     = 32 << 10  // bytes of a snapshot in one message
 	mostSnapshot  = 64 << 20  // bytes of a snapshot
 	mostOpen      = 8 << 20   // bytes of entries that aren't committed
+	mostApplied   = 8         // entries that are applied at a time: see Output.Behind
 	compactAfter  = 512       // entries,
 	compactBytes  = 4 << 20   // or so many bytes
 	unheardFactor = 4         // learners are dropped after this many times Replace
@@ -129,10 +130,16 @@
 
 // Output is what a Machine wants done, in this order; but Save may be under way while more is
 // handed to the machine, until it is told of it by Saved.
+//
+// After a loss of all power hundreds of entries are committed at once, which a node with a small
+// share of a processor needs seconds to apply. They are handed out a few at a time, so that it can
+// send and answer heartbeats in between: a leader that applied them all first would lose its
+// followers, and the next one would begin the same again.
 type Output struct {
 	Send    []Message
 	Restore *Snapshot
 	Apply   []Entry
+	Behind  bool // more is committed than Apply reaches
 	Done    []Done
 	Compact bool // call Compact with the table's snapshot, as of Apply's last entry
 	Save    *Save
@@ -378,11 +385,13 @@
 	o.Send, m.out = m.out, nil
 	o.Restore, m.restore = m.restore, nil
 	if m.applied < m.commit {
-		o.Apply = m.log.between(m.applied, m.commit, math.MaxUint64)
+		to := min(m.commit, m.applied+mostApplied)
+		o.Apply = m.log.between(m.applied, to, mostMessage)
 		for _, e := range o.Apply {
 			m.onApplied(e)
 		}
-		m.applied = m.commit
+		m.applied += uint64(len(o.Apply))
+		o.Behind = m.applied < m.commit
 	}
 	m.finishReads()
 	o.Done, m.done = m.done, nil
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -68,26 +68,27 @@
 	closed           error
 
 	// Of the goroutine alone.
-	disk     disk     // nil while the node is suspended
-	machine  *Machine // nil while the node is suspended
-	tableAt  uint64   // what the table holds, which stays when the machine is made anew
-	began    time.Time
-	next     uint64
-	waiters  map[uint64]*waiter
-	replies  map[uint64][]byte
-	leaving  []*waiter
-	timer    *time.Timer
-	armed    time.Duration
-	ringing  bool
-	syncs    uint64
-	syncMost time.Duration
-	slow     bool
-	saving   bool
-	saves    chan saveJob // to the goroutine that writes; one is under way at most
-	saved    chan syncing
-	opened   chan opening  // from the goroutine that opens the store,
-	opening  bool          // which is under way
-	pause    time.Duration // before the store is opened again
+	disk       disk     // nil while the node is suspended
+	machine    *Machine // nil while the node is suspended
+	tableAt    uint64   // what the table holds, which stays when the machine is made anew
+	backlogEnd uint64   // up to where the table is applied before it is shown; 0: nothing is behind
+	began      time.Time
+	next       uint64
+	waiters    map[uint64]*waiter
+	replies    map[uint64][]byte
+	leaving    []*waiter
+	timer      *time.Timer
+	armed      time.Duration
+	ringing    bool
+	syncs      uint64
+	syncMost   time.Duration
+	slow       bool
+	saving     bool
+	saves      chan saveJob // to the goroutine that writes; one is under way at most
+	saved      chan syncing
+	opened     chan opening  // from the goroutine that opens the store,
+	opening    bool          // which is under way
+	pause      time.Duration // before the store is opened again
 }
 
 // saveJob is a save and where it goes.
@@ -252,13 +253,18 @@
 
 func (n *Node) run() {
 	defer close(n.stopped)
-	for err := n.settle(); ; err = n.settle() {
+	for behind, err := n.settle(); ; behind, err = n.settle() {
 		if err != nil {
 			n.end(err)
 			return
 		}
 		n.arm()
+		var next <-chan struct{}
+		if behind {
+			next = atOnce
+		}
 		select {
+		case <-next:
 		case r := <-n.requests:
 			n.clock()
 			n.handle(r)
@@ -292,6 +298,13 @@
 	}
 }
 
+// atOnce never blocks.
+var atOnce = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 func (n *Node) clock() {
 	if n.machine != nil {
 		n.machine.Clock(time.Since(n.began))
@@ -362,19 +375,25 @@
 	}
 }
 
-// settle carries out what the machine wants until it wants no more.
-func (n *Node) settle() error {
+// settle carries out what the machine wants, until it wants no more or has only more to apply. Then
+// it reports that the node is behind: what has come meanwhile goes first.
+func (n *Node) settle() (behind bool, err error) {
 	if n.machine == nil {
 		n.report()
-		return nil
+		return false, nil
 	}
 	n.leave()
-	for o := n.machine.Take(); !o.Empty(); o = n.machine.Take() {
+	for !behind {
+		o := n.machine.Take()
+		if o.Empty() {
+			break
+		}
+		behind = o.Behind
 		for _, m := range o.Send {
 			n.options.Send(m)
 		}
-		if err := n.bring(o.Restore, o.Apply); err != nil {
-			return err
+		if err := n.bring(&o); err != nil {
+			return false, err
 		}
 		for _, d := range o.Done {
 			if w := n.waiters[d.ID]; w != nil {
@@ -393,27 +412,45 @@
 	}
 	n.leave()
 	n.report()
-	return nil
+	return behind, nil
 }
 
 // bring brings the table to where the machine is. A machine that was made anew goes once more through
-// what the table holds already: that is committed, and never goes back.
-func (n *Node) bring(s *Snapshot, entries []Entry) error {
-	if s != nil && s.Index > n.tableAt {
+// what the table holds already: that is committed, and never goes back. Whoever is told that a read
+// or a proposal is done finds it in the table, so the table shows it before.
+func (n *Node) bring(o *Output) error {
+	if s := o.Restore; s != nil && s.Index > n.tableAt {
 		if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
 			return oops.In("consensus").Wrapf(err, "the table can't take the snapshot as of %d", s.Index)
 		}
 		n.tableAt = s.Index
 	}
-	apply := func() { n.apply(entries) }
-	if table, ok := n.options.Table.(Batcher); ok && len(entries) > 1 {
-		table.Batch(apply)
+	apply := func() { n.apply(o.Apply) }
+	if table, ok := n.options.Table.(Batcher); ok {
+		table.Batch(apply, n.endsBacklog(o) || len(o.Done) > 0)
 	} else {
 		apply()
 	}
 	return nil
 }
 
+// endsBacklog tells whether all is applied that was committed when the node fell behind. What is
+// committed since is the next backlog: where orders never cease, the table is shown all the same.
+func (n *Node) endsBacklog(o *Output) bool {
+	switch {
+	case !o.Behind:
+		n.backlogEnd = 0
+		return true
+	case n.backlogEnd == 0:
+		n.backlogEnd = n.machine.commit
+		return false
+	case n.machine.applied < n.backlogEnd:
+		return false
+	}
+	n.backlogEnd = n.machine.commit
+	return true
+}
+
 func (n *Node) apply(entries []Entry) {
 	for _, e := range entries {
 		if e.Index <= n.tableAt {
--- a/internal/mesh/consensus/reopen.go
+++ b/internal/mesh/consensus/reopen.go
@@ -118,7 +118,7 @@
 	if opened.err != nil {
 		return opened.err
 	}
-	if err := n.bring(opened.state.Snapshot, nil); err != nil {
+	if err := n.bring(&Output{Restore: opened.state.Snapshot}); err != nil {
 		opened.store.close()
 		return err
 	}
--- a/internal/mesh/controlplane/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -124,11 +124,13 @@
 			table.Apply(index, encodeOrder(&meshconfig.Order{Op: meshconfig.OpEvacuate, Zone: fmt.Sprint("zone", index)}))
 			require.Same(t, before, table.now.Load())
 		}
-	})
+	}, false)
+	require.Same(t, before, table.now.Load(), "more follow at once")
+	table.Batch(func() {}, true)
 	now := table.now.Load()
 	require.Equal(t, 1, changes)
 	require.EqualValues(t, 100, now.index)
 	require.Len(t, now.since(0), 100)
-	table.Batch(func() {})
+	table.Batch(func() {}, true)
 	require.Equal(t, 1, changes, "nothing has changed")
 }
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -128,14 +128,17 @@
 	return t
 }
 
-// Batch has a number of orders carried out, and shows what they lead to. A process that starts
-// carries out all orders since its snapshot: agents that were sent states in between would each ask
-// for several, and the process would be busy with that instead of with the agreement.
-func (t *table) Batch(apply func()) {
+// Batch has a number of orders carried out, and shows what they and those before lead to, or leaves
+// that to a later batch. A process that starts carries out all orders since its snapshot: agents that
+// were sent states in between would each ask for several, and the process would be busy with that
+// instead of with the agreement.
+func (t *table) Batch(apply func(), show bool) {
 	t.batch = true
 	apply()
 	t.batch = false
-	t.show()
+	if show {
+		t.show()
+	}
 }
 
 // show has others see the newest state.
