Consensus: a leader refuses proposals that were held up for over two seconds

The leader's own time, said in what it sends and repeated in what is forwarded, tells how old a proposal is; 2 s is more than a caller's wait and a heartbeat that was missed. Ruled out: timeouts on reading between core machines, since idle ones are silent by right; the count of heartbeats, which stands still while the leader does. Older programs say 0, which is taken.

--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -36,7 +36,7 @@
 	}
 	if term > m.hard.Term {
 		m.hard, m.hardDirty = Hard{Term: term}, true
-		m.leader = Member{}
+		m.leader, m.leaderTime = Member{}, 0
 	}
 	if m.role == leader {
 		m.peers, m.reads, m.transferee = nil, nil, nil
@@ -74,6 +74,7 @@
 	if as == candidate {
 		kind, reply = Vote, VoteReply
 		m.hard, m.hardDirty = Hard{Term: term, Vote: Member{m.self, m.disk}}, true
+		m.leaderTime = 0
 	}
 	c := m.log.current()
 	for _, v := range c.members.all() {
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -171,6 +171,7 @@
 
 	role       role
 	leader     Member        // of this term, if it is known; Address empty if not
+	leaderTime time.Duration // how long it had led when it was heard last; 0 if it was not
 	led        Hard          // who was last known to lead, and in which term
 	heard      time.Duration // when a leader was last heard
 	electionAt time.Duration
--- a/internal/mesh/consensus/message.go
+++ b/internal/mesh/consensus/message.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // Kind is what a message is about.
 type Kind uint8
 
@@ -83,10 +85,13 @@
 	Entries []Entry
 	Quiet   bool // tells the commit alone: no reply unless the logs disagree
 
-	Sequence uint64    // of the leader's sends, told back by replies
-	Reject   bool      // of replies
-	About    uint64    // the index that doesn't agree; the term in which a refused command was given to the leader
-	Snapshot *Snapshot // its Data is the chunk
+	Sequence uint64 // of the leader's sends, told back by replies
+	// How long the leader has led, by its own clock: in what it sends, and as a follower heard it
+	// last in what that forwards. 0: not known.
+	LeaderTime time.Duration
+	Reject     bool      // of replies
+	About      uint64    // the index that doesn't agree; the term in which a refused command was given to the leader
+	Snapshot   *Snapshot // its Data is the chunk
 
 	Offset, Size uint64 // of the chunk, or up to where all have come; of the whole snapshot's data
 	Sum          uint32 // of the whole snapshot's data
--- a/internal/mesh/consensus/node_test.go
+++ b/internal/mesh/consensus/node_test.go
@@ -52,10 +52,43 @@
 // network hands messages over through gob, as the processes do.
 type network struct {
 	sync.Mutex
-	nodes map[string]*Node
+	nodes  map[string]*Node
+	unsent string // what this node sends is held up
+	held   []Message
+}
+
+// hold has what a node sends wait until release.
+func (n *network) hold(name string) {
+	n.Lock()
+	defer n.Unlock()
+	n.unsent = name
+}
+
+func (n *network) release() {
+	n.Lock()
+	held := n.held
+	n.unsent, n.held = "", nil
+	n.Unlock()
+	for _, m := range held {
+		n.send(m)
+	}
+}
+
+// holds keeps a message of the node that is held up.
+func (n *network) holds(m Message) bool {
+	n.Lock()
+	defer n.Unlock()
+	if m.From != n.unsent {
+		return false
+	}
+	n.held = append(n.held, m)
+	return true
 }
 
 func (n *network) send(m Message) {
+	if n.holds(m) {
+		return
+	}
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(m); err != nil {
 		panic(err)
--- a/internal/mesh/consensus/propose.go
+++ b/internal/mesh/consensus/propose.go
@@ -94,7 +94,8 @@
 		m.appendCommand(m.life, p.id, p.command)
 		return
 	}
-	m.send(Message{Kind: Forward, To: m.leader.Address, ToDisk: m.leader.Disk, Origin: m.life, ID: p.id, Command: p.command})
+	m.send(Message{Kind: Forward, To: m.leader.Address, ToDisk: m.leader.Disk, Origin: m.life, ID: p.id, Command: p.command,
+		LeaderTime: m.leaderTime})
 }
 
 func (m *Machine) appendCommand(origin, id uint64, command []byte) {
@@ -110,7 +111,7 @@
 	m.pendingReads = slices.DeleteFunc(m.pendingReads, func(a pendingRead) bool { return a.id == id })
 }
 
-// onForward appends what another node proposes, in the term it believes in. A refusal is certain
+// onForward appends what another node proposes, in the term it believes in and not long ago. A refusal is certain
 // only if no message with this proposal can have been or will be taken: all of this life are
 // remembered, and an earlier life on this disk wasn't a leader in a later term than this one began
 // in. Otherwise there is no answer, and the log will tell.
@@ -118,7 +119,7 @@
 	if msg.Term > m.hard.Term || !m.fresh(msg.Origin, msg.ID) {
 		return
 	}
-	if m.role == leader && msg.Term == m.hard.Term && m.transferee == nil && !m.full() {
+	if m.role == leader && msg.Term == m.hard.Term && m.transferee == nil && !m.full() && !m.isStale(msg) {
 		m.appendCommand(msg.Origin, msg.ID, msg.Command)
 		return
 	}
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -157,7 +157,7 @@
 		m.sendChunk(p)
 		if p.sent < m.round { // only a heartbeat, at the one index where all logs agree
 			p.sent = m.round
-			m.send(Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Sequence: m.round})
+			m.send(Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Sequence: m.round, LeaderTime: m.leadingFor()})
 		}
 		return
 	}
@@ -174,7 +174,7 @@
 		}
 		term, _ := m.log.term(p.next - 1)
 		msg := Message{Kind: Append, To: p.member.Address, ToDisk: p.member.Disk, Index: p.next - 1, LogTerm: term,
-			Commit: m.commit, Sequence: m.round}
+			Commit: m.commit, Sequence: m.round, LeaderTime: m.leadingFor()}
 		if more {
 			msg.Entries = m.log.between(p.next-1, most, mostMessage)
 		}
@@ -255,6 +255,7 @@
 	}
 	m.follow(msg.Term, Member{msg.From, msg.Disk})
 	m.heard = m.now
+	m.hearLeader(msg.LeaderTime)
 	m.resetElection()
 	if m.mayCampaign() {
 		m.resendPending(resendAfter)
--- /dev/null
+++ b/internal/mesh/consensus/stale_test.go
@@ -0,0 +1,63 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestStaleProposalIsRefused has the leader get a proposal at once, late, and from a program that
+// doesn't say what it heard of the leader.
+func TestStaleProposalIsRefused(t *testing.T) {
+	m := alone(3)
+	elected(t, m)
+	beats(m, map[string]uint64{"b": 2, "c": 2})
+	forward := func(id uint64, leaderTime time.Duration) (taken bool, refused bool) {
+		before := m.log.last()
+		m.Step(Message{Kind: Forward, From: "b", To: "a", Disk: 2, ToDisk: 1, Term: m.hard.Term, Origin: 9, ID: id,
+			Command: []byte("x"), LeaderTime: leaderTime})
+		for o := m.Take(); !o.Empty(); o = m.Take() {
+			for _, msg := range o.Send {
+				refused = refused || msg.Kind == Refuse && msg.ID == id
+			}
+			if o.Save != nil {
+				m.Saved()
+			}
+		}
+		return m.log.last() > before, refused
+	}
+	heard := m.leadingFor()
+	taken, refused := forward(1, heard)
+	require.True(t, taken && !refused)
+	for range 20 {
+		beats(m, map[string]uint64{"b": 2, "c": 2})
+	}
+	require.Greater(t, m.leadingFor()-heard, staleAfter)
+	taken, refused = forward(2, heard)
+	require.True(t, !taken && refused, "it was given long ago")
+	taken, refused = forward(2, m.leadingFor())
+	require.False(t, taken || refused, "it was refused for good")
+	taken, _ = forward(3, 0)
+	require.True(t, taken, "an older program does not say when")
+}
+
+// TestUnheardFollowerChangesNothingLater has a follower hear the leader and not be heard: what it
+// gives the leader is held up for 20 s, as a network does that is cut in one direction. Who asked
+// the follower was told that nothing is known, and nothing comes of it later.
+func TestUnheardFollowerChangesNothingLater(t *testing.T) {
+	withTrio(t, func(m *trio) {
+		leading := m.leader()
+		mute := map[string]string{"a": "b", "b": "c", "c": "a"}[leading]
+		m.net.hold(mute)
+		require.ErrorIs(t, m.propose(mute, "held up", 900*time.Millisecond), ErrUnknown)
+		<-time.After(20 * time.Second)
+		require.NoError(t, m.propose(leading, "meanwhile", time.Second))
+		m.net.release()
+		require.Equal(t, leading, m.leader())
+		for _, name := range []string{mute, leading} {
+			require.NoError(t, m.propose(name, "later", time.Second))
+		}
+		require.Equal(t, []string{"meanwhile", "later", "later"}, m.tables[leading].get())
+	})
+}
