--- a/cmd/micaline-mesh/main_test.go
+++ b/cmd/micaline-mesh/main_test.go
@@ -231,11 +231,11 @@
 	resp, err = http.DefaultClient.Do(r)
 	require.NoError(t, err)
 	resp.Body.Close()
-	var ways struct{ Requests []wayRow }
-	require.NoError(t, json.Unmarshal([]byte(call(t, done, "requests", "why", "seen", "--json", at)), &ways))
-	require.Len(t, ways.Requests, 1)
-	require.Equal(t, []any{"refused", 503, "no backend of its service is open", "r", uint64(7), "127.0.0.2"}, []any{ways.Requests[0].Result,
-		ways.Requests[0].Status, ways.Requests[0].Why, ways.Requests[0].Route, ways.Requests[0].Version, ways.Requests[0].Agent})
+	var traces struct{ Requests []traceRow }
+	require.NoError(t, json.Unmarshal([]byte(call(t, done, "requests", "why", "seen", "--json", at)), &traces))
+	require.Len(t, traces.Requests, 1)
+	require.Equal(t, []any{"refused", 503, "no backend of its service is open", "r", uint64(7), "127.0.0.2"}, []any{traces.Requests[0].Result,
+		traces.Requests[0].Status, traces.Requests[0].Why, traces.Requests[0].Route, traces.Requests[0].Version, traces.Requests[0].Agent})
 	require.Contains(t, call(t, done, "requests", "why", "seen", at), "no backend of its service is open; come back in")
 	require.Contains(t, call(t, refused, "requests", "why", "unseen", at), "no agent has a record of unseen")
 	require.Equal(t, 3, strings.Count(call(t, done, "requests", "last", at), "\n"))
--- a/cmd/micaline-mesh/requests.go
+++ b/cmd/micaline-mesh/requests.go
@@ -14,8 +14,8 @@
 
 const mostWays = 512 // shown of one request, or listed
 
-// wayRow is what there is to tell of a request, as one side saw it.
-type wayRow struct {
+// traceRow is what there is to tell of a request, as one side saw it.
+type traceRow struct {
 	Side     string    `json:"side"`
 	Agent    string    `json:"agent"`
 	Request  string    `json:"request"`
@@ -55,8 +55,8 @@
 	Waiting  int     `json:"waiting"`
 }
 
-func rowOf(w *transport.Way) wayRow {
-	r := wayRow{Side: w.Side, Agent: w.Agent, Request: w.Try, AgoMs: ms(w.Age), TookMs: ms(w.Took), Result: w.Result, Status: w.Status,
+func rowOf(w *transport.RequestTrace) traceRow {
+	r := traceRow{Side: w.Side, Agent: w.Agent, Request: w.Try, AgoMs: ms(w.Age), TookMs: ms(w.Took), Result: w.Result, Status: w.Status,
 		Why: w.Why, AfterMs: ms(w.After), Route: w.Route, Version: w.Version, Index: w.Index, Caller: w.Caller, Service: w.Service,
 		Unsafe: w.Unsafe, Inner: w.Inner, Repeat: w.Repeat, Open: w.Open, Started: w.Started, Attempts: []stepRow{}}
 	for _, s := range w.Steps {
@@ -75,7 +75,7 @@
 }
 
 // class is what a request is in a word.
-func (r *wayRow) class() string {
+func (r *traceRow) class() string {
 	word := "safe"
 	if r.Unsafe {
 		word = "unsafe"
@@ -90,15 +90,15 @@
 }
 
 // ended is a final answer in a word.
-func (r *wayRow) ended() string {
+func (r *traceRow) ended() string {
 	if r.Status == 0 {
 		return r.Result
 	}
 	return fmt.Sprint(r.Status, " ", r.Result)
 }
 
-// ways asks the mesh.
-func (c *command) ways(q transport.WayQuestion) (rows []wayRow, silent []meshclient.Agent, err error) {
+// traces asks the mesh.
+func (c *command) traces(q transport.TraceQuery) (rows []traceRow, silent []meshclient.Agent, err error) {
 	s, err := c.survey(false)
 	if err != nil {
 		return nil, nil, err
@@ -111,10 +111,10 @@
 		return nil, nil, err
 	}
 	defer cancel()
-	ways, silent := m.Ways(ctx, s, c.agentIP, q)
-	rows = []wayRow{}
-	for i := range ways {
-		rows = append(rows, rowOf(&ways[i]))
+	traces, silent := m.Traces(ctx, s, c.agentIP, q)
+	rows = []traceRow{}
+	for i := range traces {
+		rows = append(rows, rowOf(&traces[i]))
 	}
 	return rows, silent, nil
 }
@@ -129,7 +129,7 @@
 }
 
 func (c *command) requestsWhy() error {
-	rows, silent, err := c.ways(transport.WayQuestion{Try: c.request, Most: mostWays})
+	rows, silent, err := c.traces(transport.TraceQuery{Try: c.request, Most: mostWays})
 	if err != nil {
 		return err
 	}
@@ -153,7 +153,7 @@
 }
 
 // way prints one record.
-func (c *command) way(r *wayRow) {
+func (c *command) way(r *traceRow) {
 	fmt.Fprintf(c.out, "%s at the %s %s, %s ago: %s after %s\n", r.Request, r.Side, r.Agent, span(r.AgoMs), r.ended(), span(r.TookMs))
 	fmt.Fprintf(c.out, "  why: %s", r.Why)
 	if r.AfterMs > 0 {
@@ -188,7 +188,7 @@
 	if known := append(slices.Clone(transport.Reasons()), meshmetrics.Results...); c.reason != "" && !slices.Contains(known, c.reason) {
 		return misused("--reason: %q is none of %s", c.reason, strings.Join(known, " "))
 	}
-	rows, silent, err := c.ways(transport.WayQuestion{Reason: c.reason, Most: c.number})
+	rows, silent, err := c.traces(transport.TraceQuery{Reason: c.reason, Most: c.number})
 	if err != nil {
 		return err
 	}
--- a/cmd/micaline-mesh/try.go
+++ b/cmd/micaline-mesh/try.go
@@ -88,7 +88,7 @@
 }
 
 // watch shows a line a second until the time is over and the trouble, too.
-func (t *trial) watch(ctx context.Context, g *meshtest.Ground, length time.Duration, lines <-chan string, played <-chan error) error {
+func (t *trial) watch(ctx context.Context, g *meshtest.Cluster, length time.Duration, lines <-chan string, played <-chan error) error {
 	fmt.Fprintln(t.out, "  time   sent served refused failed    p50    p99  leads   configuration")
 	began, tick, over := time.Now(), time.NewTicker(time.Second), false
 	defer tick.Stop()
--- a/internal/mesh/consensus/cutoff_test.go
+++ b/internal/mesh/consensus/cutoff_test.go
@@ -81,9 +81,9 @@
 }
 
 // explored plays a cut of one machine under a seed, with a planted bug or none.
-func explored(seed uint64, c cutoff, leads bool, p plant) (confirmed, elsewhere int, trouble any) {
+func explored(seed uint64, c cutoff, leads bool, bugs injectedBugs) (confirmed, elsewhere int, trouble any) {
 	defer func() { trouble = recover() }()
-	w := newWorld(seed, p)
+	w := newWorld(seed, bugs)
 	for _, h := range w.hosts[:3] {
 		w.start(h)
 	}
@@ -110,7 +110,7 @@
 			t.Run(fmt.Sprintf("%s, leads %v", c.name, leads), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(20) {
-					confirmed, elsewhere, trouble := explored(seed, c, leads, plant{})
+					confirmed, elsewhere, trouble := explored(seed, c, leads, injectedBugs{})
 					require.Nil(t, trouble, "seed %d", seed)
 					require.Zero(t, confirmed, "seed %d: it confirmed", seed)
 					require.Greater(t, elsewhere, 25, "seed %d: the others did not go on", seed)
@@ -123,7 +123,7 @@
 // TestCutOffMachineIsCaught has a leader that is cut off answer reads alone, and take its own sync
 // for a majority's.
 func TestCutOffMachineIsCaught(t *testing.T) {
-	for name, p := range map[string]plant{"a read without its round": {localRead: true}, "an acknowledgement without a majority": {earlyAck: true}} {
+	for name, p := range map[string]injectedBugs{"a read without its round": {localRead: true}, "an acknowledgement without a majority": {earlyAck: true}} {
 		confirmed, _, trouble := explored(1, cutoffs[0], true, p)
 		require.True(t, confirmed > 0 || trouble != nil, "%s is not seen", name)
 	}
--- a/internal/mesh/consensus/history_test.go
+++ b/internal/mesh/consensus/history_test.go
@@ -122,8 +122,8 @@
 }
 
 // linearizable plays a seed and checks what operators saw.
-func linearizable(seed uint64, p plant) (porcupine.CheckResult, int, any) {
-	w := newWorld(seed, p)
+func linearizable(seed uint64, bugs injectedBugs) (porcupine.CheckResult, int, any) {
+	w := newWorld(seed, bugs)
 	w.history = &history{open: map[asker]*porcupine.Operation{}}
 	trouble := w.play()
 	all := w.history.ended
@@ -141,7 +141,7 @@
 func TestHistories(t *testing.T) {
 	answered := 0
 	for seed := range uint64(60) {
-		result, n, trouble := linearizable(seed, plant{})
+		result, n, trouble := linearizable(seed, injectedBugs{})
 		require.Nil(t, trouble, "seed %d", seed)
 		require.Equal(t, porcupine.Ok, result, "seed %d", seed)
 		answered += n
@@ -152,7 +152,7 @@
 
 // Planted faults are found by what operators saw alone.
 func TestHistoriesFindPlanted(t *testing.T) {
-	for name, p := range map[string]plant{"reads unconfirmed": {localRead: true}, "acks come too early": {earlyAck: true}} {
+	for name, p := range map[string]injectedBugs{"reads unconfirmed": {localRead: true}, "acks come too early": {earlyAck: true}} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); ; seed++ {
 				require.Less(t, seed, uint64(300), "not found")
--- a/internal/mesh/consensus/install.go
+++ b/internal/mesh/consensus/install.go
@@ -78,7 +78,7 @@
 
 func (m *Machine) onInstall(msg Message) {
 	s := msg.Snapshot
-	if s == nil || msg.Size > mostSnapshot || !m.heed(msg) {
+	if s == nil || msg.Size > mostSnapshot || !m.acceptLeader(msg) {
 		return
 	}
 	if s.Index <= m.commit {
--- a/internal/mesh/consensus/losses_test.go
+++ b/internal/mesh/consensus/losses_test.go
@@ -52,7 +52,7 @@
 
 // newLosses is a world of three seeds and more core machines.
 func newLosses(seed uint64, cores int, catchUp, ackWithin time.Duration, p lossPlant) *losses {
-	w := newWorld(seed, plant{singleSteps: p.slowSingleSteps, leavesAtOnce: p.leavesAtOnce})
+	w := newWorld(seed, injectedBugs{singleSteps: p.slowSingleSteps, leavesAtOnce: p.leavesAtOnce})
 	w.hosts = w.hosts[:3]
 	w.replace = catchUp / 2
 	if p.slowSingleSteps {
@@ -280,7 +280,7 @@
 		w.fail("%s is down before it is told to go", h.address)
 	}
 	l.note(which+"replaced by plan", w.now-x+l.catchUp)
-	if w.plant.leavesAtOnce {
+	if w.bugs.leavesAtOnce {
 		w.wipe(h)
 		return
 	}
--- a/internal/mesh/consensus/machine_test.go
+++ b/internal/mesh/consensus/machine_test.go
@@ -20,7 +20,7 @@
 	defer debug.SetGCPercent(debug.SetGCPercent(400))
 	acks, reads := 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		w, trouble := explore(seed, plant{})
+		w, trouble := explore(seed, injectedBugs{})
 		require.Nil(t, trouble, "seed %d", seed)
 		acks += w.acks
 		reads += w.reads
@@ -32,7 +32,7 @@
 
 // Each planted fault is found by the same checks.
 func TestExploreFindsPlanted(t *testing.T) {
-	for name, p := range map[string]plant{
+	for name, p := range map[string]injectedBugs{
 		"a wiped disk takes part": {rememberDisk: true},
 		"acks come too early":     {earlyAck: true},
 		"reads unconfirmed":       {localRead: true},
@@ -54,7 +54,7 @@
 // settled is a world in which a leads b and c, and all is well.
 func settled(t *testing.T) *world {
 	for seed := uint64(1); ; seed++ {
-		w := newWorld(seed, plant{})
+		w := newWorld(seed, injectedBugs{})
 		for _, h := range w.hosts[:3] {
 			w.start(h)
 		}
@@ -117,7 +117,7 @@
 // A member that comes long after the others at the first start just joins; one that is gone is
 // replaced, and told so when it is back.
 func TestReplacedAndBack(t *testing.T) {
-	w := newWorld(1, plant{})
+	w := newWorld(1, injectedBugs{})
 	w.start(w.host("a"))
 	w.start(w.host("b"))
 	w.run(5 * time.Second)
@@ -141,7 +141,7 @@
 func TestVoteOutlivesCrash(t *testing.T) {
 	for _, forgets := range []bool{false, true} {
 		w := settled(t)
-		w.plant.forgetVote = forgets
+		w.bugs.forgetVote = forgets
 		a, b, c := w.host("a"), w.host("b"), w.host("c")
 		w.stop(a)
 		w.start(a)
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -200,7 +200,7 @@
 }
 
 func (m *Machine) onAppend(msg Message) {
-	if !m.heed(msg) {
+	if !m.acceptLeader(msg) {
 		return
 	}
 	prev, entries := msg.Index, msg.Entries
@@ -242,8 +242,8 @@
 	}
 }
 
-// heed tells whether a leader's message counts, and follows it.
-func (m *Machine) heed(msg Message) bool {
+// acceptLeader tells whether a leader's message counts, and follows it.
+func (m *Machine) acceptLeader(msg Message) bool {
 	if msg.Term < m.hard.Term {
 		// Without the round: the sender may lead again by now, in this very term, and would take it
 		// for one of today's.
--- /dev/null
+++ b/internal/mesh/consensus/sim_judge_test.go
@@ -0,0 +1,157 @@
+package consensus
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"slices"
+	"time"
+)
+
+func (w *world) apply(h *host, e Entry) {
+	if e.Index <= h.tableAt {
+		return
+	}
+	if e.Index != h.applied+1 {
+		w.fail("%s applies %d after %d", h.address, e.Index, h.applied)
+	}
+	h.applied = e.Index
+	if e.Origin != 0 {
+		h.table = append(h.table, e)
+	}
+	if e.Index <= uint64(len(w.committed)) {
+		if c := w.committed[e.Index-1]; c.Term != e.Term || c.Origin != e.Origin || c.ID != e.ID {
+			w.fail("%s applies %v at %d, where there was %v", h.address, e, e.Index, c)
+		}
+		return
+	}
+	w.committed = append(w.committed, e)
+	if e.Members != nil {
+		w.trace("%s: members at %d: %v", h.address, e.Index, e.Members)
+		w.members = *e.Members
+	}
+	if e.Origin != 0 {
+		value := valueOf(e.Command)
+		if w.at[value] != 0 {
+			w.fail("%d is at %d and at %d", value, w.at[value], e.Index)
+		}
+		w.at[value] = e.Index
+		if w.fate[value] == "refused" {
+			w.fail("%d was refused and is at %d", value, e.Index)
+		}
+	}
+}
+
+func (w *world) restore(h *host, s *Snapshot) {
+	if s.Index <= h.tableAt {
+		return
+	}
+	h.table = nil
+	if err := gob.NewDecoder(bytes.NewReader(s.Data)).Decode(&h.table); err != nil {
+		w.fail("%v", err)
+	}
+	h.applied = s.Index
+	want := slices.DeleteFunc(slices.Clone(w.committed[:s.Index]), func(e Entry) bool { return e.Origin == 0 })
+	if !slices.EqualFunc(h.table, want, func(e, c Entry) bool { return e.Index == c.Index && e.Origin == c.Origin && e.ID == c.ID }) {
+		w.fail("%s: the snapshot as of %d has %v for %v", h.address, s.Index, h.table, want)
+	}
+}
+
+func valueOf(command []byte) (v uint64) {
+	for _, b := range command {
+		v = v<<8 | uint64(b)
+	}
+	return v
+}
+
+func (w *world) done(h *host, d Done) {
+	what, ok := h.asked[d.ID]
+	if !ok {
+		return
+	}
+	delete(h.asked, d.ID)
+	w.history.answer(h, d)
+	switch {
+	case h.isRead[d.ID]:
+		if d.Err == nil {
+			w.reads++
+			if h.applied < what {
+				w.fail("%s answers a read at %d, and %d was committed before", h.address, h.applied, what)
+			}
+		}
+	case d.Err == nil:
+		w.acks++
+		w.fate[what], w.acked[what] = "acked", d.Index
+		if at := w.at[what]; at != 0 && at != d.Index {
+			w.fail("%d is acknowledged at %d and is at %d", what, d.Index, at)
+		}
+	case errors.Is(d.Err, ErrUnknown):
+		w.fate[what] = "unknown"
+	default:
+		w.fate[what] = "refused"
+		if at := w.at[what]; at != 0 {
+			w.fail("%d is refused and is at %d", what, at)
+		}
+	}
+}
+
+// calm tells whether all that are up follow one leader, with as many members as there should be and
+// all applied.
+func (w *world) calm() bool {
+	var leads *host
+	for _, h := range w.hosts {
+		if h.machine != nil && h.machine.role == leader {
+			if leads != nil {
+				return false
+			}
+			leads = h
+		}
+	}
+	for _, h := range w.hosts {
+		if leads == nil || h != w.gone && (h.machine.leader.Address != leads.address || h.applied != leads.applied) {
+			return false
+		}
+	}
+	return len(w.members.Voters) == 3 && !w.anyLost(w.members.Voters)
+}
+
+func (w *world) anyLost(voters []Member) bool {
+	return slices.ContainsFunc(voters, func(v Member) bool { return w.lost[v] })
+}
+
+// heal mends all, and demands that the hosts that are up agree, take proposals, and have lost
+// nothing.
+func (w *world) heal() {
+	clear(w.cut)
+	w.rough, w.crashes, w.broken, w.slow = 0, 0, 0, min(w.slow, 100*time.Millisecond)
+	for _, h := range w.hosts {
+		h.frozen = min(h.frozen, w.now)
+		if h != w.gone {
+			w.start(h)
+		}
+	}
+	w.run(3 * time.Second) // until no old message is left
+	for end := w.now + 16*time.Second; w.now < end && !w.calm(); {
+		w.run(time.Second)
+	}
+	for i, h := range w.hosts {
+		if h == w.gone {
+			continue
+		}
+		value := 1<<20 + uint64(i)
+		w.propose(h, value)
+		w.read(h)
+		w.run(time.Second)
+		if w.fate[value] != "acked" {
+			w.fail("%s: a proposal after all is mended comes to %q", h.address, w.fate[value])
+		}
+	}
+	if len(w.members.Voters) != 3 || w.anyLost(w.members.Voters) {
+		w.fail("the members are %v", w.members)
+	}
+	for value, index := range w.acked {
+		if w.at[value] != index {
+			w.fail("%d was acknowledged at %d and is at %d", value, index, w.at[value])
+		}
+	}
+}
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -4,16 +4,14 @@
 	"bytes"
 	"cmp"
 	"encoding/gob"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"runtime/debug"
 	"slices"
 	"time"
 )
 
-// plant is a fault that is put into the world around the machines, to see that the checks find it.
-type plant struct {
+// injectedBugs are faults that are put into the world around the machines, to see that the checks find it.
+type injectedBugs struct {
 	rememberDisk bool // a wiped disk keeps its number, so that its node takes part at once
 	forgetVote   bool // the disk doesn't keep votes
 	earlyAck     bool // a leader's own sync is taken for a commit
@@ -46,7 +44,7 @@
 	broken  float64       // chance that a save fails, done or not, and the node is suspended
 	gone    *host         // for good
 	replace time.Duration // how long a voter is unheard before a learner takes its place
-	plant   plant
+	bugs    injectedBugs
 	life    uint64
 
 	committed []Entry // by index - 1, as first applied anywhere
@@ -92,8 +90,8 @@
 
 var seedNames = []string{"a", "b", "c"}
 
-func newWorld(seed uint64, p plant) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, plant: p, fate: map[uint64]string{},
+func newWorld(seed uint64, bugs injectedBugs) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, bugs: bugs, fate: map[uint64]string{},
 		at: map[uint64]uint64{}, acked: map[uint64]uint64{}, lost: map[Member]bool{}, late: time.Second, slow: 5 * time.Millisecond, compact: 24, chunk: mostChunk, replace: 3 * time.Second}
 	for _, a := range []string{"a", "b", "c", "d"} {
 		w.hosts = append(w.hosts, &host{address: a, first: a != "d", seeds: seedNames})
@@ -159,7 +157,7 @@
 	if err := state.check(); err != nil {
 		w.fail("%s: %v", h.address, err)
 	}
-	if w.plant.oldState && state.Snapshot != nil {
+	if w.bugs.oldState && state.Snapshot != nil {
 		state.Entries = state.Entries[:state.Snapshot.Index-state.Base]
 	}
 	h.tableAt = 0
@@ -220,7 +218,7 @@
 	if h.disk == nil {
 		return
 	}
-	if w.plant.rememberDisk {
+	if w.bugs.rememberDisk {
 		h.disk = &State{Disk: h.disk.Disk, Founder: h.disk.Founder}
 		return
 	}
@@ -234,10 +232,10 @@
 func (w *world) write(h *host, s *Save) {
 	d := h.disk
 	d.Hard, d.Base, d.BaseTerm = s.Hard, s.Base, s.BaseTerm
-	if w.plant.forgetVote {
+	if w.bugs.forgetVote {
 		d.Hard.Vote = Member{}
 	}
-	if s.Snapshot != nil && !(w.plant.keepOldImage && d.Snapshot != nil) {
+	if s.Snapshot != nil && !(w.bugs.keepOldImage && d.Snapshot != nil) {
 		d.Snapshot = s.Snapshot
 	}
 	var entries []Entry
@@ -260,7 +258,7 @@
 	}
 	h.machine.Clock(w.now)
 	do(h.machine)
-	if w.plant.singleSteps {
+	if w.bugs.singleSteps {
 		takeSingleSteps(h.machine)
 	}
 	if h.machine != nil {
@@ -312,7 +310,7 @@
 						w.after(w.within(0, time.Millisecond), crash)
 					}
 					if w.rng.Float64() < w.broken {
-						if !w.plant.trustFailed {
+						if !w.bugs.trustFailed {
 							w.suspend(h)
 							return
 						}
@@ -323,7 +321,7 @@
 					w.write(h, s)
 					h.saving = nil
 					m.Saved()
-					if w.plant.earlyAck && m.role == leader {
+					if w.bugs.earlyAck && m.role == leader {
 						for _, id := range h.early {
 							w.done(h, Done{ID: id, Index: m.log.entries[slices.IndexFunc(m.log.entries, func(e Entry) bool { return e.Origin == h.life && e.ID == id })].Index})
 						}
@@ -360,62 +358,6 @@
 	}
 }
 
-func (w *world) apply(h *host, e Entry) {
-	if e.Index <= h.tableAt {
-		return
-	}
-	if e.Index != h.applied+1 {
-		w.fail("%s applies %d after %d", h.address, e.Index, h.applied)
-	}
-	h.applied = e.Index
-	if e.Origin != 0 {
-		h.table = append(h.table, e)
-	}
-	if e.Index <= uint64(len(w.committed)) {
-		if c := w.committed[e.Index-1]; c.Term != e.Term || c.Origin != e.Origin || c.ID != e.ID {
-			w.fail("%s applies %v at %d, where there was %v", h.address, e, e.Index, c)
-		}
-		return
-	}
-	w.committed = append(w.committed, e)
-	if e.Members != nil {
-		w.trace("%s: members at %d: %v", h.address, e.Index, e.Members)
-		w.members = *e.Members
-	}
-	if e.Origin != 0 {
-		value := valueOf(e.Command)
-		if w.at[value] != 0 {
-			w.fail("%d is at %d and at %d", value, w.at[value], e.Index)
-		}
-		w.at[value] = e.Index
-		if w.fate[value] == "refused" {
-			w.fail("%d was refused and is at %d", value, e.Index)
-		}
-	}
-}
-
-func (w *world) restore(h *host, s *Snapshot) {
-	if s.Index <= h.tableAt {
-		return
-	}
-	h.table = nil
-	if err := gob.NewDecoder(bytes.NewReader(s.Data)).Decode(&h.table); err != nil {
-		w.fail("%v", err)
-	}
-	h.applied = s.Index
-	want := slices.DeleteFunc(slices.Clone(w.committed[:s.Index]), func(e Entry) bool { return e.Origin == 0 })
-	if !slices.EqualFunc(h.table, want, func(e, c Entry) bool { return e.Index == c.Index && e.Origin == c.Origin && e.ID == c.ID }) {
-		w.fail("%s: the snapshot as of %d has %v for %v", h.address, s.Index, h.table, want)
-	}
-}
-
-func valueOf(command []byte) (v uint64) {
-	for _, b := range command {
-		v = v<<8 | uint64(b)
-	}
-	return v
-}
-
 func (w *world) propose(h *host, value uint64) {
 	w.touch(h, h.life, func(m *Machine) {
 		h.next++
@@ -437,197 +379,8 @@
 			h.asked[h.next] = 0 // the history is to tell
 		}
 		m.Read(h.next)
-		if w.plant.localRead && m.role == leader {
+		if w.bugs.localRead && m.role == leader {
 			w.done(h, Done{ID: h.next})
 		}
 	})
 }
-
-func (w *world) done(h *host, d Done) {
-	what, ok := h.asked[d.ID]
-	if !ok {
-		return
-	}
-	delete(h.asked, d.ID)
-	w.history.answer(h, d)
-	switch {
-	case h.isRead[d.ID]:
-		if d.Err == nil {
-			w.reads++
-			if h.applied < what {
-				w.fail("%s answers a read at %d, and %d was committed before", h.address, h.applied, what)
-			}
-		}
-	case d.Err == nil:
-		w.acks++
-		w.fate[what], w.acked[what] = "acked", d.Index
-		if at := w.at[what]; at != 0 && at != d.Index {
-			w.fail("%d is acknowledged at %d and is at %d", what, d.Index, at)
-		}
-	case errors.Is(d.Err, ErrUnknown):
-		w.fate[what] = "unknown"
-	default:
-		w.fate[what] = "refused"
-		if at := w.at[what]; at != 0 {
-			w.fail("%d is refused and is at %d", what, at)
-		}
-	}
-}
-
-// calm tells whether all that are up follow one leader, with as many members as there should be and
-// all applied.
-func (w *world) calm() bool {
-	var leads *host
-	for _, h := range w.hosts {
-		if h.machine != nil && h.machine.role == leader {
-			if leads != nil {
-				return false
-			}
-			leads = h
-		}
-	}
-	for _, h := range w.hosts {
-		if leads == nil || h != w.gone && (h.machine.leader.Address != leads.address || h.applied != leads.applied) {
-			return false
-		}
-	}
-	return len(w.members.Voters) == 3 && !w.anyLost(w.members.Voters)
-}
-
-func (w *world) anyLost(voters []Member) bool {
-	return slices.ContainsFunc(voters, func(v Member) bool { return w.lost[v] })
-}
-
-// heal mends all, and demands that the hosts that are up agree, take proposals, and have lost
-// nothing.
-func (w *world) heal() {
-	clear(w.cut)
-	w.rough, w.crashes, w.broken, w.slow = 0, 0, 0, min(w.slow, 100*time.Millisecond)
-	for _, h := range w.hosts {
-		h.frozen = min(h.frozen, w.now)
-		if h != w.gone {
-			w.start(h)
-		}
-	}
-	w.run(3 * time.Second) // until no old message is left
-	for end := w.now + 16*time.Second; w.now < end && !w.calm(); {
-		w.run(time.Second)
-	}
-	for i, h := range w.hosts {
-		if h == w.gone {
-			continue
-		}
-		value := 1<<20 + uint64(i)
-		w.propose(h, value)
-		w.read(h)
-		w.run(time.Second)
-		if w.fate[value] != "acked" {
-			w.fail("%s: a proposal after all is mended comes to %q", h.address, w.fate[value])
-		}
-	}
-	if len(w.members.Voters) != 3 || w.anyLost(w.members.Voters) {
-		w.fail("the members are %v", w.members)
-	}
-	for value, index := range w.acked {
-		if w.at[value] != index {
-			w.fail("%d was acknowledged at %d and is at %d", value, index, w.at[value])
-		}
-	}
-}
-
-// explore plays one seed.
-func explore(seed uint64, p plant) (w *world, trouble any) {
-	w = newWorld(seed, p)
-	return w, w.play()
-}
-
-func (w *world) play() (trouble any) {
-	defer func() {
-		if r := recover(); r != nil {
-			trouble = fmt.Sprint(r)
-			if _, ok := r.(error); ok {
-				trouble = fmt.Sprintf("%v\n%s", r, debug.Stack())
-			}
-		}
-	}()
-	w.rough = pick(w, 0, 0.02, 0.1, 0.5)
-	w.crashes = pick(w, 0, 0.005, 0.05, 0.3)
-	w.late = pick(w, 60*time.Millisecond, 3*time.Second)
-	pause := pick(w, 300*time.Millisecond, 1500*time.Millisecond)
-	w.slow = pick(w, 5*time.Millisecond, 100*time.Millisecond)
-	if w.slowest > 0 && w.rng.IntN(4) == 0 {
-		w.slow = w.slowest
-	}
-	for _, h := range w.hosts {
-		w.after(w.within(0, 2*time.Second), func() { w.start(h) })
-	}
-	end := 12 * time.Second
-	value := uint64(0)
-	var ask func()
-	ask = func() {
-		h := w.hosts[w.rng.IntN(len(w.hosts))]
-		value++
-		w.propose(h, value)
-		w.read(w.hosts[w.rng.IntN(len(w.hosts))])
-		if w.now < end {
-			w.after(w.within(0, 80*time.Millisecond), ask)
-		}
-	}
-	w.after(0, ask)
-	var harm func()
-	harm = func() {
-		if w.now >= end {
-			return
-		}
-		h := w.hosts[w.rng.IntN(len(w.hosts))]
-		back := func(d time.Duration) { w.after(d, func() { w.revive(h) }) }
-		switch w.rng.IntN(9) {
-		case 0, 1:
-			w.stop(h)
-			back(w.within(0, 3*time.Second))
-		case 2:
-			h.frozen = w.now + w.within(0, 3*time.Second)
-		case 3, 4:
-			link := [2]string{h.address, w.hosts[w.rng.IntN(len(w.hosts))].address}
-			w.cut[link] = true
-			both := w.rng.IntN(2) == 0
-			if both {
-				w.cut[[2]string{link[1], link[0]}] = true
-			}
-			w.after(w.within(0, 3*time.Second), func() {
-				delete(w.cut, link)
-				delete(w.cut, [2]string{link[1], link[0]})
-			})
-		case 5, 6:
-			if w.mayWipe() {
-				w.wipe(h)
-				back(w.within(0, time.Second))
-			}
-		case 7:
-			for _, h := range w.hosts {
-				w.touch(h, h.life, func(m *Machine) { m.TransferLeadership() })
-			}
-		case 8:
-			if w.rng.IntN(4) == 0 && w.gone == nil && w.mayWipe() {
-				w.gone = h
-				w.wipe(h)
-				break
-			}
-			for _, h := range w.hosts {
-				w.stop(h)
-				w.after(w.within(0, time.Second), func() { w.revive(h) })
-			}
-		}
-		w.after(w.within(0, pause), harm)
-	}
-	w.after(3*time.Second, harm)
-	w.run(end)
-	w.heal()
-	return nil
-}
-
-func (w *world) revive(h *host) {
-	if h != w.gone {
-		w.start(h)
-	}
-}
--- a/internal/mesh/consensus/snapshot_test.go
+++ b/internal/mesh/consensus/snapshot_test.go
@@ -30,7 +30,7 @@
 		m.Step(msg)
 		return
 	}
-	if in := m.incoming; w.plant.mixChunks && in != nil && msg.Term >= m.hard.Term {
+	if in := m.incoming; w.bugs.mixChunks && in != nil && msg.Term >= m.hard.Term {
 		msg.Sum = crc32.Checksum(append(slices.Clone(in.data), msg.Snapshot.Data...), castagnoli)
 		in.transferID = transferID{Member{msg.From, msg.Disk}, msg.Term, Place{msg.Snapshot.Term, msg.Snapshot.Index},
 			msg.Size, msg.Sum}
@@ -41,7 +41,7 @@
 		if msg.Offset > 0 {
 			w.installs++
 		}
-		if w.plant.dropTerm {
+		if w.bugs.dropTerm {
 			m.log.baseTerm = 0
 		}
 	}
@@ -50,8 +50,8 @@
 // exploreSnapshots plays a seed of the explorer in which snapshots are taken every few entries and
 // go in small chunks, over links that lose them, and in which saves fail, take seconds, or end in a
 // crash.
-func exploreSnapshots(seed uint64, p plant) (w *world, trouble any) {
-	w = newWorld(seed, p)
+func exploreSnapshots(seed uint64, bugs injectedBugs) (w *world, trouble any) {
+	w = newWorld(seed, bugs)
 	w.compact, w.chunk = pick(w, uint64(3), 8), pick(w, 200, 700)
 	w.broken, w.slowest = pick(w, 0, 0.01, 0.05), 3*time.Second
 	return w, w.play()
@@ -60,7 +60,7 @@
 func TestExploreSnapshots(t *testing.T) {
 	acks, installs, suspended := 0, 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds)/2; seed++ {
-		w, trouble := exploreSnapshots(seed, plant{})
+		w, trouble := exploreSnapshots(seed, injectedBugs{})
 		require.Nil(t, trouble, "seed %d", seed)
 		acks, installs, suspended = acks+w.acks, installs+w.installs, suspended+w.suspended
 	}
@@ -71,7 +71,7 @@
 }
 
 func TestExploreSnapshotsFindsPlanted(t *testing.T) {
-	for name, p := range map[string]plant{
+	for name, p := range map[string]injectedBugs{
 		"a snapshot without its term":           {dropTerm: true},
 		"a chunk of another snapshot":           {mixChunks: true},
 		"compacted beyond the snapshot on disk": {keepOldImage: true},
--- a/internal/mesh/consensus/whole_members_test.go
+++ b/internal/mesh/consensus/whole_members_test.go
@@ -9,14 +9,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// smallPlant is a fault that is put into the machines of a small world.
-type smallPlant struct {
+// smallBugs is a fault that is put into the machines of a small world.
+type smallBugs struct {
 	earlyFinal bool // the final configuration is appended before the joint one is committed
 	unionOnly  bool // in a joint configuration, a majority of both sets together decides
 }
 
 // tamper does what a machine with the fault would do, before anything is handed out.
-func (p smallPlant) tamper(s *small, m *Machine) {
+func (p smallBugs) tamper(s *small, m *Machine) {
 	if p.earlyFinal {
 		p.appendEarlyFinal(m)
 	}
@@ -25,7 +25,7 @@
 	}
 }
 
-func (p smallPlant) appendEarlyFinal(m *Machine) {
+func (p smallBugs) appendEarlyFinal(m *Machine) {
 	members := m.log.current().members
 	if m.role == leader && m.commit >= m.opened && members.joint() {
 		members.Old = nil
@@ -34,7 +34,7 @@
 	}
 }
 
-func (p smallPlant) commitByUnion(_ *small, m *Machine) {
+func (p smallBugs) commitByUnion(_ *small, m *Machine) {
 	members := m.log.current().members
 	if m.role != leader || !members.joint() {
 		return
@@ -55,7 +55,7 @@
 // places of some. The joint configuration has just been appended at a; nobody else has heard of it.
 // Time stands still, so those that are replaced may just as well be there: as slow as the order of
 // what happens has them.
-func replacing(left bounds, plant smallPlant, replaced ...string) *small {
+func replacing(left bounds, bugs smallBugs, replaced ...string) *small {
 	hosts := 3 + len(replaced)
 	s := &small{cells: make([]*cell, hosts), links: make([][]flying, hosts*hosts)}
 	s.left = bounds{Terms: 2, Link: 4, Campaigners: "a"}
@@ -71,7 +71,7 @@
 	s = s.calm()
 	s = s.step(0, func(_ *small, c *cell) { c.machine.beat() })
 	s = s.calm()
-	s.left, s.plant, s.oneIsLost = left, plant, left.Down != ""
+	s.left, s.bugs, s.oneIsLost = left, bugs, left.Down != ""
 	return s.step(0, func(_ *small, c *cell) {
 		for _, p := range c.machine.peers {
 			switch {
@@ -93,7 +93,7 @@
 // and caught up. The joint configuration in which its new disk takes the place of the lost one has
 // just been appended at a.
 func restored(left bounds) *small {
-	s := replacing(bounds{Terms: 2, Link: 4, Campaigners: "a"}, smallPlant{}).calm()
+	s := replacing(bounds{Terms: 2, Link: 4, Campaigners: "a"}, smallBugs{}).calm()
 	s = s.copied()
 	s.start(2, &State{Disk: 13}, 13)
 	s.settle(2)
@@ -238,7 +238,7 @@
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			began := time.Now()
-			first := replacing(left, smallPlant{}, "c")
+			first := replacing(left, smallBugs{}, "c")
 			first.judge = survivorsSuffice
 			states, all, acked, trouble := whole(t, first, most)
 			t.Logf("%+v: %d states in %v, all of them: %v, %d acknowledged", left, states, time.Since(began), all, acked)
@@ -269,16 +269,16 @@
 // Each planted fault is found by what it breaks.
 func TestWholeReplacementFindsPlanted(t *testing.T) {
 	for name, p := range map[string]struct {
-		plant    smallPlant
+		bugs     smallBugs
 		replaced []string
 		finds    string
 	}{
-		"the final set before the joint one is committed": {smallPlant{earlyFinal: true}, []string{"c"}, "lost"},
-		"a majority of both sets together":                {smallPlant{unionOnly: true}, []string{"b", "c"}, "lost"},
+		"the final set before the joint one is committed": {smallBugs{earlyFinal: true}, []string{"c"}, "lost"},
+		"a majority of both sets together":                {smallBugs{unionOnly: true}, []string{"b", "c"}, "lost"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			first := replacing(bounds{Terms: 3, Link: 1, Campaigners: "b"}, p.plant, p.replaced...)
+			first := replacing(bounds{Terms: 3, Link: 1, Campaigners: "b"}, p.bugs, p.replaced...)
 			first.judge = survivorsSuffice
 			_, _, _, trouble := whole(t, first, 60_000)
 			require.Contains(t, fmt.Sprint(trouble), p.finds)
--- a/internal/mesh/consensus/whole_test.go
+++ b/internal/mesh/consensus/whole_test.go
@@ -62,7 +62,7 @@
 	refused   []uint64
 	left      bounds
 	acked     []uint64 // indexes
-	plant     smallPlant
+	bugs      smallBugs
 	judge     func(*small) // panics
 	wiped     bool
 	oneIsLost bool // from the start, until its successor is among the voters
@@ -211,7 +211,7 @@
 	n := s.copied()
 	n.cells[i] = &cell{machine: s.cells[i].machine.clone(), disk: s.cells[i].disk, saving: s.cells[i].saving, applied: s.cells[i].applied}
 	do(n, n.cells[i])
-	n.plant.tamper(n, n.cells[i].machine)
+	n.bugs.tamper(n, n.cells[i].machine)
 	n.settle(i)
 	return n
 }
--- a/internal/mesh/flightrecorder/flightrecorder.go
+++ b/internal/mesh/flightrecorder/flightrecorder.go
@@ -1,9 +1,9 @@
-// Package flightrecorder is the flight recorder: the ways of the last requests that
+// Package flightrecorder is the flight recorder: the traces of the last requests that
 // did not simply succeed.
 //
 // There is a Ring at each side of a request, the sender and the gate. What succeeded at its first
-// attempt is only counted. All else leaves a Way, which takes the place of the oldest. Promised: a
-// Ring never holds more than Most ways of MostSteps steps each, its strings are short and its own,
+// attempt is only counted. All else leaves a RequestTrace, which takes the place of the oldest. Promised: a
+// Ring never holds more than Most traces of MostSteps steps each, its strings are short and its own,
 // and it keeps nobody waiting but for another that adds or reads at the same moment.
 package flightrecorder
 
@@ -18,7 +18,7 @@
 )
 
 const (
-	// Most is how many ways a Ring holds.
+	// Most is how many traces a Ring holds.
 	Most = 512
 	// MostSteps is how many steps of a way it holds.
 	MostSteps = 6
@@ -26,7 +26,7 @@
 	mostText = 64 // bytes of what others name: a client may send an id of kilobytes
 )
 
-// Ring holds the last ways. The zero value is ready.
+// Ring holds the last traces. The zero value is ready.
 type Ring struct {
 	plain atomic.Uint64
 
@@ -37,7 +37,7 @@
 
 type entry struct {
 	at  time.Time
-	way transport.Way
+	way transport.RequestTrace
 }
 
 // Plain counts a request that succeeded at its first attempt.
@@ -47,7 +47,7 @@
 func (r *Ring) Plains() uint64 { return r.plain.Load() }
 
 // Add takes a way in. Its steps are copied.
-func (r *Ring) Add(now time.Time, w transport.Way) {
+func (r *Ring) Add(now time.Time, w transport.RequestTrace) {
 	w.Try, w.Caller = short(w.Try), short(w.Caller)
 	if len(w.Steps) > MostSteps {
 		// The first tell how it began, the last why it ended.
@@ -71,10 +71,10 @@
 // short bounds a string. It never shares memory with a longer one.
 func short(s string) string { return strings.Clone(s[:min(len(s), mostText)]) }
 
-// Ask returns the ways that a question is about, the newest first.
-func (r *Ring) Ask(now time.Time, q *transport.WayQuestion) []transport.Way {
+// Ask returns the traces that a question is about, the newest first.
+func (r *Ring) Ask(now time.Time, q *transport.TraceQuery) []transport.RequestTrace {
 	most, try := min(max(q.Most, 1), Most), short(q.Try)
-	var found []transport.Way
+	var found []transport.RequestTrace
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.list {
@@ -92,7 +92,7 @@
 }
 
 // about says whether a way is of a request or of what its runs called, and has a reason.
-func about(w *transport.Way, try, reason string) bool {
+func about(w *transport.RequestTrace, try, reason string) bool {
 	if try != "" && w.Try != try && !(strings.HasPrefix(w.Try, try) && w.Try[len(try)] == '.') {
 		return false
 	}
--- a/internal/mesh/inbound/exchange_test.go
+++ b/internal/mesh/inbound/exchange_test.go
@@ -147,7 +147,7 @@
 	}))
 	defer backend.Close()
 	address := backend.Listener.Addr().String()
-	h = NewHost(Rules{BeatEvery: time.Minute}, most, transport.NewRoom(1<<30), func() { news++ })
+	h = NewHost(Rules{BeatEvery: time.Minute}, most, transport.NewByteBudget(1<<30), func() { news++ })
 	beat(address)
 	for _, try := range []string{"reset", "run", "well", "plain", "reset"} {
 		r := handle(try)
@@ -170,9 +170,9 @@
 	require.Equal(t, transport.NotRun, handle("closed").Verdict)
 	for try, reasons := range map[string][]transport.Reason{"reset": {transport.Twice, transport.Broken}, "moved": {transport.Unknown},
 		"closed": {transport.Draining}, "plain": nil} {
-		ways := h.Ways.Ask(time.Now(), &transport.WayQuestion{Try: try, Most: 9})
-		require.Len(t, ways, len(reasons), try)
-		for i, w := range ways {
+		traces := h.Traces.Ask(time.Now(), &transport.TraceQuery{Try: try, Most: 9})
+		require.Len(t, traces, len(reasons), try)
+		for i, w := range traces {
 			result := map[bool]string{true: "failed", false: "refused"}[try == "reset"]
 			require.Equal(t, []any{result, reasons[i], "b"}, []any{w.Result, w.Steps[0].Reason, w.Steps[0].Backend}, try)
 		}
--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -207,7 +207,7 @@
 	} else if a.Aim.Seconds() < g.recent {
 		t.order = late
 	}
-	if len(g.waiting) == 0 && g.room() {
+	if len(g.waiting) == 0 && g.hasCapacity() {
 		if f := g.dispatch(t); f != nil {
 			return nil, g.refuse(f)
 		}
@@ -313,7 +313,7 @@
 
 // next hands over those who wait, as far as there is room.
 func (g *Gate) next() {
-	for len(g.waiting) > 0 && g.backend != nil && g.room() {
+	for len(g.waiting) > 0 && g.backend != nil && g.hasCapacity() {
 		t := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
 		f := g.dispatch(t)
@@ -332,7 +332,7 @@
 	}
 }
 
-func (g *Gate) room() bool { return g.inFlight < max(1, g.backend.Capacity) }
+func (g *Gate) hasCapacity() bool { return g.inFlight < max(1, g.backend.Capacity) }
 
 // wait is how long the n-th of those who wait will.
 func (g *Gate) wait(n int) time.Duration {
--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -44,7 +44,7 @@
 		return r, nil
 	}
 	h.Answered.Add(1)
-	h.Ways.Plain()
+	h.Traces.Plain()
 	return &transport.Reply{Verdict: transport.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited,
 		Load: h.load(), Inner: working.failed && ans.status >= 500}, ans.body
 }
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -20,8 +20,8 @@
 	pool       *connpool.Pool
 	mostAnswer int64
 	mostBody   int64
-	room       *transport.Room // for bodies
-	uploads    chan struct{}   // long bodies on their way
+	budget     *transport.ByteBudget // for bodies
+	uploads    chan struct{}         // long bodies on their way
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
 
@@ -31,7 +31,7 @@
 	targetID string
 	runs     map[string]*run // what the backend has in work, by try
 
-	Ways flightrecorder.Ring // of what was refused or broke here
+	Traces flightrecorder.Ring // of what was refused or broke here
 
 	// Counters.
 	Handed, Answered, Failed atomic.Uint64
@@ -39,8 +39,8 @@
 }
 
 // NewHost returns a host whose backend has not been heard.
-func NewHost(r Rules, mostBody int64, room *transport.Room, news func()) *Host {
-	h := &Host{room: room, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
+func NewHost(r Rules, mostBody int64, budget *transport.ByteBudget, news func()) *Host {
+	h := &Host{budget: budget, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
 	h.gate = New(0, r)
 	h.uploads = make(chan struct{}, uploadSlots(r.LinkBps))
 	h.pool = connpool.New(connpool.Options{Network: connpool.TCP{}, ConnectTimeout: connectTime, IdleClose: idleClose, Most: mostConns})
--- a/internal/mesh/inbound/note.go
+++ b/internal/mesh/inbound/note.go
@@ -18,7 +18,7 @@
 	if f.Verdict == transport.NotRun {
 		result = "refused"
 	}
-	h.Ways.Add(time.Now(), transport.Way{Side: transport.AtGate, Try: a.Try, Took: took, Caller: a.Caller, Service: service, Unsafe: a.Unsafe,
+	h.Traces.Add(time.Now(), transport.RequestTrace{Side: transport.AtGate, Try: a.Try, Took: took, Caller: a.Caller, Service: service, Unsafe: a.Unsafe,
 		Inner: a.Inner, Repeat: a.Repeat, Started: 1, Result: result, Why: f.Error(), After: f.After,
 		Steps: []transport.Attempt{{Backend: a.Target, Verdict: f.Verdict, Reason: f.Reason, AtGate: waited, Took: took, After: f.After,
 			InFlight: load.InFlight, Waiting: load.Waiting}}})
--- a/internal/mesh/inbound/serve.go
+++ b/internal/mesh/inbound/serve.go
@@ -46,7 +46,7 @@
 		r.Number = ask.Number
 		return c.Send(r, nil) == nil
 	}
-	defer h.room.Free(ask.Body)
+	defer h.budget.Release(ask.Body)
 	body, err := h.receive(c, ask)
 	h.bodyEnded(ask)
 	if err != nil {
@@ -72,13 +72,13 @@
 func (h *Host) admitBody(a *transport.Request) *transport.Failure {
 	h.mu.Lock()
 	if !a.ExpectContinue {
-		h.room.Free(-a.Body) // short, and on its way: it is taken, and long ones find less
+		h.budget.Release(-a.Body) // short, and on its way: it is taken, and long ones find less
 		h.gate.Coming(a.Body)
 		h.mu.Unlock()
 		return nil
 	}
 	f := h.gate.Offer(h.now(), a)
-	if f == nil && !h.room.Take(a.Body) {
+	if f == nil && !h.budget.Reserve(a.Body) {
 		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: roomAgain}
 	}
 	if f == nil {
@@ -103,7 +103,7 @@
 	h.mu.Lock()
 	h.gate.Came(a.Body)
 	h.mu.Unlock()
-	h.room.Free(a.Body)
+	h.budget.Release(a.Body)
 	return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
 }
 
--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -41,7 +41,7 @@
 
 // Backend is the application beside an agent. Its lives come and go; its address stays.
 type Backend struct {
-	g      *Ground
+	g      *Cluster
 	m      *Machine
 	client *http.Client // to the agents: beats, and its own calls
 	heard  atomic.Bool  // an agent has acknowledged the present life
@@ -65,7 +65,7 @@
 	end     context.CancelFunc
 }
 
-func newBackend(g *Ground, m *Machine) *Backend {
+func newBackend(g *Cluster, m *Machine) *Backend {
 	return &Backend{g: g, m: m, client: &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 16}}}
 }
 
--- a/internal/mesh/meshtest/brokenlinks_test.go
+++ b/internal/mesh/meshtest/brokenlinks_test.go
@@ -43,7 +43,7 @@
 
 // raw is a client that uses one connection as no library does.
 type raw struct {
-	g *Ground
+	g *Cluster
 	m *Machine
 	n int
 }
@@ -144,7 +144,7 @@
 }
 
 // disturb has all links break at random, or none.
-func disturb(g *Ground, chance float64) {
+func disturb(g *Cluster, chance float64) {
 	for _, m := range g.Agents {
 		m.Links.Client.Random(chance, losses...)
 		m.Links.Gate.Random(chance, doubles...)
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -27,7 +27,7 @@
 	kind    Kind
 	method  string
 	path    string
-	service int // index of the ground's services
+	service int // index of the cluster's services
 	share   float64
 }
 
@@ -42,7 +42,7 @@
 }
 
 // whole is the first configuration.
-func (g *Ground) whole() []Item {
+func (g *Cluster) whole() []Item {
 	var items []Item
 	for i := range kinds {
 		items = append(items, g.Route(i, g.services[kinds[i].service%len(g.services)], 1))
@@ -57,14 +57,14 @@
 
 // Route is the item that sends what clients ask for to a service. The first of them is safe, the
 // second unsafe.
-func (g *Ground) Route(which int, service string, v int) Item {
+func (g *Cluster) Route(which int, service string, v int) Item {
 	k := kinds[which]
 	return Item{Kind: Routes, Name: "r-" + k.path[1:len(k.path)-1], Version: version(v), Body: map[string]any{"domain": host,
 		"path_start": k.path, "kind": string(k.kind), "give_up": "2500ms", "target_time": "500ms", "rank": 1, "service": service, "tries": 2}}
 }
 
 // Services are the names of the services, of which the first is safe to ask.
-func (g *Ground) Services() []string { return slices.Clone(g.services) }
+func (g *Cluster) Services() []string { return slices.Clone(g.services) }
 
 func version(v int) string { return fmt.Sprintf("%08x", v) }
 
@@ -88,14 +88,14 @@
 }
 
 // Counts are those from the beginning. Took is to be read only.
-func (g *Ground) Counts() Counts {
+func (g *Cluster) Counts() Counts {
 	g.tally.mu.Lock()
 	defer g.tally.mu.Unlock()
 	return g.tally.all
 }
 
 // Since are the counts since it was called last.
-func (g *Ground) Since() Counts {
+func (g *Cluster) Since() Counts {
 	g.tally.mu.Lock()
 	defer g.tally.mu.Unlock()
 	c := g.tally.since
@@ -114,14 +114,14 @@
 
 // clients are those of one machine.
 type clients struct {
-	g          *Ground
+	g          *Cluster
 	m          *Machine
 	kept, anew *http.Client
 	out        sync.WaitGroup
 	room       chan struct{}
 }
 
-func newClients(g *Ground, m *Machine) *clients {
+func newClients(g *Cluster, m *Machine) *clients {
 	transport := func(anew bool) *http.Client {
 		return &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true, DisableKeepAlives: anew, MaxIdleConnsPerHost: mostOut}}
 	}
@@ -217,7 +217,7 @@
 }
 
 // send sends one request to a machine's agent, and keeps what came of it.
-func (g *Ground) send(ctx context.Context, client *http.Client, m *Machine, t *Try, body []byte, left time.Duration) (a Answer, after time.Duration) {
+func (g *Cluster) send(ctx context.Context, client *http.Client, m *Machine, t *Try, body []byte, left time.Duration) (a Answer, after time.Duration) {
 	var content io.Reader
 	if len(body) > 0 {
 		if content = bytes.NewReader(body); body[0]%2 == 0 {
--- a/internal/mesh/meshtest/core_links.go
+++ b/internal/mesh/meshtest/core_links.go
@@ -7,14 +7,14 @@
 	"example.org/micaline/internal/mesh/meshtest/relay"
 )
 
-// Way is which of a machine's bytes a cut holds up.
-type Way uint8
+// Direction is which of a machine's bytes a cut holds up.
+type Direction uint8
 
-// The ways.
+// The directions.
 const (
-	Outgoing Way = 1 << iota
+	Outgoing Direction = 1 << iota
 	Incoming
-	BothWays = Outgoing | Incoming
+	BothDirections = Outgoing | Incoming
 )
 
 // ends are the machine that dials and the core machine that is dialed.
@@ -44,7 +44,7 @@
 }
 
 // connect opens the links from all machines to all core machines.
-func (g *Ground) connectCore() error {
+func (g *Cluster) connectCore() error {
 	g.coreLinks = coreLinks{}
 	for _, from := range g.all() {
 		for _, to := range g.Cores {
@@ -62,15 +62,15 @@
 }
 
 // Cut holds up what a core machine says to others, or hears of them, until Join.
-func (m *Machine) Cut(way Way, others ...*Machine) {
+func (m *Machine) Cut(direction Direction, others ...*Machine) {
 	m.hit(false, func(*childprocess.Process) {
 		for _, other := range others {
-			m.cut(way, other)
+			m.cut(direction, other)
 		}
 	})
 }
 
-func (m *Machine) cut(way Way, other *Machine) {
+func (m *Machine) cut(direction Direction, other *Machine) {
 	dialed, dialing := m.g.coreLinks[ends{other, m}], m.g.coreLinks[ends{m, other}]
 	for _, link := range []struct {
 		link    *relay.Link
@@ -79,10 +79,10 @@
 		if link.link == nil {
 			continue
 		}
-		if way&Outgoing != 0 {
+		if direction&Outgoing != 0 {
 			link.link.Cut(link.out)
 		}
-		if way&Incoming != 0 {
+		if direction&Incoming != 0 {
 			link.link.Cut(link.in)
 		}
 	}
--- a/internal/mesh/meshtest/core_links_test.go
+++ b/internal/mesh/meshtest/core_links_test.go
@@ -12,13 +12,13 @@
 // cutOff has the core machine that leads cut off from the others both ways, each way, and from the
 // agents, one after the other. While it is cut off from the others it confirms no change and no
 // read, and refuses no valid one; an agent that starts gets the newest configuration and is ready.
-func cutOff(t *testing.T, ctx context.Context, g *Ground) {
+func cutOff(t *testing.T, ctx context.Context, g *Cluster) {
 	v := 2
 	for _, cut := range []struct {
-		name   string
-		way    Way
-		agents bool
-	}{{"both ways", BothWays, false}, {"deaf", Incoming, false}, {"mute", Outgoing, false}, {"from the agents", BothWays, true}} {
+		name      string
+		direction Direction
+		agents    bool
+	}{{"both ways", BothDirections, false}, {"deaf", Incoming, false}, {"mute", Outgoing, false}, {"from the agents", BothDirections, true}} {
 		require.NoError(t, g.Settle(ctx))
 		victim, others, sound := g.Leader(), g.Agents, g.Cores[0]
 		if !cut.agents {
@@ -32,7 +32,7 @@
 				}
 			}
 		}
-		victim.Cut(cut.way, others...)
+		victim.Cut(cut.direction, others...)
 		if !cut.agents {
 			require.NoError(t, g.Await(ctx, "it stands back, "+cut.name, func() bool { return g.Leader() != nil && g.Leader() != victim }))
 			sound = g.Leader()
@@ -42,7 +42,7 @@
 		if !cut.agents {
 			confirmsNothing(t, g, victim, g.Route(0, g.services[v%2], v))
 		}
-		if cut.way == BothWays && !cut.agents {
+		if cut.direction == BothDirections && !cut.agents {
 			neverReady(t, ctx, g, g.Agents[0], victim)
 		}
 		restarted := g.Agents[v%len(g.Agents)]
@@ -62,12 +62,12 @@
 
 // neverReady has an agent start that reaches none but a core machine that is cut off: nobody can
 // tell it that its configuration is current, so it is not ready before it reaches others.
-func neverReady(t *testing.T, ctx context.Context, g *Ground, m, cutOff *Machine) {
+func neverReady(t *testing.T, ctx context.Context, g *Cluster, m, cutOff *Machine) {
 	m.Kill()
 	require.NoError(t, g.Await(ctx, "it is missed", func() bool { return !m.in.Load() }))
 	for _, c := range g.Cores {
 		if c != cutOff {
-			m.Cut(BothWays, c)
+			m.Cut(BothDirections, c)
 		}
 	}
 	require.NoError(t, m.Start())
@@ -80,7 +80,7 @@
 }
 
 // confirmsNothing has a core machine that is cut off asked for what others have acknowledged.
-func confirmsNothing(t *testing.T, g *Ground, m *Machine, item Item) {
+func confirmsNothing(t *testing.T, g *Cluster, m *Machine, item Item) {
 	for _, call := range []struct {
 		method, path string
 		body         []byte
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -30,12 +30,12 @@
 	Backend        *Backend    // nil on a core machine
 	Links          *AgentLinks // nil on a core machine, and without Options.AgentLinks
 
-	g     *Ground
+	g     *Cluster
 	first bool // the whole system starts
 	in    atomic.Bool
 	quit  chan struct{} // ends the calls for readiness
 
-	trouble *Trouble // that has not ended; guarded by the ground's record
+	trouble *Trouble // that has not ended; guarded by the cluster's record
 
 	mu      sync.Mutex
 	proc    *childprocess.Process
@@ -50,7 +50,7 @@
 	index uint64
 }
 
-func (g *Ground) machine(name, ip, zone, service string) *Machine {
+func (g *Cluster) machine(name, ip, zone, service string) *Machine {
 	m := &Machine{Name: name, IP: ip, Zone: zone, Service: service, g: g, first: true, quit: make(chan struct{})}
 	if service != "" {
 		go m.ask()
@@ -237,7 +237,7 @@
 
 // unsettled notes what a change of a core machine means to all: that moment, and the time without a
 // majority.
-func (g *Ground) unsettled(m *Machine, now time.Duration, s *Story) {
+func (g *Cluster) unsettled(m *Machine, now time.Duration, s *Story) {
 	if !m.core() {
 		return
 	}
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -12,7 +12,7 @@
 //
 // What it promises: a verdict comes from the stand-ins' records alone (Judge); the processes' logs
 // are read for the screen, and for picking whom to hit, and for nothing else. All processes are
-// ended by their ids when the ground is closed, and with the caller if that dies.
+// ended by their ids when the cluster is closed, and with the caller if that dies.
 package meshtest
 
 import (
@@ -34,7 +34,7 @@
 	readyPort    = 8625
 	appPort      = 8628
 	outboundPort = 8629
-	guardPort    = 8699 // held by the ground itself, so that no other takes its addresses
+	guardPort    = 8699 // held by the cluster itself, so that no other takes its addresses
 	firstSpare   = 7600
 	lastSpare    = 7615
 )
@@ -54,7 +54,7 @@
 
 var zones = [...]string{"zone-a", "zone-b", "zone-c"}
 
-// Options say what a ground is like.
+// Options say what a cluster is like.
 type Options struct {
 	Program    string // the built micaline-mesh
 	Dir        string // for settings, disks and logs, and empty; "": one that is taken away at the end
@@ -67,8 +67,8 @@
 	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
-// Ground is a mesh that runs.
-type Ground struct {
+// Cluster is a mesh that runs.
+type Cluster struct {
 	Cores    []*Machine
 	Agents   []*Machine
 	Operator *Operator
@@ -94,11 +94,11 @@
 
 // Start starts a mesh, gives it its first configuration, and returns once all agents are ready and
 // clients have begun.
-func Start(ctx context.Context, o Options) (g *Ground, err error) {
+func Start(ctx context.Context, o Options) (g *Cluster, err error) {
 	if o.Agents < LeastAgents || o.Agents > MostAgents {
 		return nil, fmt.Errorf("%d agents: from %d to %d can be had", o.Agents, LeastAgents, MostAgents)
 	}
-	g = &Ground{opt: o, dir: o.Dir, record: newRecord(terms)}
+	g = &Cluster{opt: o, dir: o.Dir, record: newRecord(terms)}
 	defer func() {
 		if err != nil {
 			g.Close()
@@ -179,8 +179,8 @@
 	return g, nil
 }
 
-// take finds a net of addresses that no other ground has.
-func (g *Ground) take() (string, error) {
+// take finds a net of addresses that no other cluster has.
+func (g *Cluster) take() (string, error) {
 	var err error
 	for range 20 {
 		at := fmt.Sprintf("127.%d.%d", 1+rand.N(250), rand.N(250))
@@ -191,11 +191,11 @@
 	return "", fmt.Errorf("no addresses to be had in 127/8: %w", err)
 }
 
-func (g *Ground) all() []*Machine { return append(append([]*Machine{}, g.Cores...), g.Agents...) }
+func (g *Cluster) all() []*Machine { return append(append([]*Machine{}, g.Cores...), g.Agents...) }
 
 // Await returns once something holds, or says that it did not in time, with what the processes said
 // last.
-func (g *Ground) Await(ctx context.Context, what string, holds func() bool) error {
+func (g *Cluster) Await(ctx context.Context, what string, holds func() bool) error {
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for !holds() {
@@ -209,7 +209,7 @@
 }
 
 // say adds to an error what the processes said last.
-func (g *Ground) say(what string, err error) error {
+func (g *Cluster) say(what string, err error) error {
 	for _, m := range g.all() {
 		what += "\n" + m.Name + ": " + m.lastWord()
 	}
@@ -217,7 +217,7 @@
 }
 
 // Leader is the core machine that says that it leads; nil if none does.
-func (g *Ground) Leader() *Machine {
+func (g *Cluster) Leader() *Machine {
 	for _, m := range g.Cores {
 		if m.Running() && m.seen().role == "leader" {
 			return m
@@ -228,7 +228,7 @@
 
 // Index is the highest index of a configuration that an agent says it has, and how many agents have
 // it.
-func (g *Ground) Index() (index uint64, have int) {
+func (g *Cluster) Index() (index uint64, have int) {
 	for _, m := range g.Agents {
 		switch i := m.seen().index; {
 		case !m.Running() || i < index:
@@ -242,7 +242,7 @@
 }
 
 // Settle returns once all agents and core machines run and are ready, and there is a leader.
-func (g *Ground) Settle(ctx context.Context) error {
+func (g *Cluster) Settle(ctx context.Context) error {
 	return g.Await(ctx, "all are well again", func() bool {
 		for _, m := range g.all() {
 			if !m.Running() || m.Backend != nil && !m.in.Load() {
@@ -256,7 +256,7 @@
 // Calm returns once all has been well for so long that every rule binds everybody, and so many
 // operations were served since, more than were not. That is generous: what is owed is that nothing
 // stays broken, not how quick this machine is.
-func (g *Ground) Calm(ctx context.Context, served int) error {
+func (g *Cluster) Calm(ctx context.Context, served int) error {
 	if err := g.Settle(ctx); err != nil {
 		return err
 	}
@@ -275,7 +275,7 @@
 }
 
 // Finish ends the clients, has every core machine read back, and judges.
-func (g *Ground) Finish(ctx context.Context) (*Verdict, error) {
+func (g *Cluster) Finish(ctx context.Context) (*Verdict, error) {
 	if err := g.Settle(ctx); err != nil {
 		return nil, err
 	}
@@ -295,7 +295,7 @@
 	return v, nil
 }
 
-// Verdict is what came of a ground.
+// Verdict is what came of a cluster.
 type Verdict struct {
 	Counts
 	Tries, Runs int
@@ -303,7 +303,7 @@
 }
 
 // Close ends all that there is. It is safe after any failure, and more than once.
-func (g *Ground) Close() error {
+func (g *Cluster) Close() error {
 	if g.stop != nil {
 		g.stop()
 		g.clients.Wait()
@@ -328,6 +328,6 @@
 	return errors.Join(errs...)
 }
 
-func (g *Ground) path(parts ...string) string {
+func (g *Cluster) path(parts ...string) string {
 	return filepath.Join(append([]string{g.dir}, parts...)...)
 }
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -18,7 +18,7 @@
 
 // build builds the program, once.
 var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "micaline-mesh-ground")
+	dir, err := os.MkdirTemp("", "micaline-mesh-cluster")
 	if err != nil {
 		return "", err
 	}
@@ -41,11 +41,11 @@
 	os.Exit(code)
 }
 
-// TestGround has each story under the race of real requests, and judges by what the stand-ins saw.
-func TestGround(t *testing.T) {
+// TestCluster has each story under the race of real requests, and judges by what the stand-ins saw.
+func TestCluster(t *testing.T) {
 	dir, err := build()
 	require.NoError(t, err)
-	for name, story := range map[string]func(t *testing.T, ctx context.Context, g *Ground){
+	for name, story := range map[string]func(t *testing.T, ctx context.Context, g *Cluster){
 		"a leader is killed between two changes":          leaderKilled,
 		"all core machines are killed":                    coreKilled,
 		"one is wiped while another is behind":            wiped,
@@ -82,14 +82,14 @@
 	}
 }
 
-func play(t *testing.T, ctx context.Context, g *Ground, trouble string, lasts time.Duration) {
+func play(t *testing.T, ctx context.Context, g *Cluster, trouble string, lasts time.Duration) {
 	t.Helper()
 	require.NoError(t, g.Play(ctx, trouble, lasts, func(string, ...any) {}))
 }
 
-func leaderKilled(t *testing.T, ctx context.Context, g *Ground) { play(t, ctx, g, "kill-core", 0) }
+func leaderKilled(t *testing.T, ctx context.Context, g *Cluster) { play(t, ctx, g, "kill-core", 0) }
 
-func coreKilled(t *testing.T, ctx context.Context, g *Ground) {
+func coreKilled(t *testing.T, ctx context.Context, g *Cluster) {
 	require.NoError(t, g.Operator.Change(ctx, g.Route(0, g.services[1], 2)))
 	for _, m := range g.Cores {
 		m.Kill()
@@ -102,7 +102,7 @@
 
 // wiped: the first two have a change that the third lacks; the first loses its disk, and then the
 // third is there again. What was acknowledged is on the disk of the second alone.
-func wiped(t *testing.T, ctx context.Context, g *Ground) {
+func wiped(t *testing.T, ctx context.Context, g *Cluster) {
 	a, b, c := g.Cores[0], g.Cores[1], g.Cores[2]
 	c.Kill()
 	require.NoError(t, g.Operator.ChangeAt(ctx, a, g.Route(0, g.services[1], 2)))
@@ -115,7 +115,7 @@
 	require.NoError(t, g.Settle(ctx))
 }
 
-func agentKilledInDrain(t *testing.T, ctx context.Context, g *Ground) {
+func agentKilledInDrain(t *testing.T, ctx context.Context, g *Cluster) {
 	m := g.Agents[0]
 	require.NoError(t, m.Backend.Leave(ctx, func() {
 		m.Kill()
@@ -125,7 +125,7 @@
 	require.NoError(t, g.Await(ctx, "the next life is listed", m.Backend.heard.Load))
 }
 
-func evacuated(t *testing.T, ctx context.Context, g *Ground) {
+func evacuated(t *testing.T, ctx context.Context, g *Cluster) {
 	play(t, ctx, g, "evacuate", 2*time.Second)
 	from := 0
 	g.record.note(func(_ time.Duration, s *Story) { from = len(s.Runs) })
@@ -139,7 +139,7 @@
 	}))
 }
 
-func endsInOrder(t *testing.T, ctx context.Context, g *Ground) {
+func endsInOrder(t *testing.T, ctx context.Context, g *Cluster) {
 	mute, m := g.Leader(), g.Agents[0]
 	mute.Stop()
 	require.True(t, m.Terminate(), "it ends within the bound")
--- a/internal/mesh/meshtest/operator.go
+++ b/internal/mesh/meshtest/operator.go
@@ -17,7 +17,7 @@
 // Operator changes the configuration, and sends each call again, unchanged, until there is a clear
 // answer.
 type Operator struct {
-	g      *Ground
+	g      *Cluster
 	client *http.Client
 	via    map[*Machine]string // where a core machine is reached, if not at its own address
 
@@ -25,7 +25,7 @@
 	next int // core machine that is asked first
 }
 
-func newOperator(g *Ground) *Operator {
+func newOperator(g *Cluster) *Operator {
 	return &Operator{g: g, client: &http.Client{Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}}
 }
 
--- a/internal/mesh/meshtest/orders_test.go
+++ b/internal/mesh/meshtest/orders_test.go
@@ -13,7 +13,7 @@
 
 // lossy returns an operator who reaches each core machine over a relay that loses calls and answers:
 // it resets connections under them, or ends them in the middle.
-func lossy(t *testing.T, g *Ground, seed uint64) (*Operator, []*relay.Link) {
+func lossy(t *testing.T, g *Cluster, seed uint64) (*Operator, []*relay.Link) {
 	o := newOperator(g)
 	o.via = map[*Machine]string{}
 	var links []*relay.Link
@@ -33,7 +33,7 @@
 // before one round the leader is killed. Of each pair one is confirmed and the other refused; both
 // hear the same again at every core machine once they were overtaken; and all requests run where the
 // last that was confirmed sends them.
-func twoOperators(t *testing.T, ctx context.Context, g *Ground) {
+func twoOperators(t *testing.T, ctx context.Context, g *Cluster) {
 	require.NoError(t, g.Operator.Wrong(ctx, g.Route(1, "nobody", 9), g.Route(0, g.services[1], 9)))
 	first, links := lossy(t, g, 1)
 	second, others := lossy(t, g, 10)
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -75,7 +75,7 @@
 	Span
 }
 
-// Story is all that clients, backends and operators of a ground saw. It is not safe for concurrent
+// Story is all that clients, backends and operators of a cluster saw. It is not safe for concurrent
 // use.
 type Story struct {
 	Terms       Terms
--- a/internal/mesh/meshtest/trouble.go
+++ b/internal/mesh/meshtest/trouble.go
@@ -13,7 +13,7 @@
 
 // Play makes a trouble that lasts for a while, and returns once all is well again. It tells of each
 // step.
-func (g *Ground) Play(ctx context.Context, trouble string, lasts time.Duration, tell func(format string, args ...any)) error {
+func (g *Cluster) Play(ctx context.Context, trouble string, lasts time.Duration, tell func(format string, args ...any)) error {
 	wait := func() error {
 		timer := time.NewTimer(lasts)
 		defer timer.Stop()
--- a/internal/mesh/outbound/answers_test.go
+++ b/internal/mesh/outbound/answers_test.go
@@ -73,7 +73,7 @@
 	p := &path{t: t, plant: plant, asked: map[string]sent{}, runs: map[string][]ran{}}
 	var gates []string
 	for i := range 2 {
-		n := &node{host: inbound.NewHost(inbound.Rules{BeatEvery: time.Hour}, 1<<20, transport.NewRoom(1<<30), func() {})}
+		n := &node{host: inbound.NewHost(inbound.Rules{BeatEvery: time.Hour}, 1<<20, transport.NewByteBudget(1<<30), func() {})}
 		n.backend = p.linkTo(p.listen(func(l net.Listener) { (&http.Server{Handler: http.HandlerFunc(p.work)}).Serve(l) }), uint64(i))
 		n.host.With(func(now time.Duration, g *inbound.Gate) bool {
 			g.Named(1)
@@ -155,7 +155,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.sender
-	p.sender = New(old.set, old.host, old.links, old.room, old.log)
+	p.sender = New(old.set, old.host, old.links, old.budget, old.log)
 	p.sender.SetView(old.View())
 	if p.plant != nil {
 		p.plant(p.sender)
--- a/internal/mesh/outbound/exchange_test.go
+++ b/internal/mesh/outbound/exchange_test.go
@@ -66,7 +66,7 @@
 			s.ServeHTTP(w, request("GET", "/"+kind+"/", kind+try, nil))
 			require.False(t, w.Code == 200 && w.Body.String() != kind+try, "%s got %q", kind+try, w.Body.String())
 			require.False(t, promises(w.Code) && kind == "unsafe", "%d", w.Code)
-			s = New(s.set, s.host, s.links, s.room, s.log).with(s.View()) // with nothing learnt of the gate
+			s = New(s.set, s.host, s.links, s.budget, s.log).with(s.View()) // with nothing learnt of the gate
 		}
 	}
 	_, made := s.links.Counts()
--- a/internal/mesh/outbound/note.go
+++ b/internal/mesh/outbound/note.go
@@ -46,7 +46,7 @@
 // note records how a request ended. What simply succeeded at its first attempt is only counted.
 func (s *Sender) note(w *answered, r *http.Request) {
 	j := w.job
-	way := transport.Way{Side: transport.AtSender, Caller: s.set.Service, Service: w.service, Status: w.status, Why: w.why, After: w.after}
+	way := transport.RequestTrace{Side: transport.AtSender, Caller: s.set.Service, Service: w.service, Status: w.status, Why: w.why, After: w.after}
 	if j != nil {
 		j.mu.Lock()
 		way.Steps, way.Started = j.steps, j.attempts // of what is added later nothing is in this slice
@@ -66,7 +66,7 @@
 	case w.status >= 500:
 		way.Result, way.Why = "backend_failed", "the backend's answer"
 	case way.Started == 1:
-		s.Ways.Plain()
+		s.Traces.Plain()
 		return
 	default:
 		way.Result, way.Why = "served", "the backend's answer"
@@ -87,7 +87,7 @@
 			way.Open = j.call.open
 		}
 	}
-	s.Ways.Add(time.Now(), way)
+	s.Traces.Add(time.Now(), way)
 }
 
 // cause says why a request got no backend's answer.
--- a/internal/mesh/outbound/note_test.go
+++ b/internal/mesh/outbound/note_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestWays: what simply succeeds leaves no record, all else one that tells each attempt.
-func TestWays(t *testing.T) {
+// TestTraces: what simply succeeds leaves no record, all else one that tells each attempt.
+func TestTraces(t *testing.T) {
 	var say []transport.Reply
 	g := func() string {
 		return gate(t, func(*transport.Request, []byte) (*transport.Reply, []byte) {
@@ -46,13 +46,13 @@
 		r, w := request("GET", c.path, c.path+c.result, nil), httptest.NewRecorder()
 		s.ServeHTTP(w, r)
 		require.Equal(t, c.status, w.Code)
-		ways := s.Ways.Ask(time.Now(), &transport.WayQuestion{Try: c.path + c.result, Most: 9})
+		traces := s.Traces.Ask(time.Now(), &transport.TraceQuery{Try: c.path + c.result, Most: 9})
 		if c.result == "" {
-			require.Empty(t, ways)
+			require.Empty(t, traces)
 			continue
 		}
-		require.Len(t, ways, 1)
-		way := ways[0]
+		require.Len(t, traces, 1)
+		way := traces[0]
 		require.Equal(t, []any{c.result, c.status, len(c.steps)}, []any{way.Result, way.Status, way.Started})
 		for i, got := range way.Steps {
 			require.NotEmpty(t, got.Backend)
@@ -61,14 +61,14 @@
 			require.Equal(t, c.steps[i], got)
 		}
 	}
-	require.EqualValues(t, 1, s.Ways.Plains())
+	require.EqualValues(t, 1, s.Traces.Plains())
 }
 
 var kept http.ResponseWriter
 
 // BenchmarkNote is what records cost a request: nearly all are plain.
 func BenchmarkNote(b *testing.B) {
-	s := New(&bootstrap.Settings{}, inbound.NewHost(inbound.Rules{}, 1, transport.NewRoom(1), func() {}), nil, nil, &log.Logger{Handler: discard.New()})
+	s := New(&bootstrap.Settings{}, inbound.NewHost(inbound.Rules{}, 1, transport.NewByteBudget(1), func() {}), nil, nil, &log.Logger{Handler: discard.New()})
 	r := request("GET", "/safe/", "9c41d07be2a35f68", nil)
 	out := httptest.NewRecorder()
 	for name, steps := range map[string]int{"plain": 0, "two-attempts": 2} {
--- a/internal/mesh/outbound/order_test.go
+++ b/internal/mesh/outbound/order_test.go
@@ -134,7 +134,7 @@
 			b := transport.Backend{ID: name, Service: service, Zone: set.Zone, Capacity: width, Calls: 1}
 			p.gate.Named(1)
 			p.gate.Beat(0, b)
-			p.agent = New(set, inbound.NewHost(inbound.Rules{}, 1, transport.NewRoom(1), func() {}), nil, transport.NewRoom(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+			p.agent = New(set, inbound.NewHost(inbound.Rules{}, 1, transport.NewByteBudget(1), func() {}), nil, transport.NewByteBudget(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 			p.agent.send = func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure) {
 				return m.send(p, j, gate.Address, ask, inline)
 			}
--- a/internal/mesh/outbound/path_bench_test.go
+++ b/internal/mesh/outbound/path_bench_test.go
@@ -150,7 +150,7 @@
 	view := &outbound.View{Config: config, Index: 1}
 	rules := inbound.Rules{BeatEvery: time.Hour}
 	for i := range gates {
-		host := inbound.NewHost(rules, 1<<20, transport.NewRoom(1<<30), func() {})
+		host := inbound.NewHost(rules, 1<<20, transport.NewByteBudget(1<<30), func() {})
 		at := listen(b, func(raw net.Conn) {
 			c := transport.NewConn(raw)
 			var hello transport.Hello
@@ -166,7 +166,7 @@
 	set := &bootstrap.Settings{IP: "10.0.1.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryRatio, set.Bounds.RetryWindow, set.Bounds.ExtraTries = 0.2, 10*time.Second, 60
 	links := &transport.Pool{From: "10.0.1.1:1", Connect: time.Second, Idle: time.Minute, Most: 64}
-	s := outbound.New(set, inbound.NewHost(rules, 1<<20, transport.NewRoom(1<<30), func() {}), links, transport.NewRoom(1<<30), &log.Logger{Handler: discard.New()})
+	s := outbound.New(set, inbound.NewHost(rules, 1<<20, transport.NewByteBudget(1<<30), func() {}), links, transport.NewByteBudget(1<<30), &log.Logger{Handler: discard.New()})
 	s.SetView(view)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(b, err)
--- a/internal/mesh/outbound/request.go
+++ b/internal/mesh/outbound/request.go
@@ -27,7 +27,7 @@
 	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
 		return nil, 0, nil
 	case r.ContentLength > 0:
-		if !s.room.Take(r.ContentLength) {
+		if !s.budget.Reserve(r.ContentLength) {
 			return nil, 0, errNoRoom
 		}
 		body = make([]byte, r.ContentLength)
@@ -42,7 +42,7 @@
 	for {
 		if len(body) == cap(body) {
 			more := int64(max(cap(body), firstChunk))
-			if !s.room.Take(more) {
+			if !s.budget.Reserve(more) {
 				return nil, held, errNoRoom
 			}
 			held += more
--- a/internal/mesh/outbound/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -46,13 +46,13 @@
 
 // Sender is the data plane beside a caller.
 type Sender struct {
-	set   *bootstrap.Settings
-	host  *inbound.Host // the gate on this machine
-	links *transport.Pool
-	send  func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure)
-	room  *transport.Room // for bodies
-	log   log.Interface
-	zones map[string]int
+	set    *bootstrap.Settings
+	host   *inbound.Host // the gate on this machine
+	links  *transport.Pool
+	send   func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure)
+	budget *transport.ByteBudget // for bodies
+	log    log.Interface
+	zones  map[string]int
 
 	view    atomic.Pointer[View]
 	mu      sync.RWMutex // guards serves, jobs and over
@@ -67,12 +67,12 @@
 	idsMu   sync.Mutex   // guards ids
 	ids     *seenids.Set // of the requests begun that must not run twice
 	Count   Counters
-	Ways    flightrecorder.Ring // of what did not simply succeed
+	Traces  flightrecorder.Ring // of what did not simply succeed
 }
 
 // New returns a sender that knows nothing and refuses all.
-func New(set *bootstrap.Settings, host *inbound.Host, links *transport.Pool, room *transport.Room, l log.Interface) *Sender {
-	s := &Sender{set: set, room: room, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{},
+func New(set *bootstrap.Settings, host *inbound.Host, links *transport.Pool, budget *transport.ByteBudget, l log.Interface) *Sender {
+	s := &Sender{set: set, budget: budget, host: host, links: links, log: l, zones: map[string]int{}, jobs: map[*job]struct{}{}, serves: map[string]*chooser{},
 		began: time.Now(), ids: seenids.New(0, idsLast, mostIDs)}
 	s.send = s.exchange
 	for _, z := range sortedKeys(set.Zones) {
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -45,7 +45,7 @@
 		return
 	}
 	body, held, err := s.readBody(r, w.view.Config.Limits().BodyBytes)
-	defer s.room.Free(held)
+	defer s.budget.Release(held)
 	if err != nil {
 		s.unread(w, err)
 		return
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -69,7 +69,7 @@
 	set := &bootstrap.Settings{IP: "10.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, Service: "caller"}
 	set.Bounds.RetryWindow, set.Bounds.RetryRatio, set.Bounds.ExtraTries = 10*time.Second, 0.2, 50
 	links := &transport.Pool{Connect: time.Second, Idle: time.Minute, Most: 8}
-	s := New(set, inbound.NewHost(inbound.Rules{}, 1<<20, transport.NewRoom(1<<30), func() {}), links, transport.NewRoom(1<<30), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	s := New(set, inbound.NewHost(inbound.Rules{}, 1<<20, transport.NewByteBudget(1<<30), func() {}), links, transport.NewByteBudget(1<<30), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	view := &View{Config: config, Index: 1}
 	for i, g := range gates {
 		view.Stations = append(view.Stations, transport.Heard{Station: transport.Station{Agent: fmt.Sprint("10.0.1.", i), Gate: g, Zone: "z",
@@ -144,7 +144,7 @@
 	view, counted := s.View(), map[int]int{}
 	for i := range 1500 {
 		if i%20 == 0 { // with nothing learnt of gates that failed
-			s = New(s.set, s.host, s.links, s.room, s.log)
+			s = New(s.set, s.host, s.links, s.budget, s.log)
 			s.SetView(view)
 		}
 		try, h := fmt.Sprint("t", i), &told{}
@@ -208,7 +208,7 @@
 	cut := request("POST", "/unsafe/", "t", strings.NewReader("half"))
 	cut.ContentLength = 8
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { say(cut) }, "half a request has no answer")
-	s = New(s.set, s.host, s.links, s.room, s.log)
+	s = New(s.set, s.host, s.links, s.budget, s.log)
 	w = say(request("GET", "/safe/", "t", nil))
 	require.Equal(t, 503, w.Code, "nothing is known yet")
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -33,7 +33,7 @@
 	tick     = time.Second
 	queue    = 256 // commands that wait for the owner
 	mostBody = 64 << 20
-	roomPart = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
+	bodyPart = 4 // of the memory is for bodies: the collector needs as much again, and sockets hold some
 )
 
 // Agent is the process. Its fields from table on belong to the goroutine of own.
@@ -82,13 +82,13 @@
 	a := &Agent{path: path, set: set, log: l, commands: make(chan func(), queue), table: registry.New(), began: time.Now(),
 		config: meshconfig.New(), feeds: map[string]*feed{}, life: uint64(time.Now().UnixNano())}
 	a.links = &transport.Pool{From: set.Control, Connect: time.Second, Idle: 30 * time.Second, Most: 64}
-	room := transport.NewRoom(mostBody)
+	budget := transport.NewByteBudget(mostBody)
 	if set.MemoryMB > 0 {
-		room = transport.NewRoom(int64(set.MemoryMB) << 20 / roomPart)
+		budget = transport.NewByteBudget(int64(set.MemoryMB) << 20 / bodyPart)
 	}
-	a.host = inbound.NewHost(a.rules(), mostBody, room, a.news)
+	a.host = inbound.NewHost(a.rules(), mostBody, budget, a.news)
 	a.named()
-	a.sender = outbound.New(set, a.host, a.links, room, l)
+	a.sender = outbound.New(set, a.host, a.links, budget, l)
 	return a
 }
 
--- a/internal/mesh/sidecar/stats.go
+++ b/internal/mesh/sidecar/stats.go
@@ -12,10 +12,10 @@
 
 // figures answers a question for the agent's figures; nil if the owner does not get to it.
 func (a *Agent) figures(q transport.Question) *transport.Figures {
-	if q.Ways != nil { // the rings stand by themselves: an owner that hangs is when they are wanted
+	if q.Traces != nil { // the rings stand by themselves: an owner that hangs is when they are wanted
 		now := time.Now()
-		ways := append(a.sender.Ways.Ask(now, q.Ways), a.host.Ways.Ask(now, q.Ways)...)
-		return &transport.Figures{Ways: ways}
+		traces := append(a.sender.Traces.Ask(now, q.Traces), a.host.Traces.Ask(now, q.Traces)...)
+		return &transport.Figures{Traces: traces}
 	}
 	return transport.CountedBy(a.commands, answerIn, func() *transport.Figures { return a.count(q) })
 }
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -20,16 +20,16 @@
 
 // Question asks for the figures as they are now.
 type Question struct {
-	State bool         // with the structured state
-	Ways  *WayQuestion // only these; nil: none
+	State  bool        // with the structured state
+	Traces *TraceQuery // only these; nil: none
 }
 
 // Figures are what a process counts, and how it stands.
 type Figures struct {
 	Samples []Sample
-	Agent   *AgentState // of an agent, where the state was asked for
-	Core    *CoreState  // of a core machine, likewise
-	Ways    []Way       // of an agent, where they were asked for
+	Agent   *AgentState    // of an agent, where the state was asked for
+	Core    *CoreState     // of a core machine, likewise
+	Traces  []RequestTrace // of an agent, where they were asked for
 }
 
 // Sample is one figure. What names there are, and with which labels, says package meshmetrics.
--- a/internal/mesh/transport/way.go
+++ b/internal/mesh/transport/trace.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// Sides of a request that a Way was seen from.
+// Sides of a request that a RequestTrace was seen from.
 const (
 	AtSender = "sender"
 	AtGate   = "gate"
 )
 
-// Way is the record of a request that did not simply succeed at its first attempt, as one side of
+// RequestTrace is the record of a request that did not simply succeed at its first attempt, as one side of
 // it saw it.
-type Way struct {
+type RequestTrace struct {
 	Side    string
 	Agent   string // ip of its machine; set when it is asked for
 	Try     string // its first bytes
@@ -33,7 +33,7 @@
 	After   time.Duration // that the client was told to come back in
 }
 
-// Attempt is one of a Way.
+// Attempt is one of a RequestTrace.
 type Attempt struct {
 	N        int
 	Backend  string // id of its life
@@ -50,8 +50,8 @@
 	Waiting  int           // of these, for a slot
 }
 
-// WayQuestion asks for records, the newest first.
-type WayQuestion struct {
+// TraceQuery asks for records, the newest first.
+type TraceQuery struct {
 	Try    string // of this request and of what its runs called; empty: all
 	Reason string // with a step that ended for this reason, or with this result; empty: all
 	Most   int
