Consensus: what is forwarded to a new leader says how long that one has led

followLeader hears the leader's time before it gives pending proposals again; they went out with 0, which a leader takes at any age. TestProposalsNameTheLeaderTheyAreFor.

--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -30,7 +30,7 @@
 }
 
 // follow enters a term as a follower, or stays in it as one. Who leads may be unknown yet.
-func (m *Machine) follow(term uint64, by Member) {
+func (m *Machine) follow(term uint64) {
 	if term < m.hard.Term {
 		panic(fmt.Sprintf("consensus: term goes from %d to %d", m.hard.Term, term))
 	}
@@ -45,10 +45,13 @@
 		m.resetElection()
 	}
 	m.role, m.votes = follower, nil
-	if by.Address == "" {
-		return
-	}
-	if m.leader != by {
+}
+
+// followLeader follows the leader that a message is from.
+func (m *Machine) followLeader(msg Message) {
+	m.follow(msg.Term)
+	m.hearLeader(msg.LeaderTime)
+	if by := (Member{msg.From, msg.Disk}); m.leader != by {
 		m.ledBy(by)
 		m.resendPending(0)
 	}
@@ -112,7 +115,7 @@
 		return
 	}
 	if msg.Term > m.hard.Term {
-		m.follow(msg.Term, Member{})
+		m.follow(msg.Term)
 	}
 	by := Member{msg.From, msg.Disk}
 	if msg.Term < m.hard.Term || !recent || m.hard.Vote != (Member{}) && m.hard.Vote != by {
@@ -130,7 +133,7 @@
 func (m *Machine) onVoteReply(msg Message) {
 	if msg.Reject {
 		if msg.Term > m.hard.Term {
-			m.follow(msg.Term, Member{})
+			m.follow(msg.Term)
 		}
 		return
 	}
--- a/internal/mesh/consensus/join.go
+++ b/internal/mesh/consensus/join.go
@@ -118,7 +118,7 @@
 			m.outside = msg.MembersAt
 		}
 		if m.role != follower {
-			m.follow(m.hard.Term, Member{})
+			m.follow(m.hard.Term)
 		}
 	}
 	if !m.mayCampaign() && m.leader.Address == "" && msg.Leader != "" && msg.Leader != m.self &&
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -78,7 +78,7 @@
 	stalled := m.now - m.beatAt
 	m.beatAt = m.now + heartbeat
 	if !m.quorumHeard(electionMax) {
-		m.follow(m.hard.Term, Member{})
+		m.follow(m.hard.Term)
 		m.leader = Member{}
 		m.failReads(ErrNoLeader)
 		return
@@ -253,9 +253,8 @@
 	if m.role == leader && msg.Term == m.hard.Term {
 		panic(fmt.Sprintf("consensus: two leaders in term %d: %s and we", msg.Term, msg.From))
 	}
-	m.follow(msg.Term, Member{msg.From, msg.Disk})
+	m.followLeader(msg)
 	m.heard = m.now
-	m.hearLeader(msg.LeaderTime)
 	m.resetElection()
 	if m.mayCampaign() {
 		m.resendPending(resendAfter)
@@ -313,7 +312,7 @@
 
 func (m *Machine) onAppendReply(msg Message) {
 	if msg.Term > m.hard.Term {
-		m.follow(msg.Term, Member{})
+		m.follow(msg.Term)
 		return
 	}
 	if m.role != leader || msg.Term != m.hard.Term {
--- a/internal/mesh/consensus/stale_test.go
+++ b/internal/mesh/consensus/stale_test.go
@@ -42,6 +42,37 @@
 	require.True(t, taken, "an older program does not say when")
 }
 
+// TestProposalsNameTheLeaderTheyAreFor has a follower with a proposal hear a new leader: it says how long
+// that one had led, and nothing of the one before.
+func TestProposalsNameTheLeaderTheyAreFor(t *testing.T) {
+	m := alone(3)
+	hear := func(term uint64, leaderTime time.Duration) (forwarded []Message) {
+		m.Step(Message{Kind: Append, From: "b", To: "a", Disk: 2, ToDisk: 1, Term: term, Index: 1, LogTerm: 1, LeaderTime: leaderTime})
+		for o := m.Take(); !o.Empty(); o = m.Take() {
+			for _, msg := range o.Send {
+				if msg.Kind == Forward {
+					forwarded = append(forwarded, msg)
+				}
+			}
+			if o.Save != nil {
+				m.Saved()
+			}
+		}
+		return forwarded
+	}
+	hear(4, time.Hour)
+	m.Propose(1, []byte("x"))
+	hear(4, time.Second) // an old message
+	require.Equal(t, time.Hour, m.leaderTime)
+	m.follow(5)
+	forwarded := hear(5, time.Minute)
+	require.Empty(t, forwarded, "given to the leader before, who may have it in the log")
+	m.Propose(2, []byte("y"))
+	forwarded = hear(5, 2*time.Minute)
+	require.Len(t, forwarded, 1)
+	require.Equal(t, time.Minute, forwarded[0].LeaderTime)
+}
+
 // TestUnheardFollowerChangesNothingLater has a follower hear the leader and not be heard: what it
 // gives the leader is held up for 20 s, as a network does that is cut in one direction. Who asked
 // the follower was told that nothing is known, and nothing comes of it later.
