--- /dev/null
+++ b/internal/mesh/consensus/node_apply.go
@@ -0,0 +1,97 @@
+package consensus
+
+import (
+	"github.com/samber/oops"
+)
+
+// settle carries out what the machine wants, until it wants no more or has only more to apply. Then
+// it reports that the node is behind: what has come meanwhile goes first.
+func (n *Node) settle() (behind bool, err error) {
+	if n.machine == nil {
+		n.report()
+		return false, nil
+	}
+	n.leave()
+	for !behind {
+		o := n.machine.Take()
+		if o.Empty() {
+			break
+		}
+		behind = o.Behind
+		for _, m := range o.Send {
+			n.options.Send(m)
+		}
+		if err := n.bring(&o); err != nil {
+			return false, err
+		}
+		for _, d := range o.Done {
+			if w := n.waiters[d.ID]; w != nil {
+				w.done <- outcome{result: Result{d.Index, n.replies[d.ID]}, err: d.Err}
+				delete(n.waiters, d.ID)
+			}
+		}
+		clear(n.replies)
+		if o.Compact {
+			n.machine.Compact(n.options.Table.Snapshot())
+		}
+		if o.Save != nil {
+			n.saving = true
+			n.saves <- saveJob{n.disk, o.Save}
+		}
+	}
+	n.leave()
+	n.report()
+	return behind, nil
+}
+
+// bring brings the table to where the machine is. A machine that was made anew goes once more through
+// what the table holds already: that is committed, and never goes back. Whoever is told that a read
+// or a proposal is done finds it in the table, so the table shows it before.
+func (n *Node) bring(o *Output) error {
+	if s := o.Restore; s != nil && s.Index > n.tableAt {
+		if err := n.options.Table.Restore(s.Index, s.Data); err != nil {
+			return oops.In("consensus").Wrapf(err, "the table can't take the snapshot as of %d", s.Index)
+		}
+		n.tableAt = s.Index
+	}
+	apply := func() { n.apply(o.Apply) }
+	if table, ok := n.options.Table.(Batcher); ok {
+		table.Batch(apply, n.endsBacklog(o) || len(o.Done) > 0)
+	} else {
+		apply()
+	}
+	return nil
+}
+
+// endsBacklog tells whether all is applied that was committed when the node fell behind. What is
+// committed since is the next backlog: where orders never cease, the table is shown all the same.
+func (n *Node) endsBacklog(o *Output) bool {
+	switch {
+	case !o.Behind:
+		n.backlogEnd = 0
+		return true
+	case n.backlogEnd == 0:
+		n.backlogEnd = n.machine.commit
+		return false
+	case n.machine.applied < n.backlogEnd:
+		return false
+	}
+	n.backlogEnd = n.machine.commit
+	return true
+}
+
+func (n *Node) apply(entries []Entry) {
+	for _, e := range entries {
+		if e.Index <= n.tableAt {
+			continue
+		}
+		n.tableAt = e.Index
+		if e.Origin == 0 {
+			continue
+		}
+		reply := n.options.Table.Apply(e.Index, e.Command)
+		if e.Origin == n.machine.life && n.waiters[e.ID] != nil {
+			n.replies[e.ID] = reply
+		}
+	}
+}
