Work ends once its client has left: cancellation from its socket to the backend

Cause: nobody told the backend.

Now a job's context is done once no attempt of it is needed any more: its client has left, it has its answer, or the process ends. That withdraws exchanges: by a message that names the exchange where a client left, by the end of the connection otherwise. A gate reads on while a request is in hand (one reader and one worker a connection, no goroutine a request), gives slots back, and closes the backend's connection under what may be repeated; what may not runs to its end. Before anything is sent the socket is looked into, so that a process that stood still begins nothing for closes that wait unread. The gate probes senders of long exchanges, which close nothing without power.

Tests changed: TestConnectionIsReleased asks for what was an inner field by what the next request meets, and also where the client has left.

--- a/internal/mesh/inbound/exchange.go
+++ b/internal/mesh/inbound/exchange.go
@@ -227,34 +227,60 @@
 	return h.target
 }
 
-// exchange hands a request to the backend and returns its answer.
-func (h *Host) exchange(ctx context.Context, address string, a *transport.Request, body []byte, deadline time.Time) (*answer, *transport.Failure) {
+// connect gets a connection to the backend.
+func (h *Host) connect(ctx context.Context, address string, a *transport.Request) (*connpool.Conn, *transport.Failure) {
 	c, err := h.pool.Get(ctx, h.targetOf(address, a.Target))
-	if err != nil {
-		f := &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
-		switch {
-		case refused(err):
-			f.Reason = transport.Unknown
-		case connpool.IsShortage(err):
-			f.Reason = transport.Own
-		}
-		return nil, f
+	if err == nil {
+		return c, nil
 	}
-	c.SetDeadline(deadline)
-	if _, err := c.Write(encode(make([]byte, 0, 512+len(body)), a, body)); err != nil {
-		h.pool.Discard(c)
-		return nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Broken, Cause: err}
+	f := &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
+	switch {
+	case refused(err):
+		f.Reason = transport.Unknown
+	case connpool.IsShortage(err):
+		f.Reason = transport.Own
 	}
-	r := reader{from: c.Reader, limit: c.Limit, most: h.mostAnswer, ask: a, fresh: c.Fresh()}
-	ans, f := r.read()
-	if f != nil || !ans.keep || c.Reader.Buffered() > 0 {
+	return nil, f
+}
+
+// exchangeUntil hands a request to the backend and breaks its run off once the caller has gone: the
+// close of its connection is what tells the backend. What had come whole by then counts.
+func (h *Host) exchangeUntil(caller context.Context, c *connpool.Conn, a *transport.Request, body []byte) (*answer, *transport.Failure) {
+	stop := context.AfterFunc(caller, c.Overdue)
+	ans, reuse, f := h.roundTrip(c, a, body)
+	left := !stop()
+	if f != nil && left {
+		f = cancelled(transport.MayHaveRun)
+	}
+	h.giveBack(c, reuse && !left) // danger: Overdue may yet fall on it
+	return ans, f
+}
+
+// exchange hands a request to the backend and returns its answer.
+func (h *Host) exchange(c *connpool.Conn, a *transport.Request, body []byte) (*answer, *transport.Failure) {
+	ans, reuse, f := h.roundTrip(c, a, body)
+	h.giveBack(c, reuse)
+	return ans, f
+}
+
+// giveBack ends a request's use of a connection.
+func (h *Host) giveBack(c *connpool.Conn, reuse bool) {
+	if !reuse {
 		h.pool.Discard(c)
-	} else {
-		c.SetDeadline(time.Time{})
-		h.pool.Put(c)
+		return
 	}
-	if f != nil {
-		return nil, f
+	c.SetDeadline(time.Time{})
+	h.pool.Put(c)
+}
+
+// roundTrip sends a request, reads its answer, and says whether the connection can carry another.
+func (h *Host) roundTrip(c *connpool.Conn, a *transport.Request, body []byte) (ans *answer, reuse bool, f *transport.Failure) {
+	if _, err := c.Write(encode(make([]byte, 0, 512+len(body)), a, body)); err != nil {
+		return nil, false, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Broken, Cause: err}
+	}
+	r := reader{from: c.Reader, limit: c.Limit, most: h.mostAnswer, ask: a, fresh: c.Fresh()}
+	if ans, f = r.read(); f != nil {
+		return nil, false, f
 	}
-	return ans, nil
+	return ans, ans.keep && c.Reader.Buffered() == 0, nil
 }
--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -264,15 +264,15 @@
 	}
 }
 
-// Abandon takes a ticket back that has waited for too long. It says false if its turn has come meanwhile.
-func (g *Gate) Abandon(now time.Duration, t *Ticket) bool {
+// Abandon takes a ticket back that has waited for too long, or whose caller has gone. It says false if its turn has come meanwhile.
+func (g *Gate) Abandon(now time.Duration, t *Ticket, why transport.Reason) bool {
 	g.step(now)
 	if !t.waiting {
 		return false
 	}
 	g.unqueue(t, false)
 	g.waiting = slices.DeleteFunc(g.waiting, func(o *Ticket) bool { return o == t })
-	g.Refused[transport.Full]++
+	g.Refused[why]++
 	return true
 }
 
@@ -293,9 +293,7 @@
 // over who waits.
 func (g *Gate) Done(now, took time.Duration, answered, well bool) {
 	g.step(now)
-	if g.inFlight--; g.inFlight < 0 {
-		panic("inbound: more requests ended than were handed over")
-	}
+	g.freeSlot()
 	if answered {
 		g.heard = now
 		if g.recent == 0 {
@@ -311,6 +309,24 @@
 	g.next()
 }
 
+// Withdraw takes in that a request's caller has gone: the request had a slot and was not handed
+// over, or its run was broken off. It is nobody's fault, and nothing is learnt of the backend.
+func (g *Gate) Withdraw(now time.Duration, a *transport.Request, handed bool) {
+	g.step(now)
+	g.freeSlot()
+	if a.Unsafe && !handed {
+		g.ids.Remove(a.Try)
+	}
+	g.Refused[transport.Cancelled]++
+	g.next()
+}
+
+func (g *Gate) freeSlot() {
+	if g.inFlight--; g.inFlight < 0 {
+		panic("inbound: more requests ended than were handed over")
+	}
+}
+
 // next hands over those who wait, as far as there is room.
 func (g *Gate) next() {
 	for len(g.waiting) > 0 && g.backend != nil && g.hasCapacity() {
--- a/internal/mesh/inbound/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -203,13 +203,13 @@
 	}
 	for _, q := range slices.Clone(y.waiting) {
 		if q.ticket.began+q.ask.Patient <= y.at() {
-			y.True(y.gate.Abandon(y.at(), q.ticket), "a ticket was lost")
+			y.True(y.gate.Abandon(y.at(), q.ticket, transport.Full), "a ticket was lost")
 			y.False(q.ask.Unsafe && y.unsafe[q.ask.Try], "REFUSED: %s was handed over, and is taken back", q.ask.Try)
 			y.settle(q)
 			y.counted["abandoned"]++
 		}
 	}
-	y.False(y.past != nil && y.gate.Abandon(y.at(), y.past.ticket), "a ticket was taken back after its turn")
+	y.False(y.past != nil && y.gate.Abandon(y.at(), y.past.ticket, transport.Full), "a ticket was taken back after its turn")
 	y.Len(y.gate.waiting, len(y.waiting))
 	y.True(len(y.waiting) == 0 || y.running > 0, "tickets wait though nothing is under way")
 	y.Equal(y.running, y.gate.inFlight)
--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -12,10 +12,17 @@
 	answerSlack = 50 * time.Millisecond // beyond a request's time: a backend says itself that it is over
 )
 
-// Handle brings a request to the backend and returns its answer, or why there is none.
-func (h *Host) Handle(a *transport.Request, body []byte) (*transport.Reply, []byte) {
+// Handle brings a request to the backend and returns its answer, or why there is none. Once the
+// caller has gone nothing more is handed over, and a run that may be repeated is broken off; any
+// other runs to its end.
+func (h *Host) Handle(caller Caller, a *transport.Request, body []byte) (*transport.Reply, []byte) {
 	arrived := time.Now()
-	address, waited, f := h.admit(a)
+	var address string
+	var waited time.Duration
+	f := cancelled(transport.NotRun)
+	if !caller.left() {
+		address, waited, f = h.admit(&caller, a)
+	}
 	if f != nil {
 		h.note(a, f, waited, time.Since(arrived))
 		r := h.reply(f)
@@ -26,7 +33,7 @@
 	working := h.begin(a)
 	a.Left = max(a.Left-time.Since(arrived), time.Millisecond)
 	sent := time.Now()
-	ans, f := h.call(address, a, body, sent)
+	ans, f := h.call(caller.Context, address, a, body, sent)
 	took := time.Since(sent)
 	var meant *transport.Failure
 	if f == nil {
@@ -60,10 +67,24 @@
 
 // call sends a request to the backend and waits for its answer. Danger: a backend's silence proves
 // nothing, so it is waited for until nobody waits for the answer.
-func (h *Host) call(address string, a *transport.Request, body []byte, sent time.Time) (*answer, *transport.Failure) {
-	ctx, cancel := context.WithDeadline(context.Background(), sent.Add(min(a.Left, connectTime)))
+func (h *Host) call(caller context.Context, address string, a *transport.Request, body []byte, sent time.Time) (*answer, *transport.Failure) {
+	ctx, cancel := context.WithDeadline(caller, sent.Add(min(a.Left, connectTime)))
 	defer cancel()
-	return h.exchange(ctx, address, a, body, sent.Add(a.Left+answerSlack))
+	c, f := h.connect(ctx, address, a)
+	if caller.Err() != nil && (c != nil || f.Reason == transport.Unreachable) {
+		if c != nil {
+			h.pool.Put(c)
+		}
+		return nil, cancelled(transport.NotRun)
+	}
+	if f != nil {
+		return nil, f
+	}
+	c.SetDeadline(sent.Add(a.Left + answerSlack))
+	if a.Unsafe {
+		return h.exchange(c, a, body)
+	}
+	return h.exchangeUntil(caller, c, a, body)
 }
 
 // done takes in how a run ended: without an answer, with one that says it did not run (meant), or
@@ -75,6 +96,10 @@
 		if h.runs[a.Try] == working { // a copy of it may have begun since
 			delete(h.runs, a.Try)
 		}
+		if f != nil && f.Reason == transport.Cancelled {
+			g.Withdraw(now, a, f.Verdict != transport.NotRun)
+			return false
+		}
 		g.Done(now, took, ran, ran && (ans.status < 500 || working.failed))
 		if f != nil && f.Reason == transport.Unknown || meant != nil && meant.Reason == transport.Unknown {
 			return g.Left(now, a.Target)
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -31,6 +31,8 @@
 	targetID string
 	runs     map[string]*run // what the backend has in work, by try
 
+	sessions sync.Map // of senders: *session to nil
+
 	Traces flightrecorder.Ring // of what was refused or broke here
 
 	// Counters.
@@ -61,7 +63,7 @@
 }
 
 // admit waits for a slot, and says how long.
-func (h *Host) admit(a *transport.Request) (address string, waited time.Duration, f *transport.Failure) {
+func (h *Host) admit(caller *Caller, a *transport.Request) (address string, waited time.Duration, f *transport.Failure) {
 	if !h.open.Load() {
 		return "", 0, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Draining}
 	}
@@ -83,18 +85,29 @@
 	timer := time.NewTimer(a.Patient)
 	defer timer.Stop()
 	select {
-	case f := <-granted:
-		return address, time.Since(began), f
+	case f = <-granted:
+		return address, time.Since(began), h.keep(caller, a, f)
 	case <-timer.C:
+		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
+	case <-caller.Context.Done():
+		f = cancelled(transport.NotRun)
 	}
 	h.mu.Lock()
-	abandoned := h.gate.Abandon(h.now(), t)
+	abandoned := h.gate.Abandon(h.now(), t, f.Reason)
 	h.mu.Unlock()
 	if abandoned {
-		return "", time.Since(began), &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
+		return "", time.Since(began), f
+	}
+	return address, time.Since(began), h.keep(caller, a, <-granted)
+}
+
+// keep gives a slot that was waited for back if the caller has gone meanwhile.
+func (h *Host) keep(caller *Caller, a *transport.Request, f *transport.Failure) *transport.Failure {
+	if f != nil || !caller.left() {
+		return f
 	}
-	f = <-granted
-	return address, time.Since(began), f
+	h.With(func(now time.Duration, g *Gate) bool { g.Withdraw(now, a, false); return false })
+	return cancelled(transport.NotRun)
 }
 
 func (h *Host) reply(f *transport.Failure) *transport.Reply {
@@ -117,6 +130,11 @@
 func (h *Host) Tick() {
 	h.With(func(now time.Duration, g *Gate) bool { return g.Tick(now) })
 	h.pool.Sweep()
+	now := time.Now()
+	h.sessions.Range(func(s, _ any) bool {
+		s.(*session).probe(now)
+		return true
+	})
 }
 
 // Held is how many requests it has in hand.
--- a/internal/mesh/inbound/serve.go
+++ b/internal/mesh/inbound/serve.go
@@ -23,66 +23,60 @@
 // roomAgain is when there may be room for a body again: bodies are held for about so long.
 const roomAgain = 250 * time.Millisecond
 
-// Serve takes requests off a connection, one at a time, until it ends. They are numbered one after
-// the other; what comes out of turn is none that the sender has sent, so the connection ends.
-func (h *Host) Serve(c *transport.Conn) {
-	defer c.Close()
-	for number := uint64(1); ; number++ {
-		var ask transport.Request
-		if err := c.Receive(&ask); err != nil || ask.Number != number {
-			return
+// answer carries out one exchange. There is no reply if the body of the request never came.
+func (h *Host) answer(s *session, a *arrival) (*transport.Reply, []byte) {
+	if a.ask.ExpectContinue {
+		f, came := h.receive(s, a)
+		if f != nil {
+			h.note(a.ask, f, 0, 0)
+			return h.reply(f), nil
 		}
-		if !h.serve(c, &ask) {
-			return
+		defer h.budget.Release(a.ask.Body)
+		if !came {
+			return nil, nil
 		}
+	} else {
+		defer h.budget.Release(a.ask.Body)
 	}
+	return h.Handle(Caller{Context: a.ctx, Gone: s.gone}, a.ask, a.body)
 }
 
-// serve carries out one exchange, and says whether the connection may carry another.
-func (h *Host) serve(c *transport.Conn, ask *transport.Request) bool {
-	if f := h.admitBody(ask); f != nil {
-		h.note(ask, f, 0, 0)
-		r := h.reply(f)
-		r.Number = ask.Number
-		return c.Send(r, nil) == nil
+// receive has a body come that was only offered, or refuses it.
+func (h *Host) receive(s *session, a *arrival) (f *transport.Failure, came bool) {
+	if f = h.admitLong(a); f != nil {
+		a.wanted <- false
+		return f, false
 	}
-	defer h.budget.Release(ask.Body)
-	body, err := h.receive(c, ask)
-	h.bodyEnded(ask)
-	if err != nil {
-		return false
+	defer h.bodyEnded(a.ask)
+	a.wanted <- true
+	if s.conn.Send(&transport.Reply{Number: a.ask.Number, Continue: true}, nil) != nil {
+		s.conn.Close()
 	}
-	reply, out := h.Handle(ask, body)
-	reply.Number, reply.Sum = ask.Number, transport.Sum(out)
-	return c.Send(reply, out) == nil
+	a.body, came = <-a.came
+	return nil, came
 }
 
-// receive reads the body of a request, which it asks for if that was only offered.
-func (h *Host) receive(c *transport.Conn, ask *transport.Request) ([]byte, error) {
-	if ask.ExpectContinue {
-		if err := c.Send(&transport.Reply{Number: ask.Number, Continue: true}, nil); err != nil {
-			return nil, err
-		}
-	}
-	return c.SummedBody(ask.Body, h.mostBody, ask.Sum)
+// admitShort takes in that a short request's body is on its way: it is taken, and long ones find
+// less room.
+func (h *Host) admitShort(a *transport.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Release(-a.Body)
+	h.gate.Coming(a.Body)
 }
 
-// admitBody takes in that a request's body is on its way, or refuses it where that may still be said. Long ones come one after the other
-// as far as the link makes them wait anyway: each that comes beside others puts a window of bytes before all that is short.
-func (h *Host) admitBody(a *transport.Request) *transport.Failure {
+// admitLong decides whether a body that was offered may come. Long ones come one after the other as
+// far as the link makes them wait anyway: each that comes beside others puts a window of bytes
+// before all that is short.
+func (h *Host) admitLong(a *arrival) *transport.Failure {
+	ask := a.ask
 	h.mu.Lock()
-	if !a.ExpectContinue {
-		h.budget.Release(-a.Body) // short, and on its way: it is taken, and long ones find less
-		h.gate.Coming(a.Body)
-		h.mu.Unlock()
-		return nil
-	}
-	f := h.gate.Offer(h.now(), a)
-	if f == nil && !h.budget.Reserve(a.Body) {
+	f := h.gate.Offer(h.now(), ask)
+	if f == nil && !h.budget.Reserve(ask.Body) {
 		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: roomAgain}
 	}
 	if f == nil {
-		h.gate.Coming(a.Body)
+		h.gate.Coming(ask.Body)
 	}
 	h.mu.Unlock()
 	if f != nil {
@@ -93,18 +87,21 @@
 		return nil
 	default:
 	}
-	timer := time.NewTimer(a.Patient)
+	timer := time.NewTimer(ask.Patient)
 	defer timer.Stop()
 	select {
 	case h.uploads <- struct{}{}:
 		return nil
 	case <-timer.C:
+		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}
+	case <-a.ctx.Done():
+		f = cancelled(transport.NotRun)
 	}
 	h.mu.Lock()
-	h.gate.Came(a.Body)
+	h.gate.Came(ask.Body)
 	h.mu.Unlock()
-	h.budget.Release(a.Body)
-	return &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
+	h.budget.Release(ask.Body)
+	return f
 }
 
 func (h *Host) bodyEnded(a *transport.Request) {
@@ -115,3 +112,8 @@
 	h.gate.Came(a.Body)
 	h.mu.Unlock()
 }
+
+// cancelled is the failure of a request whose caller has gone.
+func cancelled(v transport.Verdict) *transport.Failure {
+	return &transport.Failure{Verdict: v, Reason: transport.Cancelled}
+}
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -2,7 +2,7 @@
 
 // Results of requests at an agent, of calls at a core machine, and states of a backend at its gate.
 var (
-	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad"}
+	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad", "left"}
 	Proposals = []string{"agreed", "refused", "unknown", "not_taken"}
 	Backends  = []string{"none", "ready", "cold", "draining", "evacuated", "blind"}
 	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
--- a/internal/mesh/outbound/answer.go
+++ b/internal/mesh/outbound/answer.go
@@ -17,6 +17,7 @@
 type outcome struct {
 	attempt *attempt // nil: none came to an end
 	refused bool
+	left    bool // the client left before there was an answer
 	after   time.Duration
 }
 
@@ -26,6 +27,9 @@
 func (s *Sender) answer(w *answered, j *job, o outcome) bool {
 	at := o.attempt
 	switch {
+	case o.left && (at == nil || at.fail != nil):
+		s.left(w, j)
+		return false
 	case o.refused && !j.mayHaveRun():
 		if at != nil && at.fail != nil {
 			o.after = max(o.after, at.fail.After)
@@ -39,6 +43,19 @@
 	return s.pass(w, j, at)
 }
 
+// left ends a request whose client has left. It says what is true all the same: a client that has
+// closed only its own side of the connection still reads.
+func (s *Sender) left(w *answered, j *job) {
+	s.Count.Left.Add(1)
+	w.left = true
+	if j.mayHaveRun() {
+		s.say(w, http.StatusBadGateway, "the client has left")
+		return
+	}
+	w.comeBack(leastAfter)
+	s.say(w, http.StatusServiceUnavailable, "the client has left")
+}
+
 // fail says that there is no answer, and promises nothing.
 func (s *Sender) fail(w *answered, at *attempt) {
 	status, what := http.StatusBadGateway, "no answer"
@@ -92,10 +109,14 @@
 // refuse promises that the request did not run and tells when to come back.
 func (s *Sender) refuse(w *answered, after time.Duration) {
 	s.Count.Refused.Add(1)
-	after = min(max(after, leastAfter), mostAfter)
+	w.comeBack(min(max(after, leastAfter), mostAfter))
+	s.say(w, http.StatusServiceUnavailable, "no room; the request did not run")
+}
+
+// comeBack tells when to come back.
+func (w *answered) comeBack(after time.Duration) {
 	w.after = after
 	w.Header().Set(retryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	s.say(w, http.StatusServiceUnavailable, "no room; the request did not run")
 }
 
 // say answers with a line of the sender's own.
--- a/internal/mesh/outbound/answers_test.go
+++ b/internal/mesh/outbound/answers_test.go
@@ -420,7 +420,7 @@
 func careless(s *Sender) {
 	var mu sync.Mutex
 	kept := map[transport.Endpoint]*transport.Conn{}
-	s.send = func(j *job, gate transport.Endpoint, ask *transport.Request, _ bool) (*transport.Reply, []byte, *transport.Failure) {
+	s.send = func(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
 		mu.Lock()
 		defer mu.Unlock()
 		c := kept[gate]
@@ -451,8 +451,8 @@
 // hopeful takes what a broken connection leaves open for not run.
 func hopeful(s *Sender) {
 	exchange := s.send
-	s.send = func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure) {
-		reply, text, f := exchange(j, gate, ask, inline)
+	s.send = func(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
+		reply, text, f := exchange(j, gate, ask)
 		if f != nil && f.Reason == transport.Broken {
 			f.Verdict = transport.NotRun
 		}
@@ -464,6 +464,6 @@
 	const unread, again = "a connection with bytes unread is used again", "unsafe work is sent again after a reset"
 	plants := map[string]func(*Sender){unread: careless, again: hopeful}
 	faults := map[string]relay.Action{unread: relay.Duplicate, again: relay.Reset} // those that the plant can fail at
-	planted.Each(t, map[string]string{unread: "MIXED", again: "TWICE|REFUSED"}, 8,
+	planted.Each(t, map[string]string{unread: "MIXED", again: "TWICE|REFUSED"}, 40,
 		func(seed uint64, bug string) []string { return broken(t, seed, 60, plants[bug], faults[bug]) })
 }
--- a/internal/mesh/outbound/attempt.go
+++ b/internal/mesh/outbound/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
 )
@@ -28,7 +29,7 @@
 }
 
 // attempt hands the request to a gate and waits for what comes of it.
-func (s *Sender) attempt(j *job, a policy.Action, t *target, n int, inline bool) *attempt {
+func (s *Sender) attempt(j *job, a policy.Action, t *target, n int) *attempt {
 	at := &attempt{n: n, server: a.Server, to: t, began: time.Now()}
 	left := j.deadline.Sub(at.began)
 	switch {
@@ -36,6 +37,8 @@
 		return at.refuse(transport.Unknown)
 	case j.isExpired() || left <= 0:
 		return at.refuse(transport.Late)
+	case j.isOver() || j.clientGone():
+		return at.refuse(transport.Cancelled)
 	case !j.mayStart():
 		return at.refuse(transport.Own) // the route's tries are used up, or it may have run
 	}
@@ -49,11 +52,12 @@
 		s.Count.Local.Add(1)
 		at.reply, at.body, at.fail = s.local(j, &ask)
 	} else {
-		at.reply, at.body, at.fail = s.send(j, transport.Endpoint{Address: t.gate, Life: t.life}, &ask, inline)
+		at.reply, at.body, at.fail = s.send(j, transport.Endpoint{Address: t.gate, Life: t.life}, &ask)
 	}
 	if at.reply != nil && at.reply.Verdict != transport.Ran {
 		at.fail = &transport.Failure{Verdict: at.reply.Verdict, Reason: at.reply.Reason, After: at.reply.After}
 	}
+	j.excuse(at)
 	if at.fail != nil && at.fail.Verdict == transport.NotRun {
 		j.provedNotRun(at.reply != nil && at.reply.Arrived)
 	}
@@ -61,7 +65,7 @@
 }
 
 // local hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
-// unanswered, so it is waited for only until then.
+// unanswered, so it is waited for only until then. Where a client has left, the gate knows what ends and what goes on.
 func (s *Sender) local(j *job, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
 	type answer struct {
 		reply *transport.Reply
@@ -69,20 +73,24 @@
 	}
 	came := make(chan answer, 1)
 	go func() {
-		reply, body := s.host.Handle(ask, j.body)
+		reply, body := s.host.Handle(inbound.Caller{Context: j.ctx, Gone: j.clientGone}, ask, j.body)
 		came <- answer{reply, body}
 	}()
 	select {
 	case a := <-came:
 		return a.reply, a.body, nil
-	case <-j.expired:
+	case <-j.ctx.Done():
+	}
+	if !j.hasLeft() {
 		return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
 	}
+	a := <-came
+	return a.reply, a.body, nil
 }
 
 // copy carries out an attempt beside one that is out.
 func (s *Sender) copy(j *job, a policy.Action, t *target) {
-	at := s.attempt(j, a, t, j.started(), false)
+	at := s.attempt(j, a, t, j.started())
 	if s.ended(j, at) {
 		j.win(at)
 	}
@@ -104,8 +112,8 @@
 		load = loadOf(&at.reply.Load)
 	}
 	j.record(at, how)
-	final := how == policy.OK || how == policy.Cancelled // nor would another backend's calls fare better
-	j.chooser.outcome(j.call, at.n, at.server, how, load, after, at.reply != nil && at.reply.Arrived, final || j.isDone())
+	final := at.fail == nil && (how == policy.OK || how == policy.Cancelled) // nor would another backend's calls fare better
+	j.chooser.outcome(j.call, at.n, at.server, how, load, after, at.reply != nil && at.reply.Arrived, final || j.owesNothing())
 	return final
 }
 
@@ -126,7 +134,9 @@
 	switch {
 	case f.Verdict == transport.NotRun && f.Reason == transport.Unreachable:
 		return policy.ConnectFailed
-	case f.Verdict == transport.NotRun && f.Reason == transport.Own:
+	case f.Reason == transport.Cancelled && f.Verdict != transport.NotRun:
+		return policy.Cancelled
+	case f.Verdict == transport.NotRun && (f.Reason == transport.Own || f.Reason == transport.Cancelled):
 		return policy.Moot
 	case f.Verdict == transport.NotRun:
 		return policy.Full
--- a/internal/mesh/outbound/chooser.go
+++ b/internal/mesh/outbound/chooser.go
@@ -127,10 +127,14 @@
 	c.handle(policy.Event{Kind: policy.EventOutcome, Request: k.id, Attempt: attempt, Server: s, Outcome: how, Load: load, After: after, Arrived: arrived, Closed: closed})
 }
 
-// forget ends a call's orders: it has its answer. Attempts that are out are still told to the module.
-func (c *chooser) forget(k *call) {
+// forget ends a call's orders: it has its answer, or its client has left and nothing more is owed.
+// Attempts that are out are still told to the module.
+func (c *chooser) forget(k *call, left bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if left {
+		c.handle(policy.Event{Kind: policy.EventHangup, Request: k.id})
+	}
 	delete(c.calls, k.id)
 	for len(c.timers) > 0 && c.stale(&c.timers[0]) {
 		heap.Pop(&c.timers)
--- a/internal/mesh/outbound/chooser_test.go
+++ b/internal/mesh/outbound/chooser_test.go
@@ -74,7 +74,7 @@
 		l.False(a.Kind == policy.ActRefuse && k.unsafe && k.ran > 0, "REFUSED: a promise for what may have run")
 		l.False(k.ended || len(k.out) > 0, "a request ended twice, or while an attempt was out that might serve it")
 		k.ended = true
-		l.c.forget(k.call)
+		l.c.forget(k.call, false)
 	}
 	l.True(k.ended || len(k.out) > 0, "a request is left without an order")
 }
@@ -100,7 +100,7 @@
 		l.obey(k)
 	} else if !k.ended { // or it is a copy beside the one that won
 		k.ended = true
-		l.c.forget(k.call)
+		l.c.forget(k.call, false)
 	}
 }
 
--- a/internal/mesh/outbound/exchange.go
+++ b/internal/mesh/outbound/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"example.org/micaline/internal/mesh/transport"
@@ -12,53 +13,89 @@
 
 const (
 	connectTime = 250 * time.Millisecond
-	longBody    = 48 << 10 // bytes from which a body is offered before it is sent: a refusal would have carried it for nothing
-	mostAnswer  = 64 << 20 // bytes of a backend's answer
+	cancelTime  = 250 * time.Millisecond // that a gate has to say that it has ended what was cancelled
+	longBody    = 48 << 10               // bytes from which a body is offered before it is sent: a refusal would have carried it for nothing
+	mostAnswer  = 64 << 20               // bytes of a backend's answer
 	mostStatus  = 599
 )
 
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
 // that it did not run. The connection is used again only after a whole exchange.
-func (s *Sender) exchange(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(ask.Left, connectTime))
-	c, err := s.links.Get(ctx, gate)
-	cancel()
+func (s *Sender) exchange(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
+	c, err := s.links.Get(j.ctx, gate, min(ask.Left, connectTime))
+	if j.isOver() {
+		if err == nil {
+			s.links.Put(gate, c)
+		}
+		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Cancelled}
+	}
 	if err != nil {
 		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
 	}
 	c.SetDeadline(j.deadline)
-	if inline && !j.hold(c) || j.isDone() || j.isExpired() {
-		j.giveBack(s.links, gate, c, inline)
-		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Own}
-	}
-	x := exchange{conn: c, request: ask, body: j.body, verdict: transport.MayHaveRun}
+	x := exchange{conn: c, request: ask, body: j.body, verdict: transport.MayHaveRun, withdrawn: make(chan struct{})}
+	stop := context.AfterFunc(j.ctx, func() { x.withdraw(j.hasLeft()) })
 	reply, text, err := x.run()
+	x.close()
+	if !stop() {
+		<-x.withdrawn // from here on the connection is another request's
+	}
 	if err != nil {
-		if inline {
-			j.release()
-		}
 		s.links.Discard(c)
 		return nil, nil, x.failure(err)
 	}
-	j.giveBack(s.links, gate, c, inline)
+	c.SetDeadline(time.Time{})
+	s.links.Put(gate, c)
 	return reply, text, nil
 }
 
-// giveBack gives a connection on which nothing is due to the next request.
-func (j *job) giveBack(links *transport.Pool, gate transport.Endpoint, c *transport.Conn, inline bool) {
-	if inline {
-		j.release() // first: until then its deadline may be moved
+// exchange is one request on one connection to a gate.
+type exchange struct {
+	conn      *transport.Conn
+	request   *transport.Request
+	body      []byte
+	verdict   transport.Verdict // that holds if the connection breaks now
+	withdrawn chan struct{}     // closed when withdraw is done
+
+	mu     sync.Mutex
+	sent   bool // all of the request has gone out
+	closed bool // the exchange is over
+}
+
+// withdraw ends the wait for a reply that is for nobody. To a gate the end of the connection says so;
+// where a client has left, which many may do at once, a message does, and the connection goes on.
+// What may not run twice and is under way runs to its end, and is waited for, as a client that has
+// closed only its own side still reads.
+func (x *exchange) withdraw(clientLeft bool) {
+	defer close(x.withdrawn)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.closed:
+		return
+	case !x.sent || !clientLeft:
+		x.conn.SetDeadline(time.Unix(1, 0))
+		return
+	}
+	within := time.Now().Add(cancelTime)
+	x.conn.SetWriteDeadline(within)
+	if x.conn.Send(&transport.Request{Number: x.request.Number, Cancel: true}, nil) != nil || !x.request.Unsafe {
+		x.conn.SetReadDeadline(within)
 	}
-	c.SetDeadline(time.Time{})
-	links.Put(gate, c)
 }
 
-// exchange is one request on one connection to a gate.
-type exchange struct {
-	conn    *transport.Conn
-	request *transport.Request
-	body    []byte
-	verdict transport.Verdict // that holds if the connection breaks now
+// wentOut notes that all of the request has gone out.
+func (x *exchange) wentOut() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sent = true
+}
+
+// close ends the exchange: nothing is said for it any more.
+func (x *exchange) close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.closed = true
 }
 
 // errProtocol says that a gate said what it may not say here.
@@ -74,10 +111,14 @@
 	if err := x.conn.Send(x.request, first); err != nil {
 		return nil, nil, err
 	}
+	if !x.request.ExpectContinue {
+		x.wentOut()
+	}
 	reply, err := x.receive()
 	if err == nil && reply.Continue {
 		x.verdict = transport.MayHaveRun
 		if err = x.conn.SendRaw(x.body); err == nil {
+			x.wentOut()
 			reply, err = x.receive()
 		}
 	}
--- a/internal/mesh/outbound/exchange_test.go
+++ b/internal/mesh/outbound/exchange_test.go
@@ -88,19 +88,27 @@
 	}
 	s := sender(t, gate(t, func(a *transport.Request, _ []byte) (*transport.Reply, []byte) { return replies[a.Try], nil }))
 	at := transport.Endpoint{Address: s.View().Stations[0].Station.Gate, Life: 1}
+	next := &job{deadline: time.Now().Add(time.Minute)}
+	next.follow(t.Context())
 	for try := range replies {
-		for _, state := range []string{"waiting", "done", "cut"} {
-			j := &job{done: make(chan struct{}), expired: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
-			switch state {
-			case "done":
-				j.win(&attempt{})
-			case "cut":
-				j.expire()
+		for _, state := range []string{"waiting", "done", "cut", "left"} {
+			j := &job{deadline: time.Now().Add(time.Minute)}
+			j.follow(t.Context())
+			end := func() {
+				j.end(map[string]error{"waiting": errAnswered, "done": errAnswered, "cut": errProcessEnds, "left": errClientLeft}[state])
 			}
-			_, _, f := s.exchange(j, at, &transport.Request{Try: try, Left: time.Minute}, true)
-			require.Nil(t, j.inline, "%s, %s", try, state)
+			if state != "waiting" {
+				end()
+			}
+			_, _, f := s.exchange(j, at, &transport.Request{Try: try, Left: time.Minute})
 			require.Equal(t, state != "waiting" || try == "broken", f != nil, "%s, %s", try, state)
 			require.False(t, state != "waiting" && f.Verdict != transport.NotRun, "%s, %s", try, state)
+			c, err := s.links.Get(t.Context(), at, time.Second)
+			require.NoError(t, err)
+			s.links.Put(at, c)
+			end()
+			_, _, f = s.exchange(next, at, &transport.Request{Try: "answered", Left: time.Minute})
+			require.Nil(t, f, "%s, %s: the next request's connection", try, state)
 		}
 	}
 }
--- a/internal/mesh/outbound/job.go
+++ b/internal/mesh/outbound/job.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	aim      time.Time
 	chooser  *chooser
 	call     *call
+	client   *clientConn     // nil: there is none that can be looked into
+	ctx      context.Context // done once no attempt is needed any more
+	end      context.CancelCauseFunc
 	inner    bool // called by a run of a backend
 	repeated bool // by a run that was a repeat itself
 
@@ -28,18 +32,16 @@
 	uncertain int                 // of these, those of which nobody has proven that they did not run
 	steps     []transport.Attempt // attempts that have ended, but for one that was all and succeeded
 	last      *attempt            // the best answer that is no success
-	done      chan struct{}
-	expired   chan struct{} // closed when the process ends: no answer is waited for any more
 	won       *attempt
-	inline    *transport.Conn // of the attempt that the request's own goroutine waits for; nil once it is given back
 }
 
-// run carries out what the chooser orders until the request has its answer.
+// run carries out what the chooser orders until the request has its answer, or its client has left.
 func (s *Sender) run(j *job, left time.Duration) outcome {
+	defer j.end(errAnswered) // whatever the answer is: attempts that are still out are for nobody
 	c := j.chooser
 	again := func(a policy.Action, t *target) { go s.copy(j, a, t) }
 	j.call = c.begin(classIndex(c.classes, j.route, j.inner), left, again)
-	defer c.forget(j.call)
+	defer func() { c.forget(j.call, j.hasLeft()) }()
 	s.register(j)
 	defer s.unregister(j)
 	for {
@@ -56,13 +58,12 @@
 		case policy.ActFail:
 			return outcome{attempt: j.best()}
 		}
-		at := s.attempt(j, a, t, j.started(), true)
-		if j.isDone() {
-			s.ended(j, at)
-			return outcome{attempt: j.won}
-		}
+		at := s.attempt(j, a, t, j.started())
 		if s.ended(j, at) {
-			return outcome{attempt: at}
+			return j.outcome(at)
+		}
+		if j.owesNothing() {
+			return j.outcome(nil)
 		}
 	}
 }
@@ -74,12 +75,10 @@
 	select {
 	case <-j.call.ready:
 		return outcome{}, false
-	case <-j.done:
-		return outcome{attempt: j.won}, true
-	case <-j.expired:
+	case <-j.ctx.Done():
 	case <-late.C:
 	}
-	return outcome{attempt: j.best()}, true
+	return j.outcome(nil), true
 }
 
 func (j *job) started() int {
@@ -123,63 +122,6 @@
 	return j.request.Unsafe && j.uncertain > 0
 }
 
-// hold names the connection on which the request's own goroutine waits, so that its wait can be
-// ended. It says false if the request has its answer already.
-func (j *job) hold(c *transport.Conn) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.isDone() || j.isExpired() {
-		return false
-	}
-	j.inline = c
-	return true
-}
-
-// release takes that back. Danger: from here on the connection may be another request's, and nobody
-// may end its wait for this one.
-func (j *job) release() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.inline = nil
-}
-
-// expire ends the wait for an answer: the process is about to end, and what has not run may be said to have not.
-func (j *job) expire() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	close(j.expired)
-	if j.inline != nil {
-		j.inline.SetDeadline(time.Unix(1, 0))
-	}
-}
-
-// win makes an attempt the request's answer, if it has none yet.
-func (j *job) win(at *attempt) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.won != nil {
-		return
-	}
-	j.won = at
-	close(j.done)
-	if j.inline != nil {
-		j.inline.SetReadDeadline(time.Unix(1, 0)) // what the request's own goroutine waits for is not needed
-	}
-}
-
-func (j *job) isExpired() bool { return closed(j.expired) }
-
-func (j *job) isDone() bool { return closed(j.done) }
-
-func closed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 // best is the answer to pass on where no attempt succeeded.
 func (j *job) best() *attempt {
 	j.mu.Lock()
--- a/internal/mesh/outbound/note.go
+++ b/internal/mesh/outbound/note.go
@@ -17,7 +17,8 @@
 	route   *meshconfig.Route
 	service string
 	job     *job
-	status  int // 0: there is no answer
+	status  int  // 0: there is no answer
+	left    bool // the client left before there was one
 	why     string
 	after   time.Duration
 }
@@ -55,6 +56,8 @@
 	switch {
 	case w.status == 0:
 		way.Result, way.Why = "bad", "the client broke off before its request was whole"
+	case w.left:
+		way.Result = "left"
 	case way.Why != "" && w.after > 0:
 		way.Result = "refused"
 	case way.Why != "" && w.route == nil:
--- a/internal/mesh/outbound/once_test.go
+++ b/internal/mesh/outbound/once_test.go
@@ -69,10 +69,11 @@
 		asks = 0
 		route := *s.View().Config.Route("d", "/safe/")
 		route.Tries = 3
-		j := &job{route: &route, request: transport.Request{Unsafe: unsafe}, done: make(chan struct{}), expired: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
+		j := &job{route: &route, request: transport.Request{Unsafe: unsafe}, deadline: time.Now().Add(time.Minute)}
+		j.follow(t.Context())
 		to := s.chooser("s").targets[idOf("10.0.1.0")]
 		for n := range 2 {
-			s.attempt(j, policy.Action{Server: to.id}, to, n, false)
+			s.attempt(j, policy.Action{Server: to.id}, to, n)
 		}
 		require.Equal(t, map[bool]int{true: 1, false: 2}[unsafe], asks)
 		w := httptest.NewRecorder()
--- a/internal/mesh/outbound/order_test.go
+++ b/internal/mesh/outbound/order_test.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math"
@@ -135,8 +136,8 @@
 			p.gate.Named(1)
 			p.gate.Beat(0, b)
 			p.agent = New(set, inbound.NewHost(inbound.Rules{}, 1, transport.NewByteBudget(1), func() {}), nil, transport.NewByteBudget(1), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-			p.agent.send = func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure) {
-				return m.send(p, j, gate.Address, ask, inline)
+			p.agent.send = func(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
+				return m.send(p, j, gate.Address, ask)
 			}
 			m.spots[name] = p
 			stations = append(stations, transport.Heard{Station: transport.Station{Agent: name, Gate: name, Zone: set.Zone, Life: 1, Seq: 1, Open: true, Backend: &b}})
@@ -169,7 +170,7 @@
 }
 
 // send is the link to a gate, the gate's host and the backend.
-func (m *meshModel) send(from *spot, j *job, gate string, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure) {
+func (m *meshModel) send(from *spot, j *job, gate string, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
 	p, way := m.spots[gate], zoneWay
 	if p.zone == from.zone {
 		way = homeWay
@@ -183,15 +184,11 @@
 	}()
 	late := time.NewTimer(time.Until(j.deadline))
 	defer late.Stop()
-	won := j.done
-	if !inline {
-		won = nil
-	}
 	select {
 	case r := <-answer:
 		return r, nil, nil
 	case <-late.C:
-	case <-won:
+	case <-j.ctx.Done():
 	}
 	return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
 }
@@ -221,7 +218,7 @@
 		case f = <-granted:
 		case <-timer.C:
 			m.mu.Lock()
-			if f = (&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}); !p.gate.Abandon(m.now(), t) {
+			if f = (&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}); !p.gate.Abandon(m.now(), t, f.Reason) {
 				f = <-granted
 			}
 			m.mu.Unlock()
@@ -279,7 +276,8 @@
 	s := p.agent
 	v := s.View()
 	now := time.Now()
-	j := &job{route: v.Config.Route("d", k.path), began: now, done: make(chan struct{}), deadline: now.Add(left), aim: now.Add(k.aim), inner: inner, chooser: s.chooser(k.service)}
+	j := &job{route: v.Config.Route("d", k.path), began: now, deadline: now.Add(left), aim: now.Add(k.aim), inner: inner, chooser: s.chooser(k.service)}
+	j.follow(context.Background())
 	if !m.order.anew && !inner {
 		j.aim = j.aim.Add(-s.ages.of(now, j.route.Name, left))
 	}
--- a/internal/mesh/outbound/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -49,7 +49,7 @@
 	set    *bootstrap.Settings
 	host   *inbound.Host // the gate on this machine
 	links  *transport.Pool
-	send   func(j *job, gate transport.Endpoint, ask *transport.Request, inline bool) (*transport.Reply, []byte, *transport.Failure)
+	send   func(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure)
 	budget *transport.ByteBudget // for bodies
 	log    log.Interface
 	zones  map[string]int
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -26,9 +26,9 @@
 
 // Counters count what became of requests. They are read at any time.
 type Counters struct {
-	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Local atomic.Uint64
-	Attempts, Repeats                                                  atomic.Uint64
-	Unanswered                                                         [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
+	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Left, Local atomic.Uint64
+	Attempts, Repeats                                                        atomic.Uint64
+	Unanswered                                                               [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
 }
 
 // ServeHTTP takes a request of a client, or of the backend on this machine.
@@ -63,7 +63,10 @@
 	if !s.first(w, j) {
 		return
 	}
-	if !s.answer(w, j, s.run(j, left)) && j.inner {
+	served := j.client.serving(func() { j.end(errClientLeft) })
+	o := s.run(j, left)
+	served()
+	if !s.answer(w, j, o) && j.inner {
 		s.host.CallFailed(j.request.Try)
 	}
 }
@@ -100,7 +103,8 @@
 // job makes a job of a request, and says how much time it has.
 func (s *Sender) job(w *answered, r *http.Request, body []byte) (*job, time.Duration) {
 	route := w.route
-	j := &job{began: w.began, route: route, body: body, done: make(chan struct{}), expired: make(chan struct{})}
+	j := &job{began: w.began, route: route, body: body, client: clientOf(r)}
+	j.follow(r.Context())
 	w.job = j
 	left, told := timeLeft(r.Header, route.GiveUp)
 	now := time.Now()
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -228,9 +228,10 @@
 	}))
 	only := *s.View().Config.Route("d", "/safe/")
 	only.Tries = 1
-	j := &job{route: &only, done: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
+	j := &job{route: &only, deadline: time.Now().Add(time.Minute)}
+	j.follow(t.Context())
 	to := s.chooser("s").targets[idOf("10.0.1.0")]
-	send = func() transport.Reason { return s.attempt(j, policy.Action{Server: to.id}, to, 0, false).fail.Reason }
+	send = func() transport.Reason { return s.attempt(j, policy.Action{Server: to.id}, to, 0).fail.Reason }
 	require.Equal(t, transport.Full, send())
 	require.Equal(t, transport.Own, copied, "sent to a second backend on a route of one try")
 	require.Equal(t, transport.Full, send())
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -115,15 +115,15 @@
 			return nil, oops.In("listen").Wrap(err)
 		}
 		s := &http.Server{Handler: h, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 64 << 10}
-		s.ErrorLog = nil
-		s.DisableGeneralOptionsHandler = true // danger: its 200 would be none of a backend's
 		go s.Serve(l)
 		return s, nil
 	}
-	out, err := serve(a.set.Outbound, a.sender)
+	clients, err := net.Listen("tcp4", a.set.Outbound)
 	if err != nil {
-		return err
+		return oops.In("listen").Wrap(err)
 	}
+	out := outbound.NewServer(a.sender)
+	go out.Serve(clients)
 	ready, err := serve(a.set.Ready, http.HandlerFunc(a.readiness))
 	if err != nil {
 		return err
@@ -137,7 +137,7 @@
 	go a.own(owner)
 	a.log.WithField("zone", a.set.Zone).WithField("service", a.set.Service).Info("agent started")
 	<-ctx.Done()
-	a.leave(out)
+	a.leave(&out.Server)
 	ready.Close()
 	control.Close()
 	return nil
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -140,6 +140,13 @@
 	return c.dec.Decode(message)
 }
 
+// Await waits until something has come that can be read, or the connection ends.
+func (c *Conn) Await() error {
+	c.lr.N = mostHead
+	_, err := c.r.Peek(1)
+	return err
+}
+
 // Body reads the raw bytes behind a message.
 func (c *Conn) Body(n int64, most int64) ([]byte, error) {
 	if n < 0 || n > most {
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -9,7 +9,9 @@
 	"github.com/samber/oops"
 )
 
-// Request is one that a sender hands to a gate. Body raw bytes follow it.
+// Request is one that a sender hands to a gate. Body raw bytes follow it. While its reply is due,
+// and all of the body has gone out, the sender may say Cancel with its Number, and nothing else. A
+// reply still comes; a cancellation that crosses it is void.
 type Request struct {
 	Number         uint64 // of the exchange on its connection, from 1; the replies repeat it
 	Life           uint64 // of the gate's process for which it is meant
@@ -30,6 +32,7 @@
 	Sum            uint32        // of the body, by Sum
 	ExpectContinue bool          // the body comes only once a Reply says Continue: it is long, and may be refused
 	Patient        time.Duration // the longest that it may wait at the gate before it is refused
+	Cancel         bool          // no request: nobody waits for the reply to this exchange any more
 }
 
 // Reply is a gate's answer. Body raw bytes follow it.
--- a/internal/mesh/transport/pool.go
+++ b/internal/mesh/transport/pool.go
@@ -36,8 +36,8 @@
 	since time.Time
 }
 
-// Get returns a connection to a gate: the one used last, or a new one.
-func (p *Pool) Get(ctx context.Context, gate Endpoint) (*Conn, error) {
+// Get returns a connection to a gate: the one used last, or a new one, if that comes up in time.
+func (p *Pool) Get(ctx context.Context, gate Endpoint, within time.Duration) (*Conn, error) {
 	for {
 		k, ok := p.take(gate)
 		if !ok {
@@ -48,7 +48,7 @@
 		}
 		p.Discard(k)
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.Connect)
+	ctx, cancel := context.WithTimeout(ctx, min(within, p.Connect))
 	defer cancel()
 	c, err := Dial(ctx, Exchange, p.From, gate.Address)
 	if err != nil {
--- a/internal/mesh/transport/verdict.go
+++ b/internal/mesh/transport/verdict.go
@@ -39,11 +39,12 @@
 	Silent             // no answer in time
 	Own                // the agent's own want: sockets, memory, a configuration
 	TooLarge           // the request is over a limit
+	Cancelled          // nobody waits for its answer any more
 	reasons
 )
 
 var reasonNames = [reasons]string{"none", "full", "cold", "draining", "evacuated", "unknown", "late", "twice", "unreachable",
-	"broken", "spoilt", "silent", "own", "too_large"}
+	"broken", "spoilt", "silent", "own", "too_large", "cancelled"}
 
 func (r Reason) String() string { return reasonNames[min(r, reasons-1)] }
 
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -63,14 +63,26 @@
 		return true
 	}
 	hungUp := false
-	err = raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(poll, 0)
-		hungUp = err == nil && n == 1 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
+	err = raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) })
 	return err != nil || hungUp
 }
 
+// AwaitHangUp waits until the other side has closed a connection, without reading from it. It fails
+// once the connection's read deadline has passed. Nobody else can read meanwhile.
+func AwaitHangUp(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(isHungUp)
+}
+
+func isHungUp(fd uintptr) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n == 1 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Waiting reads what a connection has received, without waiting, whatever its deadline. It returns how many bytes there
 // were, 0 also if the connection has ended.
 func Waiting(c syscall.Conn, b []byte) (n int) {
