--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -114,13 +114,18 @@
 // Get returns a connection to a target: the idle one that was used last, or a new one. The context
 // bounds how long it is waited for and has no part in the connection afterwards.
 func (p *Pool) Get(ctx context.Context, t *Target) (*Conn, error) {
+	if c := p.GetIdle(t); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, t)
+}
+
+// GetIdle returns the idle connection to a target that was used last, nil if there is none.
+func (p *Pool) GetIdle(t *Target) *Conn {
 	for {
 		c := p.takeIdle(t)
-		if c == nil {
-			return p.dial(ctx, t)
-		}
-		if !p.expired(c) && p.net.Quiet(c.Conn) {
-			return c, nil
+		if c == nil || !p.expired(c) && p.net.Quiet(c.Conn) {
+			return c
 		}
 		p.Discard(c)
 	}
--- a/internal/mesh/inbound/exchange.go
+++ b/internal/mesh/inbound/exchange.go
@@ -228,8 +228,16 @@
 }
 
 // connect gets a connection to the backend.
-func (h *Host) connect(ctx context.Context, address string, a *transport.Request) (*connpool.Conn, *transport.Failure) {
-	c, err := h.pool.Get(ctx, h.targetOf(address, a.Target))
+func (h *Host) connect(caller *Caller, address string, a *transport.Request, sent time.Time) (*connpool.Conn, *transport.Failure) {
+	target := h.targetOf(address, a.Target)
+	if c := h.pool.GetIdle(target); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), sent.Add(min(a.Left, connectTime)))
+	defer cancel()
+	stop := caller.whenLeft(cancel)
+	defer stop()
+	c, err := h.pool.Get(ctx, target)
 	if err == nil {
 		return c, nil
 	}
@@ -245,14 +253,14 @@
 
 // exchangeUntil hands a request to the backend and breaks its run off once the caller has gone: the
 // close of its connection is what tells the backend. What had come whole by then counts.
-func (h *Host) exchangeUntil(caller context.Context, c *connpool.Conn, a *transport.Request, body []byte) (*answer, *transport.Failure) {
-	stop := context.AfterFunc(caller, c.Overdue)
+func (h *Host) exchangeUntil(caller *Caller, c *connpool.Conn, a *transport.Request, body []byte) (*answer, *transport.Failure) {
+	stop := caller.whenLeft(c.Overdue)
 	ans, reuse, f := h.roundTrip(c, a, body)
-	left := !stop()
+	left := stop()
 	if f != nil && left {
 		f = cancelled(transport.MayHaveRun)
 	}
-	h.giveBack(c, reuse && !left) // danger: Overdue may yet fall on it
+	h.giveBack(c, reuse && !left) // once it is overdue nothing more is read from it
 	return ans, f
 }
 
--- a/internal/mesh/inbound/exchange_test.go
+++ b/internal/mesh/inbound/exchange_test.go
@@ -107,7 +107,7 @@
 	var h *Host
 	news, calls := 0, uint64(0)
 	handle := func(try string) *transport.Reply {
-		r, _ := h.Handle(Caller{t.Context(), func() bool { return false }}, &transport.Request{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
+		r, _ := h.Handle(&Caller{Look: func() bool { return false }}, &transport.Request{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
 			Left: 5 * time.Second, Aim: time.Second, Patient: time.Second}, nil)
 		return r
 	}
--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"context"
 	"time"
 
 	"example.org/micaline/internal/mesh/transport"
@@ -15,13 +14,13 @@
 // Handle brings a request to the backend and returns its answer, or why there is none. Once the
 // caller has gone nothing more is handed over, and a run that may be repeated is broken off; any
 // other runs to its end.
-func (h *Host) Handle(caller Caller, a *transport.Request, body []byte) (*transport.Reply, []byte) {
+func (h *Host) Handle(caller *Caller, a *transport.Request, body []byte) (*transport.Reply, []byte) {
 	arrived := time.Now()
 	var address string
 	var waited time.Duration
 	f := cancelled(transport.NotRun)
-	if !caller.left() {
-		address, waited, f = h.admit(&caller, a)
+	if !caller.HasLeft() {
+		address, waited, f = h.admit(caller, a)
 	}
 	if f != nil {
 		h.note(a, f, waited, time.Since(arrived))
@@ -33,7 +32,7 @@
 	working := h.begin(a)
 	a.Left = max(a.Left-time.Since(arrived), time.Millisecond)
 	sent := time.Now()
-	ans, f := h.call(caller.Context, address, a, body, sent)
+	ans, f := h.call(caller, address, a, body, sent)
 	took := time.Since(sent)
 	var meant *transport.Failure
 	if f == nil {
@@ -67,11 +66,9 @@
 
 // call sends a request to the backend and waits for its answer. Danger: a backend's silence proves
 // nothing, so it is waited for until nobody waits for the answer.
-func (h *Host) call(caller context.Context, address string, a *transport.Request, body []byte, sent time.Time) (*answer, *transport.Failure) {
-	ctx, cancel := context.WithDeadline(caller, sent.Add(min(a.Left, connectTime)))
-	defer cancel()
-	c, f := h.connect(ctx, address, a)
-	if caller.Err() != nil && (c != nil || f.Reason == transport.Unreachable) {
+func (h *Host) call(caller *Caller, address string, a *transport.Request, body []byte, sent time.Time) (*answer, *transport.Failure) {
+	c, f := h.connect(caller, address, a, sent)
+	if caller.HasLeft() && (c != nil || f.Reason == transport.Unreachable) {
 		if c != nil {
 			h.pool.Put(c)
 		}
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -82,6 +82,9 @@
 	granted := make(chan *transport.Failure, 1)
 	t.Grant = func(ok bool, f *transport.Failure) { granted <- f }
 	h.mu.Unlock()
+	left := make(chan struct{})
+	stop := caller.whenLeft(func() { close(left) })
+	defer stop()
 	timer := time.NewTimer(a.Patient)
 	defer timer.Stop()
 	select {
@@ -89,7 +92,7 @@
 		return address, time.Since(began), h.keep(caller, a, f)
 	case <-timer.C:
 		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: a.Patient}
-	case <-caller.Context.Done():
+	case <-left:
 		f = cancelled(transport.NotRun)
 	}
 	h.mu.Lock()
@@ -103,7 +106,7 @@
 
 // keep gives a slot that was waited for back if the caller has gone meanwhile.
 func (h *Host) keep(caller *Caller, a *transport.Request, f *transport.Failure) *transport.Failure {
-	if f != nil || !caller.left() {
+	if f != nil || !caller.isGone() {
 		return f
 	}
 	h.With(func(now time.Duration, g *Gate) bool { g.Withdraw(now, a, false); return false })
--- a/internal/mesh/inbound/serve.go
+++ b/internal/mesh/inbound/serve.go
@@ -38,7 +38,7 @@
 	} else {
 		defer h.budget.Release(a.ask.Body)
 	}
-	return h.Handle(Caller{Context: a.ctx, Gone: s.gone}, a.ask, a.body)
+	return h.Handle(&a.Caller, a.ask, a.body)
 }
 
 // receive has a body come that was only offered, or refuses it.
@@ -87,6 +87,9 @@
 		return nil
 	default:
 	}
+	left := make(chan struct{})
+	stop := a.whenLeft(func() { close(left) })
+	defer stop()
 	timer := time.NewTimer(ask.Patient)
 	defer timer.Stop()
 	select {
@@ -94,7 +97,7 @@
 		return nil
 	case <-timer.C:
 		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}
-	case <-a.ctx.Done():
+	case <-left:
 		f = cancelled(transport.NotRun)
 	}
 	h.mu.Lock()
--- a/internal/mesh/inbound/session.go
+++ b/internal/mesh/inbound/session.go
@@ -1,25 +1,13 @@
 package inbound
 
 import (
-	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"example.org/micaline/internal/mesh/transport"
-	"example.org/micaline/internal/tcp"
 )
 
-// Caller is who waits for the answer to a request: a client of this machine, or a sender.
-type Caller struct {
-	Context context.Context // done once the caller is known to have gone
-	Gone    func() bool     // looks whether it has, also where its close waits unread
-}
-
-// left says whether the caller has gone.
-func (c *Caller) left() bool { return c.Context.Err() != nil || c.Gone() }
-
 // silentAfter is how long an exchange is under way before its sender is probed: a machine without
 // power closes nothing.
 const silentAfter = time.Second
@@ -42,11 +30,11 @@
 
 // arrival is a request that came over a session.
 type arrival struct {
+	Caller // has left once the sender has cancelled the request, or is gone itself
+
 	ask    *transport.Request
 	body   []byte
 	began  time.Time
-	ctx    context.Context // done once its sender has cancelled it, or is gone
-	cancel context.CancelFunc
 	wanted chan bool   // of a body that was only offered: whether it may come
 	came   chan []byte // closed without a value: it never will
 }
@@ -87,8 +75,7 @@
 
 // take hands a request to the worker with its body, which may only have been offered.
 func (s *session) take(ask *transport.Request) bool {
-	a := &arrival{ask: ask, began: time.Now()}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a := &arrival{Caller: Caller{Look: s.gone}, ask: ask, began: time.Now()}
 	if ask.ExpectContinue {
 		a.wanted, a.came = make(chan bool, 1), make(chan []byte, 1)
 		defer close(a.came)
@@ -120,7 +107,7 @@
 	if s.conn.Receive(&next) != nil || !next.Cancel || next.Number != a.ask.Number {
 		return false
 	}
-	a.cancel()
+	a.Leave()
 	return true
 }
 
@@ -157,7 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current != nil {
-		s.current.cancel()
+		s.current.Leave()
 	}
 }
 
@@ -168,7 +155,6 @@
 		s.mu.Lock()
 		s.current = nil
 		s.mu.Unlock()
-		a.cancel()
 		if reply == nil {
 			s.conn.Close() // its body never came
 			continue
@@ -182,10 +168,7 @@
 
 // gone looks whether the sender has closed the connection, or has cancelled the exchange in hand:
 // it says nothing else meanwhile.
-func (s *session) gone() bool {
-	c, ok := s.conn.Conn.(syscall.Conn)
-	return ok && !tcp.Quiet(c)
-}
+func (s *session) gone() bool { return !s.conn.Quiet() }
 
 // probe has the kernel ask for a sign of the sender while an exchange lasts long, and no longer.
 func (s *session) probe(now time.Time) {
--- a/internal/mesh/outbound/attempt.go
+++ b/internal/mesh/outbound/attempt.go
@@ -71,15 +71,20 @@
 		reply *transport.Reply
 		body  []byte
 	}
+	caller := localCaller{Caller: inbound.Caller{Look: j.clientGone}}
+	if !j.enter(&caller) {
+		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Cancelled}
+	}
+	defer j.leave(&caller)
 	came := make(chan answer, 1)
 	go func() {
-		reply, body := s.host.Handle(inbound.Caller{Context: j.ctx, Gone: j.clientGone}, ask, j.body)
+		reply, body := s.host.Handle(&caller.Caller, ask, j.body)
 		came <- answer{reply, body}
 	}()
 	select {
 	case a := <-came:
 		return a.reply, a.body, nil
-	case <-j.ctx.Done():
+	case <-j.over:
 	}
 	if !j.hasLeft() {
 		return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
@@ -88,6 +93,11 @@
 	return a.reply, a.body, nil
 }
 
+// localCaller is a job as the caller of the gate on this machine.
+type localCaller struct{ inbound.Caller }
+
+func (c *localCaller) withdraw(bool) { c.Leave() }
+
 // copy carries out an attempt beside one that is out.
 func (s *Sender) copy(j *job, a policy.Action, t *target) {
 	at := s.attempt(j, a, t, j.started())
--- a/internal/mesh/outbound/client.go
+++ b/internal/mesh/outbound/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"example.org/micaline/internal/tcp"
@@ -48,7 +49,9 @@
 func (l clientListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &clientConn{TCPConn: t}, nil
+		if raw, err := t.SyscallConn(); err == nil {
+			return &clientConn{TCPConn: t, raw: raw}, nil
+		}
 	}
 	return c, err
 }
@@ -60,6 +63,7 @@
 // the close behind it. From that byte on the connection is watched here.
 type clientConn struct {
 	*net.TCPConn
+	raw syscall.RawConn
 
 	mu       sync.Mutex
 	left     func()        // to be told that the client has left; nil: no request is served
@@ -67,7 +71,7 @@
 }
 
 // hungUp says whether the client has closed the connection, also where that waits unread.
-func (c *clientConn) hungUp() bool { return c != nil && tcp.HungUp(c.TCPConn) }
+func (c *clientConn) hungUp() bool { return c != nil && tcp.RawHungUp(c.raw) }
 
 // Read reads, and watches the connection if it brings something while a request is served.
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -101,7 +105,7 @@
 	c.watching = over
 	go func() {
 		defer close(over)
-		if tcp.AwaitHangUp(c.TCPConn) == nil {
+		if tcp.AwaitHangUp(c.raw) == nil {
 			left()
 		}
 	}()
--- a/internal/mesh/outbound/ending.go
+++ b/internal/mesh/outbound/ending.go
@@ -1,42 +1,82 @@
 package outbound
 
 import (
-	"context"
 	"errors"
+	"slices"
 
 	"example.org/micaline/internal/mesh/transport"
 )
 
-// A job's context is done once no attempt of it is needed any more; the cause says why.
+// Why no attempt of a job is needed any more.
 var (
 	errAnswered    = errors.New("the request has its answer")
 	errProcessEnds = errors.New("the process is about to end")
-	errClientLeft  = errors.New("the client has left") // so does net/http's own context.Canceled
+	errClientLeft  = errors.New("the client has left")
 )
 
-// follow has a job end with its client's request.
-func (j *job) follow(request context.Context) {
-	j.ctx, j.end = context.WithCancelCause(request)
-}
+// withdrawer is what an attempt waits in: it can be told that the wait is for nobody.
+type withdrawer interface{ withdraw(clientLeft bool) }
 
-// isOver says whether no attempt is needed any more.
-func (j *job) isOver() bool { return j.ctx.Err() != nil }
+// end ends a job: no attempt of it is needed any more. Only the first cause counts.
+func (j *job) end(cause error) {
+	j.mu.Lock()
+	if j.cause != nil {
+		j.mu.Unlock()
+		return
+	}
+	j.cause = cause
+	out := j.out
+	j.out = nil
+	j.mu.Unlock()
+	close(j.over)
+	for _, w := range out {
+		if w != nil {
+			w.withdraw(cause == errClientLeft)
+		}
+	}
+}
 
-// hasLeft says whether the client left before there was an answer.
-func (j *job) hasLeft() bool {
-	switch context.Cause(j.ctx) {
-	case nil, errAnswered, errProcessEnds:
+// enter has an attempt's wait withdrawn when the job ends. It says false if that has ended.
+func (j *job) enter(w withdrawer) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.cause != nil {
 		return false
 	}
+	j.out = append(j.out, w)
 	return true
 }
 
+// leave takes that back: the attempt waits no more.
+func (j *job) leave(w withdrawer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if i := slices.Index(j.out, w); i >= 0 {
+		j.out[i] = nil
+	}
+}
+
+func (j *job) endedBy() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.cause
+}
+
+// isOver says whether no attempt is needed any more.
+func (j *job) isOver() bool { return j.endedBy() != nil }
+
+// hasLeft says whether the client left before there was an answer.
+func (j *job) hasLeft() bool { return j.endedBy() == errClientLeft }
+
 // owesNothing says whether the client has its answer or has left. Where the process is about to end
 // an answer is still owed.
-func (j *job) owesNothing() bool { return j.isOver() && !j.isExpired() }
+func (j *job) owesNothing() bool {
+	cause := j.endedBy()
+	return cause == errAnswered || cause == errClientLeft
+}
 
 // isExpired says whether the process is about to end: no answer is waited for any more.
-func (j *job) isExpired() bool { return context.Cause(j.ctx) == errProcessEnds }
+func (j *job) isExpired() bool { return j.endedBy() == errProcessEnds }
 
 // expire ends the wait for an answer: the process is about to end, and what has not run may be said
 // to have not.
@@ -54,11 +94,10 @@
 // win makes an attempt the request's answer, if it has none yet and its client still waits.
 func (j *job) win(at *attempt) {
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.won != nil || j.isOver() {
-		return
+	if j.won == nil && j.cause == nil {
+		j.won = at
 	}
-	j.won = at
+	j.mu.Unlock()
 	j.end(errAnswered)
 }
 
@@ -73,7 +112,7 @@
 	case answered != nil:
 		return outcome{attempt: answered}
 	}
-	return outcome{attempt: j.last, left: j.hasLeft()}
+	return outcome{attempt: j.last, left: j.cause == errClientLeft}
 }
 
 // excuse marks the failure of an attempt that was ended from here: it says nothing of its backend. One
@@ -84,7 +123,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.hasLeft() || j.won != nil && j.won.n < at.n {
+	if j.cause == errClientLeft || j.won != nil && j.won.n < at.n {
 		at.fail.Reason = transport.Cancelled
 	}
 }
--- a/internal/mesh/outbound/exchange.go
+++ b/internal/mesh/outbound/exchange.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -22,40 +21,39 @@
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
 // that it did not run. The connection is used again only after a whole exchange.
 func (s *Sender) exchange(j *job, gate transport.Endpoint, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
-	c, err := s.links.Get(j.ctx, gate, min(ask.Left, connectTime))
-	if j.isOver() {
-		if err == nil {
-			s.links.Put(gate, c)
-		}
-		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Cancelled}
-	}
+	c, err := s.links.Get(gate, min(ask.Left, connectTime))
 	if err != nil {
 		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
 	}
+	x := &exchange{conn: c, request: ask, body: j.body, verdict: transport.MayHaveRun}
 	c.SetDeadline(j.deadline)
-	x := exchange{conn: c, request: ask, body: j.body, verdict: transport.MayHaveRun, withdrawn: make(chan struct{})}
-	stop := context.AfterFunc(j.ctx, func() { x.withdraw(j.hasLeft()) })
-	reply, text, err := x.run()
-	x.close()
-	if !stop() {
-		<-x.withdrawn // from here on the connection is another request's
+	if !j.enter(x) {
+		s.giveBack(gate, c)
+		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Cancelled}
 	}
+	reply, text, err := x.run()
+	j.leave(x)
+	x.close() // from here on the connection may be another request's
 	if err != nil {
 		s.links.Discard(c)
 		return nil, nil, x.failure(err)
 	}
+	s.giveBack(gate, c)
+	return reply, text, nil
+}
+
+// giveBack gives a connection on which nothing is due to the next request.
+func (s *Sender) giveBack(gate transport.Endpoint, c *transport.Conn) {
 	c.SetDeadline(time.Time{})
 	s.links.Put(gate, c)
-	return reply, text, nil
 }
 
 // exchange is one request on one connection to a gate.
 type exchange struct {
-	conn      *transport.Conn
-	request   *transport.Request
-	body      []byte
-	verdict   transport.Verdict // that holds if the connection breaks now
-	withdrawn chan struct{}     // closed when withdraw is done
+	conn    *transport.Conn
+	request *transport.Request
+	body    []byte
+	verdict transport.Verdict // that holds if the connection breaks now
 
 	mu     sync.Mutex
 	sent   bool // all of the request has gone out
@@ -67,7 +65,6 @@
 // What may not run twice and is under way runs to its end, and is waited for, as a client that has
 // closed only its own side still reads.
 func (x *exchange) withdraw(clientLeft bool) {
-	defer close(x.withdrawn)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch {
@@ -91,7 +88,7 @@
 	x.sent = true
 }
 
-// close ends the exchange: nothing is said for it any more.
+// close ends the exchange: once it returns nothing is said or set for it any more.
 func (x *exchange) close() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/mesh/outbound/exchange_test.go
+++ b/internal/mesh/outbound/exchange_test.go
@@ -88,12 +88,10 @@
 	}
 	s := sender(t, gate(t, func(a *transport.Request, _ []byte) (*transport.Reply, []byte) { return replies[a.Try], nil }))
 	at := transport.Endpoint{Address: s.View().Stations[0].Station.Gate, Life: 1}
-	next := &job{deadline: time.Now().Add(time.Minute)}
-	next.follow(t.Context())
+	next := &job{over: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
 	for try := range replies {
 		for _, state := range []string{"waiting", "done", "cut", "left"} {
-			j := &job{deadline: time.Now().Add(time.Minute)}
-			j.follow(t.Context())
+			j := &job{over: make(chan struct{}), deadline: time.Now().Add(time.Minute)}
 			end := func() {
 				j.end(map[string]error{"waiting": errAnswered, "done": errAnswered, "cut": errProcessEnds, "left": errClientLeft}[state])
 			}
@@ -103,7 +101,7 @@
 			_, _, f := s.exchange(j, at, &transport.Request{Try: try, Left: time.Minute})
 			require.Equal(t, state != "waiting" || try == "broken", f != nil, "%s, %s", try, state)
 			require.False(t, state != "waiting" && f.Verdict != transport.NotRun, "%s, %s", try, state)
-			c, err := s.links.Get(t.Context(), at, time.Second)
+			c, err := s.links.Get(at, time.Second)
 			require.NoError(t, err)
 			s.links.Put(at, c)
 			end()
--- a/internal/mesh/outbound/job.go
+++ b/internal/mesh/outbound/job.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -20,11 +19,10 @@
 	aim      time.Time
 	chooser  *chooser
 	call     *call
-	client   *clientConn     // nil: there is none that can be looked into
-	ctx      context.Context // done once no attempt is needed any more
-	end      context.CancelCauseFunc
-	inner    bool // called by a run of a backend
-	repeated bool // by a run that was a repeat itself
+	client   *clientConn   // nil: there is none that can be looked into
+	over     chan struct{} // closed once no attempt is needed any more
+	inner    bool          // called by a run of a backend
+	repeated bool          // by a run that was a repeat itself
 
 	mu        sync.Mutex
 	attempts  int                 // started
@@ -33,6 +31,8 @@
 	steps     []transport.Attempt // attempts that have ended, but for one that was all and succeeded
 	last      *attempt            // the best answer that is no success
 	won       *attempt
+	cause     error        // why no attempt is needed any more; nil: one may be
+	out       []withdrawer // attempts that wait; nil stands for one that did
 }
 
 // run carries out what the chooser orders until the request has its answer, or its client has left.
@@ -75,7 +75,7 @@
 	select {
 	case <-j.call.ready:
 		return outcome{}, false
-	case <-j.ctx.Done():
+	case <-j.over:
 	case <-late.C:
 	}
 	return j.outcome(nil), true
--- a/internal/mesh/outbound/leave_test.go
+++ b/internal/mesh/outbound/leave_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/transport"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -227,28 +229,42 @@
 	require.Eventually(t, func() bool { return s.Count.Left.Load()+s.Count.Bad.Load() == 20 }, soon, time.Millisecond)
 	require.Empty(t, b.arrived)
 
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	for i := range 20 { // a sender that is gone when its exchange is read
-		raw, err := net.Dial("tcp4", l.Addr().String())
-		require.NoError(t, err)
-		c := transport.NewConn(raw)
-		require.NoError(t, c.Send(&transport.Request{Number: 1, Life: 1, Try: fmt.Sprint("u", i), Target: "b0", Method: "GET", URI: "/", Host: "d",
-			Unsafe: i%2 == 0, Left: patiently, Aim: time.Second, Patient: time.Second}, nil))
-		raw.Close()
+	for i := range 20 { // an exchange that was cancelled when it is read
+		near, far := net.Pipe()
+		c := transport.NewConn(&heldBack{Conn: far})
+		go func() {
+			defer far.Close()
+			ask := transport.Request{Number: 1, Life: 1, Try: fmt.Sprint("u", i), Target: "b0", Method: "GET", URI: "/", Host: "d",
+				Unsafe: i%2 == 0, Left: patiently, Aim: time.Second, Patient: time.Second}
+			c.Send(&ask, nil)
+			c.Send(&transport.Request{Number: 1, Cancel: true}, nil)
+			var reply transport.Reply
+			assert.NoError(t, c.Receive(&reply))
+			assert.Equal(t, transport.NotRun, reply.Verdict)
+			assert.Equal(t, transport.Cancelled, reply.Reason)
+		}()
+		host.Serve(transport.NewConn(near))
 	}
-	var done sync.WaitGroup
-	for range 20 {
-		raw, err := l.Accept()
-		require.NoError(t, err)
-		done.Go(func() { host.Serve(transport.NewConn(raw)) })
-	}
-	done.Wait()
 	require.Eventually(t, idle(host), soon, time.Millisecond)
 	require.Empty(t, b.arrived)
 }
 
+// heldBack is a connection whose first write goes out with the second, as what waits in a socket
+// does.
+type heldBack struct {
+	net.Conn
+	first []byte
+}
+
+func (c *heldBack) Write(b []byte) (int, error) {
+	if c.first == nil {
+		c.first = slices.Clone(b)
+		return len(b), nil
+	}
+	_, err := c.Conn.Write(append(c.first, b...))
+	return len(b), err
+}
+
 // TestLeavesTheQueue: a request that waits at a gate for a slot takes none once its client has left.
 func TestLeavesTheQueue(t *testing.T) {
 	b := newHoldingBackend(t)
@@ -284,7 +300,7 @@
 	c.Close()
 	b.awaitDrop("t1")
 	require.Eventually(t, func() bool { return s.Held() == 0 }, soon, time.Millisecond)
-	c = ask(t, address, "safe t2") // whose copy comes: by then that of the first would have come
+	ask(t, address, "safe t2") // whose copy comes: by then that of the first would have come
 	b.awaitArrival("t2")
 	b.awaitArrival("t2")
 	require.Empty(t, b.arrived)
--- a/internal/mesh/outbound/once_test.go
+++ b/internal/mesh/outbound/once_test.go
@@ -69,8 +69,7 @@
 		asks = 0
 		route := *s.View().Config.Route("d", "/safe/")
 		route.Tries = 3
-		j := &job{route: &route, request: transport.Request{Unsafe: unsafe}, deadline: time.Now().Add(time.Minute)}
-		j.follow(t.Context())
+		j := &job{over: make(chan struct{}), route: &route, request: transport.Request{Unsafe: unsafe}, deadline: time.Now().Add(time.Minute)}
 		to := s.chooser("s").targets[idOf("10.0.1.0")]
 		for n := range 2 {
 			s.attempt(j, policy.Action{Server: to.id}, to, n)
--- a/internal/mesh/outbound/order_test.go
+++ b/internal/mesh/outbound/order_test.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math"
@@ -188,7 +187,7 @@
 	case r := <-answer:
 		return r, nil, nil
 	case <-late.C:
-	case <-j.ctx.Done():
+	case <-j.over:
 	}
 	return nil, nil, &transport.Failure{Verdict: transport.MayHaveRun, Reason: transport.Silent}
 }
@@ -276,8 +275,7 @@
 	s := p.agent
 	v := s.View()
 	now := time.Now()
-	j := &job{route: v.Config.Route("d", k.path), began: now, deadline: now.Add(left), aim: now.Add(k.aim), inner: inner, chooser: s.chooser(k.service)}
-	j.follow(context.Background())
+	j := &job{route: v.Config.Route("d", k.path), began: now, over: make(chan struct{}), deadline: now.Add(left), aim: now.Add(k.aim), inner: inner, chooser: s.chooser(k.service)}
 	if !m.order.anew && !inner {
 		j.aim = j.aim.Add(-s.ages.of(now, j.route.Name, left))
 	}
--- a/internal/mesh/outbound/path_bench_test.go
+++ b/internal/mesh/outbound/path_bench_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -170,7 +169,7 @@
 	s.SetView(view)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(b, err)
-	server := &http.Server{Handler: s}
+	server := outbound.NewServer(s)
 	go server.Serve(l)
 	b.Cleanup(func() { server.Close() })
 	return l.Addr().String()
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -63,14 +64,22 @@
 	if !s.first(w, j) {
 		return
 	}
-	served := j.client.serving(func() { j.end(errClientLeft) })
-	o := s.run(j, left)
-	served()
+	o := s.serve(r.Context(), j, left)
 	if !s.answer(w, j, o) && j.inner {
 		s.host.CallFailed(j.request.Try)
 	}
 }
 
+// serve has a request run for as long as its client waits.
+func (s *Sender) serve(client context.Context, j *job, left time.Duration) outcome {
+	leave := func() { j.end(errClientLeft) }
+	stop := context.AfterFunc(client, leave)
+	defer stop()
+	served := j.client.serving(leave)
+	defer served()
+	return s.run(j, left)
+}
+
 // route finds the route of a request, or answers it.
 func (s *Sender) route(w *answered, r *http.Request) bool {
 	if w.view = s.view.Load(); w.view == nil {
@@ -103,8 +112,7 @@
 // job makes a job of a request, and says how much time it has.
 func (s *Sender) job(w *answered, r *http.Request, body []byte) (*job, time.Duration) {
 	route := w.route
-	j := &job{began: w.began, route: route, body: body, client: clientOf(r)}
-	j.follow(r.Context())
+	j := &job{began: w.began, route: route, body: body, client: clientOf(r), over: make(chan struct{})}
 	w.job = j
 	left, told := timeLeft(r.Header, route.GiveUp)
 	now := time.Now()
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -228,8 +228,7 @@
 	}))
 	only := *s.View().Config.Route("d", "/safe/")
 	only.Tries = 1
-	j := &job{route: &only, deadline: time.Now().Add(time.Minute)}
-	j.follow(t.Context())
+	j := &job{over: make(chan struct{}), route: &only, deadline: time.Now().Add(time.Minute)}
 	to := s.chooser("s").targets[idOf("10.0.1.0")]
 	send = func() transport.Reason { return s.attempt(j, policy.Action{Server: to.id}, to, 0).fail.Reason }
 	require.Equal(t, transport.Full, send())
--- a/internal/mesh/transport/conn.go
+++ b/internal/mesh/transport/conn.go
@@ -22,8 +22,10 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"example.org/micaline/internal/tcp"
 	"github.com/samber/oops"
 	"golang.org/x/sys/unix"
 )
@@ -51,6 +53,7 @@
 // Conn is a connection between two processes of the mesh. One goroutine may read and others may write at the same time.
 type Conn struct {
 	net.Conn
+	raw    syscall.RawConn // nil: it is no socket
 	r      *bufio.Reader
 	dec    *gob.Decoder
 	lr     io.LimitedReader // bounds one message's head
@@ -67,6 +70,9 @@
 // NewConn wraps a connection.
 func NewConn(c net.Conn) *Conn {
 	k := &Conn{Conn: c}
+	if socket, ok := c.(syscall.Conn); ok {
+		k.raw, _ = socket.SyscallConn() // nil with an error
+	}
 	k.lr = io.LimitedReader{R: c, N: mostHead}
 	k.r = bufio.NewReaderSize(&k.lr, 8<<10)
 	k.dec = gob.NewDecoder(k.r)
@@ -183,6 +189,10 @@
 	return c.number
 }
 
+// Quiet says that the peer has neither closed the connection nor sent what is not yet received. What
+// is no socket counts as quiet.
+func (c *Conn) Quiet() bool { return c.raw == nil || tcp.RawQuiet(c.raw) }
+
 // Buffered says how many bytes have come that nobody has read.
 func (c *Conn) Buffered() int { return c.r.Buffered() }
 
--- a/internal/mesh/transport/pool.go
+++ b/internal/mesh/transport/pool.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
-
-	"example.org/micaline/internal/tcp"
 )
 
 // Endpoint is one life of a gate's process. Danger: the next one at the address knows nothing of
@@ -37,18 +34,18 @@
 }
 
 // Get returns a connection to a gate: the one used last, or a new one, if that comes up in time.
-func (p *Pool) Get(ctx context.Context, gate Endpoint, within time.Duration) (*Conn, error) {
+func (p *Pool) Get(gate Endpoint, within time.Duration) (*Conn, error) {
 	for {
 		k, ok := p.take(gate)
 		if !ok {
 			break
 		}
-		if t, ok := k.Conn.(syscall.Conn); k.Buffered() == 0 && (!ok || tcp.Quiet(t)) {
+		if k.Buffered() == 0 && k.Quiet() {
 			return k, nil
 		}
 		p.Discard(k)
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(within, p.Connect))
+	ctx, cancel := context.WithTimeout(context.Background(), min(within, p.Connect))
 	defer cancel()
 	c, err := Dial(ctx, Exchange, p.From, gate.Address)
 	if err != nil {
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -26,12 +26,14 @@
 // read. It looks into the socket, which is cheaper than a reset: a request written to a closed connection may have run.
 func Quiet(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
+	return err == nil && RawQuiet(raw)
+}
+
+// RawQuiet is Quiet for a connection that is asked often.
+func RawQuiet(raw syscall.RawConn) bool {
 	quiet := false
 	// Control: a call that waits in Read keeps other readers out until something comes.
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
@@ -59,27 +61,32 @@
 // to read.
 func HungUp(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
+	return err != nil || RawHungUp(raw)
+}
+
+// RawHungUp is HungUp for a connection that is asked often.
+func RawHungUp(raw syscall.RawConn) bool {
 	hungUp := false
-	err = raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) })
+	err := raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) })
 	return err != nil || hungUp
 }
 
 // AwaitHangUp waits until the other side has closed a connection, without reading from it. It fails
 // once the connection's read deadline has passed. Nobody else can read meanwhile.
-func AwaitHangUp(c syscall.Conn) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Read(isHungUp)
-}
+func AwaitHangUp(raw syscall.RawConn) error { return raw.Read(isHungUp) }
 
+// isHungUp looks at the next byte first, as most connections have none: to ask for the state of a
+// socket takes longer, and only that tells of a close behind bytes that nobody has read.
 func isHungUp(fd uintptr) bool {
-	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(poll, 0)
+	var b [1]byte
+	switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return false
+	case err != nil, n == 0:
+		return true
+	}
+	poll := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll[:], 0)
 	return err == nil && n == 1 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
