The cluster's judge knows GONE; a story in which clients leave

The judge counts, of calm machines, what begins later than half a second after its client has left (more than three break the rule), and the runs of repeatable work that would have lasted longer and did (more than a quarter). Each clause has a story that breaks it by a millisecond and one that keeps it. The story has real processes: an agent is stopped, goes on, is killed and started while clients leave runs of 600 ms.

--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -265,6 +265,7 @@
 		Message: Message{Method: r.Method, Host: r.Host, URI: r.RequestURI, Caller: r.Header.Get(callerHeader), Body: hash(body)}}
 	l.b.g.record.ran(run)
 	status := l.work(ctx, run)
+	l.b.g.record.note(func(now time.Duration, _ *Story) { run.Ended = now })
 	if status == 0 {
 		return // the connection has closed, or the life is over
 	}
@@ -280,6 +281,7 @@
 // work runs a request, and returns the status of its answer, 0 for none.
 func (l *life) work(ctx context.Context, r *Run) int {
 	half := time.Duration(float64(l.b.g.opt.Work) * min(4, rand.ExpFloat64()) / 2)
+	l.b.g.record.note(func(now time.Duration, _ *Story) { r.Due = now + 2*half })
 	for i := range 2 {
 		timer := time.NewTimer(half)
 		select {
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -247,6 +247,10 @@
 			}
 		}
 	}
-	g.record.ended(t, a, ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED))
+	if ctx.Err() != nil && a.Status == 0 {
+		g.record.left(t)
+	} else {
+		g.record.ended(t, a, ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED))
+	}
 	return a, after
 }
--- a/internal/mesh/meshtest/judge.go
+++ b/internal/mesh/meshtest/judge.go
@@ -16,13 +16,14 @@
 	Evacuate    time.Duration // after an acknowledged evacuation
 	ApplyWithin time.Duration // after an acknowledged change
 	LossSlack   time.Duration // after its last byte, from which on a request counts as read
+	GoneWithin  time.Duration // after its client has left, in which a request's work ends
 }
 
 // longest is the bound after which all others are over.
 func (t *Terms) longest() time.Duration { return max(t.InTouch, t.Drain, t.Evacuate, t.ApplyWithin) }
 
 // Rules names what Judge judges.
-var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG"}
+var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG", "GONE"}
 
 // Breach is a rule that was broken.
 type Breach struct{ Rule, Proof string }
@@ -65,6 +66,7 @@
 	for _, t := range tries {
 		j.try(t, runs[t.ID])
 	}
+	j.clientsGone(tries, runs)
 	return j.found
 }
 
@@ -127,6 +129,43 @@
 	}
 }
 
+// mostLateBegun is how many requests may reach a backend after their clients have left.
+const mostLateBegun = 3
+
+// clientsGone judges what is done for clients that have left: nothing begins later than the bound,
+// and of the work that may be repeated, and would have lasted beyond it, three quarters end.
+func (j *judge) clientsGone(tries []*Try, runs map[string][]*Run) {
+	if j.Broken {
+		return // a link may hold the close up
+	}
+	begun, lasting, working, last := 0, 0, 0, ""
+	for _, t := range tries {
+		if !t.Left {
+			continue
+		}
+		bound := t.End + j.Terms.GoneWithin
+		for _, r := range runs[t.ID] {
+			switch {
+			case !j.calm(t.Machine, t.Sent, bound) || !j.calm(r.Machine, t.Sent, bound):
+			case r.Began > bound:
+				begun++
+				last = t.ID
+			case t.Kind == Safe && r.Due > bound:
+				if lasting++; r.Ended == 0 || r.Ended > bound {
+					working++
+					last = t.ID
+				}
+			}
+		}
+	}
+	if begun > mostLateBegun {
+		j.breach("GONE", "%d requests began later than %v after their clients had left, the last of them %s", begun, j.Terms.GoneWithin, last)
+	}
+	if 4*working > lasting {
+		j.breach("GONE", "of %d runs %d went on later than %v after their clients had left, the last of them for %s", lasting, working, j.Terms.GoneWithin, last)
+	}
+}
+
 // promises says whether a status says that the request did not run and never will.
 func promises(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
--- a/internal/mesh/meshtest/judge_test.go
+++ b/internal/mesh/meshtest/judge_test.go
@@ -1,6 +1,7 @@
 package meshtest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,6 +37,27 @@
 		}
 	}
 	lost := func(s *Story) { s.Tries["t1"].Answer, s.Runs[0].Answer.Seal = Answer{}, "unseen" }
+	// left has safe work go on for a time after its client has left, 0 for ever.
+	left := func(runs int, goesOn time.Duration) func(*Story) {
+		return func(s *Story) {
+			for n := range runs {
+				try, run := *s.Tries["t1"], *s.Runs[0]
+				try.ID = fmt.Sprint("left", n)
+				try.Kind, try.Answer, try.Silent, try.Left = Safe, Answer{}, true, true
+				run.Try, run.Answer, run.Due = try.ID, Answer{}, try.End+time.Second
+				if goesOn > 0 {
+					run.Ended = try.End + goesOn
+				}
+				s.Tries[try.ID], s.Runs = &try, append(s.Runs, &run)
+			}
+		}
+	}
+	begunLate := func(s *Story) {
+		left(4, time.Second)(s)
+		for _, r := range s.Runs[1:] {
+			r.Began = s.Tries[r.Try].End + terms.GoneWithin + time.Millisecond
+		}
+	}
 	evacuated := func(s *Story) {
 		s.Evacuations = []*Evacuation{{"zone-a", Span{From: 10 * time.Second}}}
 	}
@@ -50,6 +72,13 @@
 		rule   string
 	}{
 		{name: "nothing"},
+		{name: "work for who has left", plant: left(1, 501*time.Millisecond), rule: "GONE",
+			excuse: func(s *Story) { s.Runs[1].Ended -= time.Millisecond }},
+		{name: "work for ever for who has left", plant: left(1, 0), rule: "GONE", excuse: cut("agent-4", false)},
+		{name: "work that would have lasted", plant: left(1, 501*time.Millisecond), rule: "GONE",
+			excuse: func(s *Story) { s.Runs[1].Due = s.Tries["left0"].End + terms.GoneWithin }},
+		{name: "begun for who has left", plant: begunLate, rule: "GONE", excuse: cut("agent-1", false)},
+		{name: "a few begun for who has left", plant: begunLate, rule: "GONE", excuse: func(s *Story) { s.Runs = s.Runs[:4] }},
 		{name: "twice", plant: func(s *Story) { s.Runs = append(s.Runs, s.Runs[0]) }, rule: "TWICE",
 			excuse: func(s *Story) { s.Tries["t1"].Kind = Safe }},
 		{name: "a promise", plant: func(s *Story) { s.Tries["t1"].Answer = Answer{Status: 503} }, rule: "REFUSED",
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -41,6 +41,9 @@
 	os.Exit(code)
 }
 
+// leaving is the story in which work lasts long enough to be left.
+const leaving = "clients leave while an agent is stopped and killed"
+
 // TestCluster has each story under the race of real requests, and judges by what the stand-ins saw.
 func TestCluster(t *testing.T) {
 	dir, err := build()
@@ -54,6 +57,7 @@
 		"two operators send one version":                  twoOperators,
 		"an agent ends in order while the leader is mute": endsInOrder,
 		"a core machine is cut off":                       cutOff,
+		leaving:                                           clientsLeave,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -69,7 +73,11 @@
 				at = filepath.Join(*keepFlag, filepath.Base(t.Name()))
 				require.NoError(t, os.MkdirAll(at, 0o700))
 			}
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond, CoreLinks: cuts})
+			options := Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond, CoreLinks: cuts}
+			if name == leaving {
+				options.Rate, options.Work, options.GiveUp = 4, 600*time.Millisecond, 0.6
+			}
+			g, err := Start(ctx, options)
 			require.NoError(t, err)
 			defer g.Close()
 			story(t, ctx, g)
@@ -125,6 +133,27 @@
 	require.NoError(t, g.Await(ctx, "the next life is listed", m.Backend.heard.Load))
 }
 
+// clientsLeave has an agent stand still for longer than work may go on for nobody, and killed, while
+// clients leave; runs of its clients and of others' end all the same.
+func clientsLeave(t *testing.T, ctx context.Context, g *Cluster) {
+	left := func() (n int) {
+		g.record.note(func(_ time.Duration, s *Story) {
+			for _, try := range s.Tries {
+				if try.Left {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	m := g.Agents[0]
+	for _, trouble := range []func(){m.Stop, m.Continue, m.Kill, func() { require.NoError(t, m.Start()) }} {
+		trouble()
+		from := left()
+		require.NoError(t, g.Await(ctx, "clients leave", func() bool { return left() >= from+10 }))
+	}
+}
+
 func evacuated(t *testing.T, ctx context.Context, g *Cluster) {
 	play(t, ctx, g, "evacuate", 2*time.Second)
 	from := 0
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -41,6 +41,7 @@
 	Sent, End time.Duration // End is 0 while it is under way
 	Answer    Answer
 	Silent    bool // it ended because its time was over, or because nobody took the connection
+	Left      bool // its client closed the connection at End
 }
 
 // Run is one request in work at one life of a backend.
@@ -48,8 +49,9 @@
 	Try string
 	Message
 	Backend, Service, Zone, Machine string
-	Began                           time.Duration
-	Answer                          Answer // as made; Status 0 if none was
+	Began, Ended                    time.Duration // Ended is 0 while it is in work
+	Due                             time.Duration // when it ends if nobody breaks it off
+	Answer                          Answer        // as made; Status 0 if none was
 }
 
 // Span is from when until when something held. An Until of 0 is not yet.
@@ -128,6 +130,11 @@
 	r.note(func(now time.Duration, _ *Story) { t.End, t.Answer, t.Silent = now, a, silent })
 }
 
+// left takes down that a client closes its connection without an answer.
+func (r *record) left(t *Try) {
+	r.note(func(now time.Duration, _ *Story) { t.End, t.Silent, t.Left = now, true, true })
+}
+
 func (r *record) ran(run *Run) {
 	r.note(func(now time.Duration, s *Story) {
 		if run.Began = now; len(s.Runs) >= mostKept {
