Agent: a client's close is seen behind its next request, and before anything is begun

It heard of a hang-up only by its request's context. net/http reads ahead no further than the first byte of a next request, so a close behind that was found when the answer was due; and after the process stood still what waited was begun before the close in the same socket had been read.

internal/hangup now holds what the mesh's sender had of its own: from the first byte read ahead on it waits for the end of the connection itself, and it looks into the socket when asked. A request whose body still comes is watched by its reader, as before.

Ruled out: micaline-manage and the control interface, whose calls run with their request's context and carry out what was asked for once it is taken; a client that leaves does not take an order back.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"example.org/micaline/internal/hangup"
 	"example.org/micaline/internal/tcp"
 )
 
@@ -41,6 +42,7 @@
 // clientConn is one of them. Its fields are guarded by the admission's mutex.
 type clientConn struct {
 	net.Conn
+	watch   *hangup.Watch
 	place   *list.Element // among the silent; nil while a request is open
 	closed  bool          // to make room, or by its server
 	leaving atomic.Bool   // it makes room, unless a request has come: its reader finds out
@@ -62,6 +64,9 @@
 			n, err = tcp.ReadWaiting(c.Conn, b)
 		}
 	}
+	if n > 0 {
+		c.watch.ReadAhead()
+	}
 	if c.inBody.Load() || n == 0 {
 		return n, err
 	}
@@ -113,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: conn}
+	c := &clientConn{Conn: conn, watch: hangup.New(conn)}
 	for {
 		less := a.admit(c)
 		if less == nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -16,6 +16,7 @@
 
 	"example.org/micaline/internal/connpool"
 	"example.org/micaline/internal/handover"
+	"example.org/micaline/internal/hangup"
 	"example.org/micaline/internal/level"
 	"example.org/micaline/internal/settings"
 	"example.org/micaline/policy"
@@ -55,6 +56,7 @@
 	message       message
 	answered      chan answer // holds one, so that the loop never waits for a handler
 	attempt       func()      // for the handler to carry out, if set
+	client        *hangup.Watch
 
 	id policy.RequestID // the loop's
 }
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -70,6 +71,52 @@
 	receive(t, "close of the connection", b.Ended)
 }
 
+// writeRaw sends a request over a connection of its own, as no library does.
+func writeRaw(t *testing.T, a *running) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := a.request("safe", "60000m").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A client that hangs up behind the first bytes of its next request is seen to do so.
+func TestHangupBehindNextRequest(t *testing.T) {
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	c := writeRaw(t, a)
+	receive(t, "request", b.Got)
+	if _, err := c.Write([]byte("GET /safe")); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	receive(t, "close of the connection", b.Ended)
+}
+
+// Nothing is begun for a client whose close waits in its socket, as it does after the process stood
+// still.
+func TestCloseWaitsInSocket(t *testing.T) {
+	b := newBackend(t, func(int, *http.Request) (string, bool) { return "", false })
+	a := agentFor(t, testSettings, b)
+	l := a.agent.loop
+	l.mu.Lock() // all that is decided waits
+	for range 20 {
+		writeRaw(t, a).Close()
+	}
+	c := writeRaw(t, a)
+	l.mu.Unlock()
+	c.Close()
+	a.eventually(t, "nothing is held", func() bool { return a.agent.server.held.Load() == 0 })
+	if n := len(b.Got); n > 1 { // the last may have come before its close
+		t.Errorf("%d requests reached a backend", n)
+	}
+}
+
 // hold has a loop's inputs wait for the test.
 func hold(l *loop) <-chan input {
 	inputs := make(chan input, 8)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -123,6 +123,11 @@
 		return
 	}
 	hangup := input{event: policy.Event{Kind: policy.EventHangup}, call: c}
+	left := make(chan struct{}) // closed if the client leaves behind the first bytes of its next request
+	if rest == nil {
+		c.client = connOf(r).watch
+		defer c.client.Serving(func() { s.loop.send(hangup); close(left) })()
+	}
 	s.loop.send(input{event: policy.Event{Kind: policy.EventRequest}, call: c, by: c})
 	if c.attempt != nil {
 		stop := context.AfterFunc(r.Context(), func() {
@@ -157,6 +162,8 @@
 	case <-failed:
 		s.loop.send(hangup)
 		s.respond(w, answer{status: http.StatusRequestTimeout})
+	case <-left:
+		panic(http.ErrAbortHandler)
 	case <-gone:
 		s.loop.send(hangup)
 		// Danger: a handler that returns without a word answers 200, and a client that has closed only its own
--- a/internal/mesh/outbound/client.go
+++ b/internal/mesh/outbound/client.go
@@ -4,11 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
-	"syscall"
 	"time"
 
-	"example.org/micaline/internal/tcp"
+	"example.org/micaline/internal/hangup"
 )
 
 const (
@@ -38,89 +36,45 @@
 type clientKey struct{}
 
 // clientOf is the connection that a request came over; nil: it is none that can be looked into.
-func clientOf(r *http.Request) *clientConn {
-	c, _ := r.Context().Value(clientKey{}).(*clientConn)
-	return c
+func clientOf(r *http.Request) *hangup.Watch {
+	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok {
+		return c.watch
+	}
+	return nil
 }
 
 type clientListener struct{ net.Listener }
 
-// Accept returns a connection that can be looked into, where it is one of TCP.
+// Accept returns a connection that is watched.
 func (l clientListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if t, ok := c.(*net.TCPConn); ok {
-		if raw, err := t.SyscallConn(); err == nil {
-			return &clientConn{TCPConn: t, raw: raw}, nil
-		}
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	return &clientConn{Conn: c, watch: hangup.New(c)}, nil
 }
 
 // clientConn is a client's connection.
-//
-// While a request is served net/http reads ahead, and ends the request's context when it finds the
-// end of the connection. It stops at the first byte of a next request, though, and would not see
-// the close behind it. From that byte on the connection is watched here.
 type clientConn struct {
-	*net.TCPConn
-	raw syscall.RawConn
-
-	mu       sync.Mutex
-	left     func()        // to be told that the client has left; nil: no request is served
-	watching chan struct{} // closed when the watch is over; nil: there is none
+	net.Conn
+	watch *hangup.Watch
 }
 
-// hungUp says whether the client has closed the connection, also where that waits unread.
-func (c *clientConn) hungUp() bool { return c != nil && tcp.RawHungUp(c.raw) }
-
-// Read reads, and watches the connection if it brings something while a request is served.
+// Read reads, and has the watch know.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.readAhead()
+		c.watch.ReadAhead()
 	}
 	return n, err
 }
 
-// serving has the client's leave told, from when its request is whole until the function that is
-// returned is called.
-func (c *clientConn) serving(left func()) (stop func()) {
-	if c == nil {
-		return func() {}
-	}
-	c.mu.Lock()
-	c.left = left
-	c.mu.Unlock()
-	return c.served
-}
-
-// readAhead takes in that bytes of a next request have come.
-func (c *clientConn) readAhead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.left == nil || c.watching != nil {
-		return
-	}
-	left, over := c.left, make(chan struct{})
-	c.watching = over
-	go func() {
-		defer close(over)
-		if tcp.AwaitHangUp(c.raw) == nil {
-			left()
-		}
-	}()
-}
-
-// served ends the watch, so that the connection can be read again.
-func (c *clientConn) served() {
-	c.mu.Lock()
-	watching := c.watching
-	c.left, c.watching = nil, nil
-	c.mu.Unlock()
-	if watching == nil {
-		return
+// CloseWrite ends what the sender sends. Danger: without it net/http can't end a connection behind
+// the answer to a request that it has not read, and the client's next bytes would make a reset of it
+// that destroys the answer.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
 	}
-	c.SetReadDeadline(time.Unix(1, 0))
-	<-watching
-	c.SetReadDeadline(time.Time{})
+	return nil
 }
--- a/internal/mesh/outbound/job.go
+++ b/internal/mesh/outbound/job.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"example.org/micaline/internal/hangup"
 	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/transport"
 	"example.org/micaline/policy"
@@ -19,7 +20,7 @@
 	aim      time.Time
 	chooser  *chooser
 	call     *call
-	client   *clientConn   // nil: there is none that can be looked into
+	client   *hangup.Watch // nil: there is none that can be looked into
 	over     chan struct{} // closed once no attempt is needed any more
 	inner    bool          // called by a run of a backend
 	repeated bool          // by a run that was a repeat itself
