--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -136,21 +136,10 @@
 // clientsLeave has an agent stand still for longer than work may go on for nobody, and killed, while
 // clients leave; runs of its clients and of others' end all the same.
 func clientsLeave(t *testing.T, ctx context.Context, g *Cluster) {
-	left := func() (n int) {
-		g.record.note(func(_ time.Duration, s *Story) {
-			for _, try := range s.Tries {
-				if try.Left {
-					n++
-				}
-			}
-		})
-		return n
-	}
 	m := g.Agents[0]
 	for _, trouble := range []func(){m.Stop, m.Continue, m.Kill, func() { require.NoError(t, m.Start()) }} {
 		trouble()
-		from := left()
-		require.NoError(t, g.Await(ctx, "clients leave", func() bool { return left() >= from+10 }))
+		awaitLeaves(t, ctx, g, 10)
 	}
 }
 
