Cancelled attempts are nobody's fault where they did not run, and count as left at gates

An attempt that was ended before its body had gone out proved not run, and was told to the module as a gate that is full. Gates' records and counters of failures told a cancelled run as failed.

--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -43,7 +43,9 @@
 		f = meant
 	}
 	if f != nil {
-		h.Failed.Add(1)
+		if f.Reason != transport.Cancelled {
+			h.Failed.Add(1)
+		}
 		h.note(a, f, waited, waited+took)
 		r := h.reply(f)
 		r.Waited, r.Arrived = waited, meant != nil
--- a/internal/mesh/inbound/note.go
+++ b/internal/mesh/inbound/note.go
@@ -15,7 +15,10 @@
 	}
 	h.mu.Unlock()
 	result := "failed"
-	if f.Verdict == transport.NotRun {
+	switch {
+	case f.Reason == transport.Cancelled:
+		result = "left"
+	case f.Verdict == transport.NotRun:
 		result = "refused"
 	}
 	h.Traces.Add(time.Now(), transport.RequestTrace{Side: transport.AtGate, Try: a.Try, Took: took, Caller: a.Caller, Service: service, Unsafe: a.Unsafe,
--- a/internal/mesh/outbound/ending.go
+++ b/internal/mesh/outbound/ending.go
@@ -118,7 +118,7 @@
 // excuse marks the failure of an attempt that was ended from here: it says nothing of its backend. One
 // that a later attempt overtook was silent for long, which does.
 func (j *job) excuse(at *attempt) {
-	if at.fail == nil || at.fail.Verdict != transport.MayHaveRun {
+	if at.fail == nil {
 		return
 	}
 	j.mu.Lock()
