--- /dev/null
+++ b/internal/rollout/answers.go
@@ -0,0 +1,71 @@
+package rollout
+
+import (
+	"time"
+
+	"example.org/micaline/internal/change"
+)
+
+// What instances say to a rollout.
+
+// Answered takes in an instance's answer.
+func (r *Rollout) Answered(now time.Duration, name string, a change.Answer) {
+	m := r.byName[name]
+	if m == nil || !m.asked {
+		return // of a process of this manager that has ended
+	}
+	m.asked = false
+	if m.seen.Epoch != a.Epoch {
+		m.seen = Look{} // what was seen before is of another process
+	}
+	t := m.current()
+	t.Answered(a)
+	if t.Refused && !m.Backing && m.Epoch != a.Epoch {
+		t.Refused = false // it has begun anew since the change was planned, on which that was based
+	}
+	r.note(m)
+	if a.Fenced {
+		r.Supersede(now, a.Err.Error())
+	}
+}
+
+// Supersede ends all sending: another manager has the fleet.
+func (r *Rollout) Supersede(now time.Duration, why string) {
+	if r.Status.Over() || r.Status == Superseded {
+		return
+	}
+	r.Status, r.Reason, r.Ended, r.header = Superseded, why, now, true
+}
+
+// Silent takes in that a request was not answered in time, or its connection ended.
+func (r *Rollout) Silent(name, why string) {
+	m := r.byName[name]
+	if m == nil || !m.asked {
+		return
+	}
+	m.asked = false
+	m.current().Silent(why)
+	r.note(m)
+}
+
+// Looked takes in what an instance shows, and returns a question to it where what became of a commit is not known, or a
+// prepare may have been left there.
+func (r *Rollout) Looked(now time.Duration, name string, l Look) (out []Send) {
+	m := r.byName[name]
+	if m == nil {
+		return nil
+	}
+	m.seen, m.seenAt = l, now
+	if r.Status == Superseded || m.asked {
+		return nil
+	}
+	if m.Target.State == change.Planned && m.Epoch != l.Epoch {
+		// Another process before its turn: it has nothing of what the one before had. It goes back to that all the same.
+		m.Epoch, m.Base = l.Epoch, l.Revision
+		r.note(m)
+	}
+	if t := m.current(); t.State == change.Unknown || t.Loose {
+		out = r.send(out, m, m.current().Settle(), m.Backing)
+	}
+	return out
+}
