The cluster's judge knows three clauses more: tries, time left, give_up

Run on more backends than the route's tries; told more time than there is, by a first or a late further run; under way at its route's give_up and not answered then.

A request that comes while one is worked on is served after it (TestNextRequestWaits).

--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -261,7 +261,7 @@
 		return
 	}
 	defer func() { <-l.slots }()
-	run := &Run{Try: try, Backend: l.id, Service: l.b.m.Service, Zone: l.b.m.Zone, Machine: l.b.m.Name,
+	run := &Run{Try: try, Backend: l.id, Service: l.b.m.Service, Zone: l.b.m.Zone, Machine: l.b.m.Name, Within: time.Duration(left) * time.Millisecond,
 		Message: Message{Method: r.Method, Host: r.Host, URI: r.RequestURI, Caller: r.Header.Get(callerHeader), Body: hash(body)}}
 	l.b.g.record.ran(run)
 	status := l.work(ctx, run)
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	deadline = 3 * time.Second // that clients wait in all
-	mostOut  = 64              // operations under way at one agent
+	deadline = giveUp + time.Second // that clients wait in all
+	mostOut  = 64                   // operations under way at one agent
 	mostTry  = 3
-	upload   = 32 << 10 // bytes of a body that is uploaded, at most
+
+	routeTries = 2                       // of each route
+	giveUp     = 2500 * time.Millisecond // of each route
+	upload     = 32 << 10                // bytes of a body that is uploaded, at most
 )
 
 // kind is what clients ask for.
@@ -60,7 +63,7 @@
 func (g *Cluster) Route(which int, service string, v int) Item {
 	k := kinds[which]
 	return Item{Kind: Routes, Name: "r-" + k.path[1:len(k.path)-1], Version: version(v), Body: map[string]any{"domain": host,
-		"path_start": k.path, "kind": string(k.kind), "give_up": "2500ms", "target_time": "500ms", "rank": 1, "service": service, "tries": 2}}
+		"path_start": k.path, "kind": string(k.kind), "give_up": fmt.Sprint(giveUp.Milliseconds(), "ms"), "target_time": "500ms", "rank": 1, "service": service, "tries": routeTries}}
 }
 
 // Services are the names of the services, of which the first is safe to ask.
@@ -232,6 +235,7 @@
 	r.Header.Set(tryHeader, t.ID)
 	r.Header.Set(leftHeader, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	r.Header.Set(callerHeader, "whoever") // which the mesh sets right
+	t.Within = max(left, time.Millisecond)
 	if !g.record.sent(t) {
 		return a, 0
 	}
--- a/internal/mesh/meshtest/judge.go
+++ b/internal/mesh/meshtest/judge.go
@@ -17,13 +17,16 @@
 	ApplyWithin time.Duration // after an acknowledged change
 	LossSlack   time.Duration // after its last byte, from which on a request counts as read
 	GoneWithin  time.Duration // after its client has left, in which a request's work ends
+	Tries       int           // of each route: backends that one request may run on
+	GiveUp      time.Duration // of each route: when a request that is under way gets its answer
+	Beyond      time.Duration // the time that a backend is told may be longer than there is by this, and an answer later
 }
 
 // longest is the bound after which all others are over.
 func (t *Terms) longest() time.Duration { return max(t.InTouch, t.Drain, t.Evacuate, t.ApplyWithin) }
 
 // Rules names what Judge judges.
-var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG", "GONE"}
+var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG", "GONE", "BUDGET"}
 
 // Breach is a rule that was broken.
 type Breach struct{ Rule, Proof string }
@@ -67,6 +70,8 @@
 		j.try(t, runs[t.ID])
 	}
 	j.clientsGone(tries, runs)
+	j.budgets(tries, runs)
+	j.givenUp(tries)
 	return j.found
 }
 
--- a/internal/mesh/meshtest/judge_test.go
+++ b/internal/mesh/meshtest/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,36 @@
 			r.Began = s.Tries[r.Try].End + terms.GoneWithin + time.Millisecond
 		}
 	}
+	// many adds requests like the first, each with one run more than there are changes of it.
+	many := func(n int, change func(t *Try, r *Run)) func(*Story) {
+		return func(s *Story) {
+			for i := range n {
+				try, run := *s.Tries["t1"], *s.Runs[0]
+				try.ID, try.Kind, try.Within = fmt.Sprint("many", i), Safe, 3*time.Second
+				run.Try, run.Within = try.ID, time.Second
+				try.Answer.Try, run.Answer.Try = try.ID, try.ID
+				again := run
+				change(&try, &again)
+				s.Tries[try.ID], s.Runs = &try, append(s.Runs, &run, &again)
+			}
+		}
+	}
+	onThree := func(t *Try, r *Run) { r.Backend = "b2" }
+	third := func(s *Story) {
+		for _, r := range s.Runs[1:] {
+			if r.Backend == "b2" {
+				other := *r
+				other.Backend = "b3"
+				s.Runs = append(s.Runs, &other)
+			}
+		}
+	}
+	more := func(within time.Duration) func(t *Try, r *Run) {
+		return func(t *Try, r *Run) { r.Within = within }
+	}
+	underWay := func(t *Try, r *Run) {
+		t.Within, t.End = 5*time.Second, t.Sent+terms.GiveUp+terms.Beyond+time.Millisecond
+	}
 	evacuated := func(s *Story) {
 		s.Evacuations = []*Evacuation{{"zone-a", Span{From: 10 * time.Second}}}
 	}
@@ -79,6 +110,22 @@
 			excuse: func(s *Story) { s.Runs[1].Due = s.Tries["left0"].End + terms.GoneWithin }},
 		{name: "begun for who has left", plant: begunLate, rule: "GONE", excuse: cut("agent-1", false)},
 		{name: "a few begun for who has left", plant: begunLate, rule: "GONE", excuse: func(s *Story) { s.Runs = s.Runs[:4] }},
+		{name: "on three backends", plant: func(s *Story) { many(4, onThree)(s); third(s) }, rule: "BUDGET",
+			excuse: func(s *Story) {
+				delete(s.Tries, "many0")
+				s.Runs = slices.DeleteFunc(s.Runs, func(r *Run) bool { return r.Try == "many0" })
+			}},
+		{name: "told more time than there is", plant: many(21, more(3501*time.Millisecond)), rule: "BUDGET",
+			excuse: func(s *Story) { s.Runs[2].Within -= time.Millisecond }},
+		{name: "told no time", plant: many(21, more(0)), rule: "BUDGET", excuse: cut("agent-1", false)},
+		{name: "sent again late with more time", plant: many(21, func(t *Try, r *Run) { r.Began, r.Within = t.Sent+1500*time.Millisecond, 2001*time.Millisecond }), rule: "BUDGET",
+			excuse: func(s *Story) { s.Runs[2].Within -= time.Millisecond }},
+		{name: "no answer at give_up", plant: many(8, underWay), rule: "CONFIG", excuse: func(s *Story) {
+			for _, t := range s.Tries {
+				t.End = t.Sent + terms.GiveUp + terms.Beyond
+			}
+		}},
+		{name: "few under way at give_up", plant: many(8, underWay), rule: "CONFIG", excuse: func(s *Story) { s.Tries["many0"].End -= terms.Beyond + time.Second }},
 		{name: "twice", plant: func(s *Story) { s.Runs = append(s.Runs, s.Runs[0]) }, rule: "TWICE",
 			excuse: func(s *Story) { s.Tries["t1"].Kind = Safe }},
 		{name: "a promise", plant: func(s *Story) { s.Tries["t1"].Answer = Answer{Status: 503} }, rule: "REFUSED",
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -88,7 +88,7 @@
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
 // after a trouble is the usual time: processes come up and elect as quickly as this machine lets them.
 var terms = Terms{InTouch: 3 * time.Second, Drain: 500 * time.Millisecond, Evacuate: time.Second, ApplyWithin: time.Second,
-	LossSlack: 200 * time.Millisecond, GoneWithin: 500 * time.Millisecond}
+	LossSlack: 200 * time.Millisecond, GoneWithin: 500 * time.Millisecond, Tries: routeTries, GiveUp: giveUp, Beyond: 500 * time.Millisecond}
 
 const grace = 4 * time.Second
 
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -39,6 +39,7 @@
 	Kind      Kind
 	Machine   string
 	Sent, End time.Duration // End is 0 while it is under way
+	Within    time.Duration // from Sent on, that its client waits
 	Answer    Answer
 	Silent    bool // it ended because its time was over, or because nobody took the connection
 	Left      bool // its client closed the connection at End
@@ -51,6 +52,7 @@
 	Backend, Service, Zone, Machine string
 	Began, Ended                    time.Duration // Ended is 0 while it is in work
 	Due                             time.Duration // when it ends if nobody breaks it off
+	Within                          time.Duration // from Began on, that the backend was told to have; 0: nothing
 	Answer                          Answer        // as made; Status 0 if none was
 }
 
--- a/internal/mesh/outbound/leave_test.go
+++ b/internal/mesh/outbound/leave_test.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -214,6 +215,31 @@
 	}
 }
 
+// TestNextRequestWaits: a request that comes while one is worked on is served after it, and so is the
+// one after that; who stays loses nothing by being watched.
+func TestNextRequestWaits(t *testing.T) {
+	b := newHoldingBackend(t)
+	_, gate := gateOf(t, b, "b0", 4)
+	s := patientSender(t, 100*time.Second, gate)
+	address, serve := listenFor(t, s)
+	serve()
+	c := ask(t, address, "safe t0")
+	answers := bufio.NewReader(c)
+	for i := range 20 {
+		try := fmt.Sprint("t", i)
+		b.awaitArrival(try)
+		send(t, c, fmt.Sprintf("%s t%d", []string{"unsafe", "safe"}[i%2], i+1))
+		b.answer(try)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, try, string(text))
+	}
+	b.awaitArrival("t20")
+	require.Empty(t, b.dropped)
+}
+
 // TestCloseWaitsInSocket: what a process that stood still finds in its sockets with the close behind
 // it is not begun, by the sender or by the gate.
 func TestCloseWaitsInSocket(t *testing.T) {
