--- a/internal/mesh/meshtest/leaving_test.go
+++ b/internal/mesh/meshtest/leaving_test.go
@@ -23,6 +23,7 @@
 // TestLeavingDays has clients leave at all hours of days whose troubles are drawn by seed, and judges
 // every rule. A machine in trouble is excused, those that call it and that it calls are not.
 func TestLeavingDays(t *testing.T) {
+	t.Parallel()
 	dir, err := build()
 	require.NoError(t, err)
 	for seed := *leavingSeedFlag; seed < *leavingSeedFlag+uint64(*leavingDaysFlag); seed++ {
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -32,7 +32,7 @@
 	flag.Parse()
 	// A story is waiting more than work: one for each core would take long on two.
 	if p := flag.Lookup("test.parallel"); p.Value.String() == p.DefValue {
-		p.Value.Set("4")
+		p.Value.Set("6")
 	}
 	code := m.Run()
 	if dir, _ := build(); dir != "" {
@@ -46,6 +46,7 @@
 
 // TestCluster has each story under the race of real requests, and judges by what the stand-ins saw.
 func TestCluster(t *testing.T) {
+	t.Parallel() // with the days
 	dir, err := build()
 	require.NoError(t, err)
 	for name, story := range map[string]func(t *testing.T, ctx context.Context, g *Cluster){
