Agents log each change of their backend with the call that brought it, and count late calls

Each change of life, gone, back or leaving is a line now, with its cause (beat, sign-off, each also by way of a core machine, probe, not there, silence) and the number of the call; micaline_mesh_gate_backend_changes_total and micaline_mesh_gate_late_calls_total count them. What is decided is as before.

--- a/internal/mesh/inbound/figures.go
+++ b/internal/mesh/inbound/figures.go
@@ -23,6 +23,10 @@
 	for reason, name := range transport.Reasons() {
 		f.Add("micaline_mesh_gate_refused_total", float64(g.Refused[reason]), name) // also 0: the first is seen as a rise
 	}
+	for cause, name := range causeNames {
+		f.Add("micaline_mesh_gate_backend_changes_total", float64(g.Changes[cause]), name)
+	}
+	f.Add("micaline_mesh_gate_late_calls_total", float64(g.LateCalls))
 	capacity := 0
 	if g.backend != nil {
 		capacity = g.backend.Capacity
--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -101,8 +101,12 @@
 	ids      *seenids.Set // of unsafe requests that were handed over, or wait
 	aged     time.Duration
 	lives    [2]uint64 // of this process: the present one, and the one that it went by before
+	changes  []Change  // that nobody has been told of yet
 	// Refused counts by reason.
 	Refused [32]uint64
+	// Changes counts changes of the backend by cause, LateCalls its calls that came behind later ones.
+	Changes   [causes]uint64
+	LateCalls uint64
 }
 
 // New returns a gate that knows no backend.
@@ -120,11 +124,13 @@
 }
 
 // Beat takes in what the backend says of itself, and says whether others should hear of it.
-func (g *Gate) Beat(now time.Duration, b transport.Backend) (news bool) {
+func (g *Gate) Beat(now time.Duration, b transport.Backend, cause Cause) (news bool) {
 	g.step(now)
+	defer g.noteChange(g.backend, cause, b.Calls)()
 	old, last := g.backend, g.last
 	if slices.Contains(g.ended, b.ID) || last != nil && last.ID == b.ID && b.Calls != 0 && b.Calls < last.Calls {
-		return false // a late call
+		g.LateCalls++
+		return false
 	}
 	if last != nil && last.ID == b.ID {
 		b.Draining = b.Draining || last.Draining // who has left does not come back as the same life
@@ -150,8 +156,9 @@
 }
 
 // Left takes in that a life has ended, by its own word or because its address refuses connections.
-func (g *Gate) Left(now time.Duration, id string) (news bool) {
+func (g *Gate) Left(now time.Duration, id string, cause Cause) (news bool) {
 	g.step(now)
+	defer g.noteChange(g.backend, cause, 0)()
 	if g.backend == nil || g.backend.ID != id {
 		return false
 	}
@@ -164,7 +171,7 @@
 func (g *Gate) Tick(now time.Duration) (news bool) {
 	g.step(now)
 	if b := g.backend; b != nil && now-g.heard > deadAfter*g.rules.BeatEvery+g.rules.BeatEvery/2 {
-		return g.Left(now, b.ID)
+		return g.Left(now, b.ID, Silence)
 	}
 	return false
 }
--- a/internal/mesh/inbound/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -138,7 +138,7 @@
 	}
 	y.cold, y.known = y.now+y.truth.ColdLeft, true
 	y.heard = append(y.heard, y.truth)
-	y.gate.Beat(y.at(), y.truth)
+	y.gate.Beat(y.at(), y.truth, BeatHere)
 }
 
 func (y *yard) done() {
@@ -159,7 +159,7 @@
 			if y.truth.Draining {
 				late.Calls = 0 // nor can what is not counted bring it back
 			}
-			y.gate.Beat(y.at(), late)
+			y.gate.Beat(y.at(), late, BeatHere)
 		}
 	case 4: // the next life
 		if y.pick(3) {
@@ -173,7 +173,7 @@
 			y.now += 6 * y.rules.BeatEvery
 			y.gate.Tick(y.at())
 		} else if !y.known {
-			y.gate.Left(y.at(), y.truth.ID)
+			y.gate.Left(y.at(), y.truth.ID, NotThere)
 		}
 	case 6, 7:
 		back := y.rules.Evacuated
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -24,6 +24,7 @@
 	uploads    chan struct{}         // long bodies on their way
 	began      time.Time
 	news       func() // others should hear of the backend; called without the lock
+	observe    func(Change)
 
 	mu       sync.Mutex
 	gate     *Gate
@@ -40,9 +41,14 @@
 	open                     atomic.Bool
 }
 
+// Observe has each change of the backend told to a function, which is called without the lock. It
+// must be called before the host is used.
+func (h *Host) Observe(f func(Change)) { h.observe = f }
+
 // NewHost returns a host whose backend has not been heard.
 func NewHost(r Rules, mostBody int64, budget *transport.ByteBudget, news func()) *Host {
-	h := &Host{budget: budget, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{}}
+	h := &Host{budget: budget, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{},
+		observe: func(Change) {}}
 	h.gate = New(0, r)
 	h.uploads = make(chan struct{}, uploadSlots(r.LinkBps))
 	h.pool = connpool.New(connpool.Options{Network: connpool.TCP{}, ConnectTimeout: connectTime, IdleClose: idleClose, Most: mostConns})
@@ -56,7 +62,11 @@
 func (h *Host) With(f func(now time.Duration, g *Gate) (news bool)) {
 	h.mu.Lock()
 	news := f(h.now(), h.gate)
+	changes := h.gate.takeChanges()
 	h.mu.Unlock()
+	for _, c := range changes {
+		h.observe(c)
+	}
 	if news {
 		h.news()
 	}
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -38,6 +38,10 @@
 	{"micaline_mesh_gate_cold_bound", Gauge, "requests a second", nil, Agent, "what the rules let a cold backend get; 0: no warm-up"},
 	{"micaline_mesh_gate_backend_state", Gauge, "0 or 1", []string{"state"}, Agent, "1 for the state of the backend"},
 
+	{"micaline_mesh_gate_backend_changes_total", Counter, "changes", []string{"cause"}, Agent,
+		"of the backend: another life, gone, back, leaving; by what showed it"},
+	{"micaline_mesh_gate_late_calls_total", Counter, "calls", nil, Agent, "of the backend that came behind later ones, and changed nothing"},
+
 	{"micaline_mesh_agent_ready", Gauge, "0 or 1", nil, Agent, "answers readiness with 200"},
 	{"micaline_mesh_agent_config_index", Gauge, "index", nil, Agent, "index of the configuration that it has; 0: none"},
 	{"micaline_mesh_agent_config_proven_seconds", Gauge, "s", nil, Agent,
--- a/internal/mesh/outbound/path_bench_test.go
+++ b/internal/mesh/outbound/path_bench_test.go
@@ -158,7 +158,7 @@
 			}
 		})
 		life := transport.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: listen(b, backend), Zone: "z", Capacity: width}
-		host.With(func(now time.Duration, g *inbound.Gate) bool { g.Named(1); return g.Beat(now, life) })
+		host.With(func(now time.Duration, g *inbound.Gate) bool { g.Named(1); return g.Beat(now, life, inbound.BeatHere) })
 		view.Stations = append(view.Stations, transport.Heard{Station: transport.Station{Agent: fmt.Sprint("10.0.0.", i), Gate: at, Zone: "z",
 			Life: 1, Seq: 1, Open: true, Backend: &life}})
 	}
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -87,6 +87,7 @@
 		budget = transport.NewByteBudget(int64(set.MemoryMB) << 20 / bodyPart)
 	}
 	a.host = inbound.NewHost(a.rules(), mostBody, budget, a.news)
+	a.host.Observe(a.backendChanged)
 	a.named()
 	a.sender = outbound.New(set, a.host, a.links, budget, l)
 	return a
@@ -173,6 +174,12 @@
 	}
 }
 
+// backendChanged writes down a change of the backend. Each decides what may reach it.
+func (a *Agent) backendChanged(c inbound.Change) {
+	a.log.WithField("id", c.Backend).WithField("state", c.State).WithField("cause", c.Cause.String()).
+		WithField("call", c.Calls).Info("backend")
+}
+
 // own works through the commands.
 func (a *Agent) own(ctx context.Context) {
 	a.say()
--- a/internal/mesh/sidecar/beats.go
+++ b/internal/mesh/sidecar/beats.go
@@ -37,10 +37,10 @@
 			http.Error(w, "the body can't be read whole", http.StatusBadRequest)
 			return
 		}
-		reply(w, a.beat(r.PathValue("id"), false, body))
+		reply(w, a.beat(r.PathValue("id"), inbound.BeatHere, body))
 	})
 	mux.HandleFunc("DELETE /api/servers/{id}", func(w http.ResponseWriter, r *http.Request) {
-		reply(w, a.beat(r.PathValue("id"), true, nil))
+		reply(w, a.beat(r.PathValue("id"), inbound.SignOffHere, nil))
 	})
 	return mux
 }
@@ -57,9 +57,9 @@
 }
 
 // beat takes in a backend's call. What it says holds at the gate before it is acknowledged.
-func (a *Agent) beat(id string, leave bool, body []byte) int {
-	if leave {
-		a.host.With(func(now time.Duration, g *gate) bool { return g.Left(now, id) })
+func (a *Agent) beat(id string, call inbound.Cause, body []byte) int {
+	if call == inbound.SignOffHere || call == inbound.SignOffByCore {
+		a.host.With(func(now time.Duration, g *gate) bool { return g.Left(now, id, call) })
 		return http.StatusOK
 	}
 	var b beat
@@ -75,7 +75,7 @@
 	}
 	a.host.With(func(now time.Duration, g *gate) bool {
 		return g.Beat(now, transport.Backend{ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
-			Capacity: b.Capacity, Draining: b.State != "ready", ColdLeft: max(0, cold), Calls: b.CallCount})
+			Capacity: b.Capacity, Draining: b.State != "ready", ColdLeft: max(0, cold), Calls: b.CallCount}, call)
 	})
 	return http.StatusOK
 }
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/transport"
 )
 
@@ -294,7 +295,11 @@
 		a.follow()
 	}
 	if d.Beat != nil {
-		status := a.beat(d.Beat.ID, d.Beat.Leave, d.Beat.Body)
+		call := inbound.BeatByCore
+		if d.Beat.Leave {
+			call = inbound.SignOffByCore
+		}
+		status := a.beat(d.Beat.ID, call, d.Beat.Body)
 		select {
 		case f.up <- transport.Up{Handed: d.Number, Status: status}:
 			f.wake()
--- a/internal/mesh/sidecar/probe.go
+++ b/internal/mesh/sidecar/probe.go
@@ -45,6 +45,6 @@
 		b.ColdLeft = time.Duration(ms * float64(time.Millisecond))
 	}
 	a.host.With(func(now time.Duration, g *inbound.Gate) bool {
-		return g.Backend(now) == nil && g.Beat(now, b)
+		return g.Backend(now) == nil && g.Beat(now, b, inbound.Probed)
 	})
 }
