--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -61,8 +61,10 @@
 	calls   atomic.Uint64
 	beating sync.Mutex // one call at a time
 	leaving atomic.Bool
-	over    context.Context
-	end     context.CancelFunc
+	// signedOff: the life has said that it ends, and beats no more; guarded by beating.
+	signedOff bool
+	over      context.Context
+	end       context.CancelFunc
 }
 
 func newBackend(g *Cluster, m *Machine) *Backend {
@@ -107,31 +109,59 @@
 // longer, signs off and ends. Between, once an agent has acknowledged the drain, it calls
 // acknowledged, if that is set.
 func (b *Backend) Leave(ctx context.Context, acknowledged func()) error {
+	return b.Depart(ctx, Departure{Acknowledged: acknowledged})
+}
+
+// Departure is how a life ends in order.
+type Departure struct {
+	SignOffFirst bool          // it never says that it drains, and signs off before it serves on
+	LateBeat     time.Duration // after the acknowledgement, when a beat that was begun before comes; 0: none
+	LateByCore   bool          // that beat comes by way of a core machine
+	ServeOn      time.Duration // after the acknowledgement; 0: the bound and a little longer
+	Acknowledged func()        // called then, if it is set
+}
+
+// Depart ends the life in order.
+func (b *Backend) Depart(ctx context.Context, d Departure) error {
 	b.mu.Lock()
 	l := b.life
 	b.mu.Unlock()
 	if l == nil {
 		return fmt.Errorf("the backend of %s is down", b.m.Name)
 	}
+	l.beating.Lock() // a beat behind the call would have it listed again
+	late := l.body("ready")
 	l.leaving.Store(true)
-	for !l.beat(ctx) { // each of which takes its time where nobody answers
+	l.signedOff = d.SignOffFirst
+	l.beating.Unlock()
+	for !l.sayLeaving(ctx, d.SignOffFirst) { // each of which takes its time where nobody answers
 		if ctx.Err() != nil {
-			return fmt.Errorf("the drain of %s was not acknowledged: %w", l.id, ctx.Err())
+			return fmt.Errorf("the leave of %s was not acknowledged: %w", l.id, ctx.Err())
 		}
 	}
-	until := time.NewTimer(b.g.record.story.Terms.Drain + longer)
+	if d.LateBeat > 0 {
+		timer := time.AfterFunc(d.LateBeat, func() { l.sign(l.over, http.MethodPut, late, d.LateByCore) })
+		defer timer.Stop()
+	}
+	serveOn := d.ServeOn
+	if serveOn == 0 {
+		serveOn = b.g.record.story.Terms.Drain + longer
+	}
+	until := time.NewTimer(serveOn)
 	defer until.Stop()
-	if acknowledged != nil {
-		acknowledged()
+	if d.Acknowledged != nil {
+		d.Acknowledged()
 	}
 	select {
 	case <-until.C:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	l.beating.Lock() // a beat behind the call would have it listed again
+	l.beating.Lock()
 	defer l.beating.Unlock()
-	l.sign(ctx, http.MethodDelete, nil)
+	if !d.SignOffFirst {
+		l.sign(ctx, http.MethodDelete, nil, false)
+	}
 	b.Crash()
 	return nil
 }
@@ -161,33 +191,61 @@
 func (l *life) beat(ctx context.Context) bool {
 	l.beating.Lock()
 	defer l.beating.Unlock()
-	if l.over.Err() != nil {
+	if l.over.Err() != nil || l.signedOff {
 		return false
 	}
 	state, leaving := "ready", l.leaving.Load()
 	if leaving {
 		state = "draining"
 	}
+	ok := l.sign(ctx, http.MethodPut, l.body(state), false)
+	if ok && leaving {
+		l.left()
+	}
+	return ok
+}
+
+// sayLeaving says once that the life leaves, and says whether that was acknowledged.
+func (l *life) sayLeaving(ctx context.Context, signOff bool) bool {
+	if !signOff {
+		return l.beat(ctx)
+	}
+	l.beating.Lock()
+	defer l.beating.Unlock()
+	ok := l.sign(ctx, http.MethodDelete, nil, false)
+	if ok {
+		l.left()
+	}
+	return ok
+}
+
+// left takes down that an agent has acknowledged that the life leaves.
+func (l *life) left() {
+	l.b.g.record.note(func(now time.Duration, s *Story) {
+		if _, known := s.Leaves[l.id]; !known {
+			s.Leaves[l.id] = now
+		}
+	})
+}
+
+// body is the life's next call.
+func (l *life) body(state string) []byte {
 	body, err := json.Marshal(map[string]any{"service": l.b.m.Service, "address": l.b.m.reached(appPort), "zone": l.b.m.Zone, "version": "v1",
 		"capacity": capacity, "state": state, "warmup_left": "0ms", "call_count": l.calls.Add(1)})
 	if err != nil {
 		panic(err) // plain fields always encode
 	}
-	ok := l.sign(ctx, http.MethodPut, body)
-	if ok && leaving {
-		l.b.g.record.note(func(now time.Duration, s *Story) {
-			if _, known := s.Leaves[l.id]; !known {
-				s.Leaves[l.id] = now
-			}
-		})
-	}
-	return ok
+	return body
 }
 
 // sign makes a call about the life at its own agent, and at core machines if that brings no
-// acknowledgement.
-func (l *life) sign(ctx context.Context, method string, body []byte) bool {
-	for _, m := range append([]*Machine{l.b.m}, l.b.g.Cores...) {
+// acknowledgement, or only there.
+func (l *life) sign(ctx context.Context, method string, body []byte, byCore bool) bool {
+	machines := append([]*Machine{l.b.m}, l.b.g.Cores...)
+	if byCore {
+		machines = l.b.g.Cores
+	}
+	for _, m := range machines {
 		one, cancel := context.WithTimeout(ctx, callFor)
 		status, _ := call(one, l.b.client, method, "http://"+m.at(controlPort)+"/api/servers/"+l.id, body)
 		cancel()
