LOST of a leaving agent brought about: clients that stay until the process is gone

The judge knows LOST's clause around SIGTERM: a request that is answered by the process itself while its backend is at work, but for the last sixth of grace of one that was sent early; kept and broken by a hair.

--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -324,8 +324,9 @@
 	l.b.g.record.ran(run)
 	status := l.work(ctx, run)
 	l.b.g.record.note(func(now time.Duration, _ *Story) { run.Ended = now })
-	if status == 0 {
-		return // the connection has closed, or the life is over
+	if status == 0 { // the connection has closed, or the life is over
+		l.b.g.record.note(func(time.Duration, *Story) { run.BackendEnded = l.over.Err() != nil })
+		return
 	}
 	answer := bytes.Repeat([]byte(try), 1+rand.N(mostAnswer/max(1, len(try))))
 	a := Answer{Status: status, Try: try, Seal: fmt.Sprintf("%016x", rand.Uint64()), Length: len(answer), Body: hash(answer)}
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -143,7 +143,7 @@
 			return
 		case <-wait.C:
 		}
-		if !c.m.in.Load() {
+		if !c.m.in.Load() && !c.g.opt.Persistent {
 			continue
 		}
 		select {
--- a/internal/mesh/meshtest/judge.go
+++ b/internal/mesh/meshtest/judge.go
@@ -16,6 +16,8 @@
 	Evacuate    time.Duration // after an acknowledged evacuation
 	ApplyWithin time.Duration // after an acknowledged change
 	LossSlack   time.Duration // after its last byte, from which on a request counts as read
+	Grace       time.Duration // that a process has from SIGTERM on
+	EarlySent   time.Duration // after it, in which a request is sent that may be broken off in the last sixth of Grace
 	GoneWithin  time.Duration // after its client has left, in which a request's work ends
 	Tries       int           // of each route: backends that one request may run on
 	GiveUp      time.Duration // of each route: when a request that is under way gets its answer
@@ -68,6 +70,7 @@
 	slices.SortFunc(tries, func(x, y *Try) int { return cmp.Or(cmp.Compare(x.Sent, y.Sent), strings.Compare(x.ID, y.ID)) })
 	for _, t := range tries {
 		j.try(t, runs[t.ID])
+		j.brokenOff(t, runs[t.ID])
 	}
 	j.clientsGone(tries, runs)
 	j.budgets(tries, runs)
--- a/internal/mesh/meshtest/judge_test.go
+++ b/internal/mesh/meshtest/judge_test.go
@@ -37,6 +37,17 @@
 			s.Troubles = append(s.Troubles, &Trouble{Machine: machine, Core: core, Span: Span{17 * time.Second, 17500 * time.Millisecond}})
 		}
 	}
+	// brokenOff has a request sent so long after its machine was told to end, and answered by that so
+	// long after the last sixth of its time began.
+	brokenOff := func(end, sent time.Duration) func(*Story) {
+		return func(s *Story) {
+			told := 30 * time.Second
+			s.Troubles = append(s.Troubles, &Trouble{Machine: "agent-1", Planned: true, Span: Span{told, told + grace}})
+			t := s.Tries["t1"]
+			t.Sent, t.End, t.Within, t.Answer = told+sent, told+grace*5/6+end, time.Minute, Answer{Status: 504, Try: "t1"}
+			s.Runs[0].Answer, s.Runs[0].Began, s.Runs[0].Ended = Answer{}, t.Sent, t.End
+		}
+	}
 	lost := func(s *Story) { s.Tries["t1"].Answer, s.Runs[0].Answer.Seal = Answer{}, "unseen" }
 	// left has safe work go on for a time after its client has left, 0 for ever.
 	left := func(runs int, goesOn time.Duration) func(*Story) {
@@ -139,6 +150,10 @@
 			}},
 		{name: "cut short", plant: func(s *Story) { s.Tries["t1"].Answer.Length-- }, rule: "MIXED"},
 		{name: "an answer to another", plant: func(s *Story) { s.Tries["t1"].Answer.Try = "t2" }, rule: "MIXED"},
+		{name: "broken off late", plant: brokenOff(30*time.Millisecond, grace/2+30*time.Millisecond), rule: "LOST", excuse: func(s *Story) { s.Tries["t1"].Sent = s.Troubles[0].From + grace/2 }},
+		{name: "broken off before the last sixth", plant: brokenOff(-30*time.Millisecond, grace/2-30*time.Millisecond), rule: "LOST", excuse: func(s *Story) { s.Tries["t1"].End = s.Troubles[0].From + grace*5/6 }},
+		{name: "broken off, and the backend ends", plant: brokenOff(0, grace/2+time.Millisecond), rule: "LOST", excuse: func(s *Story) { s.Runs[0].BackendEnded = true }},
+		{name: "broken off, and the time is over", plant: brokenOff(0, grace/2+time.Millisecond), rule: "LOST", excuse: func(s *Story) { s.Tries["t1"].Within = s.Tries["t1"].End - s.Tries["t1"].Sent }},
 		{name: "no answer", plant: lost, rule: "LOST", excuse: cut("agent-1", false)},
 		{name: "no answer in time", plant: lost, rule: "LOST", excuse: func(s *Story) { s.Tries["t1"].Silent = true }},
 		{name: "no answer at a planned end", plant: func(s *Story) {
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"example.org/micaline/internal/childprocess"
@@ -208,6 +209,13 @@
 	return inTime
 }
 
+// Reload tells the process that its settings have changed.
+func (m *Machine) Reload() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.proc.Signal(syscall.SIGHUP)
+}
+
 // Wipe takes the disk of a process that is down.
 func (m *Machine) Wipe() error { return os.RemoveAll(m.disk()) }
 
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -64,6 +64,7 @@
 	AgentLinks bool          // clients, gates and backends are reached through links that can be broken
 	Seed       uint64        // of the links' faults
 	GiveUp     float64       // share of the tries that a client gives up early
+	Persistent bool          // clients use their machine's agent until its process is gone, whatever its readiness says
 	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
@@ -88,7 +89,7 @@
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
 // after a trouble is the usual time: processes come up and elect as quickly as this machine lets them.
 var terms = Terms{InTouch: 3 * time.Second, Drain: 500 * time.Millisecond, Evacuate: time.Second, ApplyWithin: time.Second,
-	LossSlack: 200 * time.Millisecond, GoneWithin: 500 * time.Millisecond, Tries: routeTries, GiveUp: giveUp, Beyond: 500 * time.Millisecond}
+	LossSlack: 200 * time.Millisecond, Grace: grace, EarlySent: grace / 2, GoneWithin: 500 * time.Millisecond, Tries: routeTries, GiveUp: giveUp, Beyond: 500 * time.Millisecond}
 
 const grace = 4 * time.Second
 
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -53,6 +53,7 @@
 	Began, Ended                    time.Duration // Ended is 0 while it is in work
 	Due                             time.Duration // when it ends if nobody breaks it off
 	Within                          time.Duration // from Began on, that the backend was told to have; 0: nothing
+	BackendEnded                    bool          // the life that had it in work ended
 	Answer                          Answer        // as made; Status 0 if none was
 }
 
