--- a/internal/mesh/outbound/attempt.go
+++ b/internal/mesh/outbound/attempt.go
@@ -47,7 +47,7 @@
 	if ask.Repeat = j.repeated || n > 0; n > 0 {
 		s.Count.Repeats.Add(1)
 	}
-	ask.Target, ask.Life, ask.Left, ask.Aim = t.backend, t.life, left, j.aim.Sub(at.began)
+	ask.Target, ask.Life, ask.Left, ask.Aim = t.backend, t.life, j.backendTime(at.began), j.aim.Sub(at.began)
 	if t.local {
 		s.Count.Local.Add(1)
 		at.reply, at.body, at.fail = s.local(j, &ask)
@@ -64,6 +64,15 @@
 	return at
 }
 
+// backendTime is how long a backend that gets the request now may work on it.
+func (j *job) backendTime(now time.Time) time.Duration {
+	left := j.deadline.Sub(now)
+	if j.doneBy.IsZero() {
+		return left
+	}
+	return max(min(left, j.doneBy.Sub(now)), time.Millisecond)
+}
+
 // local hands a request to the gate on this machine. Danger: a backend that is silent would have the process end with the request
 // unanswered, so it is waited for only until then. Where a client has left, the gate knows what ends and what goes on.
 func (s *Sender) local(j *job, ask *transport.Request) (*transport.Reply, []byte, *transport.Failure) {
--- a/internal/mesh/outbound/job.go
+++ b/internal/mesh/outbound/job.go
@@ -18,6 +18,7 @@
 	body     []byte
 	deadline time.Time
 	aim      time.Time
+	doneBy   time.Time // the process ends: backends are given no more time than until then; zero: it does not
 	chooser  *chooser
 	call     *call
 	client   *hangup.Watch // nil: there is none that can be looked into
--- a/internal/mesh/outbound/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -60,7 +60,7 @@
 	over    bool
 	serves  map[string]*chooser
 	agents  int
-	leaving atomic.Bool
+	leaving atomic.Pointer[Departure] // nil: it was not told to end
 	held    atomic.Int64
 	ages    ages
 	began   time.Time
@@ -93,10 +93,11 @@
 // View returns what the sender knows, nil if it knows nothing.
 func (s *Sender) View() *View { return s.view.Load() }
 
-// Leave has it tell clients to go elsewhere; what comes is still served, until a time at which all that is in hand gets its answer.
-func (s *Sender) Leave(end time.Time) {
-	s.leaving.Store(true)
-	time.AfterFunc(time.Until(end), func() {
+// Leave has it tell clients to go elsewhere, and serve what comes all the same as far as the schedule
+// lets it.
+func (s *Sender) Leave(d Departure) {
+	s.leaving.Store(&d)
+	time.AfterFunc(time.Until(d.GiveUp), func() {
 		s.mu.Lock()
 		s.over = true
 		jobs := slices.Collect(maps.Keys(s.jobs))
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -39,7 +39,7 @@
 	s.held.Add(1)
 	defer s.held.Add(-1)
 	s.Count.Taken.Add(1)
-	if s.leaving.Load() {
+	if s.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if !s.route(w, r) {
@@ -116,6 +116,12 @@
 	w.job = j
 	left, told := timeLeft(r.Header, route.GiveUp)
 	now := time.Now()
+	if doneBy, ok := s.leaving.Load().bounds(now, aimOf(route)); !ok {
+		left = 0
+	} else if !doneBy.IsZero() {
+		j.doneBy = doneBy
+		left = min(left, doneBy.Add(answerBack/2).Sub(now))
+	}
 	j.deadline, j.aim = now.Add(left), now.Add(route.TargetTime)
 	j.request = transport.Request{
 		Try: r.Header.Get(inbound.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
--- a/internal/mesh/outbound/serve_test.go
+++ b/internal/mesh/outbound/serve_test.go
@@ -294,7 +294,8 @@
 			})
 			s.SetView(&view)
 		}
-		s.Leave(time.Now().Add(30 * time.Millisecond))
+		end := time.Now().Add(30 * time.Millisecond)
+		s.Leave(Departure{TakeUntil: end, DoneBy: end, GiveUp: end})
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, request("POST", "/unsafe/", "t", nil))
 		require.Equal(t, 504, w.Code, "local: %v", local)
--- a/internal/mesh/sidecar/leave.go
+++ b/internal/mesh/sidecar/leave.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"example.org/micaline/internal/mesh/outbound"
 )
 
 const (
@@ -40,22 +42,25 @@
 }
 
 // leave ends the process in order: clients are told by readiness first, which takes two missed calls,
-// and other agents by the station; what comes meanwhile is served, and what is in hand is ended.
+// and other agents by the station; what comes meanwhile is served by the schedule, and what is in
+// hand is ended. It ends at once when nothing is in hand and clients have been kept away.
 func (a *Agent) leave(out *http.Server) {
 	began := time.Now()
 	a.log.Info("agent told to end")
 	a.went.Store(true)
 	a.news()
-	end := began.Add(a.set.Bounds.Grace - 700*time.Millisecond)
-	a.sender.Leave(end.Add(-200 * time.Millisecond))
-	for now := began; now.Before(end) && !a.mayEnd(now, began); now = time.Now() {
+	schedule := outbound.NewDeparture(began, a.set.Bounds.Grace)
+	a.sender.Leave(schedule)
+	closing := time.AfterFunc(time.Until(schedule.TakeUntil), a.host.Close)
+	defer closing.Stop()
+	for now := began; now.Before(schedule.End) && !a.mayEnd(now, began); now = time.Now() {
 		time.Sleep(50 * time.Millisecond)
 	}
 	a.host.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(300*time.Millisecond))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.Gone)
 	defer cancel()
 	out.Shutdown(ctx)
-	for time.Now().Before(end) && a.host.Held() > 0 {
+	for time.Now().Before(schedule.End) && a.host.Held() > 0 {
 		time.Sleep(20 * time.Millisecond)
 	}
 	a.log.WithField("after", time.Since(began).Round(time.Millisecond).String()).Info("agent ended")
