Cluster tests: a backend listens again where a process being started holds its listener

TestDepartingDays failed 1 of 50 by 'bind: address already in use' on the address of the life before. Cause: Go forks without holding up closes, so between a child's fork and its exec it holds a copy of the listener. Start tries again for a second, on that error alone.

--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -13,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -78,7 +80,7 @@
 	if b.life != nil {
 		return fmt.Errorf("the backend of %s runs already", b.m.Name)
 	}
-	listener, err := net.Listen("tcp4", b.m.at(appPort))
+	listener, err := listenAgain(b.m.at(appPort))
 	if err != nil {
 		return err
 	}
@@ -92,6 +94,20 @@
 	return nil
 }
 
+// listenAgain listens at an address where a listener has just been closed. Danger: a process that is
+// being started holds a copy of that listener between its fork and its exec, so the address may be in
+// use for a moment more.
+func listenAgain(address string) (net.Listener, error) {
+	until := time.Now().Add(time.Second)
+	for {
+		listener, err := net.Listen("tcp4", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return listener, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Crash ends the life without a word.
 func (b *Backend) Crash() {
 	b.mu.Lock()
