--- a/internal/mesh/meshtest/departing_test.go
+++ b/internal/mesh/meshtest/departing_test.go
@@ -14,7 +14,7 @@
 )
 
 var (
-	departingDaysFlag = flag.Int("departing-days", 1, "that TestDepartingDays plays")
+	departingDaysFlag = flag.Int("departing-days", 3, "that TestDepartingDays plays")
 	departingSeedFlag = flag.Uint64("departing-seed", 1, "of the first of them")
 )
 
--- a/internal/mesh/meshtest/planned_test.go
+++ b/internal/mesh/meshtest/planned_test.go
@@ -14,7 +14,7 @@
 )
 
 var (
-	plannedDaysFlag   = flag.Int("planned-days", 1, "that TestPlannedDays plays")
+	plannedDaysFlag   = flag.Int("planned-days", 3, "that TestPlannedDays plays")
 	plannedSeedFlag   = flag.Uint64("planned-seed", 1, "of the first of them")
 	plannedAgentsFlag = flag.Int("planned-agents", 6, "of TestPlannedDays")
 )
