--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -17,7 +17,6 @@
 package inbound
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -54,31 +53,6 @@
 	return int(max(1, min(r.WarmupPerS*1.1+r.Margin*0.3, bound-2)))
 }
 
-// Ticket is a request's place at the gate.
-type Ticket struct {
-	order   order
-	due     time.Duration // its aim
-	try     string
-	unsafe  bool
-	waiting bool
-	began   time.Duration
-	Grant   func(ok bool, f *transport.Failure) // called when a waiting ticket's turn has come, or never will
-}
-
-// order is who goes first: what backends call, as a run of another waits for it and holds a slot; then what may yet be in time, then
-// what is late; of each the one that is due first.
-type order uint8
-
-const (
-	inner order = iota
-	inTime
-	late
-)
-
-func (t *Ticket) before(o *Ticket) int {
-	return cmp.Or(cmp.Compare(t.order, o.order), cmp.Compare(t.due, o.due))
-}
-
 // Gate is the machine. It is not safe for concurrent use.
 type Gate struct {
 	rules    Rules
@@ -121,83 +95,6 @@
 	g.names = [2]uint64{life, g.names[0]}
 }
 
-// Beat takes in what the backend says of itself, and says whether others should hear of it.
-func (g *Gate) Beat(now time.Duration, b transport.Backend, cause Cause) (news bool) {
-	g.step(now)
-	old := g.lives.serving
-	defer g.noteChange(old, cause, b.Calls)()
-	switch g.lives.beat(now, b) {
-	case beatLate:
-		g.LateCalls++
-		return false
-	case beatUnproven:
-		return false
-	}
-	return g.served(old)
-}
-
-// Unproven says whether the backend should be asked who it is, as its calls may be late, or nothing has been heard of it. The answer
-// goes to Vouch, with the changes as of now.
-func (g *Gate) Unproven() (changes uint64, ask bool) {
-	return g.lives.changes, g.lives.unproven != nil || g.lives.serving == nil && g.lives.last == nil
-}
-
-// Vouch takes in a life's answer to a health probe, by which it is well and does not leave, and says whether others should hear of it.
-func (g *Gate) Vouch(now time.Duration, changes uint64, b transport.Backend) (news bool) {
-	g.step(now)
-	old := g.lives.serving
-	defer g.noteChange(old, Probed, 0)()
-	return g.lives.vouch(changes, b) && g.served(old)
-}
-
-// served goes by what is served now, in place of what was.
-func (g *Gate) served(old *transport.Backend) (news bool) {
-	b := g.lives.serving
-	wasCold := g.cold > g.now
-	g.heard, g.cold = g.now, g.now+b.ColdLeft
-	if old == nil || old.ID != b.ID {
-		g.recent, g.rate, g.errors = 0, meter{}, meter{}
-	}
-	if old != nil && old.ID != b.ID {
-		g.refuseWaiting(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Unknown})
-	} else if f := g.shut(); f != nil {
-		g.refuseWaiting(f)
-	}
-	return old == nil || old.ID != b.ID || old.Draining != b.Draining || old.Service != b.Service ||
-		old.Capacity != b.Capacity || wasCold != (b.ColdLeft > 0)
-}
-
-// SignOff takes in a life's own word that it ends, which is final, and says whether others should hear of it.
-func (g *Gate) SignOff(now time.Duration, id string, cause Cause) (news bool) {
-	g.step(now)
-	defer g.noteChange(g.lives.serving, cause, 0)()
-	if !g.lives.signOff(id) {
-		return false
-	}
-	g.refuseWaiting(g.shut())
-	return true
-}
-
-// Lost takes in that a life is silent, or not where it was, and says whether others should hear of it. Its next beat brings it back.
-func (g *Gate) Lost(now time.Duration, id string, cause Cause) (news bool) {
-	g.step(now)
-	defer g.noteChange(g.lives.serving, cause, 0)()
-	if !g.lives.lose(id) {
-		return false
-	}
-	g.refuseWaiting(g.shut())
-	return true
-}
-
-// Tick lets time pass: a backend that has said nothing and answered nothing for long is gone.
-func (g *Gate) Tick(now time.Duration) (news bool) {
-	g.step(now)
-	if b := g.lives.serving; b != nil && now-g.heard > deadAfter*g.rules.BeatEvery+g.rules.BeatEvery/2 {
-		return g.Lost(now, b.ID, Silence)
-	}
-	return false
-}
-
 // Configure takes in new rules. Danger: a backend may have become cold while its zone was evacuated and has not said so yet,
 // so it counts as cold until it says that it is not.
 func (g *Gate) Configure(now time.Duration, r Rules) (news bool) {
@@ -214,57 +111,6 @@
 	return news
 }
 
-// Backend returns what is known of the backend, with what is left of its warm-up; nil if there is none.
-func (g *Gate) Backend(now time.Duration) *transport.Backend {
-	if g.lives.serving == nil {
-		return nil
-	}
-	b := *g.lives.serving
-	b.ColdLeft = max(0, g.cold-now)
-	return &b
-}
-
-// Admit decides about a request: it may be handed over at once (nil, nil), waits (a ticket), or is refused.
-func (g *Gate) Admit(now time.Duration, a *transport.Request) (*Ticket, *transport.Failure) {
-	g.step(now)
-	if f := g.may(a); f != nil {
-		return nil, g.refuse(f)
-	}
-	t := &Ticket{order: inTime, due: now + a.Aim, try: a.Try, unsafe: a.Unsafe, began: now}
-	if a.Inner {
-		t.order = inner
-	} else if a.Aim.Seconds() < g.recent {
-		t.order = late
-	}
-	if len(g.waiting) == 0 && g.hasCapacity() {
-		if f := g.dispatch(t); f != nil {
-			return nil, g.refuse(f)
-		}
-		return nil, nil
-	}
-	// What it would wait for is no use to it: others may have room now.
-	i := len(g.waiting)
-	for i > 0 && t.before(g.waiting[i-1]) < 0 {
-		i--
-	}
-	most := queueSlots * max(1, g.lives.serving.Capacity)
-	full := &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: max(g.wait(1), g.wait(i+1)-a.Patient)}
-	if g.wait(i+1) > a.Patient || i >= most {
-		return nil, g.refuse(full)
-	}
-	for n := len(g.waiting); n >= most; n = len(g.waiting) { // the last gives way; several if the backend takes fewer now
-		last := g.waiting[n-1]
-		g.waiting = g.waiting[:n-1]
-		g.settle(last, g.refuse(full))
-	}
-	t.waiting = true
-	if t.unsafe { // the same id has no other place here
-		g.ids.Add(t.try)
-	}
-	g.waiting = slices.Insert(g.waiting, i, t)
-	return t, nil
-}
-
 // Offer decides whether a body may come. What is refused here has not been carried for nothing: a body behind so many that it would
 // be late fares better at another gate.
 func (g *Gate) Offer(now time.Duration, a *transport.Request) *transport.Failure {
@@ -293,31 +139,6 @@
 	}
 }
 
-// Abandon takes a ticket back that has waited for too long, or whose caller has gone. It says false if its turn has come meanwhile.
-func (g *Gate) Abandon(now time.Duration, t *Ticket, why transport.Reason) bool {
-	g.step(now)
-	if !t.waiting {
-		return false
-	}
-	g.unqueue(t, false)
-	g.waiting = slices.DeleteFunc(g.waiting, func(o *Ticket) bool { return o == t })
-	g.Refused[why]++
-	return true
-}
-
-// unqueue ends a ticket's wait. What was not handed over may come again.
-func (g *Gate) unqueue(t *Ticket, handed bool) {
-	if t.waiting = false; t.unsafe && !handed {
-		g.ids.Remove(t.try)
-	}
-}
-
-// settle ends a ticket's wait and tells its holder: it is handed over, or refused.
-func (g *Gate) settle(t *Ticket, f *transport.Failure) {
-	g.unqueue(t, f == nil)
-	t.Grant(f == nil, f)
-}
-
 // Done takes in how a request that was handed over ended: how long the backend took, and whether it answered well, and hands
 // over who waits.
 func (g *Gate) Done(now, took time.Duration, answered, well bool) {
@@ -356,19 +177,6 @@
 	}
 }
 
-// next hands over those who wait, as far as there is room.
-func (g *Gate) next() {
-	for len(g.waiting) > 0 && g.lives.serving != nil && g.hasCapacity() {
-		t := g.waiting[0]
-		g.waiting = slices.Delete(g.waiting, 0, 1)
-		f := g.dispatch(t)
-		if f != nil {
-			f = g.refuse(f)
-		}
-		g.settle(t, f)
-	}
-}
-
 // Load is what others are told of the backend.
 func (g *Gate) Load(now time.Duration) transport.Load {
 	return transport.Load{
@@ -379,11 +187,6 @@
 
 func (g *Gate) hasCapacity() bool { return g.inFlight < max(1, g.lives.serving.Capacity) }
 
-// wait is how long the n-th of those who wait will.
-func (g *Gate) wait(n int) time.Duration {
-	return time.Duration(float64(n) / float64(max(1, g.lives.serving.Capacity)) * g.recent * float64(time.Second))
-}
-
 // shut says why nothing at all is handed over.
 func (g *Gate) shut() *transport.Failure {
 	switch {
@@ -448,13 +251,6 @@
 	return f
 }
 
-func (g *Gate) refuseWaiting(f *transport.Failure) {
-	for _, t := range g.waiting {
-		g.settle(t, g.refuse(f))
-	}
-	g.waiting = g.waiting[:0]
-}
-
 // step lets time pass.
 func (g *Gate) step(now time.Duration) {
 	g.now = max(g.now, now)
@@ -469,28 +265,3 @@
 		g.peaks[0], g.peaks[1] = 0, g.peaks[0]
 	}
 }
-
-// meter counts what happens in a second, over the last two.
-type meter struct {
-	from       time.Duration
-	last, this float64
-}
-
-func (m *meter) add(now time.Duration) {
-	m.roll(now)
-	m.this++
-}
-
-func (m *meter) roll(now time.Duration) {
-	if d := now - m.from; d >= 2*time.Second {
-		*m = meter{from: now}
-	} else if d >= time.Second {
-		m.from, m.last, m.this = m.from+time.Second, m.this, 0
-	}
-}
-
-func (m *meter) perSecond(now time.Duration) float64 {
-	m.roll(now)
-	part := (now - m.from).Seconds()
-	return m.this + m.last*(1-part)
-}
