Votes for the losses that are to be borne, spread over zones; more than 16 peers

Three of 15 and 18 core machines voted whatever tolerate.machines says: with two, what was acknowledged on two of three disks is gone when those two are. The voters were the seeds, wherever they stand, so one zone could take the majority. And a core machine spoke to 16 others at most: with 18, messages to the last one were dropped for ever.

Now 2 x tolerate.machines + 1 vote, at least three, in the zones with the fewest votes; the most crowded zone gives a vote up, never the leader's own. Of 64 peers the one that was used least recently gives way.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -50,6 +50,8 @@
 	Log        log.Interface
 	Tick       time.Duration // the coarseness of timers; 0: 50 ms
 	Replace    time.Duration // how long a voter is unheard before a caught-up learner takes its place; 0: 2 s
+	Voters     int           // how many there are to be; see VotersToBear
+	Zone       string        // in which the node stands: votes are spread over zones; empty: unknown
 	OnChange   func(Status)  // leader or membership changed; called from the node's goroutine, must not block
 
 	disk func(disk) disk // stands between the node and its store, for tests
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -59,8 +59,8 @@
 
 	mostPending   = 512       // proposals and reads of one node
 	mostReads     = 1024      // that a leader keeps, of all nodes
-	mostLearners  = 16        //
-	mostKnown     = 32        // addresses that a learner asks
+	mostLearners  = 64        //
+	mostKnown     = 64        // addresses that a learner asks
 	mostOrigins   = 64        // lives of processes whose proposals a leader tells apart
 	mostMessage   = 64 << 10  // bytes of entries in one message, so that heartbeats don't wait long behind it
 	mostInFlight  = 512 << 10 // bytes of entries that a follower hasn't acknowledged
@@ -107,6 +107,8 @@
 	Seeds   []string
 	Life    uint64 // a number that no other process has had
 	Replace time.Duration
+	Voters  int    // how many there are to be; fewer than there are seeds: as many as those
+	Zone    string // in which this node stands; empty: unknown
 	Rand    *rand.Rand
 	State   State
 	TableAt uint64 // what the table holds already: more than the disk, after that had failed
@@ -211,8 +213,11 @@
 	adopted  time.Duration // when a leader last replicated to this very disk
 
 	departure departure
-	incoming  *incoming // the snapshot that is being received
-	chunk     int       // bytes of one that are sent at a time
+	incoming  *incoming         // the snapshot that is being received
+	voters    int               // that there are to be
+	zone      string            // of this node,
+	zones     map[string]string // and of others, by address
+	chunk     int               // bytes of one that are sent at a time
 
 	pending      []pending // proposals, in order
 	pendingReads []pendingRead
@@ -225,7 +230,7 @@
 func New(c Config) *Machine {
 	m := &Machine{self: c.Self, seeds: c.Seeds, life: c.Life, replace: c.Replace, rng: c.Rand, disk: c.State.Disk,
 		founder: c.State.Founder, hard: c.State.Hard, began: c.State.Hard.Term, snapshot: c.State.Snapshot, tableAt: c.TableAt,
-		compact: compactAfter, chunk: mostChunk, syncedTerm: c.State.Hard.Term}
+		voters: c.Voters, zone: c.Zone, zones: map[string]string{}, compact: compactAfter, chunk: mostChunk, syncedTerm: c.State.Hard.Term}
 	if m.replace == 0 {
 		m.replace = defaultReplace
 	}
@@ -318,6 +323,7 @@
 		m.foreign++ // indexes and terms of another mesh mean nothing here
 		return
 	}
+	m.learnZone(msg)
 	switch msg.Kind {
 	case PreVote, Vote:
 		m.onVote(msg)
@@ -459,7 +465,7 @@
 func (m *Machine) promise(msg Message) { m.held = append(m.held, m.signed(msg)) }
 
 func (m *Machine) signed(msg Message) Message {
-	msg.From, msg.Disk, msg.Founder, msg.Mesh = m.self, m.disk, m.founder, m.log.mesh()
+	msg.From, msg.Disk, msg.Founder, msg.Mesh, msg.Zone = m.self, m.disk, m.founder, m.log.mesh(), m.zone
 	if msg.Term == 0 {
 		msg.Term = m.hard.Term
 	}
--- a/internal/mesh/consensus/members.go
+++ b/internal/mesh/consensus/members.go
@@ -31,7 +31,8 @@
 		return
 	}
 	next := members
-	if next.Voters = m.withKnownDisks(members.Voters); !slices.Equal(next.Voters, members.Voters) {
+	next.Voters, next.Target = m.withKnownDisks(members.Voters), max(members.Target, m.voters)
+	if !slices.Equal(next.Voters, members.Voters) || next.Target != members.Target {
 		m.appendMembers(next) // the same machines, so no quorum changes
 		return
 	}
@@ -52,22 +53,19 @@
 	m.appendMembers(members)
 }
 
-// nextVoters are the voters as they should be by now.
+// nextVoters are the voters as they should be by now. Votes are given to learners in the zones that
+// have the fewest.
 func (m *Machine) nextVoters(members Members) []Member {
 	ready := m.readyLearners()
-	take := func(fits func(Member) bool) (Member, bool) {
-		i := slices.IndexFunc(ready, fits)
-		if i < 0 {
-			return Member{}, false
-		}
+	take := func(i int) Member {
 		v := ready[i]
 		ready = slices.Delete(ready, i, i+1)
-		return v, true
+		return v
 	}
 	next := slices.Clone(members.Voters)
 	for i, v := range next { // the disk is gone, and its successor listens at the address
-		if successor, ok := take(func(r Member) bool { return r.Address == v.Address }); ok {
-			next[i] = successor
+		if at := slices.IndexFunc(ready, func(r Member) bool { return r.Address == v.Address }); at >= 0 {
+			next[i] = take(at)
 		}
 	}
 	for len(next) > max(members.Target, 1) {
@@ -77,16 +75,15 @@
 		if !m.isUnheard(v) && !m.isLeaving(v) {
 			continue
 		}
-		if successor, ok := take(func(Member) bool { return true }); ok {
-			next[i] = successor
+		if at := m.leastCrowded(ready, slices.Delete(slices.Clone(next), i, i+1)); at >= 0 {
+			next[i] = take(at)
 		}
 	}
-	for len(next) < members.Target {
-		added, ok := take(func(Member) bool { return true })
-		if !ok {
-			break
-		}
-		next = append(next, added)
+	for len(next) < members.Target && len(ready) > 0 {
+		next = append(next, take(m.leastCrowded(ready, next)))
+	}
+	if sameVoters(next, members.Voters) && !slices.ContainsFunc(next, func(v Member) bool { return !m.inTouch(v) }) {
+		return m.spread(next, ready)
 	}
 	return next
 }
--- a/internal/mesh/consensus/message.go
+++ b/internal/mesh/consensus/message.go
@@ -78,6 +78,7 @@
 	ToDisk   uint64 // the one that the leader means; 0 if it isn't known
 	Term     uint64
 	Mesh     uint64 // of the sender's members; 0 if it knows none
+	Zone     string // in which the sender stands; empty: unknown
 
 	Index   uint64 // before the entries; of the last entry; up to which a follower agrees; to be applied before a read
 	LogTerm uint64 // the term at Index
--- a/internal/mesh/consensus/reopen.go
+++ b/internal/mesh/consensus/reopen.go
@@ -124,7 +124,7 @@
 	}
 	o, life := n.options, randomNumber()
 	n.began = time.Now()
-	n.machine = New(Config{Self: o.Self, Seeds: sorted(o.Seeds), Life: life, Replace: o.Replace,
+	n.machine = New(Config{Self: o.Self, Seeds: sorted(o.Seeds), Life: life, Replace: o.Replace, Voters: o.Voters, Zone: o.Zone,
 		Rand: rand.New(rand.NewPCG(life, randomNumber())), State: opened.state, TableAt: n.tableAt})
 	n.disk = opened.store
 	if o.disk != nil {
--- a/internal/mesh/consensus/sim_judge_test.go
+++ b/internal/mesh/consensus/sim_judge_test.go
@@ -146,7 +146,7 @@
 			w.fail("%s: a proposal after all is mended comes to %q", h.address, w.fate[value])
 		}
 	}
-	if len(w.members.Voters) != 3 || w.anyLost(w.members.Voters) {
+	if len(w.members.Voters) != max(3, w.voters) || w.anyLost(w.members.Voters) {
 		w.fail("the members are %v", w.members)
 	}
 	for value, index := range w.acked {
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -33,6 +33,7 @@
 	now     time.Duration
 	events  []event // by time
 	hosts   []*host
+	voters  int // that there are to be; 0: as many as seeds
 	cut     map[[2]string]bool
 	rough   float64       // chance that a message is lost, doubled or late
 	late    time.Duration // by how much at most
@@ -62,6 +63,7 @@
 
 type host struct {
 	address string
+	zone    string
 	machine *Machine // nil: down
 	disk    *State   // nil: empty
 	life    uint64
@@ -168,7 +170,7 @@
 	}
 	h.kept = false
 	c := Config{Self: h.address, Seeds: h.seeds, Life: h.life, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
-		State: state, Replace: w.replace, TableAt: h.tableAt}
+		State: state, Replace: w.replace, Voters: w.voters, Zone: h.zone, TableAt: h.tableAt}
 	h.machine = New(c)
 	h.machine.compact, h.machine.chunk = w.compact, w.chunk
 	h.machine.now = w.now
--- a/internal/mesh/controlplane/peers.go
+++ b/internal/mesh/controlplane/peers.go
@@ -12,34 +12,63 @@
 )
 
 // peers carries messages to other core machines, each over a connection of its own that is opened when there is something to send.
+// Of more than mostPeers the one gives way that has been sent nothing for longest: machines are replaced at other addresses.
 type peers struct {
-	set *bootstrap.Settings
-	mu  sync.Mutex
-	to  map[string]chan consensus.Message
+	set  *bootstrap.Settings
+	mu   sync.Mutex
+	to   map[string]*peer
+	sent uint64 // messages so far
 }
 
-const mostPeers = 16
+// peer is another core machine.
+type peer struct {
+	queue chan consensus.Message // closed once the peer gives way
+	used  uint64                 // number of the last message to it
+}
+
+const (
+	mostPeers = 64 // at once: above the core machines that there are
+	peerQueue = 64 // messages that wait for a peer
+)
 
 func newPeers(set *bootstrap.Settings) *peers {
-	return &peers{set: set, to: map[string]chan consensus.Message{}}
+	return &peers{set: set, to: map[string]*peer{}}
 }
 
 // send queues a message; where the queue is full it is lost, which the agreement bears.
 func (p *peers) send(m consensus.Message) {
 	p.mu.Lock()
-	q := p.to[m.To]
-	if q == nil && len(p.to) < mostPeers {
-		q = make(chan consensus.Message, 64)
-		p.to[m.To] = q
-		go p.carry(m.To, q)
+	defer p.mu.Unlock()
+	to := p.to[m.To]
+	if to == nil {
+		p.makeRoom()
+		to = &peer{queue: make(chan consensus.Message, peerQueue)}
+		p.to[m.To] = to
+		go p.carry(m.To, to.queue)
 	}
-	p.mu.Unlock()
+	p.sent++
+	to.used = p.sent
 	select {
-	case q <- m:
+	case to.queue <- m:
 	default:
 	}
 }
 
+// makeRoom has the peer that was used least recently give way if there are as many as there may be.
+func (p *peers) makeRoom() {
+	if len(p.to) < mostPeers {
+		return
+	}
+	oldest := ""
+	for address, to := range p.to {
+		if oldest == "" || to.used < p.to[oldest].used {
+			oldest = address
+		}
+	}
+	close(p.to[oldest].queue)
+	delete(p.to, oldest)
+}
+
 func (p *peers) carry(to string, q chan consensus.Message) {
 	var c *transport.Conn
 	var failed time.Time
@@ -71,6 +100,9 @@
 			c = nil
 		}
 	}
+	if c != nil {
+		c.Close()
+	}
 }
 
 const slowestLink = 64 << 10 // bytes a second: over a slower one large commands don't go
