Large changes and whole configurations go to agents compressed

An agent that asks says that it takes the answer compressed; steps and the whole are compressed once for each state. TestLargeChangeIsSentAsSteps: under a fifth. TestCompress.

--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -21,6 +21,7 @@
 	have     uint64          // index of the configuration that it has, or has been told of
 	want     uint64          // not 0: the whole configuration, of this index or a later one
 	since    uint64          // with want, not 0: the agent has the configuration of this index
+	deflate  bool            // with want: it may come compressed
 	cores    []string        // told last
 	proven   uint64          // to be answered; the owner's
 	revision uint64          // of the stations, told last
@@ -164,7 +165,7 @@
 		return
 	}
 	if up.Want != 0 {
-		f.want, f.since = up.Want, up.Since
+		f.want, f.since, f.deflate = up.Want, up.Since, up.Deflate
 		f.wake()
 	}
 	if s := up.Station; s != nil {
--- a/internal/mesh/controlplane/feed_send.go
+++ b/internal/mesh/controlplane/feed_send.go
@@ -59,12 +59,8 @@
 		d.Index = s.index
 		switch {
 		case f.want != 0 && s.index >= f.want:
-			if raw = s.stepsSince(f.since); raw != nil {
-				d.RawSteps = true
-			} else {
-				raw = s.encoded()
-			}
-			d.Digest = s.config.Digest()
+			raw, d.RawSteps = s.wanted(f.since, f.deflate)
+			d.Digest, d.Deflated = s.config.Digest(), f.deflate
 			d.Raw, f.want = int64(len(raw)), 0
 		case s.index > f.have:
 			if d.Steps = s.pushed(f.have); d.Steps != nil {
@@ -97,6 +93,21 @@
 	return d, raw
 }
 
+// wanted is what an agent is sent that has the configuration of an index and asks: the steps from
+// there, or the whole. One goroutine alone calls it.
+func (s *state) wanted(since uint64, deflate bool) (raw []byte, steps bool) {
+	if deflate {
+		if raw = s.compressedStepsSince(since); raw != nil {
+			return raw, true
+		}
+		return s.compressedWhole(), false
+	}
+	if raw = s.stepsSince(since); raw != nil {
+		return raw, true
+	}
+	return s.encoded(), false
+}
+
 // nextStations fills in stations that the agent has not been told of. It reports whether there are
 // no more.
 func (c *Core) nextStations(f *feed, d *transport.Down) bool {
--- a/internal/mesh/controlplane/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -105,6 +106,20 @@
 	down, raw = c.next(f)
 	require.False(t, down.RawSteps)
 	require.Equal(t, now.encoded(), raw)
+
+	for _, since := range []uint64{before.index, 0} { // an agent that takes it compressed gets the same
+		f.want, f.since, f.deflate = now.index, since, false
+		_, plain := c.next(f)
+		f.want, f.deflate = now.index, true
+		down, raw = c.next(f)
+		require.Equal(t, since != 0, down.RawSteps)
+		require.True(t, down.Deflated)
+		require.EqualValues(t, len(raw), down.Raw)
+		require.Less(t, len(raw), len(plain)/5)
+		whole, err := transport.Decompress(raw, int64(len(plain)))
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(plain, whole))
+	}
 	for index := uint64(4); index < 40; index++ { // each as large as a tenth of the whole
 		table.Apply(index, encodeOrder(routesOrder(0, 300, int(index))))
 		size := table.now.Load().config.Size()
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -31,12 +31,16 @@
 	text []byte
 
 	asked encodedSteps // last; the owner's of the feeds
+
+	compressOnce sync.Once
+	compressed   []byte // text
 }
 
 // encodedSteps are the steps from an index: after a large change all agents ask for the same.
 type encodedSteps struct {
-	since uint64
-	raw   []byte
+	since      uint64
+	raw        []byte
+	compressed []byte // raw
 }
 
 // What is kept of steps: an agent that was away for longer is sent the whole. Beyond pushedBytes
@@ -85,10 +89,25 @@
 	if len(steps) == 0 || sizeOf(steps) >= max(s.config.Size(), pushedBytes) {
 		return nil
 	}
-	s.asked = encodedSteps{have, transport.EncodeSteps(steps)}
+	raw := transport.EncodeSteps(steps)
+	s.asked = encodedSteps{have, raw, transport.Compress(raw)}
 	return s.asked.raw
 }
 
+// compressedStepsSince returns what stepsSince does, compressed. One goroutine alone calls it.
+func (s *state) compressedStepsSince(have uint64) []byte {
+	if s.stepsSince(have) == nil {
+		return nil
+	}
+	return s.asked.compressed
+}
+
+// compressedWhole returns what encoded does, compressed; made once.
+func (s *state) compressedWhole() []byte {
+	s.compressOnce.Do(func() { s.compressed = transport.Compress(s.encoded()) })
+	return s.compressed
+}
+
 func sizeOf(steps []transport.Step) (size int) {
 	for i := range steps {
 		size += len(steps[i].Order.Body)
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -210,6 +210,9 @@
 		}
 		f.arriving.Store(d.Raw > 0)
 		whole, err := c.LongBody(d.Raw, mostWhole, feedTimeout)
+		if err == nil && d.Deflated {
+			whole, err = transport.Decompress(whole, mostWhole)
+		}
 		f.arriving.Store(false)
 		if err != nil {
 			return
@@ -235,7 +238,7 @@
 			up.Have = a.have.Load()
 		}
 		if up.Want = f.want.Swap(0); up.Want != 0 {
-			up.Since = f.since.Load()
+			up.Since, up.Deflate = f.since.Load(), true
 		}
 		if up.Fresh = fresh; fresh != 0 {
 			fresh = 0
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -97,6 +97,7 @@
 	Have    uint64 // index of the configuration that the agent has; told with every station
 	Want    uint64 // not 0: send the whole configuration, of this index or a later one
 	Since   uint64 // with Want, not 0: the steps from this index, which the agent has, do as well
+	Deflate bool   // with Want: the raw bytes may come compressed
 	Fresh   uint64 // not 0: answer with this number once what you have sent is current
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
@@ -141,6 +142,7 @@
 	Steps    []Step // that lead to it, from one that the agent has
 	Raw      int64
 	RawSteps bool // Raw is of EncodeSteps rather than the whole configuration
+	Deflated bool // Raw is of Compress, of either
 	Stations []Heard
 	Whole    bool // what was told before is void: all that there are follow, in this message and the next
 	Fresh    uint64
