--- a/internal/mesh/controlplane/steps_test.go
+++ b/internal/mesh/controlplane/steps_test.go
@@ -119,6 +119,10 @@
 		whole, err := transport.Decompress(raw, int64(len(plain)))
 		require.NoError(t, err)
 		require.True(t, bytes.Equal(plain, whole))
+		_, err = transport.Decompress(raw, int64(len(plain))-1)
+		require.Error(t, err, "more than may be")
+		_, err = transport.Decompress(raw[:len(raw)-1], int64(len(plain)))
+		require.Error(t, err, "cut short")
 	}
 	for index := uint64(4); index < 40; index++ { // each as large as a tenth of the whole
 		table.Apply(index, encodeOrder(routesOrder(0, 300, int(index))))
--- a/internal/mesh/inbound/gate_backend.go
+++ b/internal/mesh/inbound/gate_backend.go
@@ -54,20 +54,19 @@
 
 // SignOff takes in a life's own word that it ends, which is final, and says whether others should hear of it.
 func (g *Gate) SignOff(now time.Duration, id string, cause Cause) (news bool) {
-	g.step(now)
-	defer g.noteChange(g.lives.serving, cause, 0)()
-	if !g.lives.signOff(id) {
-		return false
-	}
-	g.refuseWaiting(g.shut())
-	return true
+	return g.gone(now, id, cause, g.lives.signOff)
 }
 
 // Lost takes in that a life is silent, or not where it was, and says whether others should hear of it. Its next beat brings it back.
 func (g *Gate) Lost(now time.Duration, id string, cause Cause) (news bool) {
+	return g.gone(now, id, cause, g.lives.lose)
+}
+
+// gone takes a life away, and refuses those who wait if it was the one that is served.
+func (g *Gate) gone(now time.Duration, id string, cause Cause, take func(id string) (served bool)) (news bool) {
 	g.step(now)
 	defer g.noteChange(g.lives.serving, cause, 0)()
-	if !g.lives.lose(id) {
+	if !take(id) {
 		return false
 	}
 	g.refuseWaiting(g.shut())
--- /dev/null
+++ b/internal/mesh/meshtest/days_test.go
@@ -0,0 +1,67 @@
+package meshtest
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// days are drawn by seed and played between real processes.
+type days struct {
+	count   *int
+	seed    *uint64 // of the first of them
+	options func(rng *rand.Rand) Options
+	play    func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand)
+}
+
+// daysFlags are the flags -NAME-days and -NAME-seed.
+func daysFlags(name string, count int) (*int, *uint64) {
+	return flag.Int(name+"-days", count, "of these that are played"), flag.Uint64(name+"-seed", 1, "of the first of them")
+}
+
+// run plays the days and judges every rule.
+func (d *days) run(t *testing.T) {
+	t.Parallel()
+	dir, err := build()
+	require.NoError(t, err)
+	for seed := *d.seed; seed < *d.seed+uint64(*d.count); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Second)
+			defer cancel()
+			rng := rand.New(rand.NewPCG(seed, 57))
+			options := d.options(rng)
+			options.Program, options.Dir = filepath.Join(dir, "micaline-mesh"), t.TempDir()
+			g, err := Start(ctx, options)
+			require.NoError(t, err)
+			defer g.Close()
+			d.play(t, ctx, g, rng)
+			require.NoError(t, g.Calm(ctx, 60))
+			v, err := g.Finish(ctx)
+			require.NoError(t, err)
+			require.Empty(t, v.Breaches)
+			t.Logf("%d sent, %d served, %d refused, %d failed, %d ran", v.Sent, v.Served, v.Refused, v.Failed, v.Runs)
+		})
+	}
+}
+
+// overlap works through series beside each other, each with random numbers of its own.
+func overlap(t *testing.T, rng *rand.Rand, all ...func(rng *rand.Rand) error) {
+	var running sync.WaitGroup
+	failed := make([]error, len(all))
+	for i, series := range all {
+		own := rand.New(rand.NewPCG(rng.Uint64(), 0))
+		running.Go(func() { failed[i] = series(own) })
+	}
+	running.Wait()
+	for _, err := range failed {
+		require.NoError(t, err)
+	}
+}
--- a/internal/mesh/meshtest/departing_test.go
+++ b/internal/mesh/meshtest/departing_test.go
@@ -2,21 +2,12 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"math/rand/v2"
-	"path/filepath"
-	"sync"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
-var (
-	departingDaysFlag = flag.Int("departing-days", 3, "that TestDepartingDays plays")
-	departingSeedFlag = flag.Uint64("departing-seed", 1, "of the first of them")
-)
+var departingDays, departingSeed = daysFlags("departing", 3)
 
 const (
 	departures    = 4                       // of backends beside each of the agents that take part, one after the other
@@ -28,40 +19,22 @@
 // sign off; a beat of before comes late, at their agent or by way of a core machine; their agent is
 // killed or told to end right after its acknowledgement, and core machines are killed meanwhile.
 func TestDepartingDays(t *testing.T) {
-	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
-	for seed := *departingSeedFlag; seed < *departingSeedFlag+uint64(*departingDaysFlag); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Second)
-			defer cancel()
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir(), Agents: 6, Rate: 20, Work: 20 * time.Millisecond})
-			require.NoError(t, err)
-			defer g.Close()
-			rng := rand.New(rand.NewPCG(seed, 61))
-			var series sync.WaitGroup
-			failed := make([]error, departingFrom)
-			for i, at := range rng.Perm(len(g.Agents))[:departingFrom] {
-				own := rand.New(rand.NewPCG(seed, uint64(i)))
-				series.Go(func() { failed[i] = departSeries(ctx, g.Agents[at], own) })
-			}
-			core := g.Cores[rng.IntN(len(g.Cores))]
+	(&days{departingDays, departingSeed, func(*rand.Rand) Options {
+		return Options{Agents: 6, Rate: 20, Work: 20 * time.Millisecond}
+	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
+		all := []func(*rand.Rand) error{func(rng *rand.Rand) error {
 			if rng.IntN(2) == 0 {
-				core.Kill()
-				require.NoError(t, core.Start())
+				return nil
 			}
-			series.Wait()
-			for _, err := range failed {
-				require.NoError(t, err)
-			}
-			require.NoError(t, g.Calm(ctx, 60))
-			v, err := g.Finish(ctx)
-			require.NoError(t, err)
-			require.Empty(t, v.Breaches)
-			t.Logf("%d sent, %d served, %d refused, %d failed, %d ran", v.Sent, v.Served, v.Refused, v.Failed, v.Runs)
-		})
-	}
+			core := g.Cores[rng.IntN(len(g.Cores))]
+			core.Kill()
+			return core.Start()
+		}}
+		for _, at := range rng.Perm(len(g.Agents))[:departingFrom] {
+			all = append(all, func(rng *rand.Rand) error { return departSeries(ctx, g.Agents[at], rng) })
+		}
+		overlap(t, rng, all...)
+	}}).run(t)
 }
 
 // departSeries has lives of a backend depart one after the other.
--- a/internal/mesh/meshtest/leaving_test.go
+++ b/internal/mesh/meshtest/leaving_test.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"math/rand/v2"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-var (
-	leavingDaysFlag = flag.Int("leaving-days", 1, "that TestLeavingDays plays")
-	leavingSeedFlag = flag.Uint64("leaving-seed", 1, "of the first of them")
-)
+var leavingDays, leavingSeed = daysFlags("leaving", 1)
 
 // leavingTroubles is how many troubles a day of TestLeavingDays has.
 const leavingTroubles = 6
@@ -23,28 +17,13 @@
 // TestLeavingDays has clients leave at all hours of days whose troubles are drawn by seed, and judges
 // every rule. A machine in trouble is excused, those that call it and that it calls are not.
 func TestLeavingDays(t *testing.T) {
-	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
-	for seed := *leavingSeedFlag; seed < *leavingSeedFlag+uint64(*leavingDaysFlag); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
-			defer cancel()
-			g, err := Start(ctx, Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir(), Agents: 6, Rate: 4, Work: 600 * time.Millisecond, GiveUp: 0.6})
-			require.NoError(t, err)
-			defer g.Close()
-			rng := rand.New(rand.NewPCG(seed, 57))
-			for range leavingTroubles {
-				leavingTrouble(t, ctx, g, rng)
-			}
-			require.NoError(t, g.Calm(ctx, 30))
-			v, err := g.Finish(ctx)
-			require.NoError(t, err)
-			require.Empty(t, v.Breaches)
-			t.Logf("%d sent, %d served, %d refused, %d left or failed, %d ran", v.Sent, v.Served, v.Refused, v.Failed, v.Runs)
-		})
-	}
+	(&days{leavingDays, leavingSeed, func(*rand.Rand) Options {
+		return Options{Agents: 6, Rate: 4, Work: 600 * time.Millisecond, GiveUp: 0.6}
+	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
+		for range leavingTroubles {
+			leavingTrouble(t, ctx, g, rng)
+		}
+	}}).run(t)
 }
 
 // leavingTrouble has one trouble last until so many clients have left meanwhile.
