--- a/internal/manage/server_test.go
+++ b/internal/manage/server_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,8 +22,10 @@
 	"example.org/micaline/internal/journal"
 )
 
-// paper is an instance that applies whatever it is told.
+// paper is an instance that applies whatever it is told. The manager asks how it stands while a change is under way, so it has a
+// lock where a real one has an owner.
 type paper struct {
+	mu       sync.Mutex
 	change   *change.Instance
 	document *document.Document
 	known    map[string]*document.Document
@@ -30,16 +33,20 @@
 
 func newPaper(epoch string) *paper {
 	d := &document.Document{}
-	return &paper{change.NewInstance(epoch, 0, change.Document{Hash: d.Hash(), Parts: document.Parts}), d, map[string]*document.Document{}}
+	return &paper{change: change.NewInstance(epoch, 0, change.Document{Hash: d.Hash(), Parts: document.Parts}), document: d, known: map[string]*document.Document{}}
 }
 
 func (p *paper) Summary(context.Context, uint64) (*control.Summary, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return &control.Summary{Identity: control.Identity{
 		Name: strings.TrimSuffix(p.change.Epoch(), "-e1"), Epoch: p.change.Epoch(), Revision: p.change.Revision(), Hash: p.change.Current().Hash, Fence: p.change.Fence(),
 	}}, nil
 }
 
 func (p *paper) Document(context.Context) (*control.Versioned, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return &control.Versioned{Revision: p.change.Revision(), Hash: p.document.Hash(), Document: p.document}, nil
 }
 
@@ -52,11 +59,15 @@
 }
 
 func (p *paper) Prepare(_ context.Context, id string, x *control.Proposal) (*control.Change, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.known[id] = x.Document
 	return p.say(id, p.change.Prepare(0, x.Fence, id, x.Base, change.Document{Hash: x.Document.Hash(), Parts: document.Parts}, 0))
 }
 
 func (p *paper) Commit(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	todo, err := p.change.Commit(0, fence, id)
 	for len(todo) > 0 {
 		p.document = p.known[id]
@@ -66,11 +77,15 @@
 }
 
 func (p *paper) Abort(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	_, err := p.change.Abort(0, fence, id)
 	return p.say(id, err)
 }
 
 func (p *paper) Confirm(_ context.Context, id string, fence uint64) (*control.Change, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.say(id, p.change.Confirm(0, fence, id))
 }
 
