A manager that takes over asks what became of its predecessor's commits, and goes on

Cause: a rollout that was restored counted an instance whose commit had been under way as lost: before it was asked, where its first poll was not answered; and after it, where the answer was that the change was not applied. The manager's own death was taken for the instance's failure, and a rollout that lets none fail halted until an operator came. Now the instance is waited for, 10 s at most as for one that is not seen, and a change that the same process says it has not applied is begun anew under another id. A process that has ended meanwhile counts as lost, as before. Resume and this share tryAgain. Ruled out: beginning anew after any silence (an instance that is silent must not hold a wave up).

--- a/internal/rollout/answers.go
+++ b/internal/rollout/answers.go
@@ -27,6 +27,20 @@
 	if a.Fenced {
 		r.Supersede(now, a.Err.Error())
 	}
+	r.settleRestored(m, a)
+}
+
+// settleRestored begins a change anew that the manager before this one had asked an instance to apply, and of which the
+// same process of the instance says now that it has not and never will.
+func (r *Rollout) settleRestored(m *Member, a change.Answer) {
+	if !m.restored || m.Target.State == change.Unknown {
+		return
+	}
+	m.restored = false
+	t := &m.Target
+	if r.Status == Running && t.State == change.NotDone && !t.Refused && a.Result.Outcome == change.Unchanged && m.Epoch == a.Epoch {
+		r.tryAgain(m)
+	}
 }
 
 // Supersede ends all sending: another manager has the fleet.
--- a/internal/rollout/explore_test.go
+++ b/internal/rollout/explore_test.go
@@ -85,7 +85,7 @@
 
 // copy is the rollout as it is, with what is only in its memory.
 func (r *Rollout) copy() *Rollout {
-	c := &Rollout{Header: r.Header, byName: map[string]*Member{}, changed: map[*Member]struct{}{}}
+	c := &Rollout{Header: r.Header, goneOn: r.goneOn, byName: map[string]*Member{}, changed: map[*Member]struct{}{}}
 	for _, m := range r.members {
 		n := *m
 		c.members = append(c.members, &n)
@@ -108,7 +108,7 @@
 		m := &w.managers[g]
 		fmt.Fprint(&b, m.Wave, m.Status, m.looks, m.now, m.Baking)
 		for i, x := range m.members {
-			fmt.Fprint(&b, x.Epoch, x.Base, x.Target, x.Backing, x.Back, x.seen.Epoch, x.seenAt, m.asked[i] > 0)
+			fmt.Fprint(&b, x.Epoch, x.Base, x.Target, x.Try, x.restored, x.Backing, x.Back, x.seen.Epoch, x.seenAt, m.asked[i] > 0)
 		}
 	}
 	flying := make([]string, len(w.flying))
--- a/internal/rollout/orders.go
+++ b/internal/rollout/orders.go
@@ -40,14 +40,7 @@
 			m.Left = true
 			r.note(m)
 		case t.State == change.NotDone || t.State == change.Superseded || died:
-			if !t.Loose {
-				m.Try++ // what may still be prepared there is the same again
-			}
-			m.Target, m.Left = change.Target{}, false
-			if m.seen.Epoch != "" {
-				m.Epoch, m.Base = m.seen.Epoch, m.seen.Revision
-			}
-			r.note(m)
+			r.tryAgain(m)
 		}
 	}
 	r.Status, r.Reason, r.Ended, r.Since, r.Baking, r.header = Running, "", 0, now, 0, true
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -54,7 +54,8 @@
 const stragglers = 2 * time.Second
 
 // unseen is how much longer than its watch a wave waits for instances that have applied the change and then not shown
-// themselves. After that they are lost.
+// themselves, and how long a manager that goes on from a journal waits for those that its predecessor had asked to apply
+// it. After that they are lost.
 const unseen = 10 * time.Second
 
 // Header is what a rollout's record in the journal says of it as a whole.
@@ -91,9 +92,12 @@
 	Before change.Service `json:"before"`
 	Mark   change.Service `json:"mark"`
 
-	asked  bool // a request is out
-	seen   Look
-	seenAt time.Duration
+	asked bool // a request is out
+	// restored says that a commit was under way when the manager before this one ended, and that the instance has not
+	// said yet what became of it.
+	restored bool
+	seen     Look
+	seenAt   time.Duration
 }
 
 // Look is what an instance shows of itself.
@@ -123,6 +127,8 @@
 	byName  map[string]*Member
 	changed map[*Member]struct{}
 	header  bool // has changed
+
+	goneOn time.Duration // when a rollout that was restored first went on; 0 before
 }
 
 // Planned is an instance that a rollout is for.
@@ -173,6 +179,7 @@
 		before, back := m.Target.State, m.Back.State
 		m.Target.Resume()
 		m.Back.Resume()
+		m.restored = m.Target.State == change.Unknown
 		if m.Target.State != before || m.Back.State != back {
 			r.changed[m] = struct{}{}
 		}
@@ -224,6 +231,18 @@
 // id is the change's on an instance. One that is begun anew is another: what was aborted stays so.
 func (r *Rollout) id(m *Member) string { return fmt.Sprintf("%s/%d", r.ID, m.Try) }
 
+// tryAgain has a change that an instance has not applied begin anew, from the instance as it was last seen.
+func (r *Rollout) tryAgain(m *Member) {
+	if !m.Target.Loose {
+		m.Try++ // what may still be prepared there is the same again
+	}
+	m.Target, m.Left = change.Target{}, false
+	if m.seen.Epoch != "" {
+		m.Epoch, m.Base = m.seen.Epoch, m.seen.Revision
+	}
+	r.note(m)
+}
+
 func (r *Rollout) backID(m *Member) string { return fmt.Sprintf("%s/back/%d", r.ID, m.BackTry) }
 
 // send has a request go out, if there is one.
@@ -242,6 +261,9 @@
 
 // Next goes on as far as it can, and returns what is to be sent, after Changed is written.
 func (r *Rollout) Next(now time.Duration) (out []Send) {
+	if r.goneOn == 0 {
+		r.goneOn = now
+	}
 	switch r.Status {
 	case Running:
 		out = r.run(now)
@@ -274,7 +296,7 @@
 // run goes on with the present wave.
 func (r *Rollout) run(now time.Duration) (out []Send) {
 	wave := r.present()
-	ended, open := r.count(wave)
+	ended, open := r.count(now, wave)
 	waits := false
 	for _, m := range wave {
 		waits = waits || m.Target.State == change.Planned || m.Target.State == change.Preparing
@@ -322,8 +344,9 @@
 	return out
 }
 
-// count says how the instances of a wave ended, and how many have not.
-func (r *Rollout) count(wave []*Member) (c change.Counted, open int) {
+// count says how the instances of a wave ended, and how many have not. One whose commit was under way when the manager
+// before this one ended is asked first: that a manager has ended is no failure of the instance.
+func (r *Rollout) count(now time.Duration, wave []*Member) (c change.Counted, open int) {
 	c.All = len(wave)
 	for _, m := range wave {
 		t := &m.Target
@@ -333,6 +356,8 @@
 		case t.State == change.Done:
 		case t.State == change.PartlyDone || t.State == change.NotDone && t.Refused:
 			c.Refused++
+		case t.State == change.Unknown && m.restored && now-r.goneOn < unseen:
+			open++
 		case t.State.Final():
 			c.Lost++
 		default:
