Tenants' keys, and usage reported once by a holder that is fenced

A request needs a key but on public routes; 401 else. Customer is ours, the key goes no further, a backend's calls run for its run's tenant. - Gates count by tenant and window of the mesh's time (median over processes, so a clock that steps moves nothing), tell all core machines, which fix a window's report in their log before it is sent. Deciding is pure (package duties), controlplane/duty_holder.go carries it out. - Ruled out: the leader as holder (a leader that stands still would hold both up), fences by window (a late window would be refused behind a later one), counts kept on disk at each gate (agents have none).

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -12,6 +12,8 @@
 	Duty string
 	Name string // of this process, which no other has ever had
 	Term time.Duration
+	// NoRest says that the duty does not rest, however many of its holders are lost.
+	NoRest bool
 
 	epoch  uint64
 	until  time.Duration // it may act before then
@@ -71,7 +73,7 @@
 		h.next = max(h.next, now)
 	case h.epoch == 0 && now >= h.next+patience:
 		h.next = now
-		return h.ask(now, Op{Kind: Acquire, Duty: h.Duty, Holder: h.Name, Term: h.Term})
+		return h.ask(now, Op{Kind: Acquire, Duty: h.Duty, Holder: h.Name, Term: h.Term, NoRest: h.NoRest})
 	}
 	return nil
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -16,7 +16,8 @@
 //   - Hand: a duty that is handed to somebody is granted to nobody else meanwhile, and its baton comes with it.
 //   - Revoked: what was revoked is renewed no more, and granted to nobody before its holder's time is over.
 //   - Back: once nothing fails any more, a duty that somebody wants is held.
-//   - Rest: a duty that has outlived mostLost holders in a row rests, and is granted again after that.
+//   - Rest: a duty that has outlived mostLost holders in a row rests, and is granted again after that, unless it was asked for
+//     with NoRest.
 //   - Word: what a holder says is read under its own epoch only, and goes with it.
 package lease
 
@@ -70,6 +71,7 @@
 	Revoked bool          `json:"revoked,omitempty"` // it is renewed no more
 	Lost    int           `json:"lost,omitempty"`    // holders in a row that were lost soon
 	Resting bool          `json:"resting,omitempty"`
+	NoRest  bool          `json:"no_rest,omitempty"` // it never rests
 	Why     string        `json:"why,omitempty"` // it last moved
 }
 
@@ -115,6 +117,7 @@
 	Word    []byte        `json:"word,omitempty"`
 	Version uint64        `json:"version,omitempty"`
 	Why     string        `json:"why,omitempty"`
+	NoRest  bool          `json:"no_rest,omitempty"` // of Acquire: the duty is not what loses its holders
 }
 
 // Answer is what an Op has come to.
@@ -183,6 +186,7 @@
 		t.Last++
 		baton := d.Baton
 		d.Holder, d.Epoch, d.Term, d.Renewed, d.Revoked, d.To, d.Word = op.Holder, t.Last, op.Term, 0, false, "", nil
+		d.NoRest = op.NoRest
 		t.moved(op.Duty, d, "granted")
 		return Answer{Holder: d.Holder, Epoch: d.Epoch, Baton: baton}
 	case Renew:
@@ -233,7 +237,7 @@
 				d.Lost++
 			}
 			d.Holder, d.Revoked, d.Word = "", false, nil
-			if d.Lost >= mostLost {
+			if d.Lost >= mostLost && !d.NoRest {
 				d.Resting, why = true, fmt.Sprintf("it rests: %d holders in a row were lost, %s", d.Lost, why)
 			}
 			t.moved(op.Duty, d, why)
--- a/internal/mesh/bootstrap/bootstrap.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -54,6 +54,14 @@
 	Tolerate            struct{ Machines, Zones, Regions int }
 	Bounds              Bounds
 	AppAddress, Service string
+	Platform            Platform
+}
+
+// Platform is the operators' platform, which some calls of the mesh go to.
+type Platform struct {
+	Address  string   // host:port; "": there is none
+	Duties   []string // that one process at a time carries out
+	DutyPerS float64  // calls of these duties that it takes in a second from all processes; 0: unknown
 }
 
 // Bounds are the figures of the rules.
@@ -61,6 +69,7 @@
 	SeedDelay, ReuseAfter, InTouch, AckWithin, CatchUp time.Duration
 	Drain, Grace, LossSlack, ApplyWithin, Fallback     time.Duration
 	Stretch, RetryWindow, Evacuate, Recovery           time.Duration
+	Lease, ReportWindow, UsageDelay                    time.Duration
 
 	RetryRatio, ExtraTries, WarmupExcess, WarmupMargin float64
 }
@@ -119,7 +128,7 @@
 
 func (c *checker) settings(file *File) *Settings {
 	c.need("every process", "node_name", "machine_class")
-	a, l, t := file.GetAddresses(), file.GetLimits(), file.GetTolerate()
+	a, l, t, p := file.GetAddresses(), file.GetLimits(), file.GetTolerate(), file.GetCloudApi()
 	s := &Settings{
 		NodeName:   file.NodeName,
 		Role:       file.Role,
@@ -146,6 +155,11 @@
 		Contracts:  file.Contracts,
 		AppAddress: c.address("app_address", file.AppAddress),
 		Service:    file.Service,
+		Platform: Platform{
+			Address:  c.address("cloud_api.address", p.GetAddress()),
+			Duties:   p.GetDuties(),
+			DutyPerS: c.figure("cloud_api.duty_per_s", p.GetDutyPerS()),
+		},
 	}
 	s.Tolerate.Machines = c.whole("tolerate.machines", t.GetMachines())
 	s.Tolerate.Zones = c.whole("tolerate.zones", t.GetZones())
--- a/internal/mesh/bootstrap/times.go
+++ b/internal/mesh/bootstrap/times.go
@@ -13,6 +13,8 @@
 
 const mostTime = 1000 * time.Hour // beyond it a time is a mistake, and sums of times could overflow
 
+const leastWindow = 100 * time.Millisecond // of usage: shorter ones would be more reports than a platform takes
+
 // ParseTime reads a time as the pages write it: a number, fractions allowed, with ms or s.
 func ParseTime(s string) (time.Duration, error) {
 	digits, unit := s, time.Duration(0)
@@ -76,6 +78,11 @@
 	{"bounds.evacuate", "5s", func(s *Settings) any { return &s.Bounds.Evacuate }},
 	// Until all serve again after the loss of everything: short, so that nothing waits longer.
 	{"bounds.recovery", "15s", func(s *Settings) any { return &s.Bounds.Recovery }},
+	// Within which a duty may not go to another process and back: long, so that it stays where it is.
+	{"bounds.lease", "3s", func(s *Settings) any { return &s.Bounds.Lease }},
+	// The span of time that a usage report is about, and until when after its end it is due.
+	{"bounds.report_window", "5s", func(s *Settings) any { return &s.Bounds.ReportWindow }},
+	{"bounds.usage_delay", "10s", func(s *Settings) any { return &s.Bounds.UsageDelay }},
 }
 
 // defaulted fills in the figures of the table.
@@ -100,4 +107,7 @@
 	if s.BeatEvery == 0 {
 		c.wrong("beat_every", c.lines["beat_every"].value, "no time between beats", "write one over 0ms")
 	}
+	if s.Bounds.ReportWindow < leastWindow {
+		c.wrong("bounds.report_window", c.lines["bounds.report_window"].value, "too short a window", "write 100ms or more")
+	}
 }
--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -20,9 +20,11 @@
 
 	"example.org/micaline/internal/mesh/bootstrap"
 	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/meshtime"
 	"example.org/micaline/internal/mesh/registry"
 	"example.org/micaline/internal/mesh/sidecar"
 	"example.org/micaline/internal/mesh/transport"
+	"example.org/micaline/internal/mesh/usage"
 	"github.com/apex/log"
 	"github.com/samber/oops"
 )
@@ -52,6 +54,8 @@
 	telling atomic.Bool   // feeds are about to be told of a changed configuration
 	told    time.Duration // when they were, or will be; the node's goroutine's
 
+	duty *dutyHolder // nil: these settings have no duties
+
 	stats    transport.StatsServer
 	commands chan func()
 	began    time.Time
@@ -62,6 +66,10 @@
 	cores    []string
 	former   formerBackends
 
+	clock       *meshtime.Clock
+	collector   *usage.Collector
+	firstWindow int64 // of usage, that this process saw under way while none was fixed; 0: none yet
+
 	life      uint64             // of this process
 	revisions registry.Revisions // of registry
 	turned    time.Duration      // when the owner last had something to do
@@ -72,9 +80,13 @@
 // New returns a core process that has not started.
 func New(set *bootstrap.Settings, l log.Interface) *Core {
 	c := &Core{set: set, log: l, commands: make(chan func(), queue), began: time.Now(),
-		registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}, life: rand.Uint64() | 1, unheard: map[string]uint64{}}
+		registry: registry.New(), feeds: map[string]*feed{}, asking: map[*feed]uint64{}, life: rand.Uint64() | 1, unheard: map[string]uint64{},
+		clock: meshtime.New(), collector: usage.NewCollector()}
 	c.table = newTable(c.configChanged)
 	c.peers = newPeers(set)
+	if reportsUsage(set) {
+		c.duty = newDutyHolder(c)
+	}
 	return c
 }
 
@@ -129,6 +141,9 @@
 	if err != nil {
 		return oops.In("agreement").Wrap(err)
 	}
+	if c.duty != nil {
+		go c.duty.run(owner)
+	}
 	go (&transport.Server{Uses: c.uses()}).Serve(inner)
 	l, err := net.Listen("tcp4", c.set.Control)
 	if err != nil {
@@ -152,6 +167,9 @@
 func (c *Core) leave(server *http.Server) {
 	leaving, cancel := context.WithTimeout(context.Background(), leaveWithin)
 	defer cancel()
+	if c.duty != nil {
+		c.duty.stop(leaving)
+	}
 	c.node.Leave(leaving)
 	ending, cancel := context.WithTimeout(context.Background(), shutdownWithin)
 	defer cancel()
@@ -211,6 +229,9 @@
 	if c.registry.Step(c.now()) {
 		c.revisions.Removed(func(agent string) bool { return c.registry.Station(agent) != nil })
 	}
+	if c.duty != nil {
+		c.tickUsage()
+	}
 	if c.settling() || c.settled == 0 {
 		return
 	}
--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"example.org/micaline/internal/mesh/transport"
@@ -30,6 +31,9 @@
 	beats    []waiting
 	last     uint64
 	replies  map[uint64]chan int
+
+	offset atomic.Int64 // of the agent's own time from this process's, ns
+	timed  atomic.Bool  // it has told its time
 }
 
 // waiting is a backend's call that is to be told to the agent beside it.
@@ -125,7 +129,11 @@
 // receive takes in what an agent says until its connection breaks or it is silent for too long.
 func (c *Core) receive(f *feed, up *transport.Up) {
 	for {
-		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 {
+		if up.Clock != 0 {
+			f.offset.Store(int64(time.Duration(up.Clock) - c.clock.Own()))
+			f.timed.Store(true)
+		}
+		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 || said.Usage != nil {
 			c.do(func() { c.heard(f, said) })
 		}
 		f.conn.SetReadDeadline(time.Now().Add(feedTimeout))
@@ -182,6 +190,9 @@
 			c.hear(*s)
 		}
 	}
+	if up.Usage != nil {
+		c.collector.Hear(f.agent, up.Usage)
+	}
 	if up.Fresh != 0 {
 		c.asking[f] = up.Fresh
 		c.prove()
--- a/internal/mesh/controlplane/feed_send.go
+++ b/internal/mesh/controlplane/feed_send.go
@@ -55,6 +55,9 @@
 // and who is ready is asked for all services, so it waits until all stations are told.
 func (c *Core) next(f *feed) (d transport.Down, raw []byte) {
 	s := c.table.now.Load()
+	if c.duty != nil {
+		d.Clock, d.Settled = int64(c.clock.Now()), c.table.dutiesNow.Load().Usage.Through
+	}
 	if f.known {
 		d.Index = s.index
 		switch {
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
@@ -138,12 +139,18 @@
 	applied atomic.Uint64         // index of the last order, whatever came of it
 	history *meshconfig.History   // of the node's goroutine
 	changed func()                // must not block
+
+	duties      *duties.Table // of the node's goroutine
+	dutiesMoved bool          // since they were shown
+	dutiesNow   atomic.Pointer[duties.Table]
 }
 
 func newTable(changed func()) *table {
 	t := &table{changed: changed, history: meshconfig.NewHistory()}
 	t.newest = &state{config: meshconfig.New()}
 	t.now.Store(t.newest)
+	t.duties = duties.New()
+	t.showDuties()
 	return t
 }
 
@@ -155,6 +162,9 @@
 	t.batch = true
 	apply()
 	t.batch = false
+	if t.dutiesMoved {
+		t.showDuties()
+	}
 	if show {
 		t.show()
 	}
@@ -177,6 +187,9 @@
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return refusalOf(err).encode()
 	}
+	if o.Op == opDuty {
+		return t.applyDuty(index, o.Body)
+	}
 	old := t.newest
 	next, err := t.history.Carry(index, old.config, &o)
 	if err != nil {
@@ -194,13 +207,14 @@
 	Index   uint64
 	Config  []byte
 	History []byte
+	Duties  []byte
 }
 
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
 	s := t.newest
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode()}); err != nil {
+	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode(), t.duties.Encode()}); err != nil {
 		panic(err) // plain fields always encode
 	}
 	return b.Bytes()
@@ -222,6 +236,10 @@
 			return oops.In("snapshot").Wrap(err)
 		}
 	}
+	if t.duties, err = duties.Decode(k.Duties); err != nil {
+		return oops.In("snapshot").Wrap(err)
+	}
+	t.showDuties()
 	t.history = history
 	t.applied.Store(index)
 	t.newest = &state{index: k.Index, config: config}
--- /dev/null
+++ b/internal/mesh/controlplane/usage.go
@@ -0,0 +1,63 @@
+package controlplane
+
+import (
+	"slices"
+	"time"
+
+	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/duties"
+	"example.org/micaline/internal/mesh/meshtime"
+	"example.org/micaline/internal/mesh/usage"
+)
+
+// reportsUsage says whether these settings have the mesh report usage.
+func reportsUsage(set *bootstrap.Settings) bool {
+	return set.Platform.Address != "" && slices.Contains(set.Platform.Duties, duties.UsageReport)
+}
+
+// tickUsage is the owner's.
+func (c *Core) tickUsage() {
+	var offsets []time.Duration
+	for _, f := range c.feeds {
+		if f.timed.Load() {
+			offsets = append(offsets, time.Duration(f.offset.Load()))
+		}
+	}
+	c.clock.Correct(append(offsets, 0))
+	c.collector.Settle(c.table.dutiesNow.Load().Usage.Through)
+	c.collector.Retain(func(agent string) bool { return c.registry.Station(agent) != nil })
+}
+
+// viewUsage is the owner's: how the window stands that is to be fixed after those that are.
+func (c *Core) viewUsage(through int64) *duties.View {
+	v := &duties.View{Time: c.clock.Now()}
+	var heard, lost []string
+	for _, h := range c.registry.All(c.now()) {
+		if h.Lost {
+			lost = append(lost, h.Station.Agent)
+		} else {
+			heard = append(heard, h.Station.Agent)
+		}
+	}
+	v.Connected = len(heard) > len(lost) && !c.settling()
+	current := meshtime.Window(v.Time, c.set.Bounds.ReportWindow)
+	switch {
+	case through == 0 && !c.table.now.Load().config.HasCustomers():
+		return v
+	case through == 0:
+		v.Window = max(c.firstWindow, current-usage.MostWindows)
+		if c.firstWindow == 0 {
+			c.firstWindow = current
+			v.Window = current
+		}
+	default:
+		v.Window = max(through+1, current-usage.MostWindows)
+	}
+	if v.Time < meshtime.End(v.Window, c.set.Bounds.ReportWindow) {
+		return v
+	}
+	v.Complete = c.collector.Complete(v.Window, heard)
+	v.Missing = !c.collector.Complete(v.Window, lost)
+	v.Counts = c.collector.Total(v.Window)
+	return v
+}
--- a/internal/mesh/inbound/exchange.go
+++ b/internal/mesh/inbound/exchange.go
@@ -22,9 +22,11 @@
 	LeftHeader   = "Time-Left"
 	TargetHeader = "Target-Server"
 	CallerHeader = "Calling-Service"
-	SealHeader   = "Server-Seal"
-	NotRunHeader = "Not-Run"
-	ServerHeader = "Server-Id"
+	// CustomerHeader names the tenant for whom a request runs.
+	CustomerHeader = "Customer"
+	SealHeader     = "Server-Seal"
+	NotRunHeader   = "Not-Run"
+	ServerHeader   = "Server-Id"
 )
 
 const (
@@ -68,6 +70,9 @@
 	line(LeftHeader, strconv.FormatInt(max(1, a.Left.Milliseconds()), 10))
 	line(TargetHeader, a.Target)
 	line(CallerHeader, a.Caller)
+	if a.Customer != "" {
+		line(CustomerHeader, a.Customer)
+	}
 	if len(body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
 		line("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/internal/mesh/inbound/exchange_test.go
+++ b/internal/mesh/inbound/exchange_test.go
@@ -107,7 +107,7 @@
 	var h *Host
 	news, calls := 0, uint64(0)
 	handle := func(try string) *transport.Reply {
-		r, _ := h.Handle(&Caller{Look: func() bool { return false }}, &transport.Request{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Unsafe: true,
+		r, _ := h.Handle(&Caller{Look: func() bool { return false }}, &transport.Request{Try: try, Target: "b", Method: "GET", URI: "/", Host: "h", Caller: "s", Customer: "acme", Unsafe: true,
 			Left: 5 * time.Second, Aim: time.Second, Patient: time.Second}, nil)
 		return r
 	}
@@ -134,9 +134,8 @@
 		case "moved":
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		case "run", "well": // a run makes a call of its own, and fails or not
-			inner, repeat := h.Parent(try + ".1")
-			deep, _ := h.Parent(try + ".1.2")
-			if !inner || !deep || repeat {
+			call, deep := h.Parent(try+".1"), h.Parent(try+".1.2")
+			if !call.Known || !deep.Known || call.Repeat || call.Customer != "acme" || r.Header.Get(CustomerHeader) != "acme" {
 				panic("a call of a run is not known as one")
 			}
 			h.CallFailed(try + ".1")
@@ -154,7 +153,7 @@
 		require.Equal(t, []any{try != "reset", try == "run"}, []any{r.Verdict == transport.Ran, r.Inner}, try)
 		require.NotEqual(t, transport.NotRun, r.Verdict, try)
 	}
-	inner, _ := h.Parent("run.1")
+	inner := h.Parent("run.1").Known
 	require.False(t, inner, "a run that has ended calls nothing")
 	gone(handle("moved"))
 	require.Equal(t, 1, news)
--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -59,7 +59,10 @@
 
 // begin enters a run that the backend is about to have in work.
 func (h *Host) begin(a *transport.Request) *run {
-	working := &run{repeat: a.Repeat}
+	working := &run{repeat: a.Repeat, customer: a.Customer}
+	if !a.Inner { // a tenant's usage is what its clients ask for, not what that leads to
+		working.counted = h.usage.Begin(a.Customer)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.runs[a.Try] = working
@@ -95,6 +98,9 @@
 		if h.runs[a.Try] == working { // a copy of it may have begun since
 			delete(h.runs, a.Try)
 		}
+		if meant != nil || f != nil && f.Verdict == transport.NotRun {
+			h.usage.Undo(working.counted)
+		}
 		if f != nil && f.Reason == transport.Cancelled {
 			g.Withdraw(now, a, f.Verdict != transport.NotRun)
 			return false
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -8,6 +8,7 @@
 	"example.org/micaline/internal/connpool"
 	"example.org/micaline/internal/mesh/flightrecorder"
 	"example.org/micaline/internal/mesh/transport"
+	"example.org/micaline/internal/mesh/usage"
 )
 
 const (
@@ -33,6 +34,7 @@
 	runs     map[string]*run // what the backend has in work, by try
 
 	sessions sync.Map // of senders: *session to nil
+	usage    *usage.Counter
 
 	Traces flightrecorder.Ring // of what was refused or broke here
 
@@ -45,6 +47,9 @@
 // must be called before the host is used.
 func (h *Host) Observe(f func(Change)) { h.observe = f }
 
+// CountUsage has what the backend begins counted by tenant. It must be called before the host is used.
+func (h *Host) CountUsage(by *usage.Counter) { h.usage = by }
+
 // NewHost returns a host whose backend has not been heard.
 func NewHost(r Rules, mostBody int64, budget *transport.ByteBudget, news func()) *Host {
 	h := &Host{budget: budget, began: time.Now(), mostAnswer: mostBody, mostBody: mostBody, news: news, runs: map[string]*run{},
--- a/internal/mesh/inbound/runs.go
+++ b/internal/mesh/inbound/runs.go
@@ -1,23 +1,39 @@
 package inbound
 
-import "strings"
+import (
+	"strings"
+
+	"example.org/micaline/internal/mesh/usage"
+)
 
 // run is a request that the backend has in work.
 type run struct {
-	repeat bool
-	failed bool // a call of its own brought no success
+	repeat   bool
+	customer string
+	failed   bool // a call of its own brought no success
+	counted  usage.Mark
+}
+
+// Parent is the run on this machine that makes a call. The zero value is none.
+type Parent struct {
+	Known    bool
+	Repeat   bool   // the run is a repeat
+	Customer string // the tenant for whom it runs
 }
 
-// Parent says whether a try is one that a run on this machine calls, and whether that run is a repeat. A backend's own calls have ids
-// that begin with the one of the request it runs, and a dot; where they don't, none is found, and the call is one like any other.
-func (h *Host) Parent(try string) (inner, repeat bool) {
+// Parent finds the run that makes a call with a try. A backend's own calls have ids that begin with the one of the request it runs,
+// and a dot; where they don't, none is found, and the call is one like any other.
+func (h *Host) Parent(try string) Parent {
 	if !strings.Contains(try, ".") {
-		return false, false
+		return Parent{}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.parent(try)
-	return r != nil, r != nil && r.repeat
+	if r == nil {
+		return Parent{}
+	}
+	return Parent{Known: true, Repeat: r.repeat, Customer: r.customer}
 }
 
 // CallFailed says that a call of a run on this machine brought no success: if the run fails too, that is not the backend's fault.
--- a/internal/mesh/meshconfig/diff.go
+++ b/internal/mesh/meshconfig/diff.go
@@ -16,7 +16,7 @@
 		}
 	}
 	var parts []string
-	for _, what := range []string{routes, services, limits, tenants, "dropped"} {
+	for _, what := range []string{routes, services, limits, customers, "dropped"} {
 		if n := counts[what]; n > 0 {
 			parts = append(parts, fmt.Sprintf("%d %s", n, what))
 		}
--- a/internal/mesh/meshconfig/encode.go
+++ b/internal/mesh/meshconfig/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -84,7 +85,7 @@
 		}
 		c.put(i)
 	}
-	if err := c.check(); err != nil {
+	if err := cmp.Or(c.check(), c.indexKeys()); err != nil {
 		return nil, fmt.Errorf("a configuration that isn't whole: %w", err)
 	}
 	if len(c.items) != len(s.Items) || !slices.IsSorted(c.zones) {
--- a/internal/mesh/meshconfig/item.go
+++ b/internal/mesh/meshconfig/item.go
@@ -13,12 +13,12 @@
 	"example.org/micaline/internal/mesh/bootstrap"
 )
 
-// The kinds of items. Of tenants nothing is understood yet: they are kept and given back.
+// The kinds of items.
 const (
-	routes   = "routes"
-	services = "services"
-	limits   = "limits"
-	tenants  = "tenants"
+	routes    = "routes"
+	services  = "services"
+	limits    = "limits"
+	customers = "customers"
 )
 
 // Kind says what may be repeated.
@@ -68,9 +68,10 @@
 	raw     []byte // the whole item as sent; nil in a tombstone
 	drop    uint64 // of a tombstone: its place in the order of drops
 
-	route   *Route
-	service *Service
-	limits  *Limits
+	route    *Route
+	service  *Service
+	limits   *Limits
+	customer *Customer
 }
 
 func (i *item) dropped() bool { return i.raw == nil }
@@ -107,9 +108,9 @@
 // newItem reads an item that is to be set, and checks what can be checked of it alone.
 func newItem(head *ItemDocument, raw []byte, field string) (*item, error) {
 	switch head.ItemKind {
-	case routes, services, limits, tenants:
+	case routes, services, limits, customers:
 	default:
-		return nil, invalid(field+".item_kind", "%q is none of routes, services, limits, tenants", head.ItemKind)
+		return nil, invalid(field+".item_kind", "%q is none of routes, services, limits, customers", head.ItemKind)
 	}
 	i, err := identify(head.ItemKind, head.Metadata, field+".metadata")
 	if err != nil {
@@ -131,6 +132,8 @@
 		err = i.readService(body)
 	case limits:
 		err = i.readLimits(body)
+	case customers:
+		err = i.readCustomer(body)
 	}
 	if err != nil {
 		return nil, err
@@ -192,6 +195,7 @@
 		TargetTime: f.time("target_time", d.TargetTime),
 		Rank:       int(f.whole("rank", d.Rank)),
 		Tries:      defaultTries,
+		Public:     d.Public,
 	}
 	if d.Tries != nil {
 		r.Tries = int(max(1, f.whole("tries", *d.Tries)))
--- a/internal/mesh/meshconfig/meshconfig.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -2,7 +2,7 @@
 // are evacuated. It does no I/O, has no clock and starts no goroutines; a snapshot may be read by
 // any number of goroutines.
 //
-// There are items: routes, services, tenants, and the single one `limits`. Each has a name and a
+// There are items: routes, services, customers (tenants, known by their keys), and the single one `limits`. Each has a name and a
 // version of its own. A patch sets and drops items; for each name the highest version holds,
 // whether it set or dropped the item, and what is lower or equal changes nothing. So a dropped item
 // leaves a tombstone with its version. Evacuations have no version: the last order holds.
@@ -51,6 +51,9 @@
 	size  int           // of the items' text
 
 	hosts map[string]*prefixes // of the routes that stand, by domain
+	keys  map[string]*Customer // of the customers that stand, by key
+	// tenants is how many customers stand: one that has lost all its keys stands all the same.
+	tenants int
 }
 
 // key is what an item is known by.
@@ -98,7 +101,7 @@
 	if len(made.moved) == 0 {
 		return made, nil
 	}
-	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum, size: c.size}
+	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum, size: c.size, keys: c.keys, tenants: c.tenants}
 	if next.items == nil {
 		next.items = make(map[key]*item, len(made.moved))
 	}
@@ -112,6 +115,11 @@
 		}
 		next.set(i)
 	}
+	if slices.ContainsFunc(made.moved, func(i *item) bool { return i.kind == customers }) {
+		if err := next.indexKeys(); err != nil {
+			return made, err
+		}
+	}
 	if err := next.check(); err != nil {
 		return made, err
 	}
--- a/internal/mesh/meshconfig/meshconfig_test.go
+++ b/internal/mesh/meshconfig/meshconfig_test.go
@@ -37,6 +37,17 @@
 				require.NoError(t, err)
 				require.Equal(t, c.Encode(), again.Encode())
 				return fmt.Sprintf("%s\n%s\n%+v\n%v", again.Summary(), again.Items(), again.Limits(), again.Services())
+			case "key":
+				again, err := Decode(c.Encode())
+				require.NoError(t, err)
+				switch owner := again.CustomerOf(d.CmdArgs[0].Key); {
+				case owner == nil:
+					return "nobody's"
+				case owner.Ranked:
+					return fmt.Sprintf("%s, rank %d", owner.Name, owner.Rank)
+				default:
+					return owner.Name
+				}
 			case "route":
 				var host, path string
 				d.ScanArgs(t, "host", &host)
--- a/internal/mesh/meshconfig/patch.go
+++ b/internal/mesh/meshconfig/patch.go
@@ -79,7 +79,7 @@
 	for _, list := range []struct {
 		kind  string
 		names []*Metadata
-	}{{routes, r.GetRoutes()}, {services, r.GetServices()}, {limits, r.GetLimits()}, {tenants, r.GetTenants()}} {
+	}{{routes, r.GetRoutes()}, {services, r.GetServices()}, {limits, r.GetLimits()}, {customers, r.GetCustomers()}} {
 		for n, name := range list.names {
 			i, err := identify(list.kind, name, fmt.Sprintf("remove.%s[%d]", list.kind, n))
 			if err != nil {
--- a/internal/mesh/meshconfig/route.go
+++ b/internal/mesh/meshconfig/route.go
@@ -17,6 +17,7 @@
 	GiveUp, TargetTime time.Duration // 0 if not given
 	Rank               int           // 0 is the highest
 	Tries              int           // at least 1
+	Public             bool          // needs no key of a customer
 	Shares             []Share       // at least one of a weight over 0; a single service has weight 1
 
 	total float64 // of the weights
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -2,7 +2,7 @@
 
 // Results of requests at an agent, of calls at a core machine, and states of a backend at its gate.
 var (
-	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad", "left"}
+	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad", "left", "unknown_key"}
 	Proposals = []string{"agreed", "refused", "unknown", "not_taken"}
 	Backends  = []string{"none", "unproven", "ready", "cold", "draining", "evacuated", "blind"}
 	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
--- a/internal/mesh/outbound/figures.go
+++ b/internal/mesh/outbound/figures.go
@@ -22,7 +22,7 @@
 func (s *Sender) Figures(f *meshmetrics.Set) {
 	c := &s.Count
 	f.Add("micaline_mesh_requests_taken_total", float64(c.Taken.Load()))
-	for i, n := range []uint64{c.Served.Load(), c.BackendFailed.Load(), c.Refused.Load(), c.Failed.Load(), c.NoRoute.Load(), c.Bad.Load(), c.Left.Load()} {
+	for i, n := range []uint64{c.Served.Load(), c.BackendFailed.Load(), c.Refused.Load(), c.Failed.Load(), c.NoRoute.Load(), c.Bad.Load(), c.Left.Load(), c.Unknown.Load()} {
 		f.Add("micaline_mesh_requests_ended_total", float64(n), meshmetrics.Results[i])
 	}
 	f.Add("micaline_mesh_requests_held", float64(s.Held()))
--- a/internal/mesh/outbound/note.go
+++ b/internal/mesh/outbound/note.go
@@ -15,6 +15,8 @@
 	began   time.Time
 	view    *View
 	route   *meshconfig.Route
+	tenant  tenant
+	parent  inbound.Parent // the run of the backend here that makes the request
 	service string
 	job     *job
 	status  int  // 0: there is no answer
--- a/internal/mesh/outbound/request.go
+++ b/internal/mesh/outbound/request.go
@@ -76,14 +76,19 @@
 	return left, told
 }
 
-// passedOn lists the headers of a request that go on to the backend.
-func passedOn(h http.Header) []string {
+// passedOn lists the headers of a request that go on to the backend. Where requests need a tenant's
+// key, neither the key nor what the client says of the tenant does.
+func passedOn(h http.Header, keyed bool) []string {
 	list := make([]string, 0, 2*len(h))
 	oneHop := connectionOptions(h)
 	for name, values := range h {
 		switch name {
 		case inbound.TryHeader, inbound.LeftHeader, inbound.TargetHeader, inbound.CallerHeader:
 			continue
+		case keyHeader, inbound.CustomerHeader:
+			if keyed {
+				continue
+			}
 		}
 		if !inbound.Passes(name) || slices.Contains(oneHop, name) {
 			continue
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -27,9 +27,9 @@
 
 // Counters count what became of requests. They are read at any time.
 type Counters struct {
-	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Bad, Left, Local atomic.Uint64
-	Attempts, Repeats                                                        atomic.Uint64
-	Unanswered                                                               [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
+	Taken, Served, BackendFailed, Refused, Failed, NoRoute, Unknown, Bad, Left, Local atomic.Uint64
+	Attempts, Repeats                                                                 atomic.Uint64
+	Unanswered                                                                        [3][32]atomic.Uint64 // attempts without an answer, by verdict and reason
 }
 
 // ServeHTTP takes a request of a client, or of the backend on this machine.
@@ -42,7 +42,7 @@
 	if s.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	if !s.route(w, r) {
+	if !s.route(w, r) || !s.authenticate(w, r) {
 		return
 	}
 	body, held, err := s.readBody(r, w.view.Config.Limits().BodyBytes)
@@ -125,10 +125,11 @@
 	j.deadline, j.aim = now.Add(left), now.Add(route.TargetTime)
 	j.request = transport.Request{
 		Try: r.Header.Get(inbound.TryHeader), Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: s.set.Service,
-		Unsafe: route.Kind != meshconfig.Safe, Rank: route.Rank, Body: int64(len(body)), Header: passedOn(r.Header),
+		Unsafe: route.Kind != meshconfig.Safe, Rank: w.tenant.rank, Customer: w.tenant.name, Body: int64(len(body)),
+		Header:  passedOn(r.Header, w.view.Config.HasCustomers()),
 		Patient: max(route.TargetTime/patientPart, 10*time.Millisecond),
 	}
-	if j.inner, j.repeated = s.host.Parent(j.request.Try); j.inner {
+	if j.inner, j.repeated = w.parent.Known, w.parent.Repeat; j.inner {
 		j.request.Inner, j.request.Patient = true, left/innerPart
 	} else if told > 0 && left > 0 { // not left, which falls for first tries too when the operators shorten give_up
 		j.aim = j.aim.Add(-s.ages.of(now, route.Name, told))
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,11 +21,14 @@
 	"time"
 
 	"example.org/micaline/internal/mesh/bootstrap"
+	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/meshtime"
 	"example.org/micaline/internal/mesh/outbound"
 	"example.org/micaline/internal/mesh/registry"
 	"example.org/micaline/internal/mesh/transport"
+	"example.org/micaline/internal/mesh/usage"
 	"github.com/apex/log"
 	"github.com/samber/oops"
 )
@@ -48,6 +52,8 @@
 	stats  transport.StatsServer
 	went   atomic.Bool // told to end
 
+	clock   *meshtime.Clock
+	usage   *usage.Counter // nil: these settings have no usage reported
 	refused refusals
 
 	healthPath atomic.Pointer[string] // of the backend's service; nil: not known
@@ -91,6 +97,11 @@
 	}
 	a.host = inbound.NewHost(a.rules(), mostBody, budget, a.news)
 	a.host.Observe(a.backendChanged)
+	a.clock = meshtime.New()
+	if set.Platform.Address != "" && slices.Contains(set.Platform.Duties, duties.UsageReport) {
+		a.usage = usage.NewCounter(rand.Uint64(), set.Bounds.ReportWindow, a.clock)
+		a.host.CountUsage(a.usage)
+	}
 	a.named()
 	a.sender = outbound.New(set, a.host, a.links, budget, l)
 	return a
@@ -226,6 +237,7 @@
 			}
 		}
 	}
+	a.correctClock()
 	a.links.Sweep(time.Now())
 	a.reread()
 }
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -45,6 +45,9 @@
 	index    uint64            // of the configuration there, as told last; the owner's
 	cores    []string          // members of the agreement, as told last; the owner's
 
+	offset atomic.Int64 // of the mesh's time, as it tells, from this process's own, ns
+	timed  atomic.Bool  // it has told a time
+
 	process uint64                           // number of the core process that it hears; the owner's
 	resume  atomic.Pointer[transport.Resume] // what has been heard of all stations; nil: not all
 }
@@ -220,6 +223,11 @@
 		if first {
 			close(greeted)
 		}
+		if d.Clock != 0 {
+			f.offset.Store(int64(time.Duration(d.Clock) - a.clock.Own()))
+			f.timed.Store(true)
+		}
+		a.usage.Settle(d.Settled)
 		a.do(func() { a.hear(f, &d, whole) })
 	}
 }
@@ -228,6 +236,7 @@
 func (a *Agent) send(ctx context.Context, f *feed, c *transport.Conn, ended chan struct{}) {
 	said := (*transport.Station)(nil)
 	fresh := uint64(1)
+	usage := &usageTeller{counter: a.usage}
 	resume := f.resume.Load()
 	beat := time.NewTimer(0)
 	defer beat.Stop()
@@ -251,6 +260,7 @@
 			up.Handed, up.Status = u.Handed, u.Status
 		default:
 		}
+		usage.tells(a, &up)
 		c.SetWriteDeadline(time.Now().Add(feedTimeout))
 		if c.Send(&up, nil) != nil {
 			return
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/usage"
 	"github.com/samber/oops"
 )
 
@@ -27,6 +28,7 @@
 	Left           time.Duration
 	Aim            time.Duration // until when an answer earns its full worth, from now
 	Rank           int
+	Customer       string   // the tenant for whom it runs; "": none
 	Header         []string // names and values in turn
 	Body           int64
 	Sum            uint32        // of the body, by Sum
@@ -102,6 +104,8 @@
 	Handed  uint64 // number of a Down.Beat that has been dealt with
 	Status  int    // the answer to it
 	Resume  Resume // with the first message of a feed: what has been heard before
+	Clock   int64  // of meshtime, ns: the agent's own; 0: not told
+	Usage   *usage.Update
 }
 
 // Resume says that an agent has heard all stations of a core process up to a revision. The zero
@@ -152,6 +156,8 @@
 	Number   uint64 // of Beat
 	Core     uint64 // with the first message of a feed: the core process, by a number of its own
 	Revision uint64 // not 0: all stations have been told up to this
+	Clock    int64  // of meshtime, ns: what agents agree on; 0: not told
+	Settled  int64  // windows of usage up to this one are fixed
 }
 
 // Heard is a station and whether the core machine hears it.
