--- a/cmd/micaline-mesh/main.go
+++ b/cmd/micaline-mesh/main.go
@@ -105,9 +105,13 @@
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
 	add(top, "return", "take the evacuation of a zone back", c.returnZone).
 		AddPositionalValue(&c.zone, "ZONE", 1, true, "name of the zone")
+	duty := add(top, "duty", "tell who carries out the duties at the platform", nil)
+	add(duty, "show", "list the duties: holder, fence, last report", c.dutyShow)
+	add(duty, "history", "list how the duties moved", c.dutyHistory)
 	c.stateVerbs(top, add)
 	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }},
-		verb{requests, func() error { return misused("requests: why or last?") }})
+		verb{requests, func() error { return misused("requests: why or last?") }},
+		verb{duty, func() error { return misused("duty: show or history?") }})
 }
 
 func version() string {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -72,7 +72,7 @@
 	Lost    int           `json:"lost,omitempty"`    // holders in a row that were lost soon
 	Resting bool          `json:"resting,omitempty"`
 	NoRest  bool          `json:"no_rest,omitempty"` // it never rests
-	Why     string        `json:"why,omitempty"` // it last moved
+	Why     string        `json:"why,omitempty"`     // it last moved
 }
 
 // Change is a step in the history of the duties.
--- a/internal/mesh/alerting/rules.go
+++ b/internal/mesh/alerting/rules.go
@@ -76,6 +76,19 @@
 		Per: &Term{Metric: "micaline_mesh_requests_taken_total", Over: Increase, Window: window}, Least: 100, Compare: ">", Bound: 0.001,
 		Warns: "DENIED", Summary: "requests are answered 4xx: no route, or over a limit"},
 
+	{Alert: "MeshUnknownKeys", Severity: ticket, Sum: true, Of: Term{Metric: "micaline_mesh_requests_ended_total", Label: "result",
+		Values: []string{"unknown_key"}, Over: Increase, Window: window},
+		Per: &Term{Metric: "micaline_mesh_requests_taken_total", Over: Increase, Window: window}, Least: 100, Compare: ">", Bound: 0.01,
+		Warns: "DENIED", Summary: "more than 1% of the requests bring no customer's key"},
+
+	{Alert: "MeshUsageBehind", Severity: page, Of: Term{Metric: "micaline_mesh_core_usage_behind_seconds"}, Compare: ">", Bound: 30, For: 2 * scrape,
+		Warns: "Duty", Summary: "usage is not reported to the platform"},
+	{Alert: "MeshUsageLost", Severity: ticket, Of: Term{Metric: "micaline_mesh_core_usage_lost_total", Over: Increase, Window: window},
+		Compare: ">", Bound: 0, Warns: "Duty", Summary: "usage of a window will never be reported"},
+	{Alert: "MeshDutyFenced", Severity: ticket, Sum: true, Of: Term{Metric: "micaline_mesh_core_duty_calls_total", Label: "result",
+		Values: []string{"fenced"}, Over: Increase, Window: window}, Compare: ">", Bound: 3,
+		Warns: "ONE", Summary: "the platform refuses the holder of a duty: another mesh may report to it"},
+
 	{Alert: "MeshAgentSilent", Severity: ticket, Of: Term{Metric: "micaline_mesh_up", Label: "process", Values: []string{"agent"}},
 		Compare: "<", Bound: 1, For: time.Minute, Warns: "-", Summary: "an agent gives no figures"},
 	{Alert: "MeshProcessRestarts", Severity: page, Of: Term{Metric: "micaline_mesh_uptime_seconds", Over: Resets, Window: 30 * time.Minute},
--- a/internal/mesh/controlplane/duty_holder.go
+++ b/internal/mesh/controlplane/duty_holder.go
@@ -14,6 +14,8 @@
 	dutyTick      = 200 * time.Millisecond
 	dutyQueue     = 16
 	proposeWithin = time.Second
+	stopWithin    = time.Second
+	callWithin    = 300 * time.Millisecond // for a call that is under way when the process is to end
 )
 
 // dutyHolder carries out what a core machine's duties.Holder decides. All but the atomic fields
@@ -62,8 +64,10 @@
 	}
 }
 
-// stop gives the part back, and waits for that as long as the context lasts.
+// stop gives the part back, and waits for that for a second at most: what is not given back runs out.
 func (h *dutyHolder) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopWithin)
+	defer cancel()
 	done := make(chan struct{})
 	select {
 	case h.stopping <- done:
@@ -76,12 +80,18 @@
 	}
 }
 
-// giveBack ends the holding. A call that is under way is waited for: it must not come behind one of
-// the next holder.
+// giveBack ends the holding. A call that is under way is waited for, unless the platform is slow: if
+// it comes behind one of the next holder it is refused, and the report is sent again.
 func (h *dutyHolder) giveBack(done chan struct{}) {
 	defer close(done)
-	for h.holder.Calling() {
-		(<-h.events)()
+	late := time.After(callWithin)
+	for waits := true; waits && h.holder.Calling(); {
+		select {
+		case f := <-h.events:
+			f()
+		case <-late:
+			waits = false
+		}
 	}
 	var todo duties.Todo
 	h.holder.LetGo(h.now(), &todo)
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -91,6 +91,9 @@
 		f.Add("micaline_mesh_core_stations", float64(by[word]), word)
 	}
 	f.Add("micaline_mesh_core_backends_draining", float64(draining))
+	if c.duty != nil {
+		c.duty.figures(&f)
+	}
 	evacuated := state.config.EvacuatedZones()
 	for zone := range c.set.Zones {
 		f.Flag("micaline_mesh_core_zone_evacuated", slices.Contains(evacuated, zone), zone)
@@ -100,6 +103,9 @@
 		answer.Core = &transport.CoreState{Node: c.set.NodeName, Zone: c.set.Zone, Self: c.set.Control, Role: status.Role,
 			Leader: status.Leader, Term: status.Term, Commit: status.Commit, Applied: status.Applied, LeaderChanges: status.LeaderChanges,
 			Learners: status.Learners, Outgoing: status.Outgoing, Index: state.index, Evacuated: evacuated, Feeds: len(c.feeds), Stations: stations}
+		if c.duty != nil {
+			answer.Core.Duties = c.duty.state()
+		}
 		for _, m := range status.Members {
 			answer.Core.Members = append(answer.Core.Members, transport.Member{Control: m, Link: sidecar.Inner(c.set, m)})
 		}
--- a/internal/mesh/meshclient/survey.go
+++ b/internal/mesh/meshclient/survey.go
@@ -19,7 +19,7 @@
 const (
 	// MostCores is how many core machines are asked: those that are named, and members that these
 	// tell of.
-	MostCores = 16
+	MostCores = 64
 
 	atOnce     = 32              // processes that are asked at the same time
 	eachFigure = 2 * time.Second // for one process to give its figures
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -7,6 +7,7 @@
 	Backends  = []string{"none", "unproven", "ready", "cold", "draining", "evacuated", "blind"}
 	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
 	Stations  = []string{"open", "shut", "lost"}
+	DutyCalls = []string{"taken", "fenced", "unclear"}
 )
 
 // Metrics is the table.
@@ -69,6 +70,16 @@
 	{"micaline_mesh_core_backends_draining", Gauge, "backends", nil, Core, "backends that leave"},
 	{"micaline_mesh_core_zone_evacuated", Gauge, "0 or 1", []string{"zone_name"}, Core, "1 for a zone that is evacuated"},
 
+	{"micaline_mesh_usage_uncounted_total", Counter, "requests", nil, Agent,
+		"that a backend began and no usage report will name: too many tenants, or the window was reported"},
+	{"micaline_mesh_core_duty_fence", Gauge, "fence", []string{"duty"}, Core, "under which this machine holds the duty; 0: it does not"},
+	{"micaline_mesh_core_duty_calls_total", Counter, "calls", []string{"duty", "result"}, Core,
+		"to the platform: taken, refused for a higher fence, or without a clear answer"},
+	{"micaline_mesh_core_usage_waiting", Gauge, "reports", nil, Core, "of usage that are fixed and that the platform has not taken"},
+	{"micaline_mesh_core_usage_behind_seconds", Gauge, "s", nil, Core,
+		"since the end of the oldest window that the platform has no report of; 0: there was none yet"},
+	{"micaline_mesh_core_usage_lost_total", Counter, "windows", nil, Core, "of usage that were never reported and won't be"},
+
 	{"micaline_mesh_up", Gauge, "0 or 1", []string{"machine", "zone", "process"}, Exporter, "the process gave its figures"},
 	{"micaline_mesh_leaders", Gauge, "machines", nil, Exporter, "core machines that say that they lead"},
 	{"micaline_mesh_cores_silent", Gauge, "machines", nil, Exporter, "core machines, told or members, that gave no figures"},
--- a/internal/mesh/meshtest/backend.go
+++ b/internal/mesh/meshtest/backend.go
@@ -336,7 +336,10 @@
 	}
 	defer func() { <-l.slots }()
 	run := &Run{Try: try, Backend: l.id, Service: l.b.m.Service, Zone: l.b.m.Zone, Machine: l.b.m.Name, Within: time.Duration(left) * time.Millisecond,
-		Message: Message{Method: r.Method, Host: r.Host, URI: r.RequestURI, Caller: r.Header.Get(callerHeader), Body: hash(body)}}
+		Message: Message{Method: r.Method, Host: r.Host, URI: r.RequestURI, Caller: r.Header.Get(callerHeader), Customer: r.Header.Get(customerHeader), Body: hash(body)}}
+	if r.Header.Get("Authorization") != "" {
+		run.Customer = "was shown a key"
+	}
 	l.b.g.record.ran(run)
 	status := l.work(ctx, run)
 	l.b.g.record.note(func(now time.Duration, _ *Story) { run.Ended = now })
@@ -372,7 +375,7 @@
 			return 0
 		}
 		if i == 0 && l.b.m.Service == l.b.g.services[0] && len(l.b.g.services) > 1 && rand.Float64() < callShare {
-			if status := l.call(ctx, r.Try); status/100 != 2 {
+			if status := l.call(ctx, r); status/100 != 2 {
 				return http.StatusInternalServerError
 			}
 		}
@@ -381,10 +384,10 @@
 }
 
 // call asks another service through the agent of this machine, on behalf of a run.
-func (l *life) call(ctx context.Context, parent string) int {
+func (l *life) call(ctx context.Context, parent *Run) int {
 	k := kinds[innerKind]
-	t := &Try{ID: parent + ".1", Kind: k.kind, Machine: l.b.m.Name,
-		Message: Message{Method: http.MethodGet, Host: host, URI: k.path + "of?run=1", Caller: l.b.m.Service, Body: hash(nil)}}
+	t := &Try{ID: parent.Try + ".1", Kind: k.kind, Machine: l.b.m.Name,
+		Message: Message{Method: http.MethodGet, Host: host, URI: k.path + "of?run=1", Caller: l.b.m.Service, Customer: parent.Customer, Body: hash(nil)}}
 	end, _ := ctx.Deadline()
 	a, _ := l.b.g.send(ctx, l.b.client, l.b.m, t, nil, time.Until(end))
 	return a.Status
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -54,6 +54,9 @@
 		items = append(items, Item{Kind: Services, Name: s, Version: version(1), Body: map[string]any{"health_path": healthPath,
 			"max_conns": 120, "protocol": "h1", "tls": false, "warmup": "500ms", "warmup_per_s": 50}})
 	}
+	for i := range g.opt.Tenants {
+		items = append(items, g.Tenant(i, 1))
+	}
 	return append(items, Item{Kind: Limits, Version: version(1), Body: map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20,
 		"header_wait": "3000ms", "idle": "15000ms"}})
 }
@@ -168,6 +171,11 @@
 
 // operate has one thing done, in several tries if need be.
 func (c *clients) operate(k *kind) {
+	customer, key := c.g.pickKey()
+	if c.g.opt.Tenants > 0 && customer == "" {
+		c.stranger(k, key)
+		return
+	}
 	c.g.tally.add(func(n *Counts) { n.Sent++ })
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -182,7 +190,7 @@
 	for n, client := 0, c.kept; n < mostTry; n, client = n+1, c.anew {
 		left := deadline - time.Since(began)
 		t := &Try{ID: fmt.Sprintf("%016x", rand.Uint64()), Kind: k.kind, Machine: c.m.Name, Message: Message{Method: k.method, Host: host,
-			URI: fmt.Sprintf("%s%x?n=%d", k.path, rand.Uint32(), n), Caller: c.m.Service, Body: hash(body)}}
+			URI: fmt.Sprintf("%s%x?n=%d", k.path, rand.Uint32(), n), Caller: c.m.Service, Customer: customer, Body: hash(body)}, key: key}
 		one, giveUp := c.patience(ctx)
 		a, after := c.g.send(one, client, c.m, t, body, left)
 		giveUp()
@@ -235,6 +243,10 @@
 	r.Header.Set(tryHeader, t.ID)
 	r.Header.Set(leftHeader, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	r.Header.Set(callerHeader, "whoever") // which the mesh sets right
+	if t.key != "" {
+		r.Header.Set("Authorization", "Bearer "+t.key)
+		r.Header.Set(customerHeader, "whoever") // likewise
+	}
 	t.Within = max(left, time.Millisecond)
 	if !g.record.sent(t) {
 		return a, 0
--- a/internal/mesh/meshtest/item.go
+++ b/internal/mesh/meshtest/item.go
@@ -10,9 +10,10 @@
 
 // The kinds of items.
 const (
-	Routes   = "routes"
-	Services = "services"
-	Limits   = "limits"
+	Routes    = "routes"
+	Services  = "services"
+	Limits    = "limits"
+	Customers = "customers"
 )
 
 // Item is one of the configuration, as the operator sends it or reads it back. Versions are of
--- a/internal/mesh/meshtest/judge.go
+++ b/internal/mesh/meshtest/judge.go
@@ -21,6 +21,9 @@
 	GoneWithin  time.Duration // after its client has left, in which a request's work ends
 	Tries       int           // of each route: backends that one request may run on
 	GiveUp      time.Duration // of each route: when a request that is under way gets its answer
+	Lease       time.Duration // within which a duty may not go to another machine and back
+	Window      time.Duration // of usage
+	UsageDelay  time.Duration // after its end, until its report is due
 	Beyond      time.Duration // the time that a backend is told may be longer than there is by this, and an answer later
 }
 
@@ -28,7 +31,7 @@
 func (t *Terms) longest() time.Duration { return max(t.InTouch, t.Drain, t.Evacuate, t.ApplyWithin) }
 
 // Rules names what Judge judges.
-var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG", "GONE", "BUDGET"}
+var Rules = []string{"TWICE", "REFUSED", "UNASKED", "ROUTE", "MIXED", "LOST", "DRAIN", "EVAC", "CONFIG", "GONE", "BUDGET", "DENIED", "ONE", "USAGE"}
 
 // Breach is a rule that was broken.
 type Breach struct{ Rule, Proof string }
@@ -75,6 +78,8 @@
 	j.clientsGone(tries, runs)
 	j.budgets(tries, runs)
 	j.givenUp(tries)
+	j.platform()
+	j.usage()
 	return j.found
 }
 
@@ -85,6 +90,9 @@
 		j.breach("UNASKED", "%s ran %q, which nobody sent", r.Backend, r.Try)
 		return
 	}
+	if j.Tenants > 0 && t.Customer == "" {
+		j.breach("ROUTE", "%s ran %s, which brought no customer's key", r.Backend, r.Try)
+	}
 	if r.Message != t.Message {
 		j.breach("UNASKED", "%s ran %s as %v, sent as %v", r.Backend, r.Try, r.Message, t.Message)
 	}
@@ -129,6 +137,10 @@
 		if !made || a.Try != t.ID {
 			j.breach("MIXED", "%s got %+v, which no backend made for it", t.ID, a)
 		}
+	case a.Status == 401 && t.Customer != "":
+		if j.calm(t.Machine, t.Sent, t.End) {
+			j.breach("DENIED", "%s of %s brought a key of %s, and got 401", t.ID, t.Machine, t.Customer)
+		}
 	case a.Status == 404:
 		if name, _ := j.newest(t.Host, t.URI, t.Sent-j.Terms.ApplyWithin); name != "" && j.calm(t.Machine, t.Sent, t.End) &&
 			!slices.ContainsFunc(j.Changes, func(c *Change) bool { return c.drops(name) }) {
--- a/internal/mesh/meshtest/judge_test.go
+++ b/internal/mesh/meshtest/judge_test.go
@@ -103,6 +103,26 @@
 	evacuated := func(s *Story) {
 		s.Evacuations = []*Evacuation{{"zone-a", Span{From: 10 * time.Second}}}
 	}
+	// reported has one run of a tenant in the window from 20 s on, and reports of it and of what follows.
+	reported := func(change func(s *Story)) func(*Story) {
+		return func(s *Story) {
+			s.Began, s.Tenants = time.Unix(1000, 0), 1
+			s.Tries["t1"].Customer, s.Runs[0].Customer = "acme", "acme"
+			for n := range 8 {
+				at := time.Duration(19+n)*time.Second + 200*time.Millisecond
+				s.Reports = append(s.Reports, &UsageCall{At: at, Holder: "core-1", Fence: 5, Window: int64(1018 + n), Counts: map[string]uint64{}, Accepted: true})
+			}
+			s.Reports[2].Counts["acme"] = 1
+			change(s)
+		}
+	}
+	moves := reported(func(s *Story) {
+		s.Reports[3].Holder, s.Reports[3].Fence, s.Reports[4].Fence, s.Reports[4].At = "core-2", 6, 7, s.Reports[2].At+terms.Lease
+		s.Reports[3].At = s.Reports[4].At - time.Millisecond
+		for _, r := range s.Reports[5:] {
+			r.Fence = 7
+		}
+	})
 	older := func(s *Story) {
 		s.Changes = append(s.Changes, &Change{Items: []Item{moved(s, "00000002", "docbox")}, Sent: 3 * time.Second, Acked: 4 * time.Second})
 		s.Read = nil
@@ -137,6 +157,21 @@
 			}
 		}},
 		{name: "few under way at give_up", plant: many(8, underWay), rule: "CONFIG", excuse: func(s *Story) { s.Tries["many0"].End -= terms.Beyond + time.Second }},
+		{name: "another count", plant: reported(func(s *Story) { s.Reports[3].Window--; s.Reports[3].Counts = map[string]uint64{"acme": 2} }), rule: "ONE",
+			excuse: func(s *Story) { s.Reports[3].Counts = s.Reports[2].Counts }},
+		{name: "a fence of two", plant: reported(func(s *Story) { s.Reports[7].Holder = "core-2" }), rule: "ONE", excuse: func(s *Story) { s.Reports[7].Fence++ }},
+		{name: "there and back within a lease", plant: moves, rule: "ONE", excuse: func(s *Story) { s.Reports[4].At += time.Millisecond }},
+		{name: "there and back, and it was killed", plant: moves, rule: "ONE", excuse: func(s *Story) {
+			s.Troubles = append(s.Troubles, &Trouble{Machine: "core-1", Span: Span{21 * time.Second, 21 * time.Second}})
+		}},
+		{name: "no report", plant: reported(func(s *Story) { s.Reports[2].Window = 2000 }), rule: "USAGE", excuse: cut("platform", false)},
+		{name: "a late report", plant: reported(func(s *Story) { s.Reports[2].At = 26*time.Second + time.Millisecond }), rule: "USAGE",
+			excuse: func(s *Story) { s.Reports[2].At -= time.Millisecond }},
+		{name: "a wrong report", plant: reported(func(s *Story) { s.Reports[2].Counts["acme"] = 4 }), rule: "USAGE",
+			excuse: func(s *Story) { s.Reports[2].Counts["acme"]-- }},
+		{name: "another customer", plant: reported(func(s *Story) { s.Runs[0].Customer = "bravo" }), rule: "UNASKED"},
+		{name: "no key", plant: reported(func(s *Story) { s.Tries["t1"].Customer, s.Runs[0].Customer = "", "" }), rule: "ROUTE"},
+		{name: "a good key", plant: reported(func(s *Story) { s.Tries["t1"].Answer, s.Runs = Answer{Status: 401}, nil }), rule: "DENIED", excuse: cut("agent-1", false)},
 		{name: "twice", plant: func(s *Story) { s.Runs = append(s.Runs, s.Runs[0]) }, rule: "TWICE",
 			excuse: func(s *Story) { s.Tries["t1"].Kind = Safe }},
 		{name: "a promise", plant: func(s *Story) { s.Tries["t1"].Answer = Answer{Status: 503} }, rule: "REFUSED",
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -118,6 +118,14 @@
 		{"stretch", 8 * time.Second}, {"recovery", 15 * time.Second}} {
 		set("bounds."+bound.name, strconv.FormatInt(bound.value.Milliseconds(), 10)+"ms")
 	}
+	if p := m.g.Platform; p != nil {
+		set("cloud_api.address", p.address)
+		set("cloud_api.duties", "usage_report")
+		set("cloud_api.duty_per_s", 50)
+		set("bounds.lease", t.Lease)
+		set("bounds.report_window", t.Window)
+		set("bounds.usage_delay", t.UsageDelay)
+	}
 	set("bounds.retry_ratio", 0.2)
 	set("bounds.extra_tries", 60)
 	set("bounds.warmup_excess", 1.5)
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -65,6 +65,7 @@
 	Seed       uint64        // of the links' faults
 	GiveUp     float64       // share of the tries that a client gives up early
 	Persistent bool          // clients use their machine's agent until its process is gone, whatever its readiness says
+	Tenants    int           // with keys, whose usage is reported to a platform; 0: requests need no key
 	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
@@ -73,6 +74,7 @@
 	Cores    []*Machine
 	Agents   []*Machine
 	Operator *Operator
+	Platform *Platform // nil without tenants
 
 	opt       Options
 	dir       string
@@ -89,7 +91,8 @@
 // terms are tighter than any deployment's, since here nothing is far away; but how long machines have
 // after a trouble is the usual time: processes come up and elect as quickly as this machine lets them.
 var terms = Terms{InTouch: 3 * time.Second, Drain: 500 * time.Millisecond, Evacuate: time.Second, ApplyWithin: time.Second,
-	LossSlack: 200 * time.Millisecond, Grace: grace, EarlySent: grace / 2, GoneWithin: 500 * time.Millisecond, Tries: routeTries, GiveUp: giveUp, Beyond: 500 * time.Millisecond}
+	LossSlack: 200 * time.Millisecond, Grace: grace, EarlySent: grace / 2, GoneWithin: 500 * time.Millisecond, Tries: routeTries, GiveUp: giveUp, Beyond: 500 * time.Millisecond,
+	Lease: time.Second, Window: time.Second, UsageDelay: 5 * time.Second}
 
 const grace = 4 * time.Second
 
@@ -135,6 +138,12 @@
 		}
 	}
 	g.Operator = newOperator(g)
+	if o.Tenants > 0 {
+		g.record.story.Tenants = o.Tenants
+		if g.Platform, err = newPlatform(g, net); err != nil {
+			return g, err
+		}
+	}
 	if o.CoreLinks {
 		if err := g.connectCore(); err != nil {
 			return g, err
@@ -320,6 +329,9 @@
 		m.close()
 	}
 	g.coreLinks.close()
+	if g.Platform != nil {
+		g.Platform.close()
+	}
 	if g.guard != nil {
 		g.guard.Close()
 	}
--- a/internal/mesh/meshtest/story.go
+++ b/internal/mesh/meshtest/story.go
@@ -20,6 +20,7 @@
 type Message struct {
 	Method, Host, URI string
 	Caller            string // the service of the machine on which it began; as read: Calling-Service
+	Customer          string // for whom: as sent, whose key it brought; as read, Customer
 	Body              uint64 // hash
 }
 
@@ -43,6 +44,8 @@
 	Answer    Answer
 	Silent    bool // it ended because its time was over, or because nobody took the connection
 	Left      bool // its client closed the connection at End
+
+	key string // that it brings; "": none
 }
 
 // Run is one request in work at one life of a backend.
@@ -90,9 +93,12 @@
 	Changes     []*Change
 	Evacuations []*Evacuation
 	Troubles    []*Trouble
-	Read        [][]Item // what the core machines read back in the end, one each; nil: no answer came
-	Broken      bool     // links between processes broke, so an answer may be lost on its way
-	Over        bool     // more was to be kept than there is room for: no verdict
+	Began       time.Time    // when all times are counted from
+	Tenants     int          // that the configuration has; their requests need a key
+	Reports     []*UsageCall // that reached the platform
+	Read        [][]Item     // what the core machines read back in the end, one each; nil: no answer came
+	Broken      bool         // links between processes broke, so an answer may be lost on its way
+	Over        bool         // more was to be kept than there is room for: no verdict
 }
 
 // mostKept bounds tries and runs: some hours at the usual rate, and some 200 MB.
@@ -106,7 +112,8 @@
 }
 
 func newRecord(t Terms) *record {
-	return &record{began: time.Now(), story: Story{Terms: t, Tries: map[string]*Try{}, Leaves: map[string]time.Duration{}}}
+	began := time.Now()
+	return &record{began: began, story: Story{Terms: t, Began: began, Tries: map[string]*Try{}, Leaves: map[string]time.Duration{}}}
 }
 
 // note changes the story at the present moment, so that entries are in the order of their times.
--- a/internal/mesh/sidecar/stats.go
+++ b/internal/mesh/sidecar/stats.go
@@ -39,6 +39,9 @@
 	f.Add("micaline_mesh_agent_unheard_seconds", seconds(unheard))
 	f.Add("micaline_mesh_agent_feeds_up", float64(up))
 	f.Add("micaline_mesh_agent_feeds", float64(len(a.feeds)))
+	if a.usage != nil {
+		f.Add("micaline_mesh_usage_uncounted_total", float64(a.usage.Dropped()))
+	}
 	answer := &transport.Figures{Samples: f.Samples}
 	if q.State {
 		answer.Agent = &transport.AgentState{Node: a.set.NodeName, Zone: a.set.Zone, Service: a.set.Service, Ready: a.isReady(),
--- a/internal/mesh/transport/stats.go
+++ b/internal/mesh/transport/stats.go
@@ -66,6 +66,32 @@
 	Evacuated     []string // zones
 	Feeds         int      // agents that it hears itself
 	Stations      []Heard
+	Duties        []DutyState
+}
+
+// DutyState is how a part of a duty stands.
+type DutyState struct {
+	Duty    string
+	Holder  string // a process of a machine, MACHINE/PROCESS; empty: nobody
+	Fence   uint64
+	Renewed uint64        // times since it was granted
+	Term    time.Duration // of a renewal
+	Why     string        // it last moved
+	Through int64         // the last window that is fixed; 0: none
+	Waiting int           // reports that the platform has not taken
+	Behind  time.Duration // since the end of the oldest window that it has no report of
+	Taken   uint64        // reports that it has
+	Lost    uint64        // windows that it will never have a report of
+	History []DutyMove    // the newest last
+}
+
+// DutyMove is a step in the history of duties.
+type DutyMove struct {
+	Number uint64
+	Duty   string
+	Holder string
+	Fence  uint64
+	Why    string
 }
 
 // Member is a core machine that takes part in the agreement.
