--- a/internal/mesh/meshtest/platform.go
+++ b/internal/mesh/meshtest/platform.go
@@ -32,7 +32,6 @@
 
 	mu      sync.Mutex
 	highest uint64
-	trouble *Trouble
 	down    bool
 	slow    time.Duration
 	lose    float64 // share of the answers
