Counts of agents that are cut off are waited for; a holder's lease is shorter

What an agent that is lost, and had not said that it leaves, has counted is waited for until 2.5 s before the report is due. The lease is two thirds of the platform's bound, as a report may now be sent late in its time. Ruled out: to tell cut from dead by how the connection ends, as a cut may reset.

--- a/internal/mesh/controlplane/usage.go
+++ b/internal/mesh/controlplane/usage.go
@@ -33,10 +33,11 @@
 	v := &duties.View{Time: c.clock.Now()}
 	var heard, lost []string
 	for _, h := range c.registry.All(c.now()) {
-		if h.Lost {
-			lost = append(lost, h.Station.Agent)
-		} else {
+		switch {
+		case !h.Lost:
 			heard = append(heard, h.Station.Agent)
+		case h.Station.Open: // it may be cut off, and serve on
+			lost = append(lost, h.Station.Agent)
 		}
 	}
 	v.Connected = len(heard) > len(lost) && !c.settling()
--- a/internal/mesh/duties/duties_test.go
+++ b/internal/mesh/duties/duties_test.go
@@ -207,7 +207,7 @@
 	if w.table.Usage.Through > 0 {
 		window = w.table.Usage.Through + 1
 	}
-	return &View{Time: w.t, Connected: w.t >= m.apart, Window: window, Complete: w.IntN(2) == 0,
+	return &View{Time: w.t, Connected: w.t >= m.apart, Window: window, Complete: w.IntN(2) == 0, Missing: w.IntN(2) == 0,
 		Counts: map[string]uint64{"acme": w.Uint64N(100)}} // each machine counts otherwise, each time
 }
 
--- a/internal/mesh/duties/holder.go
+++ b/internal/mesh/duties/holder.go
@@ -14,8 +14,12 @@
 	PatienceTerm = 600 * time.Millisecond
 	// actMargin is by how much longer than a lease a machine that held a part before stays quiet.
 	actMargin = 500 * time.Millisecond
-	// lateCounts is how long the counts of agents that are lost are waited for after a window's end.
-	lateCounts = 2500 * time.Millisecond
+	// sendRoom is how long before it is due a report is fixed at the latest, whoever's counts are missing:
+	// for what an agent counts that is cut off is waited as long as it can be.
+	sendRoom = 2500 * time.Millisecond
+	// termPart of the lease that the platform's rule names is the term of the holder's own: the shorter
+	// it is, the sooner a part that has lost its holder has another.
+	termPart = 2.0 / 3
 	// callRoom is how much of a lease must be left for a call.
 	callRoom = 300 * time.Millisecond
 
@@ -36,7 +40,7 @@
 	Connected bool          // over half of the agents that are known are heard here
 	Window    int64         // to be fixed next; 0: there is none
 	Complete  bool          // all agents that are heard have closed it
-	Missing   bool          // an agent that is lost has not
+	Missing   bool          // an agent that is lost, and had not said that it leaves, has not
 	Counts    map[string]uint64
 }
 
@@ -98,7 +102,7 @@
 
 // NewHolder returns a Holder of a machine's process, whose name no other process has ever had.
 func NewHolder(node, process string, b Bounds) *Holder {
-	term := min(max(b.Lease, lease.MinTerm), lease.MaxTerm)
+	term := min(max(time.Duration(termPart*float64(b.Lease)), lease.MinTerm), lease.MaxTerm)
 	return &Holder{bounds: b, node: node, retry: firstRetry, taken: map[int64]bool{},
 		lease: lease.Holder{Duty: UsageReport, Name: process, Term: term, NoRest: true}}
 }
@@ -202,7 +206,7 @@
 	switch {
 	case h.fixing != 0 || view.Window == 0 || over < 0:
 		return
-	case over < h.bounds.Delay/2 && (!view.Complete || view.Missing && over < lateCounts):
+	case !view.Complete && over < h.bounds.Delay/2 || view.Missing && over < h.bounds.Delay-sendRoom:
 		return
 	}
 	report := &usage.Report{Window: view.Window, Counts: view.Counts}
