A long body waits for a busy link as long as it may yet be in time

Cause: a gate refused an upload that would have waited a quarter of its aim for the link; the client then sent all of it again, and most of these came late or not at all. Ruled out: slots, processor time. go test ./internal/mesh/inbound -run TestBodyPatience fails before it.

--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -31,6 +31,7 @@
 	twiceFor   = 30 * time.Second        // that a generation lasts: longer than any client waits
 	gain       = 0.1                     // weight of a sample in the moving means
 	queueSlots = 2                       // requests that wait at most, for each slot: more wait longer than any may
+	bodyWait   = 0.6                     // part of its spare time that a long body waits for the link at most: swept, see docs/design/mesh.md
 	deadAfter  = 3                       // beats missed in a row until the backend is taken to be gone
 )
 
@@ -121,13 +122,31 @@
 	if g.rules.LinkBps <= 0 {
 		return nil
 	}
-	before := time.Duration(float64(g.bytes) * 8 / g.rules.LinkBps * float64(time.Second))
-	if before > a.Patient {
-		return g.refuse(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: before - a.Patient})
+	before, patience := g.transferTime(g.bytes), g.bodyPatience(a)
+	if before > patience {
+		return g.refuse(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: before - patience})
 	}
 	return nil
 }
 
+// transferTime is how long so many bytes take on the machine's link.
+func (g *Gate) transferTime(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) * 8 / g.rules.LinkBps * float64(time.Second))
+}
+
+// bodyPatience is how long a body that was offered may wait for the link. Unlike a wait for a slot, which
+// may be for nothing, it ends with the request at the backend, so it may take most of what its transfer
+// and the work leave of its aim; a client whose body is refused sends all of it again, over a link that
+// others wait for.
+func (g *Gate) bodyPatience(a *transport.Request) time.Duration {
+	if g.rules.LinkBps <= 0 {
+		return a.Patient
+	}
+	work := time.Duration(g.recent * float64(time.Second))
+	spare := a.Aim - g.transferTime(a.Body) - work
+	return max(a.Patient, time.Duration(bodyWait*float64(spare)))
+}
+
 // Coming counts a body that begins to come, and Came one that has come or never will: a link that is full of them is as good as a
 // backend that is.
 func (g *Gate) Coming(bytes int64) { g.coming, g.bytes = g.coming+1, g.bytes+bytes }
--- a/internal/mesh/inbound/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -351,3 +351,38 @@
 		})
 	}
 }
+
+// A long body waits for a busy link as long as it can still be in time, and no longer.
+func TestBodyPatience(t *testing.T) {
+	const mbit = 8e6 // a megabyte takes a second
+	for _, c := range []struct {
+		name       string
+		coming     int64 // bytes before it
+		body       int64
+		aim        time.Duration
+		link       float64
+		after      time.Duration // that it is told to come back after; 0: it may come
+		mayBeTried bool
+	}{
+		{"nothing before it", 0, 200e3, 1500 * time.Millisecond, mbit, 0, true},
+		{"most of what it can spare", 779e3, 200e3, 1500 * time.Millisecond, mbit, 0, true},
+		{"more than that", 880e3, 200e3, 1500 * time.Millisecond, mbit, 100 * time.Millisecond, false},
+		{"late anyway: as long as any request", 374e3, 200e3, -time.Second, mbit, 0, true},
+		{"late, and longer", 475e3, 200e3, -time.Second, mbit, 100 * time.Millisecond, false},
+		{"a link of unknown width", 1e9, 200e3, 1500 * time.Millisecond, 0, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(0, Rules{BeatEvery: time.Minute, LinkBps: c.link})
+			g.Named(1)
+			g.Beat(lateCalls, transport.Backend{ID: "b", Capacity: 4, Calls: 1}, BeatHere)
+			g.Coming(c.coming)
+			ask := &transport.Request{Life: 1, Target: "b", Body: c.body, Aim: c.aim, Patient: 375 * time.Millisecond}
+			f := g.Offer(lateCalls, ask)
+			require.Equal(t, c.mayBeTried, f == nil)
+			if f != nil {
+				require.InDelta(t, c.after.Seconds(), f.After.Seconds(), 0.002)
+				require.Equal(t, transport.NotRun, f.Verdict)
+			}
+		})
+	}
+}
--- a/internal/mesh/inbound/serve.go
+++ b/internal/mesh/inbound/serve.go
@@ -71,7 +71,7 @@
 func (h *Host) admitLong(a *arrival) *transport.Failure {
 	ask := a.ask
 	h.mu.Lock()
-	f := h.gate.Offer(h.now(), ask)
+	f, patience := h.gate.Offer(h.now(), ask), h.gate.bodyPatience(ask)
 	if f == nil && !h.budget.Reserve(ask.Body) {
 		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: roomAgain}
 	}
@@ -90,13 +90,13 @@
 	left := make(chan struct{})
 	stop := a.whenLeft(func() { close(left) })
 	defer stop()
-	timer := time.NewTimer(ask.Patient)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case h.uploads <- struct{}{}:
 		return nil
 	case <-timer.C:
-		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: ask.Patient}
+		f = &transport.Failure{Verdict: transport.NotRun, Reason: transport.Full, After: patience}
 	case <-left:
 		f = cancelled(transport.NotRun)
 	}
