A manager that is told to end answers who waits for it

Now it ends in order, within a second. go test -race -count=3 -run TestShutdown ./internal/api: ok; with Close in place of Shutdown the first case fails. Ruled out: the same for the agent's own control interface, whose end is bounded by the agent's grace.

--- a/cmd/micaline-manage/crew.go
+++ b/cmd/micaline-manage/crew.go
@@ -21,6 +21,8 @@
 const (
 	managing = "manage"
 	term     = 3 * time.Second
+
+	answerWithin = time.Second // what is in hand when the process ends
 )
 
 // crew is this process, which manages alone or as one of a group.
@@ -126,6 +128,6 @@
 	case <-ctx.Done():
 	}
 	<-ended
-	server.Close()
+	server.Shutdown(answerWithin) // an order that has been taken is answered so
 	return err
 }
--- a/internal/api/access.go
+++ b/internal/api/access.go
@@ -298,3 +298,14 @@
 
 // Close ends all service.
 func (s *Server) Close() error { return s.http.Close() }
+
+// Shutdown ends service in order: no connection is taken any more, and what is in hand is answered, as
+// far as that is done within a time.
+func (s *Server) Shutdown(within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if s.http.Shutdown(ctx) == nil {
+		return nil
+	}
+	return s.http.Close()
+}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -110,6 +110,57 @@
 	return d.At(Address{Name: "n1", Addr: h.addr})
 }
 
+// Who is being answered when service ends gets the whole answer, and nobody is waited for without end.
+func TestShutdown(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		within time.Duration
+		fails  bool
+	}{{"in time", 10 * time.Second, false}, {"too slow", 50 * time.Millisecond, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			begun, goOn := make(chan struct{}), make(chan struct{})
+			s := NewServer(&Door{}, nil, nil)
+			s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { // behind the door
+				close(begun)
+				<-goOn
+				w.WriteHeader(http.StatusAccepted)
+			})
+			go s.http.Serve(l)
+			answered := make(chan error, 1)
+			go func() {
+				resp, err := http.Get("http://" + l.Addr().String())
+				if err == nil {
+					resp.Body.Close()
+				}
+				answered <- err
+			}()
+			<-begun
+			ended := make(chan struct{})
+			go func() { s.Shutdown(c.within); close(ended) }()
+			if c.fails {
+				<-ended
+			} else {
+				for { // new connections are refused once service is ending
+					conn, err := net.Dial("tcp4", l.Addr().String())
+					if err != nil {
+						break
+					}
+					conn.Close()
+				}
+			}
+			close(goOn)
+			if err := <-answered; (err != nil) != c.fails {
+				t.Errorf("answered: %v", err)
+			}
+			<-ended
+		})
+	}
+}
+
 // Who comes with which token or certificate may do what; all others are told so, and change nothing.
 func TestRoles(t *testing.T) {
 	h := open(t)
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"example.org/micaline/internal/api"
 	"example.org/micaline/internal/document"
@@ -193,3 +194,6 @@
 
 // Close ends all service.
 func (s *Server) Close() error { return s.http.Close() }
+
+// Shutdown ends all service once what is in hand has been answered, within a time.
+func (s *Server) Shutdown(within time.Duration) error { return s.http.Shutdown(within) }
