Bodies are offered by what their link takes, and two come at once

Cause: their calls to arquivo-fotos, 3,957 of 5,406 failed in silence until their deadline: bodies of up to 48 KB, sent unasked and refused, filled the links (7.2 Mbit/s) of the backends that were left.

--- a/internal/mesh/inbound/serve.go
+++ b/internal/mesh/inbound/serve.go
@@ -6,16 +6,18 @@
 	"example.org/micaline/internal/mesh/transport"
 )
 
-// uploadSlots is how many long bodies come at once: as many as keep the link busy, and no more of its time than uploadQueue queued.
+// uploadSlots is how many long bodies come at once: as many as keep the link busy, which is two at
+// least, as the next is asked for while one comes, and no more of its time than uploadQueue queued.
 func uploadSlots(linkBps float64) int {
 	if linkBps <= 0 {
 		return mostUploads
 	}
-	return int(min(mostUploads, max(1, linkBps/8*uploadQueue.Seconds()/uploadWindow)))
+	return int(min(mostUploads, max(leastUploads, linkBps/8*uploadQueue.Seconds()/uploadWindow)))
 }
 
 const (
 	mostUploads  = 64
+	leastUploads = 2
 	uploadQueue  = 20 * time.Millisecond
 	uploadWindow = 64 << 10 // bytes that one connection has on its way
 )
--- a/internal/mesh/outbound/exchange.go
+++ b/internal/mesh/outbound/exchange.go
@@ -13,9 +13,14 @@
 const (
 	connectTime = 250 * time.Millisecond
 	cancelTime  = 250 * time.Millisecond // that a gate has to say that it has ended what was cancelled
-	longBody    = 48 << 10               // bytes from which a body is offered before it is sent: a refusal would have carried it for nothing
-	mostAnswer  = 64 << 20               // bytes of a backend's answer
-	mostStatus  = 599
+	// longBody is the length in bytes above which a body is offered before it is sent, on any link: a
+	// refusal would have carried it for nothing. On a thin link it is what passes in offerTime, as what
+	// is sent unasked fills the link before small calls, whoever refuses it; but no less than leastLong.
+	longBody   = 48 << 10
+	leastLong  = 4 << 10
+	offerTime  = 10 * time.Millisecond
+	mostAnswer = 64 << 20 // bytes of a backend's answer
+	mostStatus = 599
 )
 
 // exchange hands a request to the gate on another machine. Danger: once a byte of it has gone out only the gate's word proves
@@ -25,7 +30,7 @@
 	if err != nil {
 		return nil, nil, &transport.Failure{Verdict: transport.NotRun, Reason: transport.Unreachable, Cause: err}
 	}
-	x := &exchange{conn: c, request: ask, body: j.body, verdict: transport.MayHaveRun}
+	x := &exchange{conn: c, request: ask, body: j.body, unasked: unaskedBody(s.set.LinkMbps), verdict: transport.MayHaveRun}
 	c.SetDeadline(j.deadline)
 	if !j.enter(x) {
 		s.giveBack(gate, c)
@@ -42,6 +47,15 @@
 	return reply, text, nil
 }
 
+// unaskedBody is the length up to which a body is sent without an offer, where machines have links of a
+// width in Mbit/s; 0 is unknown.
+func unaskedBody(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return longBody
+	}
+	return int(min(longBody, max(leastLong, linkMbps*1e6/8*offerTime.Seconds())))
+}
+
 // giveBack gives a connection on which nothing is due to the next request.
 func (s *Sender) giveBack(gate transport.Endpoint, c *transport.Conn) {
 	c.SetDeadline(time.Time{})
@@ -53,6 +67,7 @@
 	conn    *transport.Conn
 	request *transport.Request
 	body    []byte
+	unasked int               // bytes of a body that go out without an offer
 	verdict transport.Verdict // that holds if the connection breaks now
 
 	mu     sync.Mutex
@@ -101,7 +116,7 @@
 // run sends the request, and its body when it may go, and reads the reply.
 func (x *exchange) run() (*transport.Reply, []byte, error) {
 	first := x.body
-	if x.request.ExpectContinue = len(x.body) > longBody; x.request.ExpectContinue {
+	if x.request.ExpectContinue = len(x.body) > x.unasked; x.request.ExpectContinue {
 		first, x.verdict = nil, transport.NotRun // nothing can run before its body has gone out
 	}
 	x.request.Number, x.request.Sum = x.conn.NextNumber(), transport.Sum(x.body)
--- a/internal/mesh/outbound/exchange_test.go
+++ b/internal/mesh/outbound/exchange_test.go
@@ -110,3 +110,31 @@
 		}
 	}
 }
+
+// A body that a thin link takes long for is offered first: a gate that refuses it has been sent none of
+// it. On a wide link the same body goes out at once.
+func TestThinLinkOffers(t *testing.T) {
+	for _, c := range []struct {
+		mbps    float64
+		body    int
+		offered bool
+	}{{7.2, 9_001, true}, {7.2, 9_000, false}, {1, leastLong, false}, {1, leastLong + 1, true}, {1000, longBody, false}, {1000, longBody + 1, true}, {0, longBody, false}} {
+		ours, theirs := net.Pipe()
+		x := &exchange{conn: transport.NewConn(ours), request: &transport.Request{Body: int64(c.body)}, body: make([]byte, c.body),
+			unasked: unaskedBody(c.mbps), verdict: transport.MayHaveRun}
+		refused := make(chan *transport.Request, 1)
+		go func() {
+			gate, a := transport.NewConn(theirs), new(transport.Request)
+			if gate.Receive(a) == nil && !a.ExpectContinue {
+				gate.Body(a.Body, longBody)
+			}
+			refused <- a
+			gate.Send(&transport.Reply{Number: a.Number, Verdict: transport.NotRun, Reason: transport.Full}, nil)
+		}()
+		reply, _, err := x.run()
+		require.NoError(t, err)
+		require.Equal(t, transport.Full, reply.Reason)
+		require.Equal(t, c.offered, (<-refused).ExpectContinue, "%+v", c)
+		ours.Close()
+	}
+}
