--- a/internal/group/explore_test.go
+++ b/internal/group/explore_test.go
@@ -18,7 +18,7 @@
 
 	"example.org/micaline/internal/journal"
 	"example.org/micaline/internal/lease"
-	"example.org/micaline/internal/planted"
+	"example.org/micaline/internal/mutation"
 )
 
 // simulation plays a group whose members are killed, cut off and given the wrong disks, in a time of its own.
@@ -434,7 +434,7 @@
 	if testing.Short() {
 		t.Skip("the race detector makes minutes of it, and nothing here runs at once")
 	}
-	planted.EachInTurn(t, map[string]string{
+	mutation.EachInTurn(t, map[string]string{
 		"nothing is written before it is sent":         "Start|Kept|Same",
 		"records are not written with what is applied": "Same|Kept",
 		"an old disk is heard":                         "Named",
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/planted"
+	"example.org/micaline/internal/mutation"
 )
 
 // world plays agents that want two duties, and a group with leads that come and go. Clocks drift, processes are stopped, crash
@@ -419,7 +419,7 @@
 
 // Each planted bug is found by the property that is named beforehand.
 func TestPlanted(t *testing.T) {
-	planted.Each(t, map[string]string{
+	mutation.Each(t, map[string]string{
 		"an older epoch is renewed":                           "One",
 		"the end of an old time ends the new one":             "One",
 		"a duty that is held is granted":                      "One",
--- a/internal/mesh/outbound/answers_test.go
+++ b/internal/mesh/outbound/answers_test.go
@@ -19,7 +19,7 @@
 	"example.org/micaline/internal/mesh/inbound"
 	"example.org/micaline/internal/mesh/meshtest/relay"
 	"example.org/micaline/internal/mesh/transport"
-	"example.org/micaline/internal/planted"
+	"example.org/micaline/internal/mutation"
 	"github.com/stretchr/testify/require"
 )
 
@@ -464,6 +464,6 @@
 	const unread, again = "a connection with bytes unread is used again", "unsafe work is sent again after a reset"
 	plants := map[string]func(*Sender){unread: careless, again: hopeful}
 	faults := map[string]relay.Action{unread: relay.Duplicate, again: relay.Reset} // those that the plant can fail at
-	planted.Each(t, map[string]string{unread: "MIXED", again: "TWICE|REFUSED"}, 40,
+	mutation.Each(t, map[string]string{unread: "MIXED", again: "TWICE|REFUSED"}, 40,
 		func(seed uint64, bug string) []string { return broken(t, seed, 60, plants[bug], faults[bug]) })
 }
--- a/internal/planted/planted.go
+++ b/internal/mutation/mutation.go
@@ -1,6 +1,6 @@
-// Package planted shows that an explorer can fail: bugs that are planted on purpose, each with the property named beforehand that
+// Package mutation shows that an explorer can fail: bugs that are planted on purpose, each with the property named beforehand that
 // finds it.
-package planted
+package mutation
 
 import (
 	"slices"
--- a/internal/ground/managers_test.go
+++ b/internal/processtest/managers_test.go
@@ -1,4 +1,4 @@
-package ground
+package processtest
 
 import (
 	"context"
--- a/internal/ground/ground_test.go
+++ b/internal/processtest/processtest_test.go
@@ -1,4 +1,4 @@
-package ground
+package processtest
 
 import (
 	"context"
@@ -31,7 +31,7 @@
 
 // build builds the program, once.
 var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "micaline-ground")
+	dir, err := os.MkdirTemp("", "micaline-processtest")
 	if err != nil {
 		return "", err
 	}
@@ -178,7 +178,7 @@
 					if *keepFlag != "" { // its plays take minutes
 						small = Reduce(s, func(s *scenario.Scenario) bool { return len(again(s)) > 0 })
 					}
-					t.Errorf("to play it again: go test ./internal/ground -run 'TestSites/%s/' -seed %d -keep DIR\n%s\nwith these faults:\n%s",
+					t.Errorf("to play it again: go test ./internal/processtest -run 'TestSites/%s/' -seed %d -keep DIR\n%s\nwith these faults:\n%s",
 						s.Name, seed, strings.Join(wrong, "\n"), Faults(small))
 				}
 			})
@@ -199,7 +199,7 @@
 					}
 					if wrong := again(s); len(wrong) > 0 {
 						small := Reduce(s, func(s *scenario.Scenario) bool { return len(again(s)) > 0 })
-						t.Errorf("to play it again: go test ./internal/ground -run 'TestSitesInVirtualTime/%s$' -seed %d -virtual 1\n%s\nthese faults are enough:\n%s",
+						t.Errorf("to play it again: go test ./internal/processtest -run 'TestSitesInVirtualTime/%s$' -seed %d -virtual 1\n%s\nthese faults are enough:\n%s",
 							s.Name, seed, strings.Join(wrong, "\n"), Faults(small))
 					}
 				})
--- a/internal/ground/ground.go
+++ b/internal/processtest/programs.go
@@ -1,8 +1,8 @@
-// Package ground plays days with agents that are processes of the machine: the built program, started, killed, stopped and
+// Package processtest plays days with agents that are processes of the machine: the built program, started, killed, stopped and
 // continued, its links led through relays on which things go wrong. Days are scenarios, the same that package fleet plays
 // in virtual time; stand-ins and clients are in the caller's process, and what they saw is judged there, by package rules and
 // by the properties in this package. Nothing that an agent says of itself has a part in a verdict.
-package ground
+package processtest
 
 import (
 	"context"
--- a/internal/site/pace_test.go
+++ b/internal/site/pace_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/planted"
+	"example.org/micaline/internal/mutation"
 )
 
 // couple is a pacer and an agent that follows it, whose own way to site a may be cut.
@@ -150,7 +150,7 @@
 
 // Each planted bug breaks the property that is named beforehand.
 func TestFollowingPlanted(t *testing.T) {
-	planted.Each(t, map[string]string{
+	mutation.Each(t, map[string]string{
 		"hears no pacer":               "Paced",
 		"follows every return":         "Once",
 		"asks as if alone":             "Spared",
--- a/internal/work/explore_test.go
+++ b/internal/work/explore_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"example.org/micaline/internal/planted"
+	"example.org/micaline/internal/mutation"
 	"example.org/micaline/policy"
 )
 
@@ -444,7 +444,7 @@
 
 // Each planted bug breaks the property that is named beforehand.
 func TestPlanted(t *testing.T) {
-	planted.Each(t, map[string]string{
+	mutation.Each(t, map[string]string{
 		"permission by the clock alone":                "Permitted",
 		"one keeper is enough to allow":                "Permitted",
 		"one keeper is enough to withdraw":             "Once",
--- a/test.sh
+++ b/test.sh
@@ -25,7 +25,7 @@
 go test -c -o "$tmp/fleet.test" ./internal/fleet
 cores=$(nproc)
 beside=$(((cores + 1) / 2))
-virtual='InVirtualTime|TestPlanted'         # of the ground's tests: those without processes
+virtual='InVirtualTime|TestPlanted'         # of processtest's tests: those without processes
 timed='TestFiftyManaged|TestDataUnderFlood' # of the fleet's: those that go by the machine's own time and judge by it
 
 # The jobs beside, each a line, the longest first.
@@ -36,7 +36,7 @@
 		echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted' ./internal/$package"
 	done
 	echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted|Whole|Losses' ./internal/mesh/consensus"
-	echo "GOMAXPROCS=1 go test -count=1 -run '$virtual' ./internal/ground"
+	echo "GOMAXPROCS=1 go test -count=1 -run '$virtual' ./internal/processtest"
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestAnHour"
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestLargeFleet"
 	echo "go vet ./..."
@@ -65,7 +65,7 @@
 	"$@" 2>&1 | tee "$out" || "$tmp/knownred" judge "$out" || failed=1
 	echo "$((SECONDS - began)) s: ${out##*.}"
 }
-run_tests race go test -race -short -count=1 -timeout 10m -skip "$timed" $(go list ./... | grep -v -e /internal/ground -e /internal/mesh/meshtest)
+run_tests race go test -race -short -count=1 -timeout 10m -skip "$timed" $(go list ./... | grep -v -e /internal/processtest -e /internal/mesh/meshtest)
 for ((i = beside; i < cores; i++)); do
 	kill -USR1 "$jobs" 2>/dev/null || true # one more at a time (GNU xargs)
 done
@@ -82,7 +82,7 @@
 fi
 
 run_tests timed go test -race -short -count=1 -timeout 10m -run "$timed" ./internal/fleet
-run_tests processes go test -count=1 -timeout 10m -skip "$virtual" ./internal/ground
+run_tests processes go test -count=1 -timeout 10m -skip "$virtual" ./internal/processtest
 run_tests mesh go test -race -count=1 -timeout 2m ./internal/mesh/meshtest
 "$tmp/knownred" stale "$tmp"/run.* "$tmp"/job.*
 if [ "$failed" = 0 ]; then
