--- a/internal/mesh/bootstrap/bootstrap.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,11 @@
 	DutyPerS float64  // calls of these duties that it takes in a second from all processes; 0: unknown
 }
 
+// Has says whether there is a platform, and a duty at it.
+func (p *Platform) Has(duty string) bool {
+	return p.Address != "" && slices.Contains(p.Duties, duty)
+}
+
 // Bounds are the figures of the rules.
 type Bounds struct {
 	SeedDelay, ReuseAfter, InTouch, AckWithin, CatchUp time.Duration
--- a/internal/mesh/bootstrap/bootstrap_test.go
+++ b/internal/mesh/bootstrap/bootstrap_test.go
@@ -108,6 +108,8 @@
 		"spare_ports=7600,7615":                     `spare_ports=7600: spare_ports: "7600" is no range of ports (line 14)`,
 		"beat_every=1500ms":                         `beat_every=0ms: beat_every: "0ms" is no time between beats (line 28)`,
 		"serves=sidecar":                            `serves=sidecar,control_plane: data_folder is missing: a process that serves control_plane`,
+		"region=west":                               `cloud_api.address=platform:80: cloud_api.address: "platform:80" is no address (line 7)`,
+		"zone.also=unknown":                         `bounds.report_window=5ms: bounds.report_window: "5ms" is too short a window (line 27)`,
 		"service=huvo11a":                           `servi: "servi" has no = (line 36)`,
 	} {
 		instead, want, _ := strings.Cut(is, ": ")
--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -20,6 +20,7 @@
 
 	"example.org/micaline/internal/mesh/bootstrap"
 	"example.org/micaline/internal/mesh/consensus"
+	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/meshtime"
 	"example.org/micaline/internal/mesh/registry"
 	"example.org/micaline/internal/mesh/sidecar"
@@ -84,7 +85,7 @@
 		clock: meshtime.New(), collector: usage.NewCollector()}
 	c.table = newTable(c.configChanged)
 	c.peers = newPeers(set)
-	if reportsUsage(set) {
+	if set.Platform.Has(duties.UsageReport) {
 		c.duty = newDutyHolder(c)
 	}
 	return c
--- a/internal/mesh/controlplane/usage.go
+++ b/internal/mesh/controlplane/usage.go
@@ -1,20 +1,13 @@
 package controlplane
 
 import (
-	"slices"
 	"time"
 
-	"example.org/micaline/internal/mesh/bootstrap"
 	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/meshtime"
 	"example.org/micaline/internal/mesh/usage"
 )
 
-// reportsUsage says whether these settings have the mesh report usage.
-func reportsUsage(set *bootstrap.Settings) bool {
-	return set.Platform.Address != "" && slices.Contains(set.Platform.Duties, duties.UsageReport)
-}
-
 // tickUsage is the owner's.
 func (c *Core) tickUsage() {
 	var offsets []time.Duration
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -98,7 +98,7 @@
 	a.host = inbound.NewHost(a.rules(), mostBody, budget, a.news)
 	a.host.Observe(a.backendChanged)
 	a.clock = meshtime.New()
-	if set.Platform.Address != "" && slices.Contains(set.Platform.Duties, duties.UsageReport) {
+	if set.Platform.Has(duties.UsageReport) {
 		a.usage = usage.NewCounter(rand.Uint64(), set.Bounds.ReportWindow, a.clock)
 		a.host.CountUsage(a.usage)
 	}
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -96,16 +96,16 @@
 // Up is what an agent says to a core machine over its feed; fields that are not set say nothing.
 type Up struct {
 	Station *Station
-	Have    uint64 // index of the configuration that the agent has; told with every station
-	Want    uint64 // not 0: send the whole configuration, of this index or a later one
-	Since   uint64 // with Want, not 0: the steps from this index, which the agent has, do as well
-	Deflate bool   // with Want: the raw bytes may come compressed
-	Fresh   uint64 // not 0: answer with this number once what you have sent is current
-	Handed  uint64 // number of a Down.Beat that has been dealt with
-	Status  int    // the answer to it
-	Resume  Resume // with the first message of a feed: what has been heard before
-	Clock   int64  // of meshtime, ns: the agent's own; 0: not told
-	Usage   *usage.Update
+	Have    uint64        // index of the configuration that the agent has; told with every station
+	Want    uint64        // not 0: send the whole configuration, of this index or a later one
+	Since   uint64        // with Want, not 0: the steps from this index, which the agent has, do as well
+	Deflate bool          // with Want: the raw bytes may come compressed
+	Fresh   uint64        // not 0: answer with this number once what you have sent is current
+	Handed  uint64        // number of a Down.Beat that has been dealt with
+	Status  int           // the answer to it
+	Resume  Resume        // with the first message of a feed: what has been heard before
+	Clock   int64         // of meshtime, ns: the agent's own; 0: not told
+	Usage   *usage.Update // what has changed of its counts; nil: nothing
 }
 
 // Resume says that an agent has heard all stations of a core process up to a revision. The zero
