--- a/internal/mesh/controlplane/platform_test.go
+++ b/internal/mesh/controlplane/platform_test.go
@@ -16,10 +16,15 @@
 
 // What the platform answers is taken for no more than it says.
 func TestPlatformAnswers(t *testing.T) {
-	status, after, body, head := 0, "", "", http.Header(nil)
+	type call struct {
+		body string
+		head http.Header
+	}
+	calls := make(chan call, 1)
+	status, after := 0, ""
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text, _ := io.ReadAll(r.Body)
-		body, head = string(text), r.Header
+		calls <- call{string(text), r.Header}
 		if status == 0 {
 			panic(http.ErrAbortHandler)
 		}
@@ -44,7 +49,8 @@
 		status, after = c.status, c.after
 		result, wait := p.report(context.Background(), 12, r)
 		require.Equal(t, []any{c.result, c.wait}, []any{result, wait}, "%+v", c)
-		require.JSONEq(t, `{"window":353445120,"counts":{"acme":412}}`, body)
-		require.Equal(t, []string{"core-1", "12"}, []string{head.Get("Duty-Holder"), head.Get("Fence-Number")})
+		got := <-calls
+		require.JSONEq(t, `{"window":353445120,"counts":{"acme":412}}`, got.body)
+		require.Equal(t, []string{"core-1", "12"}, []string{got.head.Get("Duty-Holder"), got.head.Get("Fence-Number")})
 	}
 }
