TestManyPeers: who gives way is compared, not the order in which ends are heard

The order was never promised; that just these give way, and nobody else, still is, and the second half of that is new. go test -race -count=60 -run TestManyPeers ./internal/mesh/controlplane: ok.

--- a/internal/mesh/controlplane/peers_test.go
+++ b/internal/mesh/controlplane/peers_test.go
@@ -50,7 +50,11 @@
 			require.Fail(t, "never heard", to)
 		}
 	}
+	var oldest, gaveWay []string // each connection's end is heard by a goroutine of its own, so in any order
 	for i := range others - mostPeers {
-		require.Equal(t, fmt.Sprintf("127.77.0.%d:8620", i+1), <-ended)
+		oldest = append(oldest, fmt.Sprintf("127.77.0.%d:8620", i+1))
+		gaveWay = append(gaveWay, <-ended)
 	}
+	require.ElementsMatch(t, oldest, gaveWay)
+	require.Empty(t, ended, "others gave way too")
 }
