--- a/internal/processtest/processtest_test.go
+++ b/internal/processtest/processtest_test.go
@@ -218,8 +218,9 @@
 	}
 	s, properties := story(t, "testdata/calm.toml")
 	programs := &Programs{Build: dir, Dir: t.TempDir(), Operators: operators}
+	var said []string // by the agents, to the last call
 	ctl := func(words ...string) (codes map[int]int) {
-		codes = map[int]int{}
+		codes, said = map[int]int{}, nil
 		for i := range s.Agents {
 			sock := filepath.Join(programs.dir(fmt.Sprintf("a%d", i+1)), "ctl.sock")
 			cmd := exec.CommandContext(t.Context(), filepath.Join(dir, "micaline"), append([]string{"ctl", "-i", sock, "site"}, words...)...)
@@ -229,6 +230,7 @@
 				t.Errorf("%v: %v %s", words, err, out)
 			}
 			codes[cmd.ProcessState.ExitCode()]++
+			said = append(said, strings.TrimSpace(string(out)))
 		}
 		return codes
 	}
@@ -239,7 +241,7 @@
 		switch second++; second {
 		case 3:
 			if codes := ctl("evacuate", "a", "--for", "1m", "--why", "power work"); codes[0] != s.Agents {
-				t.Errorf("evacuating a: exit codes %v", codes)
+				t.Errorf("evacuating a: exit codes %v\n%s", codes, strings.Join(said, "\n"))
 			}
 			began = w.now()
 		case 9:
