--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -64,7 +64,7 @@
 	p := Plan{Site: m.set.Names[lost], State: m.sites[lost].state, After: math.Inf(1)}
 	held, room, own := 0.0, 0.0, 0.0
 	for i := range m.sites {
-		u, r := m.carries(i)
+		u, r := m.sustains(i)
 		if held += u; i == lost {
 			own = u
 		} else if s := &m.sites[i]; s.state != CutOff {
@@ -90,7 +90,7 @@
 	// servers are used to.
 	carried := held * (1 - p.Refuse)
 	for i := range m.sites {
-		u, r := m.carries(i)
+		u, r := m.sustains(i)
 		if i == lost || r == 0 || m.sites[i].state == CutOff || held == 0 {
 			continue
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -57,6 +57,8 @@
 	stale = 10 * time.Second
 	// trustAfter is how long a site is well before an old loss counts half.
 	trustAfter = time.Minute
+	// meanLooks are looks over which what is in work is averaged for plans: some five seconds.
+	meanLooks = 50
 	// leaveOver is how long it takes to take a site out by hand.
 	leaveOver = 4 * time.Second
 	// MostHistory is how many changes are remembered.
@@ -131,6 +133,8 @@
 	in       bool // used
 	since    time.Duration
 	use      Use
+	looks    int     // that have gone into the mean
+	mean     float64 // of what is in work, over some meanLooks
 }
 
 // site is one of them.
@@ -278,9 +282,7 @@
 	m.now = max(now, m.now)
 	for i := range uses {
 		if s := m.servers[uses[i].ID]; s != nil {
-			// A moving mean over some ten looks.
-			s.use.Held += 0.1 * (uses[i].Held - s.use.Held)
-			s.use.Room = uses[i].Room
+			s.takeUse(&uses[i])
 		}
 	}
 	m.forget()
@@ -446,10 +448,10 @@
 func (m *Machine) remember(i int) {
 	sum := 0.0
 	for j := range m.sites {
-		u, _ := m.carries(j)
+		u, _ := m.sustains(j)
 		sum += u
 	}
-	if u, _ := m.carries(i); sum > 0 && m.sites[i].open() {
+	if u, _ := m.sustains(i); sum > 0 && m.sites[i].open() {
 		m.sites[i].lastUse, m.sites[i].share = u, u/sum
 	}
 }
@@ -464,6 +466,26 @@
 	return held, room
 }
 
+// sustains is what a site's servers that are used have in work over a longer time, and what they serve
+// at once. Plans go by it: with few requests a second, what is in work at a moment says little.
+func (m *Machine) sustains(i int) (held, room float64) {
+	for _, s := range m.sites[i].servers {
+		if s.in {
+			held, room = held+s.mean, room+s.use.Room
+		}
+	}
+	return held, room
+}
+
+// takeUse takes in what is in work at a server: a moving mean over some ten looks, and one over
+// meanLooks, which at first is the plain mean of those that there are.
+func (s *server) takeUse(u *Use) {
+	s.use.Held += 0.1 * (u.Held - s.use.Held)
+	s.use.Room = u.Room
+	s.looks = min(s.looks+1, meanLooks)
+	s.mean += (u.Held - s.mean) / float64(s.looks)
+}
+
 var (
 	// ErrNoSite is a name that no site has.
 	ErrNoSite = errors.New("there is no such site")
