Duties are handed over and revoked by hand, and a core's quiet start has its test

POST /api/duties/D/hand and /revoke, micaline-mesh duty hand and revoke. Weighed: a command of its own in the log, which core machines of before would refuse whole; the lease's own ops, which they know, differ only for an order that is stale. TestStartsQuietly fails without the quiet time after a start (tried).

--- a/cmd/micaline-mesh/main.go
+++ b/cmd/micaline-mesh/main.go
@@ -29,6 +29,9 @@
 	agentIP  string
 	reason   string
 	number   int
+	duty     string
+	to       string
+	why      string
 }
 
 // verb is a sub-command and what it does.
@@ -108,10 +111,17 @@
 	duty := add(top, "duty", "tell who carries out the duties at the platform", nil)
 	add(duty, "show", "list the duties: holder, fence, last report", c.dutyShow)
 	add(duty, "history", "list how the duties moved", c.dutyHistory)
+	hand := add(duty, "hand", "have a duty's holder give it to another core machine", c.dutyHand)
+	hand.String(&c.to, "", "to", "name of the core machine")
+	revoke := add(duty, "revoke", "take a duty from its holder, whoever gets it then", c.dutyRevoke)
+	revoke.String(&c.why, "w", "why", "the reason, for the history")
+	for _, sub := range []*flaggy.Subcommand{hand, revoke} {
+		sub.AddPositionalValue(&c.duty, "DUTY", 1, true, "its name, as show lists it")
+	}
 	c.stateVerbs(top, add)
 	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }},
 		verb{requests, func() error { return misused("requests: why or last?") }},
-		verb{duty, func() error { return misused("duty: show or history?") }})
+		verb{duty, func() error { return misused("duty: show, history, hand or revoke?") }})
 }
 
 func version() string {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -110,7 +110,7 @@
 	Kind    Kind          `json:"kind"`
 	Duty    string        `json:"duty"`
 	Holder  string        `json:"holder,omitempty"`
-	Epoch   uint64        `json:"epoch,omitempty"`
+	Epoch   uint64        `json:"epoch,omitempty"` // of Revoke and Hand: the grant that is meant, 0 for any
 	Term    time.Duration `json:"term,omitempty"`
 	To      string        `json:"to,omitempty"`
 	Baton   []byte        `json:"baton,omitempty"`
@@ -213,15 +213,29 @@
 		d.Holder, d.Baton, d.To, d.Lost, d.Word = "", op.Baton, to, 0, nil
 		t.moved(op.Duty, d, "released by "+op.Holder)
 	case Revoke:
-		if d.Holder == "" {
+		switch {
+		case op.Epoch > d.Epoch:
+			return refused("epoch %d has not been granted", op.Epoch)
+		case op.Epoch != 0 && (op.Epoch < d.Epoch || d.Holder == "" || d.Revoked):
+			return Answer{Holder: d.Holder, Epoch: d.Epoch} // it has come about
+		case d.Holder == "":
 			return refused("nobody holds it")
 		}
 		d.Revoked = true // danger: its holder may act until its time is over, and nobody else before
 		t.moved(op.Duty, d, op.Why)
 	case Hand:
 		if Meant(op.To, d.Holder) {
+			if op.Epoch != 0 && op.Epoch < d.Epoch {
+				return Answer{Holder: d.Holder, Epoch: d.Epoch} // it has come about
+			}
 			return refused("%s holds it", d.Holder)
 		}
+		if op.Epoch != 0 && op.Epoch != d.Epoch {
+			return refused("epoch %d is not the last that was granted", op.Epoch)
+		}
+		if op.Epoch != 0 && d.To == op.To {
+			return Answer{Holder: d.Holder, Epoch: d.Epoch} // it is under way
+		}
 		d.To, d.Resting = op.To, false
 		t.moved(op.Duty, d, "to be handed to "+op.To)
 	case End:
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"example.org/micaline/internal/lease"
 	"example.org/micaline/internal/mesh/meshconfig"
 )
 
@@ -19,6 +20,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("/api/config", &configs{c})
 	mux.Handle("/api/drain-zone/{zone}", forPresent(&evacuations{c}))
+	mux.Handle("/api/duties/{duty}/hand", forPresent(&dutyOrders{c, lease.Hand}))
+	mux.Handle("/api/duties/{duty}/revoke", forPresent(&dutyOrders{c, lease.Revoke}))
 	mux.Handle("/api/servers/{id}", &servers{c})
 	mux.Handle("/api/link", &links{c})
 	mux.Handle("/api/backup", &backups{c})
--- a/internal/mesh/duties/duties_test.go
+++ b/internal/mesh/duties/duties_test.go
@@ -300,3 +300,18 @@
 	require.Empty(t, again.Apply(903, &Command{Taken: &Taken{40}}).Refused)
 	require.Len(t, table.Usage.Open, 1, "the other table goes its own way")
 }
+
+// A process that has just started asks for no part: its predecessor on this machine may have called
+// the platform within a lease, and another machine since.
+func TestStartsQuietly(t *testing.T) {
+	bounds := Bounds{Lease: 3 * time.Second, Window: 5 * time.Second, Delay: 5 * time.Second}
+	h := NewHolder("a", "a/1", bounds)
+	first := time.Duration(0)
+	for now := time.Duration(0); now < 10*time.Second && first == 0; now += 50 * time.Millisecond {
+		if todo := h.Step(now, New(), &View{Connected: true}); len(todo.Asks) > 0 {
+			first = now
+		}
+	}
+	require.Greater(t, first, bounds.Lease)
+	require.Less(t, first, 2*bounds.Lease)
+}
--- a/internal/mesh/meshclient/mesh.go
+++ b/internal/mesh/meshclient/mesh.go
@@ -95,6 +95,32 @@
 	return err
 }
 
+// DutyOrder is about the grant of a duty under a fence.
+type DutyOrder struct {
+	Fence uint64 `json:"fence"`
+	To    string `json:"to,omitempty"`  // a core machine's name
+	Why   string `json:"why,omitempty"` // for people
+}
+
+// HandDuty asks that a duty's holder gives it to another core machine.
+func (m *Mesh) HandDuty(ctx context.Context, duty string, order DutyOrder) error {
+	return m.orderDuty(ctx, duty, "hand", order)
+}
+
+// RevokeDuty asks that a duty's holder renews it no more; another gets it once its time is over.
+func (m *Mesh) RevokeDuty(ctx context.Context, duty string, order DutyOrder) error {
+	return m.orderDuty(ctx, duty, "revoke", order)
+}
+
+func (m *Mesh) orderDuty(ctx context.Context, duty, what string, order DutyOrder) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	_, err = m.call(ctx, http.MethodPost, "/api/duties/"+url.PathEscape(duty)+"/"+what, body)
+	return err
+}
+
 // Backup returns the state of the core machines as a file, which holds all that was acknowledged
 // before the call.
 func (m *Mesh) Backup(ctx context.Context) ([]byte, error) {
--- a/internal/mesh/meshtest/duty_test.go
+++ b/internal/mesh/meshtest/duty_test.go
@@ -2,17 +2,55 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 var dutyDays, dutySeed = daysFlags("duty", 3)
 
 const dutySteps = 4 // of each of the series of a day that overlap
 
+// A duty goes to the core machine that an operator names, and away from one that it is taken from.
+func TestDutyIsMoved(t *testing.T) {
+	t.Parallel()
+	dir, err := build()
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	g, err := Start(ctx, Options{Agents: 3, Rate: 10, Tenants: 2, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
+	require.NoError(t, err)
+	defer g.Close()
+	const within, every = 15 * time.Second, 50 * time.Millisecond
+	require.Eventually(t, func() bool { return g.Platform.Holder() != nil }, within, every)
+	holder, fence := g.Platform.Holder(), g.Platform.Fence()
+	to := g.Cores[(slices.Index(g.Cores, holder)+1)%len(g.Cores)]
+	order := func(words ...string) {
+		words = append(words, "usage_report", "--core", to.at(controlPort))
+		out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), append([]string{"duty"}, words...)...).CombinedOutput()
+		require.NoError(t, err, "%s", out)
+	}
+	order("hand", "--to", to.Name)
+	require.Eventually(t, func() bool { return g.Platform.Holder() == to }, within, every)
+	require.Greater(t, g.Platform.Fence(), fence)
+	fence = g.Platform.Fence()
+	order("revoke", "--why", "by hand")
+	require.Eventually(t, func() bool { return g.Platform.Fence() > fence }, within, every)
+	v, err := g.Finish(ctx)
+	require.NoError(t, err)
+	require.Empty(t, v.Breaches)
+}
+
 // TestDutyDays has usage reported while its holder is killed, stands still or is told to end, agents
-// go, the platform is down, slow or loses answers, and keys are given and taken away.
+// go, the platform is down, slow or loses answers, keys are given and taken away, and operators move
+// the duty, with each order sent twice.
 func TestDutyDays(t *testing.T) {
 	(&days{dutyDays, dutySeed, func(rng *rand.Rand) Options {
 		return Options{Agents: 6, Rate: 12, Work: time.Duration(20+rng.IntN(150)) * time.Millisecond, Tenants: 3 + rng.IntN(6)}
@@ -70,6 +108,26 @@
 				}
 			}
 			return nil
+		}, func(rng *rand.Rand) error {
+			for range dutySteps {
+				pause(rng, 3*time.Second)
+				fence, to := g.Platform.Fence(), g.Cores[rng.IntN(len(g.Cores))]
+				if fence == 0 {
+					continue
+				}
+				for range 2 { // a caller that heard no answer asks again
+					err := g.Operator.RevokeDuty(ctx, fence)
+					if rng.IntN(3) > 0 {
+						err = g.Operator.HandDuty(ctx, fence, to)
+					}
+					var refused *Refused // the duty may have moved on
+					if err != nil && !(errors.As(err, &refused) && refused.Status == http.StatusConflict) {
+						return err
+					}
+					pause(rng, time.Second)
+				}
+			}
+			return nil
 		})
 		time.Sleep(terms.InTouch + terms.UsageDelay + 4*terms.Window) // so that windows are owed
 	}}).run(t)
--- a/internal/mesh/meshtest/operator.go
+++ b/internal/mesh/meshtest/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -125,6 +126,28 @@
 	return nil
 }
 
+// HandDuty has the usage report given to another core machine by whoever holds it under a fence.
+func (o *Operator) HandDuty(ctx context.Context, fence uint64, to *Machine) error {
+	return o.moveDuty(ctx, "hand", map[string]any{"fence": fence, "to": to.Name})
+}
+
+// RevokeDuty has the usage report taken from whoever holds it under a fence.
+func (o *Operator) RevokeDuty(ctx context.Context, fence uint64) error {
+	return o.moveDuty(ctx, "revoke", map[string]any{"fence": fence, "why": "by hand"})
+}
+
+func (o *Operator) moveDuty(ctx context.Context, what string, order map[string]any) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	status, answer, err := o.order(ctx, nil, http.MethodPost, "/api/duties/usage_report/"+what, body)
+	if err == nil && status != http.StatusOK {
+		err = &Refused{status, string(answer)}
+	}
+	return err
+}
+
 // Return takes an evacuation back.
 func (o *Operator) Return(ctx context.Context, zone string) error {
 	o.g.record.note(func(now time.Duration, s *Story) {
--- a/internal/mesh/meshtest/platform.go
+++ b/internal/mesh/meshtest/platform.go
@@ -90,6 +90,13 @@
 	return m
 }
 
+// Fence is the highest that it has seen.
+func (p *Platform) Fence() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.highest
+}
+
 // ServeHTTP takes a report.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
