Windows of maintenance: machines are taken out of use in steps before work begins

A window is agreed state (package maintenance); the leader decides each step by a forecast of load, quorum and zones; agents get cordons with the configuration: uploads, then new clients by readiness, then calls, then gates. Core machines give away leadership, votes and duties.

--- a/cmd/micaline-mesh/main.go
+++ b/cmd/micaline-mesh/main.go
@@ -29,6 +29,7 @@
 	agentIP  string
 	reason   string
 	number   int
+	window   windowFlags
 	duty     string
 	to       string
 	why      string
@@ -118,8 +119,9 @@
 	for _, sub := range []*flaggy.Subcommand{hand, revoke} {
 		sub.AddPositionalValue(&c.duty, "DUTY", 1, true, "its name, as show lists it")
 	}
+	window := c.windowVerbs(top, add)
 	c.stateVerbs(top, add)
-	return append(verbs, verb{config, func() error { return misused("config: get, put, check or diff?") }},
+	return append(verbs, window, verb{config, func() error { return misused("config: get, put, check or diff?") }},
 		verb{requests, func() error { return misused("requests: why or last?") }},
 		verb{duty, func() error { return misused("duty: show, history, hand or revoke?") }})
 }
--- a/internal/mesh/alerting/rules.go
+++ b/internal/mesh/alerting/rules.go
@@ -89,6 +89,11 @@
 		Values: []string{"fenced"}, Over: Increase, Window: window}, Compare: ">", Bound: 3,
 		Warns: "ONE", Summary: "the platform refuses the holder of a duty: another mesh may report to it"},
 
+	{Alert: "MeshWindowNotClear", Severity: page, Of: Term{Metric: "micaline_mesh_core_window_late_seconds"}, Compare: ">", Bound: 10, For: scrape,
+		Warns: "-", Summary: "work on machines is to have begun, and something is left on them"},
+	{Alert: "MeshWindowWaits", Severity: ticket, Of: Term{Metric: "micaline_mesh_core_window_waits"}, Compare: ">", Bound: 0, For: time.Minute,
+		Warns: "-", Summary: "a window of maintenance does not go on: what stays in use would not bear it"},
+
 	{Alert: "MeshAgentSilent", Severity: ticket, Of: Term{Metric: "micaline_mesh_up", Label: "process", Values: []string{"agent"}},
 		Compare: "<", Bound: 1, For: time.Minute, Warns: "-", Summary: "an agent gives no figures"},
 	{Alert: "MeshProcessRestarts", Severity: page, Of: Term{Metric: "micaline_mesh_uptime_seconds", Over: Resets, Window: 30 * time.Minute},
--- a/internal/mesh/alerting/rules_test.go
+++ b/internal/mesh/alerting/rules_test.go
@@ -118,6 +118,8 @@
 	"micaline_mesh_cores_silent":              {{"", 0, 0, 0}},
 	"micaline_mesh_core_usage_behind_seconds": {{"machine=a", 6, 0, 0}},
 	"micaline_mesh_core_usage_lost_total":     {{"machine=a", 2, 0, 0}},
+	"micaline_mesh_core_window_late_seconds":  {{"machine=a", 4, 0, 0}},
+	"micaline_mesh_core_window_waits":         {{"machine=a", 0, 0, 0}},
 	"micaline_mesh_core_duty_calls_total":     {{"machine=a result=taken", 0, 3, 0}, {"machine=a result=fenced", 1, 0, 0}},
 	"micaline_mesh_core_sync_longest_seconds": {{"machine=a", 0.3, 0, 0}}, // long ago
 	"micaline_mesh_core_proposals_total": {{"machine=a result=agreed", 5, 1, 0}, {"machine=a result=unknown", 1, 0, 0},
@@ -171,6 +173,8 @@
 	"MeshUsageBehind":          {"micaline_mesh_core_usage_behind_seconds": {{"machine=a", 0, 15, 0}}},
 	"MeshUsageLost":            {"micaline_mesh_core_usage_lost_total": {{"machine=a", 0, 1, 0}}},
 	"MeshDutyFenced":           {"micaline_mesh_core_duty_calls_total": {{"result=fenced", 0, 1, 0}}},
+	"MeshWindowNotClear":       {"micaline_mesh_core_window_late_seconds": {{"machine=a", 0, 15, 0}}},
+	"MeshWindowWaits":          {"micaline_mesh_core_window_waits": {{"machine=a", 1, 0, 0}}},
 	"MeshTurnedAway":           {"micaline_mesh_requests_ended_total": {{"result=no_route", 0, 0.5, 0}}},
 	"MeshAgentSilent":          {"micaline_mesh_up": {{"machine=b process=agent", 0, 0, 0}}},
 	"MeshProcessRestarts":      {"micaline_mesh_uptime_seconds": {{"machine=b", 0, 15, 30}}},
--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -62,8 +62,10 @@
 	Role                  string // "leader", "follower", "candidate", "learner", "recovering" or "suspended"
 	Leader                string // empty: unknown
 	Term, Commit, Applied uint64
-	Members, Learners     []string // of learners, only the leader knows
-	Outgoing              []string // voters that leave, while a change is under way
+	Members, Learners     []string          // of learners, only the leader knows
+	Outgoing              []string          // voters that leave, while a change is under way
+	Silent                []string          // voters that were not heard of late; only the leader knows
+	Zones                 map[string]string // of the nodes of which it is known; only the leader tells
 	LeaderChanges, Syncs  uint64
 	Foreign               uint64 // messages of another mesh, which were dropped
 	SyncMax               time.Duration
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -485,13 +485,16 @@
 		}
 	}
 	for _, p := range m.peers {
-		if p.learner {
+		switch {
+		case p.learner:
 			s.Learners = append(s.Learners, p.member.Address)
+		case m.role == leader && m.now-p.heard >= healthy:
+			s.Silent = append(s.Silent, p.member.Address)
 		}
 	}
 	switch {
 	case m.role == leader:
-		s.Role = "leader"
+		s.Role, s.Zones = "leader", m.zones
 	case !m.mayCampaign():
 		s.Role = "learner"
 		if m.lostDisk() {
--- a/internal/mesh/consensus/placement.go
+++ b/internal/mesh/consensus/placement.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // VotersToBear is how many voters bear the loss of so many machines at once, disks and all: what was
 // agreed on is on a majority of them, and a majority is left. At least three, as one loss is always
@@ -15,7 +18,12 @@
 	if msg.Zone == "" || m.zones[msg.From] == "" && len(m.zones) >= mostZones {
 		return
 	}
-	m.zones[msg.From] = msg.Zone
+	if m.zones[msg.From] == msg.Zone {
+		return
+	}
+	zones := maps.Clone(m.zones) // a Status may hold the one of before
+	zones[msg.From] = msg.Zone
+	m.zones = zones
 }
 
 // zoneOf is the zone in which a node stands; empty if it isn't known, as of one that has not been
--- a/internal/mesh/controlplane/core.go
+++ b/internal/mesh/controlplane/core.go
@@ -55,7 +55,9 @@
 	telling atomic.Bool   // feeds are about to be told of a changed configuration
 	told    time.Duration // when they were, or will be; the node's goroutine's
 
-	duty *dutyHolder // nil: these settings have no duties
+	duty    *dutyHolder // nil: these settings have no duties
+	windows *windowDriver
+	started atomic.Bool // node stands
 
 	stats    transport.StatsServer
 	commands chan func()
@@ -85,6 +87,7 @@
 		clock: meshtime.New(), collector: usage.NewCollector()}
 	c.table = newTable(c.configChanged)
 	c.peers = newPeers(set)
+	c.windows = newWindowDriver(c)
 	if set.Platform.Has(duties.UsageReport) {
 		c.duty = newDutyHolder(c)
 	}
@@ -142,6 +145,7 @@
 	if err != nil {
 		return oops.In("agreement").Wrap(err)
 	}
+	c.started.Store(true)
 	if c.duty != nil {
 		go c.duty.run(owner)
 	}
@@ -195,8 +199,9 @@
 }
 
 func (c *Core) own(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
+	tick, windows := time.NewTicker(time.Second), time.NewTicker(windowTick)
 	defer tick.Stop()
+	defer windows.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -207,6 +212,9 @@
 		case <-tick.C:
 			c.turn()
 			c.tick()
+		case <-windows.C:
+			c.turn()
+			c.windows.tick()
 		}
 	}
 }
@@ -230,6 +238,7 @@
 	if c.registry.Step(c.now()) {
 		c.revisions.Removed(func(agent string) bool { return c.registry.Station(agent) != nil })
 	}
+	c.correctClock()
 	if c.duty != nil {
 		c.tickUsage()
 	}
--- a/internal/mesh/controlplane/feed.go
+++ b/internal/mesh/controlplane/feed.go
@@ -34,6 +34,8 @@
 
 	offset atomic.Int64 // of the agent's own time from this process's, ns
 	timed  atomic.Bool  // it has told its time
+
+	work *transport.Work // as told last; nil: not told; the owner's
 }
 
 // waiting is a backend's call that is to be told to the agent beside it.
@@ -133,7 +135,7 @@
 			f.offset.Store(int64(time.Duration(up.Clock) - c.clock.Own()))
 			f.timed.Store(true)
 		}
-		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 || said.Usage != nil {
+		if said := up; said.Station != nil || said.Want != 0 || said.Fresh != 0 || said.Handed != 0 || said.Usage != nil || said.Work != nil {
 			c.do(func() { c.heard(f, said) })
 		}
 		f.conn.SetReadDeadline(time.Now().Add(feedTimeout))
@@ -190,6 +192,9 @@
 			c.hear(*s)
 		}
 	}
+	if up.Work != nil {
+		f.work = up.Work
+	}
 	if up.Usage != nil {
 		c.collector.Hear(f.agent, up.Usage)
 	}
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -94,6 +94,7 @@
 	if c.duty != nil {
 		c.duty.figures(&f)
 	}
+	c.windows.figures(&f)
 	evacuated := state.config.EvacuatedZones()
 	for zone := range c.set.Zones {
 		f.Flag("micaline_mesh_core_zone_evacuated", slices.Contains(evacuated, zone), zone)
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"example.org/micaline/internal/mesh/duties"
+	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
@@ -143,6 +144,9 @@
 	duties      *duties.Table // of the node's goroutine
 	dutiesMoved bool          // since they were shown
 	dutiesNow   atomic.Pointer[duties.Table]
+
+	windows    *maintenance.Table // of the node's goroutine
+	windowsNow atomic.Pointer[maintenance.Table]
 }
 
 func newTable(changed func()) *table {
@@ -151,6 +155,8 @@
 	t.now.Store(t.newest)
 	t.duties = duties.New()
 	t.showDuties()
+	t.windows = &maintenance.Table{}
+	t.windowsNow.Store(t.windows.Clone())
 	return t
 }
 
@@ -187,8 +193,11 @@
 	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
 		return refusalOf(err).encode()
 	}
-	if o.Op == opDuty {
+	switch o.Op {
+	case opDuty:
 		return t.applyDuty(index, o.Body)
+	case opWindow:
+		return t.applyWindow(index, o.Body)
 	}
 	old := t.newest
 	next, err := t.history.Carry(index, old.config, &o)
@@ -208,13 +217,14 @@
 	Config  []byte
 	History []byte
 	Duties  []byte
+	Windows []byte
 }
 
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
 	s := t.newest
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode(), t.duties.Encode()}); err != nil {
+	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode(), t.duties.Encode(), t.windows.Encode()}); err != nil {
 		panic(err) // plain fields always encode
 	}
 	return b.Bytes()
@@ -240,6 +250,10 @@
 		return oops.In("snapshot").Wrap(err)
 	}
 	t.showDuties()
+	if t.windows, err = maintenance.Decode(k.Windows); err != nil {
+		return oops.In("snapshot").Wrap(err)
+	}
+	t.windowsNow.Store(t.windows.Clone())
 	t.history = history
 	t.applied.Store(index)
 	t.newest = &state{index: k.Index, config: config}
--- a/internal/mesh/controlplane/usage.go
+++ b/internal/mesh/controlplane/usage.go
@@ -8,8 +8,8 @@
 	"example.org/micaline/internal/mesh/usage"
 )
 
-// tickUsage is the owner's.
-func (c *Core) tickUsage() {
+// correctClock goes by the time that agents tell. It is the owner's.
+func (c *Core) correctClock() {
 	var offsets []time.Duration
 	for _, f := range c.feeds {
 		if f.timed.Load() {
@@ -17,13 +17,17 @@
 		}
 	}
 	c.clock.Correct(append(offsets, 0))
+}
+
+// tickUsage is the owner's.
+func (c *Core) tickUsage() {
 	c.collector.Settle(c.table.dutiesNow.Load().Usage.Through)
 	c.collector.Retain(func(agent string) bool { return c.registry.Station(agent) != nil })
 }
 
 // viewUsage is the owner's: how the window stands that is to be fixed after those that are.
 func (c *Core) viewUsage(through int64) *duties.View {
-	v := &duties.View{Time: c.clock.Now()}
+	v := &duties.View{Time: c.clock.Now(), Aside: c.windows.standing.Load()}
 	var heard, lost []string
 	for _, h := range c.registry.All(c.now()) {
 		switch {
--- a/internal/mesh/duties/holder.go
+++ b/internal/mesh/duties/holder.go
@@ -37,6 +37,7 @@
 // View is what a machine sees of agents and their counts.
 type View struct {
 	Time      time.Duration // of the mesh, since the start of 1970
+	Aside     bool          // this machine is taken out of use: another is to hold the part
 	Connected bool          // over half of the agents that are known are heard here
 	Window    int64         // to be fixed next; 0: there is none
 	Complete  bool          // all agents that are heard have closed it
@@ -130,7 +131,7 @@
 // Step goes on by what is known. The view may be empty where NeedsView says so.
 func (h *Holder) Step(now time.Duration, table *Table, view *View) (todo Todo) {
 	// Danger: this machine may have called the platform before its process started.
-	able := view.Connected && now > h.bounds.Lease+actMargin
+	able := view.Connected && !view.Aside && now > h.bounds.Lease+actMargin
 	patience := lease.Patience(UsageReport, h.node, 1, PatienceTerm)
 	if ask := h.lease.Step(now, table.isFree() && able, patience); ask != nil {
 		h.askLease(&todo, ask)
@@ -184,7 +185,7 @@
 	case h.apart == 0:
 		h.apart = now
 	}
-	return epoch == h.refused || h.lease.Wanted() != "" || h.apart != 0 && now-h.apart > h.bounds.Lease
+	return view.Aside || epoch == h.refused || h.lease.Wanted() != "" || h.apart != 0 && now-h.apart > h.bounds.Lease
 }
 
 // settle has reports noted as taken that the platform has.
--- a/internal/mesh/inbound/gate.go
+++ b/internal/mesh/inbound/gate.go
@@ -39,6 +39,7 @@
 type Rules struct {
 	Blind      bool // the configuration is not known: nothing is handed over
 	Evacuated  bool
+	NoUploads  bool // bodies that are offered before they are sent go elsewhere
 	Warmup     time.Duration
 	WarmupPerS float64
 	Excess     float64 // the bound in a second is WarmupPerS x Excess + Margin
@@ -119,6 +120,9 @@
 	if f := g.may(a); f != nil {
 		return g.refuse(f)
 	}
+	if g.rules.NoUploads {
+		return g.refuse(&transport.Failure{Verdict: transport.NotRun, Reason: transport.Evacuated})
+	}
 	if g.rules.LinkBps <= 0 {
 		return nil
 	}
--- a/internal/mesh/inbound/gate_test.go
+++ b/internal/mesh/inbound/gate_test.go
@@ -386,3 +386,18 @@
 		})
 	}
 }
+
+// While planned work turns uploads away, a body that is offered goes elsewhere, and one that has come
+// is handed over as before.
+func TestUploadsTurnedAway(t *testing.T) {
+	g := New(0, Rules{BeatEvery: time.Minute, NoUploads: true})
+	g.Named(1)
+	g.Beat(lateCalls, transport.Backend{ID: "b", Capacity: 4, Calls: 1}, BeatHere)
+	ask := &transport.Request{Life: 1, Target: "b", Body: 1e6, Try: "t", Unsafe: true}
+	f := g.Offer(lateCalls, ask)
+	require.Equal(t, []any{transport.NotRun, transport.Evacuated}, []any{f.Verdict, f.Reason})
+	g.Configure(lateCalls, Rules{BeatEvery: time.Minute})
+	require.Nil(t, g.Offer(lateCalls, ask))
+	g.Configure(lateCalls, Rules{BeatEvery: time.Minute, NoUploads: true})
+	require.Nil(t, g.may(ask), "it has come")
+}
--- /dev/null
+++ b/internal/mesh/maintenance/document.go
@@ -0,0 +1,51 @@
+package maintenance
+
+import (
+	"fmt"
+	"time"
+)
+
+// PlanDocument is the body of POST /api/windows. Times are RFC 3339, lead is a duration as 90s.
+type PlanDocument struct {
+	Name  string    `json:"name"`
+	Zone  string    `json:"zone,omitempty"`
+	Nodes []string  `json:"nodes,omitempty"`
+	Start time.Time `json:"start"`
+	End   time.Time `json:"end"`
+	Lead  string    `json:"lead"`
+	By    string    `json:"by,omitempty"`
+	Why   string    `json:"why,omitempty"`
+	Force bool      `json:"force,omitempty"`
+}
+
+// StateDocument is a window as GET /api/windows tells it.
+type StateDocument struct {
+	PlanDocument
+	Phase    Phase    `json:"phase"`
+	Step     int      `json:"step"`
+	Steps    int      `json:"steps"`
+	Clear    bool     `json:"clear"`
+	Waits    string   `json:"waits,omitempty"`
+	Ended    string   `json:"ended,omitempty"`
+	Left     []string `json:"left,omitempty"`     // on its machines
+	Forecast []Share  `json:"forecast,omitempty"` // without its machines, the fullest first
+}
+
+// Window makes the agreed kind of a plan. The error names the field that is wrong.
+func (p *PlanDocument) Window() (*Window, error) {
+	lead, err := time.ParseDuration(p.Lead)
+	if err != nil {
+		return nil, fmt.Errorf("lead: %q is no duration such as 90s", p.Lead)
+	}
+	return &Window{Name: p.Name, Zone: p.Zone, Nodes: p.Nodes, Start: time.Duration(p.Start.UnixNano()),
+		End: time.Duration(p.End.UnixNano()), Lead: lead, By: p.By, Why: p.Why, Forced: p.Force}, nil
+}
+
+// Document is the window as it is told; what one machine alone sees is left out.
+func (w *Window) Document() StateDocument {
+	plan := PlanDocument{Name: w.Name, Zone: w.Zone, Nodes: w.Nodes, Start: clockTime(w.Start), End: clockTime(w.End), Lead: w.Lead.String(),
+		By: w.By, Why: w.Why, Force: w.Forced}
+	return StateDocument{PlanDocument: plan, Phase: w.Phase, Step: w.Step, Steps: LastStep, Clear: w.Clear, Waits: w.Waits, Ended: w.Ended}
+}
+
+func clockTime(at time.Duration) time.Time { return time.Unix(0, int64(at)).UTC() }
--- a/internal/mesh/meshconfig/digest.go
+++ b/internal/mesh/meshconfig/digest.go
@@ -17,6 +17,7 @@
 	for _, zone := range c.zones {
 		putText(h, zone)
 	}
+	c.digestCordons(h)
 	return max(1, h.Sum64())
 }
 
--- a/internal/mesh/meshconfig/encode.go
+++ b/internal/mesh/meshconfig/encode.go
@@ -17,6 +17,8 @@
 	Items []stateItem `json:"items"`
 	Drops uint64      `json:"drops"`
 	Zones []string    `json:"zones"`
+
+	Cordons []Cordon `json:"cordons,omitempty"`
 }
 
 type stateItem struct {
@@ -46,7 +48,7 @@
 // Encode gives the whole state, tombstones and evacuations included, for snapshots and agents.
 // Equal configurations give equal bytes.
 func (c *Config) Encode() []byte {
-	s := state{Drops: c.drops, Zones: c.zones}
+	s := state{Drops: c.drops, Zones: c.zones, Cordons: c.cordons}
 	for _, i := range c.sorted() {
 		if i.dropped() {
 			s.Items = append(s.Items, stateItem{Kind: i.kind, Name: i.name, Version: i.text, Drop: i.drop})
@@ -73,7 +75,7 @@
 	if err := json.Unmarshal(data[1:], &s); err != nil {
 		return nil, fmt.Errorf("a configuration that can't be read: %w", err)
 	}
-	c := &Config{items: make(map[key]*item, len(s.Items)), drops: s.Drops, zones: s.Zones}
+	c := &Config{items: make(map[key]*item, len(s.Items)), drops: s.Drops, zones: s.Zones, cordons: s.Cordons}
 	domains := make(map[string]bool)
 	for n, e := range s.Items {
 		i, err := e.item(n)
@@ -85,7 +87,7 @@
 		}
 		c.put(i)
 	}
-	if err := cmp.Or(c.check(), c.indexKeys()); err != nil {
+	if err := cmp.Or(c.check(), c.indexKeys(), checkCordons(c.cordons)); err != nil {
 		return nil, fmt.Errorf("a configuration that isn't whole: %w", err)
 	}
 	if len(c.items) != len(s.Items) || !slices.IsSorted(c.zones) {
--- a/internal/mesh/meshconfig/history.go
+++ b/internal/mesh/meshconfig/history.go
@@ -97,7 +97,11 @@
 // Carry returns the configuration after the order that is at the index, as core machines carry it
 // out. It is c itself where the order changes nothing or can't be carried out.
 func (h *History) Carry(index uint64, c *Config, o *Order) (*Config, error) {
-	if o.Op != OpPatch {
+	switch o.Op {
+	case OpPatch:
+	case OpCordons:
+		return c.Carry(o)
+	default:
 		return h.carryZone(index, c, o)
 	}
 	p, err := ParsePatch(o.Body)
--- a/internal/mesh/meshconfig/meshconfig.go
+++ b/internal/mesh/meshconfig/meshconfig.go
@@ -2,6 +2,8 @@
 // are evacuated. It does no I/O, has no clock and starts no goroutines; a snapshot may be read by
 // any number of goroutines.
 //
+// Beside items there are cordons, by which machines are taken out of use in steps for planned work.
+//
 // There are items: routes, services, customers (tenants, known by their keys), and the single one `limits`. Each has a name and a
 // version of its own. A patch sets and drops items; for each name the highest version holds,
 // whether it set or dropped the item, and what is lower or equal changes nothing. So a dropped item
@@ -44,11 +46,12 @@
 
 // Config is the configuration at one moment. It never changes.
 type Config struct {
-	items map[key]*item // with tombstones
-	drops uint64        // tombstones ever made, which puts them in order
-	zones []string      // evacuated, sorted
-	sum   uint64        // of the items' digests: see Digest
-	size  int           // of the items' text
+	items   map[key]*item // with tombstones
+	drops   uint64        // tombstones ever made, which puts them in order
+	zones   []string      // evacuated, sorted
+	cordons []Cordon
+	sum     uint64 // of the items' digests: see Digest
+	size    int    // of the items' text
 
 	hosts map[string]*prefixes // of the routes that stand, by domain
 	keys  map[string]*Customer // of the customers that stand, by key
@@ -101,7 +104,7 @@
 	if len(made.moved) == 0 {
 		return made, nil
 	}
-	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, sum: c.sum, size: c.size, keys: c.keys, tenants: c.tenants}
+	next := &Config{items: maps.Clone(c.items), drops: c.drops, zones: c.zones, cordons: c.cordons, sum: c.sum, size: c.size, keys: c.keys, tenants: c.tenants}
 	if next.items == nil {
 		next.items = make(map[key]*item, len(made.moved))
 	}
--- a/internal/mesh/meshconfig/order.go
+++ b/internal/mesh/meshconfig/order.go
@@ -40,6 +40,8 @@
 		return c.Evacuate(o.Zone), nil
 	case OpReturn:
 		return c.Return(o.Zone), nil
+	case OpCordons:
+		return c.carryCordons(o.Body)
 	}
 	return c, fmt.Errorf("op: %s is not known", o.Op)
 }
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -80,6 +80,11 @@
 		"since the end of the oldest window that the platform has no report of; 0: there was none yet"},
 	{"micaline_mesh_core_usage_lost_total", Counter, "windows", nil, Core, "of usage that were never reported and won't be"},
 
+	{"micaline_mesh_core_window_step", Gauge, "steps", nil, Core, "of the window of maintenance that is not over, that are in force; 0: none"},
+	{"micaline_mesh_core_window_waits", Gauge, "0 or 1", nil, Core, "1 if the window does not go on, as what stays would not bear it"},
+	{"micaline_mesh_core_window_left", Gauge, "machines", nil, Core, "of the window, on which something is left; 0 where none is under way"},
+	{"micaline_mesh_core_window_late_seconds", Gauge, "s", nil, Core, "since the start of the window's work, while it is not clear"},
+
 	{"micaline_mesh_up", Gauge, "0 or 1", []string{"machine", "zone", "process"}, Exporter, "the process gave its figures"},
 	{"micaline_mesh_leaders", Gauge, "machines", nil, Exporter, "core machines that say that they lead"},
 	{"micaline_mesh_cores_silent", Gauge, "machines", nil, Exporter, "core machines, told or members, that gave no figures"},
--- /dev/null
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -0,0 +1,139 @@
+package meshtest
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/micaline/internal/mesh/maintenance"
+)
+
+var windowDays, windowSeed = daysFlags("window", 2)
+
+const windowSteps = 3 // of each of the series of a day that overlap
+
+// TestWindowDays has a window go by, or be cancelled, ended or begun by hand, while core machines and
+// agents are killed, stand still or are told to end, backends depart and the configuration changes.
+// It ends in any case, and its zone is used again.
+func TestWindowDays(t *testing.T) {
+	(&days{windowDays, windowSeed, func(rng *rand.Rand) Options {
+		return Options{Agents: 6, Rate: 6, Work: time.Duration(20+rng.IntN(300)) * time.Millisecond, Persistent: rng.IntN(2) == 0}
+	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
+		pause := func(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
+		hit := func(m *Machine, rng *rand.Rand) error {
+			switch rng.IntN(3) {
+			case 0:
+				m.Kill()
+			case 1:
+				m.Terminate()
+			case 2:
+				m.Stop()
+				pause(rng, 3*time.Second)
+				m.Continue()
+				return nil
+			}
+			pause(rng, time.Second)
+			return m.Start()
+		}
+		hits := func(all []*Machine, every time.Duration) func(*rand.Rand) error {
+			return func(rng *rand.Rand) error {
+				for range windowSteps {
+					pause(rng, every)
+					if err := hit(all[rng.IntN(len(all))], rng); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+		}
+		lead := time.Duration(3000+rng.IntN(2500)) * time.Millisecond
+		start := time.Now().Add(lead + time.Second + time.Duration(rng.Int64N(int64(4*time.Second))))
+		plan := &maintenance.PlanDocument{Name: "work", Zone: zones[rng.IntN(len(zones))], Start: start, End: start.Add(time.Duration(5+rng.IntN(5)) * time.Second), Lead: lead.String()}
+		require.NoError(t, g.Operator.PlanWindow(ctx, plan))
+		phases := map[maintenance.Phase]bool{}
+		overlap(t, rng, func(*rand.Rand) error {
+			return g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) { phases[w.Phase] = true })
+		}, func(rng *rand.Rand) error {
+			time.Sleep(time.Until(start) - lead)
+			pause(rng, lead+3*time.Second)
+			switch order := []string{"cancel", "end", "begin", "", ""}[rng.IntN(5)]; order {
+			case "":
+				return nil
+			case "begin":
+				var refused *Refused // it may be on its way back
+				if err := g.Operator.MoveWindow(ctx, plan.Name, order); err != nil && !errors.As(err, &refused) {
+					return err
+				}
+				return nil
+			default:
+				return g.Operator.StopWindow(ctx, plan, order)
+			}
+		}, hits(g.Cores, 4*time.Second), hits(g.Agents, 3*time.Second), func(rng *rand.Rand) error {
+			for n := range windowSteps {
+				pause(rng, 3*time.Second)
+				if err := g.Operator.Change(ctx, g.Route(0, g.services[rng.IntN(len(g.services))], 2+n)); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		t.Logf("phases %v", phases)
+	}}).run(t)
+}
+
+// TestWindow has a window of maintenance go by: its zone is clear before work begins, all requests
+// have ordinary answers, and the zone is used again in the end.
+func TestWindow(t *testing.T) {
+	t.Parallel()
+	dir, err := build()
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	g, err := Start(ctx, Options{Agents: 6, Rate: 10, Work: 50 * time.Millisecond, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
+	require.NoError(t, err)
+	defer g.Close()
+	now := time.Now()
+	plan := &maintenance.PlanDocument{Name: "power", Zone: zones[1], Start: now.Add(14 * time.Second), End: now.Add(19 * time.Second), Lead: "9s", By: "test"}
+	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
+	require.NoError(t, g.Operator.PlanWindow(ctx, plan), "a call that comes twice")
+	var clear, over time.Time
+	leader := "" // in the zone, while it is clear
+	require.NoError(t, g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) {
+		if w.Clear && clear.IsZero() {
+			clear = time.Now()
+		}
+		if m := g.Leader(); w.Clear && m != nil && m.Zone == plan.Zone {
+			leader = m.Name
+		}
+		if w.Phase == maintenance.Over {
+			over = time.Now()
+		}
+	}))
+	require.False(t, clear.IsZero())
+	require.Empty(t, leader)
+	require.Less(t, clear.Sub(plan.Start), 2*time.Second)
+	out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), "window", "show", plan.Name, "--core", g.Cores[0].at(controlPort)).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	require.Contains(t, string(out), "power, over, step 0")
+	runs := func() (count int) {
+		g.record.note(func(now time.Duration, s *Story) {
+			for _, r := range s.Runs {
+				if r.Zone == plan.Zone && r.Began > over.Sub(s.Began) {
+					count++
+				}
+			}
+		})
+		return count
+	}
+	require.Eventually(t, func() bool { return runs() > 20 }, 15*time.Second, 50*time.Millisecond)
+	v, err := g.Finish(ctx)
+	require.NoError(t, err)
+	require.Empty(t, v.Breaches)
+	require.Equal(t, v.Sent, v.Served, "%d refused, %d failed", v.Refused, v.Failed)
+}
--- a/internal/mesh/meshtest/trouble.go
+++ b/internal/mesh/meshtest/trouble.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strings"
 	"time"
+
+	"example.org/micaline/internal/mesh/maintenance"
 )
 
 // Troubles lists what Play plays.
-var Troubles = []string{"kill-core", "kill-agent", "drain", "evacuate", "none"}
+var Troubles = []string{"kill-core", "kill-agent", "drain", "evacuate", "window", "none"}
 
 // Play makes a trouble that lasts for a while, and returns once all is well again. It tells of each
 // step.
@@ -64,6 +66,19 @@
 		step(func() error { return g.Operator.Evacuate(ctx, zones[0]) }, "%s is evacuated", zones[0])
 		step(wait, "that was acknowledged")
 		step(func() error { return g.Operator.Return(ctx, zones[0]) }, "%s is taken back", zones[0])
+	case "window":
+		plan := &maintenance.PlanDocument{Name: "try", Zone: zones[0], Start: time.Now().Add(lasts + 2*time.Second),
+			End: time.Now().Add(2*lasts + 2*time.Second), Lead: max(lasts, maintenance.MinLead).String()}
+		phase := ""
+		step(func() error { return g.Operator.PlanWindow(ctx, plan) }, "a window is planned: work in %s begins in %v", plan.Zone, lasts+2*time.Second)
+		step(func() error {
+			return g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) {
+				if now := string(w.Phase) + map[bool]string{true: ", clear"}[w.Clear]; now != phase {
+					phase = now
+					tell("the window is %s", now)
+				}
+			})
+		}, "it goes by")
 	case "none":
 	default:
 		return fmt.Errorf("trouble %q is none of %s", trouble, strings.Join(Troubles, ", "))
--- a/internal/mesh/outbound/sender.go
+++ b/internal/mesh/outbound/sender.go
@@ -62,6 +62,7 @@
 	agents  int
 	leaving atomic.Pointer[Departure] // nil: it was not told to end
 	held    atomic.Int64
+	away    atomic.Bool // clients are to go elsewhere: see TurnClientsAway
 	ages    ages
 	began   time.Time
 	idsMu   sync.Mutex   // guards ids
@@ -93,6 +94,10 @@
 // View returns what the sender knows, nil if it knows nothing.
 func (s *Sender) View() *View { return s.view.Load() }
 
+// TurnClientsAway has it tell clients to go elsewhere, or no longer. What they send is served all the
+// same.
+func (s *Sender) TurnClientsAway(yes bool) { s.away.Store(yes) }
+
 // Leave has it tell clients to go elsewhere, and serve what comes all the same as far as the schedule
 // lets it.
 func (s *Sender) Leave(d Departure) {
@@ -136,7 +141,8 @@
 		h := &v.Stations[i]
 		agents++
 		b := h.Station.Backend
-		if b == nil || b.Draining || !h.Station.Open || h.Lost || v.Config.Evacuated(b.Zone) {
+		if b == nil || b.Draining || !h.Station.Open || h.Lost || v.Config.Evacuated(b.Zone) ||
+			v.Config.Stage(b.Zone, h.Station.Agent) >= meshconfig.StageCalls {
 			continue
 		}
 		t := &target{id: idOf(h.Station.Agent), gate: h.Station.Gate, backend: b.ID, agent: h.Station.Agent,
--- a/internal/mesh/outbound/serve.go
+++ b/internal/mesh/outbound/serve.go
@@ -39,7 +39,7 @@
 	s.held.Add(1)
 	defer s.held.Add(-1)
 	s.Count.Taken.Add(1)
-	if s.leaving.Load() != nil {
+	if s.leaving.Load() != nil || s.away.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if !s.route(w, r) || !s.authenticate(w, r) {
--- a/internal/mesh/sidecar/agent.go
+++ b/internal/mesh/sidecar/agent.go
@@ -52,7 +52,10 @@
 	stats  transport.StatsServer
 	went   atomic.Bool // told to end
 
-	clock   *meshtime.Clock
+	clock    *meshtime.Clock
+	meanWork atomic.Uint64 // bits of a float64: requests that the backend works on
+	cordoned atomic.Uint32 // meshconfig.Stage of this machine
+
 	usage   *usage.Counter // nil: these settings have no usage reported
 	refused refusals
 
@@ -170,11 +173,11 @@
 	switch {
 	case r.URL.Path != "/api/readiness":
 		http.NotFound(w, r)
-	case !a.ready.Load() || a.went.Load():
+	case !a.ready.Load() || a.went.Load() || a.stage() >= meshconfig.StageClients:
 		if a.went.Load() {
 			a.refused.note(time.Now())
 		}
-		http.Error(w, "no current configuration yet, or leaving", http.StatusServiceUnavailable)
+		http.Error(w, "no current configuration yet, leaving, or taken out of use", http.StatusServiceUnavailable)
 	}
 }
 
@@ -228,6 +231,7 @@
 
 func (a *Agent) tick() {
 	a.host.Tick()
+	a.measureWork()
 	if a.table.Step(a.now()) {
 		a.dirty = true
 		// Danger: a core machine that is away now would not tell again of what is forgotten here.
@@ -295,8 +299,9 @@
 // rules are what the gate goes by. Danger: until the configuration is known to be current nobody knows whether the zone is evacuated.
 func (a *Agent) rules() inbound.Rules {
 	b := &a.set.Bounds
+	stage := a.config.Stage(a.set.Zone, a.set.IP)
 	r := inbound.Rules{Blind: !a.fresh, Excess: b.WarmupExcess, Margin: b.WarmupMargin, BeatEvery: a.set.BeatEvery, LinkBps: a.set.LinkMbps * 1e6,
-		Evacuated: a.config.Evacuated(a.set.Zone)}
+		Evacuated: a.config.Evacuated(a.set.Zone) || stage >= meshconfig.StageClosed, NoUploads: stage >= meshconfig.StageUploads}
 	if s := a.config.Service(a.set.Service); s != nil {
 		r.Warmup, r.WarmupPerS = s.Warmup, s.WarmupPerS
 	}
@@ -313,6 +318,7 @@
 		a.healthPath.Store(&s.HealthPath)
 	}
 	a.host.With(func(now time.Duration, g *inbound.Gate) bool { g.Configure(now, a.rules()); return false })
+	a.setStage()
 	if !a.fresh && a.index == 0 {
 		return
 	}
--- a/internal/mesh/sidecar/feed.go
+++ b/internal/mesh/sidecar/feed.go
@@ -236,7 +236,7 @@
 func (a *Agent) send(ctx context.Context, f *feed, c *transport.Conn, ended chan struct{}) {
 	said := (*transport.Station)(nil)
 	fresh := uint64(1)
-	usage := &usageTeller{counter: a.usage}
+	usage, work := &usageTeller{counter: a.usage}, &workTeller{}
 	resume := f.resume.Load()
 	beat := time.NewTimer(0)
 	defer beat.Stop()
@@ -261,6 +261,7 @@
 		default:
 		}
 		usage.tells(a, &up)
+		up.Work = work.next(a, time.Now())
 		c.SetWriteDeadline(time.Now().Add(feedTimeout))
 		if c.Send(&up, nil) != nil {
 			return
--- a/internal/mesh/sidecar/usage.go
+++ b/internal/mesh/sidecar/usage.go
@@ -34,9 +34,6 @@
 
 // tells fills in what counts by the mesh's time need.
 func (t *usageTeller) tells(a *Agent, up *transport.Up) {
-	if t.counter == nil {
-		return
-	}
 	up.Clock = int64(a.clock.Own())
 	up.Usage = t.next(time.Now())
 }
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -106,6 +106,14 @@
 	Resume  Resume        // with the first message of a feed: what has been heard before
 	Clock   int64         // of meshtime, ns: the agent's own; 0: not told
 	Usage   *usage.Update // what has changed of its counts; nil: nothing
+	Work    *Work         // nil: as told before
+}
+
+// Work is what an agent has in hand.
+type Work struct {
+	Mean   float64 // requests that its backend works on or that wait there, over some seconds
+	Gate   int     // of these, now
+	Sender int     // requests of its clients, and of its backend, now
 }
 
 // Resume says that an agent has heard all stations of a core process up to a revision. The zero
