A window of maintenance waits while a zone elsewhere is down, also after it is forgotten

Lost agents are dropped from the registry after 20 s; a zone that was lost for longer was taken for one that never was. The driver remembers the most agents of each zone for ten minutes.

--- a/internal/mesh/controlplane/window_driver.go
+++ b/internal/mesh/controlplane/window_driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -16,6 +17,8 @@
 )
 
 const (
+	// zoneMemory is how long it is remembered how many agents a zone had.
+	zoneMemory = 10 * time.Minute
 	windowTick = 250 * time.Millisecond
 	// ledFor is how long a machine leads before it decides about windows: agents have told it by then
 	// what they have in hand.
@@ -32,9 +35,11 @@
 	ledSince  time.Duration // 0: it does not lead
 	left      int
 	leftSince time.Duration
-	standing  atomic.Bool // its own machine is taken out of use
-	giving    atomic.Bool // the node is asked to give away what it holds
-	asking    atomic.Bool // a command is on its way
+	zones     map[string]*zoneAgents
+	counted   time.Duration // when zones were
+	standing  atomic.Bool   // its own machine is taken out of use
+	giving    atomic.Bool   // the node is asked to give away what it holds
+	asking    atomic.Bool   // a command is on its way
 	view      atomic.Pointer[windowView]
 }
 
@@ -44,13 +49,19 @@
 	Forecast []maintenance.Share
 }
 
-func newWindowDriver(c *Core) *windowDriver { return &windowDriver{core: c} }
+func newWindowDriver(c *Core) *windowDriver {
+	return &windowDriver{core: c, zones: map[string]*zoneAgents{}}
+}
 
 // tick goes on by what is known.
 func (d *windowDriver) tick() {
 	if !d.core.started.Load() {
 		return
 	}
+	if now := d.core.now(); now-d.counted >= time.Second {
+		d.counted = now
+		d.countZones()
+	}
 	table := d.core.table.windowsNow.Load()
 	d.standAside()
 	status := d.core.node.Status()
@@ -102,38 +113,47 @@
 // machines must not be added to what is missing already.
 func (d *windowDriver) blind(w *maintenance.Window, status *consensus.Status) string {
 	c := d.core
-	heard, lost := 0, map[string]int{}
-	in := map[string]int{}
-	for _, h := range c.registry.All(c.now()) {
-		in[h.Station.Zone]++
-		if h.Lost {
-			lost[h.Station.Zone]++
-		} else {
-			heard++
-		}
-	}
 	switch {
 	case c.now()-d.ledSince < ledFor || c.settling():
 		return "the core machine that leads has just begun to"
-	case heard == 0:
+	case len(c.feeds) == 0:
 		return "the core machine that leads hears no agents"
 	}
-	zones := sortedZones(c.set.Zones)
-	for _, zone := range zones {
-		if zone != w.Zone && 2*lost[zone] > in[zone] {
+	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
+		if zone != w.Zone && d.zones[zone].isDown() {
 			return "zone " + zone + " is down"
 		}
 	}
 	return quorumWithout(w, status, c.set.Control, c.set.Zone)
 }
 
-func sortedZones(zones map[string]string) []string {
-	var names []string
-	for zone := range zones {
-		names = append(names, zone)
+// zoneAgents is how many agents of a zone are heard, and the most that were within zoneMemory: agents
+// that are lost are forgotten long before a zone is back.
+type zoneAgents struct {
+	heard, most int
+	at          time.Duration // when the most were heard
+}
+
+func (z *zoneAgents) isDown() bool { return 2*z.heard < z.most }
+
+// countZones takes in which agents are heard now.
+func (d *windowDriver) countZones() {
+	heard, now := map[string]int{}, d.core.now()
+	for _, h := range d.core.registry.All(now) {
+		if !h.Lost {
+			heard[h.Station.Zone]++
+		}
+	}
+	for zone := range d.core.set.Zones {
+		z := d.zones[zone]
+		if z == nil {
+			z = &zoneAgents{}
+			d.zones[zone] = z
+		}
+		if z.heard = heard[zone]; z.heard >= z.most || now-z.at > zoneMemory {
+			z.most, z.at = z.heard, now
+		}
 	}
-	slices.Sort(names)
-	return names
 }
 
 // quorumWithout says why the core machines could not agree without a window's; empty: they could. It
