Who has given its vote away and runs on says so, and is given none again

For windows of maintenance a core machine asks to leave again and again, and runs on. Once it was out it said nothing any more: leavingUntil ran out at the leader, and the loss of a voter gave it the vote back. It tells the leader each time it asks. Weighed: a list of excluded members in the log, a second rule of placement. A holder of duties stands aside at once (TestStandsAside).

--- /dev/null
+++ b/internal/mesh/consensus/aside_test.go
@@ -0,0 +1,76 @@
+package consensus
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+// A leader whose machine is taken out of use asks to leave again and again, and runs on: it has neither
+// vote nor leadership meanwhile, also when a voter is lost, and takes a vote again afterwards.
+func TestNodeStandsAside(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	dirs := map[string]string{}
+	for _, name := range names {
+		dirs[name] = t.TempDir()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		net := &network{nodes: map[string]*Node{}}
+		nodes := map[string]*Node{}
+		for _, name := range names {
+			node, err := Start(Options{Self: name, Seeds: names[:3], FirstStart: name != "d", Dir: dirs[name], Table: &lines{},
+				Send: net.send, Log: &log.Logger{Handler: discard.Default}})
+			require.NoError(t, err)
+			nodes[name] = node
+			net.set(name, node)
+		}
+		stop := func(name string) {
+			net.set(name, nil)
+			require.NoError(t, nodes[name].Close())
+			delete(nodes, name)
+		}
+		leader := func() string {
+			for name, n := range nodes {
+				if n.Status().Role == "leader" {
+					return name
+				}
+			}
+			return ""
+		}
+		time.Sleep(5 * time.Second)
+		aside := leader()
+		require.NotEmpty(t, aside)
+		standing, end := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for standing.Err() == nil {
+				nodes[aside].Leave(standing)
+				time.Sleep(250 * time.Millisecond)
+			}
+		}()
+		for tenth := range 150 {
+			time.Sleep(100 * time.Millisecond)
+			if tenth == 80 {
+				stop(leader())
+			}
+			if now := leader(); tenth >= 20 && now != "" {
+				require.NotEqual(t, aside, now)
+				require.NotContains(t, nodes[now].Status().Members, aside)
+			}
+		}
+		require.NotEmpty(t, leader(), "two of three voters are left")
+		end()
+		<-ended
+		time.Sleep(15 * time.Second)
+		require.Contains(t, nodes[leader()].Status().Members, aside, "in the place of the lost one")
+		for name := range nodes {
+			stop(name)
+		}
+	})
+}
--- a/internal/mesh/consensus/leave.go
+++ b/internal/mesh/consensus/leave.go
@@ -46,18 +46,26 @@
 	case !m.isDeparting():
 		return
 	case m.now >= d.until || m.role != leader && (d.noSuccessor || m.isOutByCommitted()):
+		m.tellLeaving() // danger: who is out, and runs on, would be given a vote again
 		d.done = true
 		return
 	case m.role == leader:
 		m.departAsLeader()
-	case m.now >= d.repeatAt && m.leader.Address != "":
-		m.send(Message{Kind: Leave, To: m.leader.Address})
+	case m.now >= d.repeatAt:
+		m.tellLeaving()
 	}
 	if m.now >= d.repeatAt {
 		d.repeatAt = m.now + leaveEvery
 	}
 }
 
+// tellLeaving tells the leader, if there is another, that this node is not to be counted on.
+func (m *Machine) tellLeaving() {
+	if m.role != leader && m.leader.Address != "" {
+		m.send(Message{Kind: Leave, To: m.leader.Address})
+	}
+}
+
 // departAsLeader has a learner take the vote first: those who stay hold all that was acknowledged
 // once that is committed. Where no learner stands by, it gives away leadership alone.
 func (m *Machine) departAsLeader() {
--- a/internal/mesh/duties/duties_test.go
+++ b/internal/mesh/duties/duties_test.go
@@ -315,3 +315,28 @@
 	require.Greater(t, first, bounds.Lease)
 	require.Less(t, first, 2*bounds.Lease)
 }
+
+// A holder whose machine is taken out of use gives the part back at once, and does not ask for it.
+func TestStandsAside(t *testing.T) {
+	bounds := Bounds{Lease: 3 * time.Second, Window: 5 * time.Second, Delay: 5 * time.Second}
+	h, table := NewHolder("a", "a/1", bounds), New()
+	step := func(now time.Duration, aside bool) (kinds []lease.Kind) {
+		todo := h.Step(now, table, &View{Connected: true, Aside: aside})
+		for _, ask := range todo.Asks {
+			reply := table.Apply(100, ask.Command)
+			h.Replied(now, ask.Number, &reply)
+			kinds = append(kinds, ask.Command.Lease.Kind)
+		}
+		return kinds
+	}
+	now := 10 * time.Second
+	for ; h.Holds(now) == 0; now += 50 * time.Millisecond {
+		step(now, false)
+	}
+	require.Equal(t, []lease.Kind{lease.Release}, step(now, true))
+	for range 100 {
+		now += 50 * time.Millisecond
+		require.Empty(t, step(now, true))
+	}
+	require.Empty(t, table.Leases.Duties[UsageReport].Holder)
+}
--- a/internal/mesh/meshtest/client.go
+++ b/internal/mesh/meshtest/client.go
@@ -182,7 +182,7 @@
 	began, refused := time.Now(), false
 	var body []byte
 	if k.method != http.MethodGet {
-		body = make([]byte, 1+rand.N(upload))
+		body = make([]byte, 1+rand.N(max(upload, c.g.opt.MostBody)))
 		for i := range body {
 			body[i] = byte(rand.Uint32())
 		}
--- a/internal/mesh/meshtest/maintenance_test.go
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -16,6 +16,9 @@
 
 var windowDays, windowSeed = daysFlags("window", 2)
 
+// longBodies, of over 48 KB, are offered before they are sent, and turned away first.
+const longBodies = 256 << 10
+
 const windowSteps = 3 // of each of the series of a day that overlap
 
 // TestWindowDays has a window go by, or be cancelled, ended or begun by hand, while core machines and
@@ -23,7 +26,7 @@
 // It ends in any case, and its zone is used again.
 func TestWindowDays(t *testing.T) {
 	(&days{windowDays, windowSeed, func(rng *rand.Rand) Options {
-		return Options{Agents: 6, Rate: 6, Work: time.Duration(20+rng.IntN(300)) * time.Millisecond, Persistent: rng.IntN(2) == 0}
+		return Options{Agents: 6, Rate: 6, Work: time.Duration(20+rng.IntN(300)) * time.Millisecond, Persistent: rng.IntN(2) == 0, MostBody: longBodies}
 	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
 		pause := func(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
 		hit := func(m *Machine, rng *rand.Rand) error {
@@ -95,7 +98,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
-	g, err := Start(ctx, Options{Agents: 6, Rate: 10, Work: 50 * time.Millisecond, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
+	g, err := Start(ctx, Options{Agents: 6, Rate: 10, Work: 50 * time.Millisecond, MostBody: longBodies, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
 	require.NoError(t, err)
 	defer g.Close()
 	now := time.Now()
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -66,6 +66,7 @@
 	GiveUp     float64       // share of the tries that a client gives up early
 	Persistent bool          // clients use their machine's agent until its process is gone, whatever its readiness says
 	Tenants    int           // with keys, whose usage is reported to a platform; 0: requests need no key
+	MostBody   int           // bytes of a body, if that is above the usual 32 KB
 	CoreLinks  bool          // what processes say to core machines passes links that can be cut; not with AgentLinks
 }
 
