TestNodeStandsAside reads its map of nodes in one goroutine

go test -race found it: the goroutine that asks to leave looked the node up while another was taken out of the map.

--- a/internal/mesh/consensus/aside_test.go
+++ b/internal/mesh/consensus/aside_test.go
@@ -45,12 +45,13 @@
 		time.Sleep(5 * time.Second)
 		aside := leader()
 		require.NotEmpty(t, aside)
+		self := nodes[aside] // the map changes meanwhile
 		standing, end := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
 			for standing.Err() == nil {
-				nodes[aside].Leave(standing)
+				self.Leave(standing)
 				time.Sleep(250 * time.Millisecond)
 			}
 		}()
