--- a/internal/mesh/consensus/aside_test.go
+++ b/internal/mesh/consensus/aside_test.go
@@ -6,29 +6,15 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 )
 
 // A leader whose machine is taken out of use asks to leave again and again, and runs on: it has neither
 // vote nor leadership meanwhile, also when a voter is lost, and takes a vote again afterwards.
 func TestNodeStandsAside(t *testing.T) {
-	names := []string{"a", "b", "c", "d"}
-	dirs := map[string]string{}
-	for _, name := range names {
-		dirs[name] = t.TempDir()
-	}
+	dirs := fourDirs(t)
 	synctest.Test(t, func(t *testing.T) {
-		net := &network{nodes: map[string]*Node{}}
-		nodes := map[string]*Node{}
-		for _, name := range names {
-			node, err := Start(Options{Self: name, Seeds: names[:3], FirstStart: name != "d", Dir: dirs[name], Table: &lines{},
-				Send: net.send, Log: &log.Logger{Handler: discard.Default}})
-			require.NoError(t, err)
-			nodes[name] = node
-			net.set(name, node)
-		}
+		net, nodes := startFour(t, dirs)
 		stop := func(name string) {
 			net.set(name, nil)
 			require.NoError(t, nodes[name].Close())
--- a/internal/mesh/consensus/leave_test.go
+++ b/internal/mesh/consensus/leave_test.go
@@ -12,24 +12,38 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A leader that is told to go gives its vote and its leadership away before it ends, and then one
-// more may be lost. Without anybody to take its vote a node ends soon all the same.
-func TestNodesLeave(t *testing.T) {
-	names := []string{"a", "b", "c", "d"}
+// fourNames are of three voters and a learner.
+var fourNames = []string{"a", "b", "c", "d"}
+
+// fourDirs are folders for startFour; they are made outside of a bubble of virtual time.
+func fourDirs(t *testing.T) map[string]string {
 	dirs := map[string]string{}
-	for _, name := range names {
+	for _, name := range fourNames {
 		dirs[name] = t.TempDir()
 	}
+	return dirs
+}
+
+// startFour starts three voters and a learner that find one another.
+func startFour(t *testing.T, dirs map[string]string) (*network, map[string]*Node) {
+	net := &network{nodes: map[string]*Node{}}
+	nodes := map[string]*Node{}
+	for _, name := range fourNames {
+		node, err := Start(Options{Self: name, Seeds: fourNames[:3], FirstStart: name != "d", Dir: dirs[name], Table: &lines{},
+			Send: net.send, Log: &log.Logger{Handler: discard.Default}})
+		require.NoError(t, err)
+		nodes[name] = node
+		net.set(name, node)
+	}
+	return net, nodes
+}
+
+// A leader that is told to go gives its vote and its leadership away before it ends, and then one
+// more may be lost. Without anybody to take its vote a node ends soon all the same.
+func TestNodesLeave(t *testing.T) {
+	dirs := fourDirs(t)
 	synctest.Test(t, func(t *testing.T) {
-		net := &network{nodes: map[string]*Node{}}
-		nodes := map[string]*Node{}
-		for _, name := range names {
-			node, err := Start(Options{Self: name, Seeds: names[:3], FirstStart: name != "d", Dir: dirs[name], Table: &lines{},
-				Send: net.send, Log: &log.Logger{Handler: discard.Default}})
-			require.NoError(t, err)
-			nodes[name] = node
-			net.set(name, node)
-		}
+		net, nodes := startFour(t, dirs)
 		stop := func(name string) {
 			net.set(name, nil)
 			require.NoError(t, nodes[name].Close())
--- a/internal/mesh/controlplane/duty_orders.go
+++ b/internal/mesh/controlplane/duty_orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"example.org/micaline/internal/lease"
@@ -35,13 +34,8 @@
 		problem(w, http.StatusNotFound, "duty: "+duty+" is none of the settings' duties")
 		return
 	}
-	text, ok := body(w, r, mostDutyOrder)
-	if !ok {
-		return
-	}
 	var order dutyOrder
-	if err := json.Unmarshal(text, &order); err != nil {
-		problem(w, http.StatusBadRequest, "body: "+err.Error())
+	if !readJSON(w, r, mostDutyOrder, &order) {
 		return
 	}
 	if wrong := order.wrong(h.kind); wrong != "" {
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -45,6 +46,19 @@
 	return b, true
 }
 
+// readJSON reads the body of a call into a document; it says false if that can't be, and has answered.
+func readJSON(w http.ResponseWriter, r *http.Request, most int64, into any) bool {
+	text, ok := body(w, r, most)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		problem(w, http.StatusBadRequest, "body: "+err.Error())
+		return false
+	}
+	return true
+}
+
 // configs is the configuration.
 type configs struct{ c *Core }
 
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -1,8 +1,6 @@
 package controlplane
 
 import (
-	"bytes"
-	"encoding/gob"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,18 +8,13 @@
 	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/plaingob"
 	"example.org/micaline/internal/mesh/transport"
 	"github.com/samber/oops"
 )
 
 // encodeOrder gives an order as a command of the log.
-func encodeOrder(o *meshconfig.Order) []byte {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(o); err != nil {
-		panic(err) // plain fields always encode
-	}
-	return b.Bytes()
-}
+func encodeOrder(o *meshconfig.Order) []byte { return plaingob.Encode(o) }
 
 // state is the configuration after an index of the log. It never changes.
 type state struct {
@@ -189,8 +182,8 @@
 // order contradicts an earlier one, are judged here, where the order of all calls is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
 	defer t.applied.Store(index)
-	var o meshconfig.Order
-	if err := gob.NewDecoder(bytes.NewReader(command)).Decode(&o); err != nil {
+	o, err := plaingob.Decode[meshconfig.Order](command)
+	if err != nil {
 		return refusalOf(err).encode()
 	}
 	switch o.Op {
@@ -200,12 +193,12 @@
 		return t.applyWindow(index, o.Body)
 	}
 	old := t.newest
-	next, err := t.history.Carry(index, old.config, &o)
+	next, err := t.history.Carry(index, old.config, o)
 	if err != nil {
 		return refusalOf(err).encode()
 	}
 	if next != old.config {
-		t.newest = old.after(index, next, &o)
+		t.newest = old.after(index, next, o)
 		t.show()
 	}
 	return nil
@@ -223,17 +216,13 @@
 // Snapshot returns the whole state.
 func (t *table) Snapshot() []byte {
 	s := t.newest
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(kept{s.index, s.encoded(), t.history.Encode(), t.duties.Encode(), t.windows.Encode()}); err != nil {
-		panic(err) // plain fields always encode
-	}
-	return b.Bytes()
+	return plaingob.Encode(kept{s.index, s.encoded(), t.history.Encode(), t.duties.Encode(), t.windows.Encode()})
 }
 
 // Restore takes a snapshot in.
 func (t *table) Restore(index uint64, snapshot []byte) error {
-	var k kept
-	if err := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&k); err != nil {
+	k, err := plaingob.Decode[kept](snapshot)
+	if err != nil {
 		return oops.In("snapshot").Wrap(err)
 	}
 	config, err := meshconfig.Decode(k.Config)
--- a/internal/mesh/controlplane/window_api.go
+++ b/internal/mesh/controlplane/window_api.go
@@ -33,13 +33,8 @@
 }
 
 func (h *windowList) plan(w http.ResponseWriter, r *http.Request) {
-	text, ok := body(w, r, mostWindowCall)
-	if !ok {
-		return
-	}
 	var plan maintenance.PlanDocument
-	if err := json.Unmarshal(text, &plan); err != nil {
-		problem(w, http.StatusBadRequest, "body: "+err.Error())
+	if !readJSON(w, r, mostWindowCall, &plan) {
 		return
 	}
 	window, err := plan.Window()
--- a/internal/mesh/maintenance/table.go
+++ b/internal/mesh/maintenance/table.go
@@ -1,14 +1,13 @@
 package maintenance
 
 import (
-	"bytes"
-	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/plaingob"
 )
 
 // Command is a change that is asked for: one of its fields is set. Now is the time of the mesh at
@@ -240,27 +239,13 @@
 }
 
 // EncodeCommand gives a command for the log.
-func EncodeCommand(c *Command) []byte { return encode(c) }
+func EncodeCommand(c *Command) []byte { return plaingob.Encode(c) }
 
 // DecodeCommand reads what EncodeCommand gave.
-func DecodeCommand(text []byte) (*Command, error) {
-	c := new(Command)
-	return c, gob.NewDecoder(bytes.NewReader(text)).Decode(c)
-}
+func DecodeCommand(text []byte) (*Command, error) { return plaingob.Decode[Command](text) }
 
 // EncodeReply gives a reply for the proposer.
-func EncodeReply(r *Reply) []byte { return encode(r) }
+func EncodeReply(r *Reply) []byte { return plaingob.Encode(r) }
 
 // DecodeReply reads what EncodeReply gave.
-func DecodeReply(text []byte) (*Reply, error) {
-	r := new(Reply)
-	return r, gob.NewDecoder(bytes.NewReader(text)).Decode(r)
-}
-
-func encode(v any) []byte {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(v); err != nil {
-		panic(err) // plain fields always encode
-	}
-	return b.Bytes()
-}
+func DecodeReply(text []byte) (*Reply, error) { return plaingob.Decode[Reply](text) }
--- a/internal/mesh/meshtest/days_test.go
+++ b/internal/mesh/meshtest/days_test.go
@@ -65,3 +65,23 @@
 		require.NoError(t, err)
 	}
 }
+
+// pause waits for some part of the most.
+func pause(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
+
+// hit kills a process, tells it to end, or has it stand still for some part of the most, and has it run again.
+func hit(m *Machine, rng *rand.Rand, most time.Duration) error {
+	switch rng.IntN(3) {
+	case 0:
+		m.Kill()
+	case 1:
+		m.Terminate()
+	case 2:
+		m.Stop()
+		pause(rng, most)
+		m.Continue()
+		return nil
+	}
+	pause(rng, time.Second)
+	return m.Start()
+}
--- a/internal/mesh/meshtest/duty_test.go
+++ b/internal/mesh/meshtest/duty_test.go
@@ -55,27 +55,11 @@
 	(&days{dutyDays, dutySeed, func(rng *rand.Rand) Options {
 		return Options{Agents: 6, Rate: 12, Work: time.Duration(20+rng.IntN(150)) * time.Millisecond, Tenants: 3 + rng.IntN(6)}
 	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
-		pause := func(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
-		hit := func(m *Machine, rng *rand.Rand) error {
-			switch rng.IntN(3) {
-			case 0:
-				m.Kill()
-			case 1:
-				m.Terminate()
-			case 2:
-				m.Stop()
-				pause(rng, 4*time.Second)
-				m.Continue()
-				return nil
-			}
-			pause(rng, time.Second)
-			return m.Start()
-		}
 		overlap(t, rng, func(rng *rand.Rand) error {
 			for range dutySteps {
 				pause(rng, 4*time.Second)
 				if holder := g.Platform.Holder(); holder != nil {
-					if err := hit(holder, rng); err != nil {
+					if err := hit(holder, rng, 4*time.Second); err != nil {
 						return err
 					}
 				}
@@ -84,7 +68,7 @@
 		}, func(rng *rand.Rand) error {
 			for range dutySteps {
 				pause(rng, 3*time.Second)
-				if err := hit(g.Agents[rng.IntN(len(g.Agents))], rng); err != nil {
+				if err := hit(g.Agents[rng.IntN(len(g.Agents))], rng, 4*time.Second); err != nil {
 					return err
 				}
 			}
--- a/internal/mesh/meshtest/maintenance_test.go
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -28,27 +28,11 @@
 	(&days{windowDays, windowSeed, func(rng *rand.Rand) Options {
 		return Options{Agents: 6, Rate: 6, Work: time.Duration(20+rng.IntN(300)) * time.Millisecond, Persistent: rng.IntN(2) == 0, MostBody: longBodies}
 	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
-		pause := func(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
-		hit := func(m *Machine, rng *rand.Rand) error {
-			switch rng.IntN(3) {
-			case 0:
-				m.Kill()
-			case 1:
-				m.Terminate()
-			case 2:
-				m.Stop()
-				pause(rng, 3*time.Second)
-				m.Continue()
-				return nil
-			}
-			pause(rng, time.Second)
-			return m.Start()
-		}
 		hits := func(all []*Machine, every time.Duration) func(*rand.Rand) error {
 			return func(rng *rand.Rand) error {
 				for range windowSteps {
 					pause(rng, every)
-					if err := hit(all[rng.IntN(len(all))], rng); err != nil {
+					if err := hit(all[rng.IntN(len(all))], rng, 3*time.Second); err != nil {
 						return err
 					}
 				}
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/plaingob"
 	"example.org/micaline/internal/mesh/usage"
 	"github.com/samber/oops"
 )
@@ -131,13 +132,7 @@
 
 // EncodeSteps gives steps as the raw bytes behind a Down: within it, large ones would stay in the
 // buffers of each connection.
-func EncodeSteps(steps []Step) []byte {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(steps); err != nil {
-		panic(err) // plain fields always encode
-	}
-	return b.Bytes()
-}
+func EncodeSteps(steps []Step) []byte { return plaingob.Encode(steps) }
 
 // DecodeSteps reads what EncodeSteps gave.
 func DecodeSteps(raw []byte) ([]Step, error) {
