A window may name several zones; region plan tells what the loss of a region would mean

Windows and cordons held one zone; a region has several. micaline-mesh region plan goes by the same forecast: where the work goes, what is refused by rank, whether the core could agree (answered by the leader alone, as it knows all core machines: others redirect). Weighed: tiers as a new kind of item; routes' ranks say the order already.

--- a/cmd/micaline-mesh/main.go
+++ b/cmd/micaline-mesh/main.go
@@ -30,6 +30,7 @@
 	reason   string
 	number   int
 	window   windowFlags
+	region   string
 	duty     string
 	to       string
 	why      string
@@ -119,9 +120,13 @@
 	for _, sub := range []*flaggy.Subcommand{hand, revoke} {
 		sub.AddPositionalValue(&c.duty, "DUTY", 1, true, "its name, as show lists it")
 	}
+	region := add(top, "region", "tell what the loss of a region would mean", nil)
+	add(region, "plan", "where its work would go, and what would be refused first", c.regionPlan).
+		AddPositionalValue(&c.region, "REGION", 1, true, "a region, or a zone")
 	window := c.windowVerbs(top, add)
 	c.stateVerbs(top, add)
 	return append(verbs, window, verb{config, func() error { return misused("config: get, put, check or diff?") }},
+		verb{region, func() error { return misused("region: plan?") }},
 		verb{requests, func() error { return misused("requests: why or last?") }},
 		verb{duty, func() error { return misused("duty: show, history, hand or revoke?") }})
 }
--- a/cmd/micaline-mesh/window.go
+++ b/cmd/micaline-mesh/window.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os/user"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,9 +16,9 @@
 
 // windowFlags are what a window is planned with.
 type windowFlags struct {
-	name, zone, nodes, start, end, why string
-	lead                               time.Duration
-	force                              bool
+	name, zones, nodes, start, end, why string
+	lead                                time.Duration
+	force                               bool
 }
 
 // windowVerbs declares the verbs about windows of maintenance.
@@ -26,7 +27,7 @@
 	w.lead = time.Minute
 	under := add(top, "window", "plan maintenance: machines are taken out of use before it begins", nil)
 	plan := add(under, "plan", "plan a window", c.windowPlan)
-	plan.String(&w.zone, "z", "zone", "whose machines are worked on")
+	plan.String(&w.zones, "z", "zone", "whose machines are worked on; several joined by commas")
 	plan.String(&w.nodes, "", "nodes", "or: the ips of the machines, joined by commas")
 	plan.String(&w.start, "", "start", "when work begins: a time as 2026-12-24T02:00:00Z, or a duration from now as 90m")
 	plan.String(&w.end, "", "end", "when it ends: a time, or a duration after start")
@@ -63,10 +64,8 @@
 	if err != nil {
 		return err
 	}
-	plan := &maintenance.PlanDocument{Name: w.name, Zone: w.zone, Start: start, End: end, Lead: w.lead.String(), Why: w.why, Force: w.force}
-	if w.nodes != "" {
-		plan.Nodes = strings.Split(w.nodes, ",")
-	}
+	plan := &maintenance.PlanDocument{Name: w.name, Start: start, End: end, Lead: w.lead.String(), Why: w.why, Force: w.force}
+	plan.Zones, plan.Nodes = list(w.zones), list(w.nodes)
 	if u, err := user.Current(); err == nil {
 		plan.By = u.Username
 	}
@@ -82,6 +81,14 @@
 		end.Format(time.RFC3339), start.Add(-w.lead).Format(time.RFC3339))
 }
 
+// list reads what is joined by commas; nothing is an empty list.
+func list(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, ",")
+}
+
 // moment reads a time, or a duration after another time.
 func moment(flag, text string, after time.Time) (time.Time, error) {
 	if at, err := time.Parse(time.RFC3339, text); err == nil {
@@ -103,16 +110,16 @@
 }
 
 func (c *command) windowList() error {
-	list, err := c.windows()
+	found, err := c.windows()
 	if err != nil {
 		return err
 	}
 	if c.json {
-		return c.printJSON(list)
+		return c.printJSON(found)
 	}
 	var rows [][]string
-	for i := range list {
-		w := &list[i]
+	for i := range found {
+		w := &found[i]
 		rows = append(rows, []string{w.Name, machinesOf(w), w.Start.Format(time.RFC3339), w.End.Format(time.RFC3339), string(w.Phase),
 			strconv.Itoa(w.Step) + "/" + strconv.Itoa(w.Steps), clearWord(w), orDash(w.Waits + w.Ended)})
 	}
@@ -121,10 +128,7 @@
 }
 
 func machinesOf(w *maintenance.StateDocument) string {
-	if w.Zone != "" {
-		return w.Zone
-	}
-	return strings.Join(w.Nodes, ",")
+	return strings.Join(slices.Concat(w.Zones, w.Nodes), ",")
 }
 
 // clearWord says whether operators may begin.
@@ -139,12 +143,12 @@
 }
 
 func (c *command) windowShow() error {
-	list, err := c.windows()
+	found, err := c.windows()
 	if err != nil {
 		return err
 	}
-	for i := range list {
-		w := &list[i]
+	for i := range found {
+		w := &found[i]
 		if w.Name != c.window.name {
 			continue
 		}
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -25,6 +25,7 @@
 	mux.Handle("/api/duties/{duty}/revoke", forPresent(&dutyOrders{c, lease.Revoke}))
 	mux.Handle("/api/windows", forPresent(&windowList{c}))
 	mux.Handle("/api/windows/{name}/{what}", forPresent(&windowCalls{c}))
+	mux.Handle("/api/regions/{region}/plan", &regionPlans{c})
 	mux.Handle("/windows", &windowPage{c})
 	mux.Handle("/api/servers/{id}", &servers{c})
 	mux.Handle("/api/link", &links{c})
--- a/internal/mesh/controlplane/window_api.go
+++ b/internal/mesh/controlplane/window_api.go
@@ -64,8 +64,10 @@
 
 // refusesPlan is the owner's.
 func (c *Core) refusesPlan(window *maintenance.Window) string {
-	if _, known := c.set.Zones[window.Zone]; window.Zone != "" && !known {
-		return "zone: " + window.Zone + " is none of the settings' zones"
+	for i, zone := range window.Zones {
+		if _, known := c.set.Zones[zone]; !known {
+			return fmt.Sprintf("zones[%d]: %s is none of the settings' zones", i, zone)
+		}
 	}
 	status := c.node.Status()
 	for i, node := range window.Nodes {
@@ -75,11 +77,11 @@
 	}
 	if status.Role == "leader" { // others don't know all core machines; it is judged again before machines are moved
 		if why := quorumWithout(window, &status, c.set.Control, c.set.Zone); why != "" {
-			return "zone: " + why
+			return "zones: " + why
 		}
 	}
 	if shares := maintenance.Forecast(window, c.backends()); len(shares) > 0 && !window.Forced && shares[0].After > maintenance.Full {
-		return fmt.Sprintf("zone: what stays would not bear the load: %s; up to %.0f%% is borne", shares[0].String(), 100*maintenance.Full)
+		return fmt.Sprintf("zones: what stays would not bear the load: %s; up to %.0f%% is borne", shares[0].String(), 100*maintenance.Full)
 	}
 	return ""
 }
--- a/internal/mesh/controlplane/window_driver.go
+++ b/internal/mesh/controlplane/window_driver.go
@@ -120,7 +120,7 @@
 		return "the core machine that leads hears no agents"
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
-		if zone != w.Zone && d.zones[zone].isDown() {
+		if !slices.Contains(w.Zones, zone) && d.zones[zone].isDown() {
 			return "zone " + zone + " is down"
 		}
 	}
--- a/internal/mesh/controlplane/window_page.go
+++ b/internal/mesh/controlplane/window_page.go
@@ -17,7 +17,7 @@
 </head><body><h1>Maintenance windows</h1>
 <p>As {{.Node}} knows them, {{.Now}}.</p>
 {{if .Windows}}<table><tr><th>Name</th><th>Machines</th><th>Start</th><th>End</th><th>Phase</th><th>Clear</th><th>Left on its machines</th><th>Waits, ended</th><th>Without them</th></tr>
-{{range .Windows}}<tr><td>{{.Name}}<br><small>{{.By}} {{.Why}}</small></td><td>{{.Zone}}{{range .Nodes}}{{.}}<br>{{end}}</td>
+{{range .Windows}}<tr><td>{{.Name}}<br><small>{{.By}} {{.Why}}</small></td><td>{{range .Zones}}{{.}}<br>{{end}}{{range .Nodes}}{{.}}<br>{{end}}</td>
 <td>{{.Start.Format "2006-01-02 15:04:05"}}<br><small>{{.Lead}} before</small></td><td>{{.End.Format "2006-01-02 15:04:05"}}</td>
 <td>{{.Phase}}, step {{.Step}} of {{.Steps}}</td>
 {{if eq .Phase "closed"}}{{if .Clear}}<td class="clear">clear</td>{{else}}<td class="not">not clear</td>{{end}}{{else}}<td>-</td>{{end}}
--- a/internal/mesh/controlplane/window_table.go
+++ b/internal/mesh/controlplane/window_table.go
@@ -41,7 +41,7 @@
 }
 
 func equalCordons(a, b meshconfig.Cordon) bool {
-	return a.Zone == b.Zone && a.Stage == b.Stage && a.Part == b.Part && slices.Equal(a.Nodes, b.Nodes)
+	return slices.Equal(a.Zones, b.Zones) && a.Stage == b.Stage && a.Part == b.Part && slices.Equal(a.Nodes, b.Nodes)
 }
 
 // proposeWindow has a command agreed on.
--- a/internal/mesh/controlplane/window_table_test.go
+++ b/internal/mesh/controlplane/window_table_test.go
@@ -20,7 +20,7 @@
 		require.NoError(t, err)
 		return reply
 	}
-	plan := &maintenance.Window{Name: "power", Zone: "a", Start: time.Hour, End: 2 * time.Hour, Lead: time.Minute}
+	plan := &maintenance.Window{Name: "power", Zones: []string{"a"}, Start: time.Hour, End: 2 * time.Hour, Lead: time.Minute}
 	require.Empty(t, do(5, maintenance.Command{Now: time.Minute, Plan: plan}).Refused)
 	require.Zero(t, table.now.Load().index, "agents are told of no plan")
 	agent := table.now.Load().config
@@ -45,7 +45,7 @@
 
 // A window must leave so many core machines that they can agree.
 func TestQuorumWithout(t *testing.T) {
-	window := &maintenance.Window{Name: "power", Zone: "a"}
+	window := &maintenance.Window{Name: "power", Zones: []string{"a"}}
 	status := &consensus.Status{Role: "leader", Members: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"},
 		Zones: map[string]string{"10.0.0.2:1": "b", "10.0.0.3:1": "c"}}
 	without := func() string { return quorumWithout(window, status, "10.0.0.1:1", "a") }
--- a/internal/mesh/maintenance/document.go
+++ b/internal/mesh/maintenance/document.go
@@ -8,7 +8,7 @@
 // PlanDocument is the body of POST /api/windows. Times are RFC 3339, lead is a duration as 90s.
 type PlanDocument struct {
 	Name  string    `json:"name"`
-	Zone  string    `json:"zone,omitempty"`
+	Zones []string  `json:"zones,omitempty"`
 	Nodes []string  `json:"nodes,omitempty"`
 	Start time.Time `json:"start"`
 	End   time.Time `json:"end"`
@@ -37,13 +37,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("lead: %q is no duration such as 90s", p.Lead)
 	}
-	return &Window{Name: p.Name, Zone: p.Zone, Nodes: p.Nodes, Start: time.Duration(p.Start.UnixNano()),
+	return &Window{Name: p.Name, Zones: p.Zones, Nodes: p.Nodes, Start: time.Duration(p.Start.UnixNano()),
 		End: time.Duration(p.End.UnixNano()), Lead: lead, By: p.By, Why: p.Why, Forced: p.Force}, nil
 }
 
 // Document is the window as it is told; what one machine alone sees is left out.
 func (w *Window) Document() StateDocument {
-	plan := PlanDocument{Name: w.Name, Zone: w.Zone, Nodes: w.Nodes, Start: clockTime(w.Start), End: clockTime(w.End), Lead: w.Lead.String(),
+	plan := PlanDocument{Name: w.Name, Zones: w.Zones, Nodes: w.Nodes, Start: clockTime(w.Start), End: clockTime(w.End), Lead: w.Lead.String(),
 		By: w.By, Why: w.Why, Force: w.Forced}
 	return StateDocument{PlanDocument: plan, Phase: w.Phase, Step: w.Step, Steps: LastStep, Clear: w.Clear, Waits: w.Waits, Ended: w.Ended}
 }
--- a/internal/mesh/maintenance/maintenance.go
+++ b/internal/mesh/maintenance/maintenance.go
@@ -1,7 +1,7 @@
 // Package maintenance is what the core machines agree on about windows of planned work, and the
 // decisions about them. It does no I/O and has no clock.
 //
-// A Window names a zone, or some machines, and when work on them begins and ends. Before it begins
+// A Window names zones, or some machines, and when work on them begins and ends. Before it begins
 // the machines are taken out of use in Steps, and after it ends they are put back in the same steps
 // in reverse. Each step is a cordon of the configuration, so all agents get it as they get any
 // change. A Table is the agreed state; it changes by Commands that all core machines carry out in the
@@ -54,7 +54,7 @@
 // Window is one of planned work. Times are of the mesh, since the start of 1970.
 type Window struct {
 	Name  string        `json:"name"`
-	Zone  string        `json:"zone,omitempty"`  // a zone, or
+	Zones []string      `json:"zones,omitempty"` // whole zones, or
 	Nodes []string      `json:"nodes,omitempty"` // the ips of machines
 	Start time.Duration `json:"start"`           // work begins
 	End   time.Duration `json:"end"`
@@ -97,7 +97,7 @@
 
 // same says whether two people ask for the same window.
 func (w *Window) same(as *Window) bool {
-	return w.Zone == as.Zone && slices.Equal(w.Nodes, as.Nodes) && w.Start == as.Start && w.End == as.End && w.Lead == as.Lead
+	return slices.Equal(w.Zones, as.Zones) && slices.Equal(w.Nodes, as.Nodes) && w.Start == as.Start && w.End == as.End && w.Lead == as.Lead
 }
 
 // overlaps says whether two windows may have machines out of use at one time.
@@ -108,12 +108,12 @@
 // cordon is what the configuration holds for the window now, if anything.
 func (w *Window) cordon() (meshconfig.Cordon, bool) {
 	now := steps[w.Step]
-	return meshconfig.Cordon{Zone: w.Zone, Nodes: w.Nodes, Stage: now.stage, Part: now.part}, w.Step > 0
+	return meshconfig.Cordon{Zones: w.Zones, Nodes: w.Nodes, Stage: now.stage, Part: now.part}, w.Step > 0
 }
 
 // Covers says whether a machine is one of the window's.
 func (w *Window) Covers(zone, node string) bool {
-	return w.Zone != "" && w.Zone == zone || slices.Contains(w.Nodes, node)
+	return slices.Contains(w.Zones, zone) || slices.Contains(w.Nodes, node)
 }
 
 // Check says what is wrong with a window that is asked for, whatever else there is. Now is the time
@@ -125,8 +125,10 @@
 	switch {
 	case !namePattern.MatchString(w.Name):
 		return wrong("name", "1 to 63 lower case letters, digits, dots and hyphens, not %.70q", w.Name)
-	case (w.Zone == "") == (len(w.Nodes) == 0):
-		return wrong("zone", "name a zone or nodes, and not both")
+	case (len(w.Zones) == 0) == (len(w.Nodes) == 0):
+		return wrong("zones", "name zones or nodes, and not both")
+	case len(w.Zones) > meshconfig.MostZones:
+		return wrong("zones", "there are %d, at most %d", len(w.Zones), meshconfig.MostZones)
 	case len(w.Nodes) > meshconfig.MostCordonNodes:
 		return wrong("nodes", "there are %d, at most %d", len(w.Nodes), meshconfig.MostCordonNodes)
 	case w.Lead < MinLead || w.Lead > MaxLead:
--- a/internal/mesh/maintenance/maintenance_test.go
+++ b/internal/mesh/maintenance/maintenance_test.go
@@ -40,7 +40,7 @@
 func (w *world) window(n int) *Window {
 	lead := MinLead + time.Duration(w.rng.IntN(10000))*time.Millisecond
 	start := w.now + lead + time.Duration(w.rng.IntN(20000))*time.Millisecond
-	return &Window{Name: fmt.Sprint("w", n), Zone: "a", Start: start, End: start + time.Duration(1+w.rng.IntN(20))*time.Second, Lead: lead}
+	return &Window{Name: fmt.Sprint("w", n), Zones: []string{"a"}, Start: start, End: start + time.Duration(1+w.rng.IntN(20))*time.Second, Lead: lead}
 }
 
 func (w *world) view(window *Window) *View {
@@ -229,12 +229,12 @@
 func TestPlansThatAreRefused(t *testing.T) {
 	const now = 1000 * time.Second
 	good := func() *Window {
-		return &Window{Name: "power", Zone: "a", Start: now + 120*time.Second, End: now + 180*time.Second, Lead: time.Minute}
+		return &Window{Name: "power", Zones: []string{"a"}, Start: now + 120*time.Second, End: now + 180*time.Second, Lead: time.Minute}
 	}
 	for field, change := range map[string]func(w *Window){
 		"name":  func(w *Window) { w.Name = "Power work" },
-		"zone":  func(w *Window) { w.Nodes = []string{"10.0.0.1"} },
-		"nodes": func(w *Window) { w.Zone, w.Nodes = "", make([]string, meshconfig.MostCordonNodes+1) },
+		"zones": func(w *Window) { w.Nodes = []string{"10.0.0.1"} },
+		"nodes": func(w *Window) { w.Zones, w.Nodes = nil, make([]string, meshconfig.MostCordonNodes+1) },
 		"lead":  func(w *Window) { w.Lead = time.Millisecond },
 		"start": func(w *Window) { w.Start = now - time.Second },
 		"end":   func(w *Window) { w.End = w.Start },
@@ -248,7 +248,7 @@
 	require.Empty(t, table.Apply(1, &Command{Now: now, Plan: good()}).Refused)
 	require.Empty(t, table.Apply(2, &Command{Now: now, Plan: good()}).Refused, "twice")
 	other := good()
-	other.Name, other.Zone = "racks", "b"
+	other.Name, other.Zones = "racks", []string{"b"}
 	require.Contains(t, table.Apply(3, &Command{Now: now, Plan: other}).Refused, "power")
 	other.Name = "power"
 	require.Contains(t, table.Apply(4, &Command{Now: now, Plan: other}).Refused, "other content")
@@ -258,7 +258,7 @@
 // Each machine's stage follows the steps, and comes back the same way.
 func TestCordons(t *testing.T) {
 	for step := range LastStep + 1 {
-		w := &Window{Name: "w", Zone: "a", Phase: Moving, Step: step}
+		w := &Window{Name: "w", Zones: []string{"a"}, Phase: Moving, Step: step}
 		config := meshconfig.New().WithCordons((&Table{Windows: []*Window{w}}).Cordons())
 		for n := range 50 {
 			node := fmt.Sprint("10.0.0.", n)
--- a/internal/mesh/maintenance/table.go
+++ b/internal/mesh/maintenance/table.go
@@ -116,7 +116,7 @@
 		return Reply{Refused: fmt.Sprintf("name: there are %d windows already that are not over", MostWindows), Field: "name"}
 	}
 	w := *asked
-	w.Nodes = slices.Clone(asked.Nodes)
+	w.Zones, w.Nodes = slices.Clone(asked.Zones), slices.Clone(asked.Nodes)
 	w.Phase, w.Step, w.Stepped, w.Clear, w.Waits, w.Ended, w.Begun, w.Changed = Planned, 0, 0, false, "", "", false, index
 	t.Windows = append(t.Windows, &w)
 	return Reply{}
--- a/internal/mesh/meshclient/windows.go
+++ b/internal/mesh/meshclient/windows.go
@@ -48,6 +48,19 @@
 	return m.windowCall(ctx, name, "end")
 }
 
+// RegionPlan tells what the loss of a region, or of a zone, would mean as things stand.
+func (m *Mesh) RegionPlan(ctx context.Context, region string) (*maintenance.RegionPlan, error) {
+	answer, err := m.call(ctx, http.MethodGet, "/api/regions/"+url.PathEscape(region)+"/plan", nil)
+	if err != nil {
+		return nil, err
+	}
+	plan := new(maintenance.RegionPlan)
+	if err := json.Unmarshal(answer, plan); err != nil {
+		return nil, fmt.Errorf("the plan of a region: %w", err)
+	}
+	return plan, nil
+}
+
 func (m *Mesh) windowCall(ctx context.Context, name, what string) error {
 	_, err := m.call(ctx, http.MethodPost, "/api/windows/"+url.PathEscape(name)+"/"+what, nil)
 	return err
--- a/internal/mesh/meshconfig/cordon.go
+++ b/internal/mesh/meshconfig/cordon.go
@@ -29,9 +29,9 @@
 
 func (s Stage) String() string { return stageNames[min(int(s), len(stageNames)-1)] }
 
-// Cordon takes machines out of use: those of a zone, or those that are named by their ips.
+// Cordon takes machines out of use: those of some zones, and those that are named by their ips.
 type Cordon struct {
-	Zone  string   `json:"zone,omitempty"`
+	Zones []string `json:"zones,omitempty"`
 	Nodes []string `json:"nodes,omitempty"`
 	Stage Stage    `json:"stage"`
 	Part  float64  `json:"part"` // of the machines that are at Stage; the others are at the one below it
@@ -45,7 +45,7 @@
 
 // Covers says whether a machine is meant.
 func (c *Cordon) Covers(zone, node string) bool {
-	return c.Zone != "" && c.Zone == zone || slices.Contains(c.Nodes, node)
+	return slices.Contains(c.Zones, zone) || slices.Contains(c.Nodes, node)
 }
 
 // of is the stage of a machine that is meant. Which ones are ahead hangs on their names alone, so
@@ -66,8 +66,10 @@
 
 func (c *Cordon) check(field string) error {
 	switch {
-	case c.Zone == "" && len(c.Nodes) == 0:
-		return invalid(field, "it names neither a zone nor nodes")
+	case len(c.Zones) == 0 && len(c.Nodes) == 0:
+		return invalid(field, "it names neither zones nor nodes")
+	case len(c.Zones) > MostZones:
+		return invalid(field+".zones", "there are %d, at most %d", len(c.Zones), MostZones)
 	case len(c.Nodes) > MostCordonNodes:
 		return invalid(field+".nodes", "there are %d, at most %d", len(c.Nodes), MostCordonNodes)
 	case c.Stage > StageClosed:
@@ -135,11 +137,8 @@
 func (c *Config) digestCordons(h hash.Hash64) {
 	for i := range c.cordons {
 		one := &c.cordons[i]
-		putText(h, one.Zone)
-		putNumber(h, uint64(len(one.Nodes)))
-		for _, node := range one.Nodes {
-			putText(h, node)
-		}
+		putTexts(h, one.Zones)
+		putTexts(h, one.Nodes)
 		putNumber(h, uint64(one.Stage))
 		putNumber(h, math.Float64bits(one.Part))
 	}
--- a/internal/mesh/meshconfig/digest.go
+++ b/internal/mesh/meshconfig/digest.go
@@ -59,4 +59,11 @@
 	h.Write([]byte(text))
 }
 
+func putTexts(h hash.Hash64, list []string) {
+	putNumber(h, uint64(len(list)))
+	for _, text := range list {
+		putText(h, text)
+	}
+}
+
 func putNumber(h hash.Hash64, n uint64) { h.Write(binary.BigEndian.AppendUint64(nil, n)) }
--- a/internal/mesh/meshtest/maintenance.go
+++ b/internal/mesh/meshtest/maintenance.go
@@ -14,7 +14,7 @@
 // windowEvery is how often the operator looks how a window stands.
 const windowEvery = 100 * time.Millisecond
 
-// PlanWindow plans a window of maintenance for a zone.
+// PlanWindow plans a window of maintenance for zones.
 func (o *Operator) PlanWindow(ctx context.Context, plan *maintenance.PlanDocument) error {
 	body, err := json.Marshal(plan)
 	if err != nil {
@@ -53,10 +53,10 @@
 	return &list[i], nil
 }
 
-// Follow has a window looked at until it is over, and takes down from when to when its zone must get
+// Follow has a window looked at until it is over, and takes down from when to when its zones must get
 // nothing: from the moment at which it was seen to be closed until its end. See is told what is seen.
 func (o *Operator) Follow(ctx context.Context, plan *maintenance.PlanDocument, see func(*maintenance.StateDocument)) error {
-	var closed *Evacuation
+	closed := false
 	for {
 		w, err := o.Window(ctx, plan.Name)
 		if err != nil {
@@ -64,9 +64,11 @@
 		}
 		see(w)
 		o.g.record.note(func(now time.Duration, s *Story) {
-			if w.Phase == maintenance.Closed && closed == nil {
-				closed = &Evacuation{plan.Zone, Span{From: now, Until: plan.End.Sub(s.Began)}}
-				s.Evacuations = append(s.Evacuations, closed)
+			if w.Phase == maintenance.Closed && !closed {
+				closed = true
+				for _, zone := range plan.Zones {
+					s.Evacuations = append(s.Evacuations, &Evacuation{zone, Span{From: now, Until: plan.End.Sub(s.Began)}})
+				}
 			}
 		})
 		if w.Phase == maintenance.Over {
@@ -80,12 +82,12 @@
 	}
 }
 
-// StopWindow ends a window before its time; from now on its zone may get requests.
+// StopWindow ends a window before its time; from now on its zones may get requests.
 func (o *Operator) StopWindow(ctx context.Context, plan *maintenance.PlanDocument, order string) error {
 	o.g.record.note(func(now time.Duration, s *Story) {
 		plan.End = s.Began.Add(now)
 		for _, e := range s.Evacuations {
-			if e.Zone == plan.Zone {
+			if slices.Contains(plan.Zones, e.Zone) {
 				e.Until = min(e.Until, now)
 			}
 		}
--- a/internal/mesh/meshtest/maintenance_test.go
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -41,7 +41,7 @@
 		}
 		lead := time.Duration(3000+rng.IntN(2500)) * time.Millisecond
 		start := time.Now().Add(lead + time.Second + time.Duration(rng.Int64N(int64(4*time.Second))))
-		plan := &maintenance.PlanDocument{Name: "work", Zone: zones[rng.IntN(len(zones))], Start: start, End: start.Add(time.Duration(5+rng.IntN(5)) * time.Second), Lead: lead.String()}
+		plan := &maintenance.PlanDocument{Name: "work", Zones: []string{zones[rng.IntN(len(zones))]}, Start: start, End: start.Add(time.Duration(5+rng.IntN(5)) * time.Second), Lead: lead.String()}
 		require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 		phases := map[maintenance.Phase]bool{}
 		overlap(t, rng, func(*rand.Rand) error {
@@ -86,7 +86,7 @@
 	require.NoError(t, err)
 	defer g.Close()
 	now := time.Now()
-	plan := &maintenance.PlanDocument{Name: "power", Zone: zones[1], Start: now.Add(8 * time.Second), End: now.Add(13 * time.Second), Lead: "6s", By: "test"}
+	plan := &maintenance.PlanDocument{Name: "power", Zones: zones[1:2], Start: now.Add(8 * time.Second), End: now.Add(13 * time.Second), Lead: "6s", By: "test"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan), "a call that comes twice")
 	var clear, over time.Time
@@ -95,7 +95,7 @@
 		if w.Clear && clear.IsZero() {
 			clear = time.Now()
 		}
-		if m := g.Leader(); w.Clear && m != nil && m.Zone == plan.Zone {
+		if m := g.Leader(); w.Clear && m != nil && m.Zone == plan.Zones[0] {
 			leader = m.Name
 		}
 		if w.Phase == maintenance.Over {
@@ -105,13 +105,18 @@
 	require.False(t, clear.IsZero())
 	require.Empty(t, leader)
 	require.True(t, clear.Before(plan.End))
-	out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), "window", "show", plan.Name, "--core", g.Cores[0].at(controlPort)).CombinedOutput()
-	require.NoError(t, err, "%s", out)
-	require.Contains(t, string(out), "power, over, step 0")
+	tells := func(words ...string) string {
+		out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), append(words, "--core", g.Cores[0].at(controlPort))...).CombinedOutput()
+		require.NoError(t, err, "%s", out)
+		return string(out)
+	}
+	require.Contains(t, tells("window", "show", plan.Name), "power, over, step 0")
+	require.Contains(t, tells("region", "plan", zones[0]), "enough would be left to agree")
+	require.Contains(t, tells("region", "plan", "loopback"), "0 would stay", "the region of all zones")
 	runs := func() (count int) {
 		g.record.note(func(now time.Duration, s *Story) {
 			for _, r := range s.Runs {
-				if r.Zone == plan.Zone && r.Began > over.Sub(s.Began) {
+				if r.Zone == plan.Zones[0] && r.Began > over.Sub(s.Began) {
 					count++
 				}
 			}
@@ -137,7 +142,7 @@
 	require.NoError(t, err)
 	defer g.Close()
 	start := time.Now().Add(8 * time.Second)
-	plan := &maintenance.PlanDocument{Name: "racks", Zone: zones[1], Start: start, End: start.Add(12 * time.Second), Lead: "4s"}
+	plan := &maintenance.PlanDocument{Name: "racks", Zones: zones[1:2], Start: start, End: start.Add(12 * time.Second), Lead: "4s"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 	time.Sleep(2 * time.Second) // so that core machines know how many agents each zone has
 	for _, m := range g.Agents {
--- a/internal/mesh/meshtest/trouble.go
+++ b/internal/mesh/meshtest/trouble.go
@@ -67,10 +67,10 @@
 		step(wait, "that was acknowledged")
 		step(func() error { return g.Operator.Return(ctx, zones[0]) }, "%s is taken back", zones[0])
 	case "window":
-		plan := &maintenance.PlanDocument{Name: "try", Zone: zones[0], Start: time.Now().Add(lasts + 2*time.Second),
+		plan := &maintenance.PlanDocument{Name: "try", Zones: zones[:1], Start: time.Now().Add(lasts + 2*time.Second),
 			End: time.Now().Add(2*lasts + 2*time.Second), Lead: max(lasts, maintenance.MinLead).String()}
 		phase := ""
-		step(func() error { return g.Operator.PlanWindow(ctx, plan) }, "a window is planned: work in %s begins in %v", plan.Zone, lasts+2*time.Second)
+		step(func() error { return g.Operator.PlanWindow(ctx, plan) }, "a window is planned: work in %s begins in %v", plan.Zones[0], lasts+2*time.Second)
 		step(func() error {
 			return g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) {
 				if now := string(w.Phase) + map[bool]string{true: ", clear"}[w.Clear]; now != phase {
