--- a/internal/mesh/controlplane/window_driver.go
+++ b/internal/mesh/controlplane/window_driver.go
@@ -20,6 +20,8 @@
 	// zoneMemory is how long it is remembered how many agents a zone had.
 	zoneMemory = 10 * time.Minute
 	windowTick = 250 * time.Millisecond
+	// lookEarly is how often the forecast is made for a window long before it begins.
+	lookEarly = 5 * time.Second
 	// ledFor is how long a machine leads before it decides about windows: agents have told it by then
 	// what they have in hand.
 	ledFor = 3 * time.Second
@@ -37,6 +39,7 @@
 	leftSince time.Duration
 	zones     map[string]*zoneAgents
 	counted   time.Duration // when zones were
+	looked    time.Duration // when the window was looked at last
 	standing  atomic.Bool   // its own machine is taken out of use
 	giving    atomic.Bool   // the node is asked to give away what it holds
 	asking    atomic.Bool   // a command is on its way
@@ -76,6 +79,10 @@
 		d.view.Store(nil)
 		return
 	}
+	if d.isEarly(w) && d.core.now()-d.looked < lookEarly {
+		return
+	}
+	d.looked = d.core.now()
 	backends := d.core.backends()
 	left := d.core.leftOn(w, &status)
 	d.view.Store(&windowView{left, maintenance.Forecast(w, backends)})
@@ -92,6 +99,11 @@
 	}
 }
 
+// isEarly says whether nothing is to be done about a window yet.
+func (d *windowDriver) isEarly(w *maintenance.Window) bool {
+	return w.Phase == maintenance.Planned && !w.Begun && d.core.clock.Now() < w.Start-w.Lead
+}
+
 // propose has a command agreed on, one at a time.
 func (d *windowDriver) propose(command *maintenance.Command) {
 	if !d.asking.CompareAndSwap(false, true) {
--- a/internal/mesh/maintenance/decide.go
+++ b/internal/mesh/maintenance/decide.go
@@ -10,6 +10,9 @@
 const (
 	// Full is the part of their room up to which backends that stay in use may be used by forecast.
 	Full = 0.8
+	// goesOn is the part of Full below which a window that waits goes on, so that it doesn't begin and
+	// wait in turn.
+	goesOn = 0.9
 	// tooFull is the part beyond which a step is taken back before the window's start.
 	tooFull = 1.0
 	// clearFor is how long nothing must be left until a window is clear.
@@ -165,8 +168,12 @@
 	if v.Blind != "" {
 		return v.Blind
 	}
+	bears := Full
+	if w.Waits != "" {
+		bears = goesOn * Full
+	}
 	shares := Forecast(w, v.Backends)
-	if len(shares) == 0 || w.Forced || shares[0].After <= Full {
+	if len(shares) == 0 || w.Forced || shares[0].After <= bears {
 		return ""
 	}
 	return "what stays in use would not bear the load: " + shares[0].Service
