The verbs of windows and regions are asked for against a running mesh

TestAgainstAMesh: plans that are refused, each by its field and figure, one that is taken, cancelled and listed, region plan.

--- a/cmd/micaline-mesh/main_test.go
+++ b/cmd/micaline-mesh/main_test.go
@@ -198,6 +198,21 @@
 	require.Equal(t, []string{"hall-a"}, said.Evacuated)
 	require.Contains(t, call(t, done, "status", at), "127.0.0.2")
 	require.Contains(t, call(t, done, "servers", at), "CAPACITY")
+	plan := func(code int, words ...string) string {
+		return call(t, code, append([]string{"window", "plan", "power", at}, words...)...)
+	}
+	require.Contains(t, plan(wrongUse, "--zone=hall-a", "--start=soon", "--end=1h"), "--start")
+	require.Contains(t, plan(refused, "--zone=hall-b", "--start=1h", "--end=1h"), "zones[0]: hall-b")
+	require.Contains(t, plan(refused, "--nodes=10.9.9.9", "--start=1h", "--end=1h"), "nodes[0]: no machine 10.9.9.9")
+	require.Contains(t, plan(refused, "--zone=hall-a", "--start=1h", "--end=1h"), "0 would stay")
+	require.Contains(t, plan(refused, "--nodes=127.0.0.2", "--start=1s", "--end=1h"), "start: it is in")
+	plan(done, "--nodes=127.0.0.2", "--start=1h", "--end=1h", "--why=a test")
+	require.Contains(t, plan(refused, "--nodes=127.0.0.2", "--start=2h", "--end=1h"), "other content")
+	call(t, done, "window", "cancel", "power", at)
+	require.Contains(t, call(t, done, "window", "list", at), "cancelled")
+	require.Contains(t, call(t, refused, "window", "show", "nothing", at), "no window nothing")
+	call(t, wrongUse, "window", at)
+	require.Contains(t, call(t, done, "region", "plan", "west", at), "0 would stay")
 
 	copied := filepath.Join(t.TempDir(), "backup")
 	require.Contains(t, call(t, done, "backup", copied, at), "2 items: 1 routes, 1 services")
