--- a/internal/mesh/controlplane/window_driver.go
+++ b/internal/mesh/controlplane/window_driver.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
-	"net"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"example.org/micaline/internal/mesh/consensus"
-	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
 )
@@ -25,8 +21,6 @@
 	// ledFor is how long a machine leads before it decides about windows: agents have told it by then
 	// what they have in hand.
 	ledFor = 3 * time.Second
-	// mostLeft is how many words there are of what is left on the machines of a window.
-	mostLeft = 20
 )
 
 // windowDriver brings windows of planned work on while this core machine leads, and gives away what
@@ -168,39 +162,6 @@
 	}
 }
 
-// quorumWithout says why the core machines could not agree without a window's; empty: they could. It
-// is for the machine that leads.
-func quorumWithout(w *maintenance.Window, status *consensus.Status, self, zone string) string {
-	stay, silent := 0, 0
-	for _, member := range status.Members {
-		switch {
-		case covers(w, status, member, self, zone):
-		case slices.Contains(status.Silent, member):
-			silent++
-		default:
-			stay++
-		}
-	}
-	for _, learner := range status.Learners { // they can take votes
-		if !covers(w, status, learner, self, zone) {
-			stay++
-		}
-	}
-	if need := len(status.Members)/2 + 1; stay < need {
-		return fmt.Sprintf("of the core machines %d would stay that are heard, %d are not, and %d must agree", stay, silent, need)
-	}
-	return ""
-}
-
-// covers says whether a core machine is one of a window's.
-func covers(w *maintenance.Window, status *consensus.Status, member, self, zone string) bool {
-	if member != self {
-		zone = status.Zones[member]
-	}
-	host, _, _ := net.SplitHostPort(member)
-	return w.Covers(zone, host)
-}
-
 // standAside gives away leadership, vote and duties while this machine is taken out of use. What it
 // gives away counts for two seconds or so, so that it is given away again and again.
 func (d *windowDriver) standAside() {
@@ -218,92 +179,3 @@
 		c.node.Leave(ctx)
 	}()
 }
-
-// backends are all that are known, with what their gates told last. It is the owner's.
-func (c *Core) backends() []maintenance.Backend {
-	var list []maintenance.Backend
-	for _, h := range c.registry.All(c.now()) {
-		b := h.Station.Backend
-		if b == nil {
-			continue
-		}
-		one := maintenance.Backend{Service: b.Service, Zone: b.Zone, Node: h.Station.Agent, Capacity: max(1, b.Capacity),
-			Ready: h.Station.Open && !h.Lost && !b.Draining}
-		if f := c.feeds[h.Station.Agent]; f != nil && f.work != nil {
-			one.Load = f.work.Mean
-		}
-		list = append(list, one)
-	}
-	return list
-}
-
-// leftOn tells what is left on the machines of a window. It is the owner's.
-func (c *Core) leftOn(w *maintenance.Window, status *consensus.Status) []string {
-	var left []string
-	for _, h := range c.registry.All(c.now()) {
-		agent := h.Station.Agent
-		if !w.Covers(h.Station.Zone, agent) {
-			continue
-		}
-		switch f := c.feeds[agent]; {
-		case h.Lost || f == nil:
-			left = append(left, agent+": not heard")
-		case f.work == nil || f.work.Gate+f.work.Sender > 0:
-			left = append(left, agent+": "+workLeft(f))
-		}
-	}
-	slices.Sort(left)
-	left = append(left, c.coreLeft(w, status)...)
-	if len(left) > mostLeft {
-		left = append(left[:mostLeft], fmt.Sprintf("and %d more", len(left)-mostLeft))
-	}
-	return left
-}
-
-func workLeft(f *feed) string {
-	if f.work == nil {
-		return "has not told what it has in hand"
-	}
-	return fmt.Sprintf("%d requests at its backend, %d of its clients", f.work.Gate, f.work.Sender)
-}
-
-func isCore(status *consensus.Status, ip string) bool {
-	at := func(address string) bool {
-		host, _, _ := net.SplitHostPort(address)
-		return host == ip
-	}
-	return slices.ContainsFunc(status.Members, at) || slices.ContainsFunc(status.Learners, at)
-}
-
-// coreLeft tells what core machines of a window still hold that others could take.
-func (c *Core) coreLeft(w *maintenance.Window, status *consensus.Status) []string {
-	if status.Role != "leader" {
-		return nil
-	}
-	var left []string
-	if covers(w, status, status.Leader, c.set.Control, c.set.Zone) {
-		left = append(left, status.Leader+": leads")
-	}
-	standby := slices.ContainsFunc(status.Learners, func(l string) bool { return !covers(w, status, l, c.set.Control, c.set.Zone) })
-	for _, member := range status.Members {
-		if standby && member != status.Leader && covers(w, status, member, c.set.Control, c.set.Zone) {
-			left = append(left, member+": votes")
-		}
-	}
-	if d := c.table.dutiesNow.Load().Leases.Duties[duties.UsageReport]; d != nil && d.Holder != "" {
-		name, _, _ := strings.Cut(d.Holder, "/")
-		if address := c.addressOf(name); address != "" && covers(w, status, address, c.set.Control, c.set.Zone) {
-			left = append(left, name+": holds "+duties.UsageReport)
-		}
-	}
-	return left
-}
-
-// addressOf is the control address of the core machine of a name, as far as it is known: a machine
-// knows its own.
-func (c *Core) addressOf(name string) string {
-	if name == c.set.NodeName {
-		return c.set.Control
-	}
-	return ""
-}
