--- a/internal/mesh/meshtest/duty_test.go
+++ b/internal/mesh/meshtest/duty_test.go
@@ -48,17 +48,36 @@
 	require.Empty(t, v.Breaches)
 }
 
-// TestDutyDays has usage reported while its holder is killed, stands still or is told to end, agents
+// cutSome holds up what a core machine says to some others, or hears of them, or both, for a while.
+func cutSome(g *Cluster, m *Machine, rng *rand.Rand) {
+	var others []*Machine
+	for _, other := range g.all() {
+		if other != m && rng.IntN(3) > 0 {
+			others = append(others, other)
+		}
+	}
+	m.Cut([]Direction{Outgoing, Incoming, BothDirections}[rng.IntN(3)], others...)
+	pause(rng, 4*time.Second)
+	m.Join()
+}
+
+// TestDutyDays has usage reported while its holder is killed, cut off, stands still or is told to end, agents
 // go, the platform is down, slow or loses answers, keys are given and taken away, and operators move
 // the duty, with each order sent twice.
 func TestDutyDays(t *testing.T) {
 	(&days{dutyDays, dutySeed, func(rng *rand.Rand) Options {
-		return Options{Agents: 6, Rate: 12, Work: time.Duration(20+rng.IntN(150)) * time.Millisecond, Tenants: 3 + rng.IntN(6)}
+		return Options{Agents: 6, Rate: 12, Work: time.Duration(20+rng.IntN(150)) * time.Millisecond, Tenants: 3 + rng.IntN(6),
+			CoreLinks: rng.IntN(2) == 0}
 	}, func(t *testing.T, ctx context.Context, g *Cluster, rng *rand.Rand) {
 		overlap(t, rng, func(rng *rand.Rand) error {
 			for range dutySteps {
 				pause(rng, 4*time.Second)
-				if holder := g.Platform.Holder(); holder != nil {
+				holder := g.Platform.Holder()
+				switch {
+				case holder == nil:
+				case g.opt.CoreLinks && rng.IntN(2) == 0:
+					cutSome(g, holder, rng)
+				default:
 					if err := hit(holder, rng, 4*time.Second); err != nil {
 						return err
 					}
