TestLinearizable and TestWindow end by what has happened, not by the machine's time

TestWindow gave the zone 5 s to become clear: the window is ended by hand 2 s after it is clear now, within 40 s. Same assertions, none dropped. Not the product's faults: nothing was refused or broken.

--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -141,7 +141,7 @@
 // as one register (porcupine checks the history). What was not answered may or may not have happened.
 func TestLinearizable(t *testing.T) {
 	r := newRing(t, 3)
-	ctx, over := context.WithTimeout(t.Context(), 12*time.Second)
+	ctx, over := context.WithTimeout(t.Context(), time.Minute)
 	defer over()
 	type input struct {
 		write bool
@@ -191,7 +191,15 @@
 			})
 		})
 	}
-	for turn := range 4 {
+	epochs := func() uint64 {
+		duties := r.nodes[0].Duties().Duties
+		if len(duties) == 0 { // nobody has held it yet
+			return 0
+		}
+		return duties[0].Epoch
+	}
+	// On a busy machine it takes longer until another holds.
+	for turn := 0; turn < 4 || turn < 16 && epochs() < 3; turn++ {
 		time.Sleep(2500 * time.Millisecond)
 		mu.Lock()
 		i := holder
@@ -205,7 +213,8 @@
 		}
 		r.mu.Unlock()
 	}
-	<-ctx.Done()
+	time.Sleep(2 * time.Second)
+	over()
 	r.mu.Lock()
 	clear(r.cut)
 	r.mu.Unlock()
@@ -219,12 +228,11 @@
 			return out.(string) == state.(string), state
 		},
 	}
-	epochs := r.nodes[0].Duties().Duties[0].Epoch
-	if len(history) < 20 || epochs < 3 {
-		t.Errorf("%d operations under %d epochs show nothing", len(history), epochs)
+	if len(history) < 20 || epochs() < 3 {
+		t.Errorf("%d operations under %d epochs show nothing", len(history), epochs())
 	}
 	if res := porcupine.CheckOperationsTimeout(model, history, 30*time.Second); res != porcupine.Ok {
-		t.Errorf("%v: %d operations under %d epochs", res, len(history), epochs)
+		t.Errorf("%v: %d operations under %d epochs", res, len(history), epochs())
 	}
 }
 
--- a/internal/mesh/meshtest/maintenance_test.go
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -19,6 +19,9 @@
 // longBodies, of over 48 KB, are offered before they are sent, and turned away first.
 const longBodies = 256 << 10
 
+// workFor is how long people are at work once a window is clear. How soon it is hangs on this machine.
+const workFor = 2 * time.Second
+
 const windowSteps = 3 // of each of the series of a day that overlap
 
 // TestWindowDays has a window go by, or be cancelled, ended or begun by hand, while core machines and
@@ -86,15 +89,19 @@
 	require.NoError(t, err)
 	defer g.Close()
 	now := time.Now()
-	plan := &maintenance.PlanDocument{Name: "power", Zones: zones[1:2], Start: now.Add(8 * time.Second), End: now.Add(13 * time.Second), Lead: "6s", By: "test"}
+	plan := &maintenance.PlanDocument{Name: "power", Zones: zones[1:2], Start: now.Add(8 * time.Second), End: now.Add(48 * time.Second), Lead: "6s", By: "test"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan), "a call that comes twice")
 	var clear, over time.Time
-	leader := "" // in the zone, while it is clear
+	leader, stopped := "", false // leader: in the zone, while it is clear
 	require.NoError(t, g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) {
 		if w.Clear && clear.IsZero() {
 			clear = time.Now()
 		}
+		if !clear.IsZero() && !stopped && time.Since(clear) > workFor {
+			stopped = true
+			require.NoError(t, g.Operator.StopWindow(ctx, plan, "end"))
+		}
 		if m := g.Leader(); w.Clear && m != nil && m.Zone == plan.Zones[0] {
 			leader = m.Name
 		}
@@ -142,7 +149,7 @@
 	require.NoError(t, err)
 	defer g.Close()
 	start := time.Now().Add(8 * time.Second)
-	plan := &maintenance.PlanDocument{Name: "racks", Zones: zones[1:2], Start: start, End: start.Add(12 * time.Second), Lead: "4s"}
+	plan := &maintenance.PlanDocument{Name: "racks", Zones: zones[1:2], Start: start, End: start.Add(40 * time.Second), Lead: "4s"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 	time.Sleep(2 * time.Second) // so that core machines know how many agents each zone has
 	for _, m := range g.Agents {
@@ -161,7 +168,10 @@
 				}
 			}
 		}
-		clear = clear || w.Clear
+		if w.Clear && !clear {
+			clear = true
+			require.NoError(t, g.Operator.StopWindow(ctx, plan, "end"))
+		}
 	}))
 	require.Equal(t, "zone "+zones[2]+" is down", waits)
 	require.True(t, clear, "it went on")
