A window is clear by what agents counted behind their closed gates

Found by reading the change again. An agent tells what it has in hand seldom until it is taken out of use; if it heard late that it is closed, an earlier word of having nothing made the window clear, and people would have begun while it served. Bodies on their way to a gate were not counted either. The word names its stage now. TestClearRestsOnClosedGates (one process; the old check had no stage to ask for). Also: a plan without start or end says so, in place of a figure of 290 years.

--- a/internal/mesh/controlplane/window_left.go
+++ b/internal/mesh/controlplane/window_left.go
@@ -8,6 +8,8 @@
 	"example.org/micaline/internal/mesh/consensus"
 	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/maintenance"
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // mostLeft is how many words there are of what is left on the machines of a window.
@@ -39,11 +41,12 @@
 		if !w.Covers(h.Station.Zone, agent) {
 			continue
 		}
-		switch f := c.feeds[agent]; {
-		case h.Lost || f == nil:
-			left = append(left, agent+": not heard")
-		case f.work == nil || f.work.Gate+f.work.Sender > 0:
-			left = append(left, agent+": "+workLeft(f))
+		what := "not heard"
+		if f := c.feeds[agent]; f != nil && !h.Lost {
+			what = workLeft(w.Phase, f.work)
+		}
+		if what != "" {
+			left = append(left, agent+": "+what)
 		}
 	}
 	slices.Sort(left)
@@ -54,11 +57,18 @@
 	return left
 }
 
-func workLeft(f *feed) string {
-	if f.work == nil {
+// workLeft tells what an agent of a window has in hand; empty: nothing. Danger: that it had nothing before
+// its gate was closed says nothing of now.
+func workLeft(phase maintenance.Phase, work *transport.Work) string {
+	switch {
+	case work == nil:
 		return "has not told what it has in hand"
+	case work.Gate+work.Sender > 0:
+		return fmt.Sprintf("%d requests at its backend, %d of its clients", work.Gate, work.Sender)
+	case phase == maintenance.Closed && work.Stage < meshconfig.StageClosed:
+		return "has not told that its gate is closed"
 	}
-	return fmt.Sprintf("%d requests at its backend, %d of its clients", f.work.Gate, f.work.Sender)
+	return ""
 }
 
 func isCore(status *consensus.Status, ip string) bool {
--- a/internal/mesh/controlplane/window_table_test.go
+++ b/internal/mesh/controlplane/window_table_test.go
@@ -9,6 +9,7 @@
 	"example.org/micaline/internal/mesh/consensus"
 	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/transport"
 )
 
 // Windows stand in snapshots, and agents that are sent the steps come to the configuration that the
@@ -43,6 +44,16 @@
 	require.Equal(t, meshconfig.StageClosed, again.now.Load().config.Stage("a", "10.0.0.1"))
 }
 
+// An agent's word that it has nothing in hand counts once its gate is closed, and no earlier one does.
+func TestClearRestsOnClosedGates(t *testing.T) {
+	idle := func(stage meshconfig.Stage) *transport.Work { return &transport.Work{Stage: stage} }
+	require.Empty(t, workLeft(maintenance.Closed, idle(meshconfig.StageClosed)))
+	require.NotEmpty(t, workLeft(maintenance.Closed, idle(meshconfig.StageCalls)))
+	require.NotEmpty(t, workLeft(maintenance.Closed, nil))
+	require.NotEmpty(t, workLeft(maintenance.Closed, &transport.Work{Stage: meshconfig.StageClosed, Sender: 1}))
+	require.Empty(t, workLeft(maintenance.Moving, idle(meshconfig.StageOpen)))
+}
+
 // A window must leave so many core machines that they can agree.
 func TestQuorumWithout(t *testing.T) {
 	window := &maintenance.Window{Name: "power", Zones: []string{"a"}}
--- a/internal/mesh/inbound/handle.go
+++ b/internal/mesh/inbound/handle.go
@@ -54,7 +54,7 @@
 	h.Answered.Add(1)
 	h.Traces.Plain()
 	return &transport.Reply{Verdict: transport.Ran, Status: ans.status, Header: ans.header, Body: int64(len(ans.body)), Waited: waited,
-		Load: h.load(), Inner: working.failed && ans.status >= 500}, ans.body
+		Load: h.Load(), Inner: working.failed && ans.status >= 500}, ans.body
 }
 
 // begin enters a run that the backend is about to have in work.
--- a/internal/mesh/inbound/host.go
+++ b/internal/mesh/inbound/host.go
@@ -129,10 +129,11 @@
 }
 
 func (h *Host) reply(f *transport.Failure) *transport.Reply {
-	return &transport.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: h.load()}
+	return &transport.Reply{Verdict: f.Verdict, Reason: f.Reason, After: f.After, Load: h.Load()}
 }
 
-func (h *Host) load() transport.Load {
+// Load is what others are told of the backend.
+func (h *Host) Load() transport.Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.gate.Load(h.now())
--- a/internal/mesh/inbound/session_test.go
+++ b/internal/mesh/inbound/session_test.go
@@ -70,6 +70,6 @@
 		case <-time.After(10 * time.Second):
 			require.Fail(t, "it waits for ever for a body", "offered: %v", offered)
 		}
-		require.Eventually(t, func() bool { return h.budget.Available() == 1<<20 && h.load().InFlight == 0 }, 10*time.Second, time.Millisecond, "its room is given back")
+		require.Eventually(t, func() bool { return h.budget.Available() == 1<<20 && h.Load().InFlight == 0 }, 10*time.Second, time.Millisecond, "its room is given back")
 	}
 }
--- a/internal/mesh/maintenance/document.go
+++ b/internal/mesh/maintenance/document.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -33,6 +34,12 @@
 
 // Window makes the agreed kind of a plan. The error names the field that is wrong.
 func (p *PlanDocument) Window() (*Window, error) {
+	switch {
+	case p.Start.IsZero():
+		return nil, errors.New("start: it is missing")
+	case p.End.IsZero():
+		return nil, errors.New("end: it is missing")
+	}
 	lead, err := time.ParseDuration(p.Lead)
 	if err != nil {
 		return nil, fmt.Errorf("lead: %q is no duration such as 90s", p.Lead)
--- a/internal/mesh/sidecar/work.go
+++ b/internal/mesh/sidecar/work.go
@@ -30,10 +30,11 @@
 }
 
 func (t *workTeller) next(a *Agent, now time.Time) *transport.Work {
-	work := transport.Work{Mean: math.Float64frombits(a.meanWork.Load()), Gate: a.host.Held(), Sender: a.sender.Held()}
+	work := transport.Work{Stage: a.stage()} // first: what is counted after it is of a machine at that stage
+	work.Mean, work.Gate, work.Sender = math.Float64frombits(a.meanWork.Load()), a.host.Load().InFlight, a.sender.Held()
 	switch {
 	case t.told == nil:
-	case a.stage() >= meshconfig.StageClients:
+	case work.Stage != t.told.Stage || work.Stage >= meshconfig.StageClients:
 		if work == *t.told {
 			return nil
 		}
--- a/internal/mesh/transport/message.go
+++ b/internal/mesh/transport/message.go
@@ -112,9 +112,10 @@
 
 // Work is what an agent has in hand.
 type Work struct {
-	Mean   float64 // requests that its backend works on or that wait there, over some seconds
-	Gate   int     // of these, now
-	Sender int     // requests of its clients, and of its backend, now
+	Mean   float64          // requests that its backend works on or that wait there, over some seconds
+	Gate   int              // of these, now, and bodies that are on their way there
+	Sender int              // requests of its clients, and of its backend, now
+	Stage  meshconfig.Stage // how far it was taken out of use before these were counted
 }
 
 // Resume says that an agent has heard all stations of a core process up to a revision. The zero
