Windows: what stood twice, tests that showed less than they said

TestWindow worked on a zone that held the leader one time in three: it takes the leader's now. TestWindowDays said that the zone is used again and did not look: it does; and that backends depart, which they don't. TestWindowWaits took any reason to wait. One planted bug put the table into a state by hand: it takes the check out of the table's way now, and is found.

--- a/internal/mesh/consensus/aside_test.go
+++ b/internal/mesh/consensus/aside_test.go
@@ -15,11 +15,7 @@
 	dirs := fourDirs(t)
 	synctest.Test(t, func(t *testing.T) {
 		net, nodes := startFour(t, dirs)
-		stop := func(name string) {
-			net.set(name, nil)
-			require.NoError(t, nodes[name].Close())
-			delete(nodes, name)
-		}
+		stop := func(name string) { stopOne(t, net, nodes, name) }
 		leader := func() string {
 			for name, n := range nodes {
 				if n.Status().Role == "leader" {
--- a/internal/mesh/consensus/leave_test.go
+++ b/internal/mesh/consensus/leave_test.go
@@ -38,17 +38,19 @@
 	return net, nodes
 }
 
+func stopOne(t *testing.T, net *network, nodes map[string]*Node, name string) {
+	net.set(name, nil)
+	require.NoError(t, nodes[name].Close())
+	delete(nodes, name)
+}
+
 // A leader that is told to go gives its vote and its leadership away before it ends, and then one
 // more may be lost. Without anybody to take its vote a node ends soon all the same.
 func TestNodesLeave(t *testing.T) {
 	dirs := fourDirs(t)
 	synctest.Test(t, func(t *testing.T) {
 		net, nodes := startFour(t, dirs)
-		stop := func(name string) {
-			net.set(name, nil)
-			require.NoError(t, nodes[name].Close())
-			delete(nodes, name)
-		}
+		stop := func(name string) { stopOne(t, net, nodes, name) }
 		leads := func() (leader string) {
 			for leader == "" {
 				time.Sleep(10 * time.Millisecond)
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -60,16 +60,25 @@
 	return true
 }
 
+// isCurrent waits until this machine holds all that was acknowledged before the call; it says false if
+// that can't be had, and has answered.
+func (c *Core) isCurrent(w http.ResponseWriter, r *http.Request) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), answerIn)
+	defer cancel()
+	if err := c.node.Read(ctx); err != nil {
+		problem(w, http.StatusServiceUnavailable, err.Error())
+		return false
+	}
+	return true
+}
+
 // configs is the configuration.
 type configs struct{ c *Core }
 
 func (h *configs) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodGet:
-		ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-		defer cancel()
-		if err := h.c.node.Read(ctx); err != nil {
-			problem(w, http.StatusServiceUnavailable, err.Error())
+		if !h.c.isCurrent(w, r) {
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/mesh/controlplane/window_api.go
+++ b/internal/mesh/controlplane/window_api.go
@@ -17,10 +17,7 @@
 func (h *windowList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodGet:
-		ctx, cancel := context.WithTimeout(r.Context(), answerIn)
-		defer cancel()
-		if err := h.c.node.Read(ctx); err != nil {
-			problem(w, http.StatusServiceUnavailable, err.Error())
+		if !h.c.isCurrent(w, r) {
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/mesh/maintenance/maintenance_test.go
+++ b/internal/mesh/maintenance/maintenance_test.go
@@ -11,8 +11,6 @@
 	"example.org/micaline/internal/mesh/meshconfig"
 )
 
-var seeds = 600
-
 // stale is the age at which the agreement refuses what was proposed.
 const stale = 2 * time.Second
 
@@ -61,7 +59,7 @@
 			c.Advance.Changed = window.Changed
 		}
 	}
-	reply := w.table.Apply(w.index, c)
+	reply := w.carryOut(c)
 	out := 0
 	for _, window := range w.table.Windows {
 		if _, cordoned := window.cordon(); cordoned {
@@ -93,6 +91,13 @@
 	return reply
 }
 
+func (w *world) carryOut(c *Command) Reply {
+	if a := c.Advance; a != nil && w.planted == "two windows move at once" {
+		return w.table.change(w.index, a.Name, func(window *Window) string { return window.advance(a, c.Now) })
+	}
+	return w.table.Apply(w.index, c)
+}
+
 // slack is how far clocks are apart at most.
 func (w *world) slack() time.Duration { return 600 * time.Millisecond }
 
@@ -141,13 +146,6 @@
 	default:
 		c.Plan = w.window(n)
 	}
-	if w.planted == "windows may overlap" && c.Plan != nil {
-		copied := *c.Plan
-		copied.Phase, copied.Step = Moving, 1
-		w.table.Windows = append(w.table.Windows, &copied)
-		w.apply(&Command{Begin: "none"})
-		return
-	}
 	first := w.apply(c)
 	changed := w.index
 	if second := w.apply(c); first.Refused != second.Refused || w.changedAfter(changed) {
@@ -212,16 +210,17 @@
 }
 
 // What the package promises holds whatever is lost, comes late or twice.
-func TestWindows(t *testing.T) {
-	if testing.Short() {
+func TestExploreWindows(t *testing.T) {
+	seeds := 600
+	if testing.Short() { // with the race detector; all of them is for a run without
 		seeds = 100
 	}
 	require.Empty(t, explore("", seeds))
 }
 
-func TestPlantedWindows(t *testing.T) {
-	for _, planted := range []string{"late decisions count", "the forecast is not asked", "windows may overlap", "nothing returns"} {
-		require.NotEmpty(t, explore(planted, 100), planted)
+func TestWindowsPlanted(t *testing.T) {
+	for _, planted := range []string{"late decisions count", "the forecast is not asked", "two windows move at once", "nothing returns"} {
+		require.NotEmpty(t, explore(planted, 200), planted)
 	}
 }
 
--- a/internal/mesh/meshtest/days_test.go
+++ b/internal/mesh/meshtest/days_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -29,19 +30,11 @@
 // run plays the days and judges every rule.
 func (d *days) run(t *testing.T) {
 	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
 	for seed := *d.seed; seed < *d.seed+uint64(*d.count); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Second)
-			defer cancel()
 			rng := rand.New(rand.NewPCG(seed, 57))
-			options := d.options(rng)
-			options.Program, options.Dir = filepath.Join(dir, "micaline-mesh"), t.TempDir()
-			g, err := Start(ctx, options)
-			require.NoError(t, err)
-			defer g.Close()
+			ctx, g := startTest(t, 100*time.Second, d.options(rng))
 			d.play(t, ctx, g, rng)
 			require.NoError(t, g.Calm(ctx, 60))
 			v, err := g.Finish(ctx)
@@ -66,6 +59,27 @@
 	}
 }
 
+// startTest starts a cluster of the built program for a test, which has so much time.
+func startTest(t *testing.T, within time.Duration, options Options) (context.Context, *Cluster) {
+	dir, err := build()
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	t.Cleanup(cancel)
+	options.Program, options.Dir = filepath.Join(dir, "micaline-mesh"), t.TempDir()
+	g, err := Start(ctx, options)
+	require.NoError(t, err)
+	t.Cleanup(func() { g.Close() })
+	return ctx, g
+}
+
+// command runs a verb of the program against a core machine, and returns what it prints.
+func command(t *testing.T, ctx context.Context, core *Machine, words ...string) string {
+	words = append(words, "--core", core.at(controlPort))
+	out, err := exec.CommandContext(ctx, core.g.opt.Program, words...).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return string(out)
+}
+
 // pause waits for some part of the most.
 func pause(rng *rand.Rand, most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
 
--- a/internal/mesh/meshtest/duty_test.go
+++ b/internal/mesh/meshtest/duty_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -21,27 +19,16 @@
 // A duty goes to the core machine that an operator names, and away from one that it is taken from.
 func TestDutyIsMoved(t *testing.T) {
 	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
-	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
-	defer cancel()
-	g, err := Start(ctx, Options{Agents: 3, Rate: 10, Tenants: 2, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
-	require.NoError(t, err)
-	defer g.Close()
+	ctx, g := startTest(t, time.Minute, Options{Agents: 3, Rate: 10, Tenants: 2})
 	const within, every = 15 * time.Second, 50 * time.Millisecond
 	require.Eventually(t, func() bool { return g.Platform.Holder() != nil }, within, every)
 	holder, fence := g.Platform.Holder(), g.Platform.Fence()
 	to := g.Cores[(slices.Index(g.Cores, holder)+1)%len(g.Cores)]
-	order := func(words ...string) {
-		words = append(words, "usage_report", "--core", to.at(controlPort))
-		out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), append([]string{"duty"}, words...)...).CombinedOutput()
-		require.NoError(t, err, "%s", out)
-	}
-	order("hand", "--to", to.Name)
+	command(t, ctx, to, "duty", "hand", "usage_report", "--to", to.Name)
 	require.Eventually(t, func() bool { return g.Platform.Holder() == to }, within, every)
 	require.Greater(t, g.Platform.Fence(), fence)
 	fence = g.Platform.Fence()
-	order("revoke", "--why", "by hand")
+	command(t, ctx, to, "duty", "revoke", "usage_report", "--why", "by hand")
 	require.Eventually(t, func() bool { return g.Platform.Fence() > fence }, within, every)
 	v, err := g.Finish(ctx)
 	require.NoError(t, err)
--- a/internal/mesh/meshtest/maintenance_test.go
+++ b/internal/mesh/meshtest/maintenance_test.go
@@ -4,8 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"os/exec"
-	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +24,7 @@
 const windowSteps = 3 // of each of the series of a day that overlap
 
 // TestWindowDays has a window go by, or be cancelled, ended or begun by hand, while core machines and
-// agents are killed, stand still or are told to end, backends depart and the configuration changes.
+// agents are killed, stand still or are told to end, and the configuration changes.
 // It ends in any case, and its zone is used again.
 func TestWindowDays(t *testing.T) {
 	(&days{windowDays, windowSeed, func(rng *rand.Rand) Options {
@@ -74,22 +73,35 @@
 			return nil
 		})
 		t.Logf("phases %v", phases)
+		usedAgain(t, ctx, g, plan.Zones[0], time.Now())
 	}}).run(t)
 }
 
+// usedAgain has a zone's backends get requests after a moment.
+func usedAgain(t *testing.T, ctx context.Context, g *Cluster, zone string, after time.Time) {
+	const enough = 20
+	require.NoError(t, g.Await(ctx, zone+" is used again", func() bool {
+		count := 0
+		g.record.note(func(_ time.Duration, s *Story) {
+			for _, r := range s.Runs {
+				if r.Zone == zone && r.Began > after.Sub(s.Began) {
+					count++
+				}
+			}
+		})
+		return count >= enough
+	}))
+}
+
 // TestWindow has a window of maintenance go by: its zone is clear before work begins, all requests
 // have ordinary answers, and the zone is used again in the end.
 func TestWindow(t *testing.T) {
 	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
-	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
-	defer cancel()
-	g, err := Start(ctx, Options{Agents: 6, Rate: 10, Work: 50 * time.Millisecond, MostBody: longBodies, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
-	require.NoError(t, err)
-	defer g.Close()
+	ctx, g := startTest(t, 90*time.Second, Options{Agents: 6, Rate: 10, Work: 50 * time.Millisecond, MostBody: longBodies})
+	require.NoError(t, g.Settle(ctx))
+	zone := g.Leader().Zone // so that leadership has to move
 	now := time.Now()
-	plan := &maintenance.PlanDocument{Name: "power", Zones: zones[1:2], Start: now.Add(8 * time.Second), End: now.Add(48 * time.Second), Lead: "6s", By: "test"}
+	plan := &maintenance.PlanDocument{Name: "power", Zones: []string{zone}, Start: now.Add(8 * time.Second), End: now.Add(48 * time.Second), Lead: "6s", By: "test"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan), "a call that comes twice")
 	var clear, over time.Time
@@ -102,7 +114,7 @@
 			stopped = true
 			require.NoError(t, g.Operator.StopWindow(ctx, plan, "end"))
 		}
-		if m := g.Leader(); w.Clear && m != nil && m.Zone == plan.Zones[0] {
+		if m := g.Leader(); w.Clear && m != nil && m.Zone == zone {
 			leader = m.Name
 		}
 		if w.Phase == maintenance.Over {
@@ -112,25 +124,11 @@
 	require.False(t, clear.IsZero())
 	require.Empty(t, leader)
 	require.True(t, clear.Before(plan.End))
-	tells := func(words ...string) string {
-		out, err := exec.CommandContext(ctx, filepath.Join(dir, "micaline-mesh"), append(words, "--core", g.Cores[0].at(controlPort))...).CombinedOutput()
-		require.NoError(t, err, "%s", out)
-		return string(out)
-	}
+	tells := func(words ...string) string { return command(t, ctx, g.Cores[0], words...) }
 	require.Contains(t, tells("window", "show", plan.Name), "power, over, step 0")
 	require.Contains(t, tells("region", "plan", zones[0]), "enough would be left to agree")
 	require.Contains(t, tells("region", "plan", "loopback"), "0 would stay", "the region of all zones")
-	runs := func() (count int) {
-		g.record.note(func(now time.Duration, s *Story) {
-			for _, r := range s.Runs {
-				if r.Zone == plan.Zones[0] && r.Began > over.Sub(s.Began) {
-					count++
-				}
-			}
-		})
-		return count
-	}
-	require.Eventually(t, func() bool { return runs() > 20 }, 15*time.Second, 50*time.Millisecond)
+	usedAgain(t, ctx, g, zone, over)
 	v, err := g.Finish(ctx)
 	require.NoError(t, err)
 	require.Empty(t, v.Breaches)
@@ -141,13 +139,7 @@
 // that zone is back.
 func TestWindowWaits(t *testing.T) {
 	t.Parallel()
-	dir, err := build()
-	require.NoError(t, err)
-	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
-	defer cancel()
-	g, err := Start(ctx, Options{Agents: 6, Rate: 6, Work: 50 * time.Millisecond, Program: filepath.Join(dir, "micaline-mesh"), Dir: t.TempDir()})
-	require.NoError(t, err)
-	defer g.Close()
+	ctx, g := startTest(t, 90*time.Second, Options{Agents: 6, Rate: 6, Work: 50 * time.Millisecond})
 	start := time.Now().Add(8 * time.Second)
 	plan := &maintenance.PlanDocument{Name: "racks", Zones: zones[1:2], Start: start, End: start.Add(40 * time.Second), Lead: "4s"}
 	require.NoError(t, g.Operator.PlanWindow(ctx, plan))
@@ -159,7 +151,7 @@
 	}
 	waits, clear := "", false
 	require.NoError(t, g.Operator.Follow(ctx, plan, func(w *maintenance.StateDocument) {
-		if w.Waits != "" && waits == "" {
+		if strings.HasPrefix(w.Waits, "zone ") && waits == "" { // a leader that is new has other reasons
 			waits = w.Waits
 			require.NotEqual(t, maintenance.Closed, w.Phase)
 			for _, m := range g.Agents {
--- a/test.sh
+++ b/test.sh
@@ -36,6 +36,7 @@
 		echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted' ./internal/$package"
 	done
 	echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted|Whole|Losses' ./internal/mesh/consensus"
+	echo "GOMAXPROCS=1 go test -count=1 -run 'Explore|Planted' ./internal/mesh/maintenance"
 	echo "GOMAXPROCS=1 go test -count=1 -run '$virtual' ./internal/processtest"
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestAnHour"
 	echo "cd internal/fleet && GOMAXPROCS=1 $tmp/fleet.test -test.run TestLargeFleet"
