Review case 2: a key that was taken away opens again for a tenant that was refused it

Cause: as in case 1: a change that waited unread in a frozen core machine is carried out after another one has refused it and the key has been taken away.

--- a/review/_standin/backend.go
+++ b/review/_standin/backend.go
@@ -139,7 +139,7 @@
 	b.mu.Lock()
 	b.runs = append(b.runs, run{b.c.m.rec.now(), b.id, b.c.service, try, r.Host, r.RequestURI, r.Header.Get("Calling-Service")})
 	b.mu.Unlock()
-	b.c.m.rec.note("backend %s (%s) runs %s %s%s", b.id, b.c.service, try, r.Host, r.RequestURI)
+	b.c.m.rec.note("backend %s (%s) runs %s %s%s, Customer %q", b.id, b.c.service, try, r.Host, r.RequestURI, r.Header.Get("Customer"))
 	select {
 	case <-time.After(b.work):
 	case <-deadline.C:
--- a/review/_standin/mesh.go
+++ b/review/_standin/mesh.go
@@ -31,8 +31,12 @@
 	firstSpare   = 7600
 	lastSpare    = 7615
 	guardPort    = 8699
+	platformPort = 8267
 )
 
+// freeze is how long a core machine stands still: the site's limit for node_freeze.
+const freeze = 4 * time.Second
+
 var zones = []string{"hall-a", "hall-b", "hall-c"}
 
 // machine is one machine of the mesh: a process of the project's program, and its address.
@@ -57,6 +61,7 @@
 	cores   []*machine
 	agents  []*machine
 	rec     *recorder
+	duties  bool // the figures of the site pcaa-mesh-duties, in place of pcaa-mesh
 }
 
 // recorder writes the record.
@@ -141,12 +146,20 @@
 	line("limits.open_files=4096")
 	line("limits.link_mbps=1000.0")
 	line("beat_every=1500ms")
-	line("contracts=base,drain,config,cost,retry,recover,places")
 	line("tolerate.machines=1\ntolerate.zones=1\ntolerate.regions=0")
-	line("bounds.seed_delay=3s\nbounds.reuse_after=2s\nbounds.in_touch=3000ms\nbounds.ack_within=5000ms\nbounds.catch_up=4s\nbounds.drain=2500ms")
-	line("bounds.grace=6s\nbounds.loss_slack=200ms\nbounds.apply_within=2500ms\nbounds.fallback=250ms\nbounds.stretch=8000ms")
-	line("bounds.retry_ratio=0.2\nbounds.retry_window=10s\nbounds.extra_tries=60\nbounds.warmup_excess=1.5\nbounds.warmup_margin=5")
-	line("bounds.evacuate=5000ms\nbounds.recovery=15s\nsetup_mode=parts")
+	line("bounds.seed_delay=3s\nbounds.reuse_after=2s\nbounds.grace=6s\nbounds.loss_slack=200ms\nbounds.fallback=250ms")
+	line("bounds.retry_ratio=0.2\nbounds.retry_window=10s\nbounds.warmup_excess=1.5\nbounds.evacuate=5000ms\nbounds.recovery=15s\nsetup_mode=parts")
+	if c.m.duties {
+		line("contracts=base,drain,config,cost,retry,recover,health,pool,tenants,leader,places")
+		line("bounds.in_touch=5000ms\nbounds.ack_within=6000ms\nbounds.catch_up=6s\nbounds.drain=3000ms\nbounds.apply_within=3000ms\nbounds.stretch=10000ms")
+		line("bounds.revoked_fail=false\nbounds.revoke=5000ms\nbounds.extra_tries=158\nbounds.warmup_margin=8")
+		line("bounds.fenced=true\nbounds.lease=3000ms\nbounds.thaw=300ms\nbounds.report_window=5s\nbounds.usage_error=0.05\nbounds.usage_delay=10s")
+		line("cloud_api.address=%s.200:%d\ncloud_api.rate_per_s=50.0\ncloud_api.duties=usage_report\ncloud_api.duty_per_s=50.0", c.m.net, platformPort)
+	} else {
+		line("contracts=base,drain,config,cost,retry,recover,places")
+		line("bounds.in_touch=3000ms\nbounds.ack_within=5000ms\nbounds.catch_up=4s\nbounds.drain=2500ms\nbounds.apply_within=2500ms\nbounds.stretch=8000ms")
+		line("bounds.extra_tries=60\nbounds.warmup_margin=5")
+	}
 	if c.service == "" {
 		line("limits.memory_mb=280\nlimits.disk_mb=256")
 		line("data_folder=%s", filepath.Join(c.folder(), "disk"))
--- a/review/_standin/refused.go
+++ b/review/_standin/refused.go
@@ -127,7 +127,7 @@
 		if s != 200 {
 			return cannot
 		}
-		time.Sleep(time.Until(frozen.Add(4 * time.Second)))
+		time.Sleep(time.Until(frozen.Add(freeze)))
 		if trouble {
 			core.signal(syscall.SIGCONT)
 		}
