A refused change has no effect through an earlier attempt at the same call

A client sends a call again, unchanged, while an earlier attempt is under way. Each attempt was an order of its own in the log, judged by the state at its turn, and nothing in the replicated state said that the call had been refused and so had ended. "Patches have versions" orders a change against others of the same item, but a refusal leaves no version behind.

Change. - Orders carry the identity of the operator's call (digest of method, path and body) and the index that was applied when the attempt arrived. An attempt that arrived before the refusal of its call has no effect: 503. Sent again after the refusal, the call is decided afresh. Orders of earlier programs carry no identity and are applied as they were. - The same for windows and duty orders, refusals by one node's own view included (refusal orders). - All calls that change something are dropped if their client has gone, once their body is read. Bodies beyond 4 KB hid the close from the check before, also for windows. - Propose appends nothing for a caller that had given up before. - micaline_mesh_core_calls_dropped_total tells the two reasons apart.

TestCallOfWhoHasGoneIsDropped asks acceptCall in place of dropAbandoned, with the same requirements.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -15,6 +15,9 @@
 	ErrUnknown = errors.New("consensus: unknown whether the command is committed")
 	// ErrBusy is returned if too many requests are queued. The command was not appended.
 	ErrBusy = errors.New("consensus: too many requests; the command was not appended")
+	// ErrAbandoned is returned if the context of a proposal had ended before the call. The command was
+	// not appended.
+	ErrAbandoned = errors.New("consensus: the caller has given up; the command was not appended")
 	// ErrClosed is returned if the node was closed before it processed the request.
 	ErrClosed = errors.New("consensus: node is closed; the command was not appended")
 )
--- a/internal/mesh/consensus/node.go
+++ b/internal/mesh/consensus/node.go
@@ -151,6 +151,9 @@
 // Propose appends a command to the log through the leader, and waits until it is applied at this
 // node.
 func (n *Node) Propose(ctx context.Context, command []byte) (Result, error) {
+	if err := ctx.Err(); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrAbandoned, err)
+	}
 	select {
 	case n.proposalSlots <- struct{}{}:
 	default:
--- a/internal/mesh/controlplane/answers.go
+++ b/internal/mesh/controlplane/answers.go
@@ -42,6 +42,9 @@
 	return r
 }
 
+// isFinal reports whether clients give up on the refusal.
+func (r *refusal) isFinal() bool { return r.Status < http.StatusInternalServerError }
+
 func (r *refusal) encode() []byte {
 	text, err := json.Marshal(r)
 	if err != nil {
@@ -80,14 +83,16 @@
 func (c *Core) handleOrder(w http.ResponseWriter, r *http.Request, order meshconfig.Order) {
 	ctx, cancel := context.WithTimeout(r.Context(), responseTimeout)
 	defer cancel()
+	call := callOf(r)
 	for {
-		refused, err := c.proposeOrder(ctx, order)
+		refused, err := c.proposeOrder(ctx, call, order)
 		switch {
 		case err != nil:
 			writeProblem(w, statusFor(err), err.Error())
 		case refused == nil:
 			acknowledge(w)
 		case refused.Stale && ctx.Err() == nil:
+			call.since = c.table.applied.Load()
 			continue // the client still waits, so this order is the later one
 		default:
 			refused.write(w)
@@ -96,11 +101,11 @@
 	}
 }
 
-// proposeOrder proposes an order once. The order is refused if it contradicts a confirmed one, or
-// if the opposite order is applied before it.
-func (c *Core) proposeOrder(ctx context.Context, order meshconfig.Order) (*refusal, error) {
-	order.Strict, order.Since = true, c.table.applied.Load()
-	result, err := c.node.Propose(ctx, encodeOrder(&order))
+// proposeOrder proposes the order of a call once. The order is refused if it contradicts a confirmed
+// one, or if the opposite order was applied since the call arrived.
+func (c *Core) proposeOrder(ctx context.Context, call operatorCall, order meshconfig.Order) (*refusal, error) {
+	order.Strict = true
+	result, err := c.proposeCall(ctx, call, order)
 	c.counters.countProposal(result, err)
 	if err != nil || len(result.Reply) == 0 {
 		return nil, err
--- a/internal/mesh/controlplane/duty_holder.go
+++ b/internal/mesh/controlplane/duty_holder.go
@@ -105,7 +105,7 @@
 func (h *dutyHolder) propose(command *duties.Command) *duties.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	reply, err := h.core.proposeDuty(ctx, command)
+	reply, err := h.core.proposeDuty(ctx, operatorCall{}, command)
 	if err != nil {
 		return nil
 	}
--- a/internal/mesh/controlplane/duty_orders.go
+++ b/internal/mesh/controlplane/duty_orders.go
@@ -66,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), responseTimeout)
 	defer cancel()
-	reply, err := c.proposeDuty(ctx, &duties.Command{Lease: op})
+	reply, err := c.proposeDuty(ctx, callOf(r), &duties.Command{Lease: op})
 	switch {
 	case err != nil:
 		writeProblem(w, statusFor(err), err.Error())
--- a/internal/mesh/controlplane/feed_test.go
+++ b/internal/mesh/controlplane/feed_test.go
@@ -272,7 +272,9 @@
 	openCall().Close()
 	waiting := openCall()
 	defer waiting.Close()
-	server := &http.Server{ConnContext: withConnection, Handler: dropAbandoned(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- true }))}
+	core := New(&bootstrap.Settings{}, &log.Logger{Handler: discard.Default})
+	serve := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- true })
+	server := &http.Server{ConnContext: withConnection, Handler: core.acceptCall(maxZoneOrderBytes, serve)}
 	go server.Serve(listener)
 	defer server.Close()
 	waiting.SetDeadline(time.Now().Add(5 * time.Second))
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -14,17 +14,19 @@
 const (
 	responseTimeout = 900 * time.Millisecond // clients try another node after a second
 	maxPatchBytes   = 8 << 20
+
+	maxZoneOrderBytes = 4 << 10 // these orders need no body
 )
 
 // handler returns the handler for all API resources.
 func (c *Core) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/api/config", &configHandler{c})
-	mux.Handle("/api/drain-zone/{zone}", dropAbandoned(&evacuationHandler{c}))
-	mux.Handle("/api/duties/{duty}/hand", dropAbandoned(&dutyOrderHandler{c, lease.HandOver}))
-	mux.Handle("/api/duties/{duty}/revoke", dropAbandoned(&dutyOrderHandler{c, lease.Revoke}))
-	mux.Handle("/api/windows", dropAbandoned(&windowListHandler{c}))
-	mux.Handle("/api/windows/{name}/{what}", dropAbandoned(&windowCommandHandler{c}))
+	mux.Handle("/api/config", c.acceptCall(maxPatchBytes, &configHandler{c}))
+	mux.Handle("/api/drain-zone/{zone}", c.acceptCall(maxZoneOrderBytes, &evacuationHandler{c}))
+	mux.Handle("/api/duties/{duty}/hand", c.acceptCall(maxDutyOrderBytes, &dutyOrderHandler{c, lease.HandOver}))
+	mux.Handle("/api/duties/{duty}/revoke", c.acceptCall(maxDutyOrderBytes, &dutyOrderHandler{c, lease.Revoke}))
+	mux.Handle("/api/windows", c.acceptCall(maxWindowRequestBytes, &windowListHandler{c}))
+	mux.Handle("/api/windows/{name}/{what}", c.acceptCall(maxWindowRequestBytes, &windowCommandHandler{c}))
 	mux.Handle("/api/regions/{region}/plan", &regionPlanHandler{c})
 	mux.Handle("/windows", &windowPageHandler{c})
 	mux.Handle("/api/servers/{id}", &serverHandler{c})
--- a/internal/mesh/controlplane/orders_sim_test.go
+++ b/internal/mesh/controlplane/orders_sim_test.go
@@ -41,6 +41,7 @@
 	equalVersionAccepted fault = "an equal version is accepted with other content"
 	supersededRefused    fault = "a change sent again is refused once it was overtaken"
 	lateZoneOrderApplied fault = "an order for a zone that was held up is carried out after the opposite one"
+	refusedCallApplied   fault = "an attempt at a refused call that was held up is carried out"
 )
 
 // simTable is a node's table with a planted fault. Now and then its state is replaced by its own
@@ -61,6 +62,8 @@
 		order.Strict = false
 	case lateZoneOrderApplied:
 		order.Since = index
+	case refusedCallApplied:
+		order.Call = nil
 	}
 	before := t.published.Load()
 	reply := t.table.Apply(index, encodeOrder(&order))
--- /dev/null
+++ b/internal/mesh/controlplane/refused_calls_test.go
@@ -0,0 +1,72 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+
+	"example.org/micaline/internal/mesh/meshconfig"
+	"example.org/micaline/internal/mesh/plaingob"
+	"github.com/stretchr/testify/require"
+)
+
+// Attempts at a refused call have no effect if they arrived before the refusal, and are decided
+// afresh if they arrived after it.
+func TestRefusalEndsEarlierAttempts(t *testing.T) {
+	var refused refusedCalls
+	call, other := []byte("call"), []byte("other")
+	require.False(t, refused.refusedSince(0, call))
+	refused.record(5, call)
+	refused.record(7, other)
+	require.True(t, refused.refusedSince(4, call))
+	require.False(t, refused.refusedSince(5, call))
+	require.True(t, refused.refusedSince(6, other))
+	require.False(t, refused.refusedSince(0, []byte("third")))
+}
+
+// The number of refusals is bounded. Attempts from before what was dropped have no effect.
+func TestRefusalsAreBounded(t *testing.T) {
+	var refused refusedCalls
+	for index := uint64(1); index <= maxRefusedCalls+10; index++ {
+		refused.record(index, fmt.Append(nil, index))
+	}
+	require.Len(t, refused.refusals, maxRefusedCalls)
+	unknown := []byte("unknown")
+	require.True(t, refused.refusedSince(9, unknown))
+	require.False(t, refused.refusedSince(10, unknown))
+	restored := newRefusedCalls(refused.state())
+	require.Equal(t, &refused, restored)
+}
+
+// A member that is restored from a snapshot decides on an attempt as the others do. A snapshot of an
+// earlier program version has no refusals, and orders of that version are applied as they were then.
+func TestRefusalsInSnapshots(t *testing.T) {
+	patch := func(kind, name, body string) []byte {
+		return fmt.Appendf(nil, `{"add":{"items":[{"item_kind":%q,"metadata":{"name":%q,"version":"1"},"body":%s}]}}`, kind, name, body)
+	}
+	route := meshconfig.Order{Op: meshconfig.OpPatch, Body: patch("routes", "r", `{"domain":"d","path_start":"/","kind":"safe","service":"s"}`), Strict: true, Since: 1, Call: []byte("call")}
+	service := meshconfig.Order{Op: meshconfig.OpPatch, Body: patch("services", "s", `{}`), Strict: true}
+	original := newTable(func() {})
+	require.Equal(t, 400, decodeRefusal(original.Apply(2, encodeOrder(&route))).Status)
+	require.Empty(t, original.Apply(3, encodeOrder(&service)))
+	restored := newTable(func() {})
+	require.NoError(t, restored.Restore(3, original.Snapshot()))
+	for _, table := range []*table{original, restored} {
+		require.Equal(t, refusedSinceReply, table.Apply(4, encodeOrder(&route)))
+		require.Equal(t, uint64(3), table.published.Load().index, "the attempt has no effect")
+	}
+	again := route
+	again.Since = 3
+	require.Empty(t, restored.Apply(5, encodeOrder(&again)), "sent again after the refusal")
+	require.Equal(t, uint64(5), restored.published.Load().index)
+
+	snapshot, err := plaingob.Decode[tableSnapshot](original.Snapshot())
+	require.NoError(t, err)
+	earlier := struct {
+		Index                            uint64
+		Config, History, Duties, Windows []byte
+	}{snapshot.Index, snapshot.Config, snapshot.History, snapshot.Duties, snapshot.Windows}
+	require.NoError(t, restored.Restore(4, plaingob.Encode(earlier)))
+	earlierOrder := route
+	earlierOrder.Call = nil
+	require.Empty(t, restored.Apply(5, encodeOrder(&earlierOrder)))
+}
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -13,15 +13,20 @@
 	"example.org/micaline/internal/mesh/transport"
 )
 
-// counters count the outcomes of the operators' changes, and lost agents.
+// counters count the outcomes of the operators' changes, calls without an effect, and lost agents.
 type counters struct {
 	committed, refused, unknown, notAccepted, lostAgents atomic.Uint64
+
+	abandoned    atomic.Uint64 // calls whose clients had gone when they were read
+	refusedSince atomic.Uint64 // attempts that ended with errRefusedSince
 }
 
 // countProposal counts the outcome of a proposal.
 func (c *counters) countProposal(result consensus.Result, err error) {
 	switch {
-	case errors.Is(err, consensus.ErrNoLeader), errors.Is(err, consensus.ErrBusy), errors.Is(err, consensus.ErrClosed):
+	case errors.Is(err, errRefusedSince):
+		c.refusedSince.Add(1)
+	case errors.Is(err, consensus.ErrNoLeader), errors.Is(err, consensus.ErrBusy), errors.Is(err, consensus.ErrClosed), errors.Is(err, consensus.ErrAbandoned):
 		c.notAccepted.Add(1)
 	case err != nil:
 		c.unknown.Add(1)
@@ -67,6 +72,9 @@
 	for i, counter := range []*atomic.Uint64{&c.counters.committed, &c.counters.refused, &c.counters.unknown, &c.counters.notAccepted} {
 		metrics.Add("micaline_mesh_core_proposals_total", float64(counter.Load()), meshmetrics.Proposals[i])
 	}
+	for i, counter := range []*atomic.Uint64{&c.counters.abandoned, &c.counters.refusedSince} {
+		metrics.Add("micaline_mesh_core_calls_dropped_total", float64(counter.Load()), meshmetrics.DroppedCalls[i])
+	}
 	metrics.Add("micaline_mesh_core_config_index", float64(state.index))
 	metrics.Add("micaline_mesh_core_feeds", float64(len(c.feeds)))
 	metrics.Add("micaline_mesh_core_agents_lost_total", float64(c.counters.lostAgents.Load()))
--- a/internal/mesh/controlplane/table.go
+++ b/internal/mesh/controlplane/table.go
@@ -117,7 +117,9 @@
 func (s *configState) successor(index uint64, next *meshconfig.Config, order *meshconfig.Order) *configState {
 	// The array is shared with earlier states. This is safe because these are limited by their own
 	// lengths, and each state has one successor only.
-	steps := append(s.steps, transport.ConfigStep{Before: s.index, Index: index, Order: *order})
+	step := transport.ConfigStep{Before: s.index, Index: index, Order: *order}
+	step.Order.Call = nil // of no use to agents
+	steps := append(s.steps, step)
 	size, maxSize := 0, min(max(next.TextSize(), maxPushedBytes), maxStepBytes)
 	for i := len(steps) - 1; i >= 0; i-- {
 		if size += len(steps[i].Order.Body); size > maxSize || len(steps)-i > maxSteps {
@@ -138,6 +140,8 @@
 	history   *meshconfig.History
 	onChange  func() // must not block
 
+	refusedCalls *refusedCalls
+
 	duties          *duties.Table
 	dutiesChanged   bool // since duties were published
 	publishedDuties atomic.Pointer[duties.Table]
@@ -147,7 +151,7 @@
 }
 
 func newTable(onChange func()) *table {
-	t := &table{onChange: onChange, history: meshconfig.NewHistory()}
+	t := &table{onChange: onChange, history: meshconfig.NewHistory(), refusedCalls: newRefusedCalls(refusedCallsState{})}
 	t.newest = &configState{config: meshconfig.New()}
 	t.published.Store(t.newest)
 	t.duties = duties.NewTable()
@@ -182,46 +186,73 @@
 	t.onChange()
 }
 
-// Apply applies an order. The reply is empty, or an encoded refusal. Validity, and whether an order
-// contradicts an earlier one, are checked here, because only here the order of all changes is
-// known.
+// opRefusal marks an order that has no effect but the refusal of its call. Control-plane nodes
+// propose it for what they refuse themselves.
+const opRefusal = "refusal"
+
+// Apply applies an order. The reply is refusedSinceReply if the call was refused since it arrived,
+// and otherwise depends on the kind of the order. Validity, and whether an order contradicts an
+// earlier one, are checked here, because only here the order of all changes is known.
 func (t *table) Apply(index uint64, command []byte) []byte {
 	defer t.applied.Store(index)
 	order, err := plaingob.Decode[meshconfig.Order](command)
 	if err != nil {
 		return newRefusal(err).encode()
 	}
+	isCall := len(order.Call) > 0
+	if isCall && t.refusedCalls.refusedSince(order.Since, order.Call) {
+		return refusedSinceReply
+	}
+	reply, refused := t.applyOrder(index, order)
+	if isCall && refused {
+		t.refusedCalls.record(index, order.Call)
+	}
+	return reply
+}
+
+// applyOrder applies an order. It returns the reply and whether the order was refused for good.
+func (t *table) applyOrder(index uint64, order *meshconfig.Order) (reply []byte, refused bool) {
 	switch order.Op {
 	case opDuty:
 		return t.applyDuty(index, order.Body)
 	case opWindow:
 		return t.applyWindow(index, order.Body)
+	case opRefusal:
+		return nil, true
 	}
+	return t.applyConfigOrder(index, order)
+}
+
+// applyConfigOrder applies an order that changes the configuration. The reply is empty, or an
+// encoded refusal.
+func (t *table) applyConfigOrder(index uint64, order *meshconfig.Order) (reply []byte, refused bool) {
 	previous := t.newest
 	next, err := t.history.ApplyOrder(index, previous.config, order)
 	if err != nil {
-		return newRefusal(err).encode()
+		refusal := newRefusal(err)
+		return refusal.encode(), refusal.isFinal()
 	}
 	if next != previous.config {
 		t.newest = previous.successor(index, next, order)
 		t.publish()
 	}
-	return nil
+	return nil, false
 }
 
-// tableSnapshot is the encoded form of a snapshot. Early versions have the first two fields only.
+// tableSnapshot is the encoded form of a snapshot. Early versions have only the first fields.
 type tableSnapshot struct {
 	Index   uint64
 	Config  []byte
 	History []byte
 	Duties  []byte
 	Windows []byte
+	Refused refusedCallsState
 }
 
 // Snapshot returns the encoded state.
 func (t *table) Snapshot() []byte {
 	state := t.newest
-	return plaingob.Encode(tableSnapshot{state.index, state.encodedConfig(), t.history.Encode(), t.duties.Encode(), t.windows.Encode()})
+	return plaingob.Encode(tableSnapshot{state.index, state.encodedConfig(), t.history.Encode(), t.duties.Encode(), t.windows.Encode(), t.refusedCalls.state()})
 }
 
 // Restore replaces the state by a snapshot.
@@ -249,6 +280,7 @@
 	}
 	t.publishedWindows.Store(t.windows.Clone())
 	t.history = history
+	t.refusedCalls = newRefusedCalls(decoded.Refused)
 	t.applied.Store(index)
 	t.newest = &configState{index: decoded.Index, config: config}
 	t.publish()
--- a/internal/mesh/controlplane/window_api.go
+++ b/internal/mesh/controlplane/window_api.go
@@ -42,7 +42,7 @@
 	// If the window exists, the request is a repetition or a conflict, which the table decides.
 	if existing := h.core.table.publishedWindows.Load().Find(window.Name); existing == nil {
 		if reason := h.core.checkPlan(window); reason != "" {
-			writeProblem(w, http.StatusConflict, reason)
+			h.core.refuseCall(w, r, http.StatusConflict, reason)
 			return
 		}
 	}
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), responseTimeout)
 	defer cancel()
 	command.Now = c.clock.Now()
-	reply, err := c.proposeWindow(ctx, command)
+	reply, err := c.proposeWindow(ctx, callOf(r), command)
 	switch {
 	case err != nil:
 		writeProblem(w, statusFor(err), err.Error())
--- a/internal/mesh/controlplane/window_driver.go
+++ b/internal/mesh/controlplane/window_driver.go
@@ -108,7 +108,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 		defer cancel()
 		advance := command.Advance
-		if reply, err := d.core.proposeWindow(ctx, command); err == nil && reply.Refused == "" {
+		if reply, err := d.core.proposeWindow(ctx, operatorCall{}, command); err == nil && reply.Refused == "" {
 			d.core.log.WithField("window", advance.Name).WithField("phase", string(advance.Phase)).WithField("step", advance.Step).
 				WithField("clear", advance.Clear).WithField("waits", advance.Waits).Info("maintenance window")
 		}
--- a/internal/mesh/controlplane/window_table.go
+++ b/internal/mesh/controlplane/window_table.go
@@ -12,16 +12,17 @@
 // orders themselves. Agents are sent only the resulting cordons, as an OpCordons.
 const opWindow = "window"
 
-// applyWindow applies a maintenance.Command and returns the encoded reply.
-func (t *table) applyWindow(index uint64, body []byte) []byte {
+// applyWindow applies a maintenance.Command. It returns the encoded reply and whether the command
+// was refused.
+func (t *table) applyWindow(index uint64, body []byte) (encoded []byte, refused bool) {
 	command, err := maintenance.DecodeCommand(body)
 	if err != nil {
-		return maintenance.EncodeReply(&maintenance.Reply{Refused: err.Error(), Invalid: true})
+		return maintenance.EncodeReply(&maintenance.Reply{Refused: err.Error(), Invalid: true}), true
 	}
 	reply := t.windows.Apply(index, command)
 	t.publishedWindows.Store(t.windows.Clone())
 	t.updateCordons(index)
-	return maintenance.EncodeReply(&reply)
+	return maintenance.EncodeReply(&reply), reply.Refused != ""
 }
 
 // updateCordons sets the configuration's cordons to those of the windows.
@@ -44,10 +45,10 @@
 	return slices.Equal(a.Zones, b.Zones) && a.Stage == b.Stage && a.Part == b.Part && slices.Equal(a.Nodes, b.Nodes)
 }
 
-// proposeWindow proposes a maintenance.Command.
-func (c *Core) proposeWindow(ctx context.Context, command *maintenance.Command) (*maintenance.Reply, error) {
+// proposeWindow proposes the maintenance.Command of a call.
+func (c *Core) proposeWindow(ctx context.Context, call operatorCall, command *maintenance.Command) (*maintenance.Reply, error) {
 	order := meshconfig.Order{Op: opWindow, Body: maintenance.EncodeCommand(command)}
-	result, err := c.node.Propose(ctx, encodeOrder(&order))
+	result, err := c.proposeCall(ctx, call, order)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mesh/meshconfig/order.go
+++ b/internal/mesh/meshconfig/order.go
@@ -23,6 +23,10 @@
 	// for a zone is refused if the opposite order was applied after that index, so that a delayed
 	// order whose caller has given up does not undo a later one.
 	Since uint64
+	// Call identifies the operator's call that the order belongs to. It is equal for all attempts at
+	// the call. An order has no effect if the same call was refused after Since. It is empty if there
+	// is no call, and in orders of an earlier program version.
+	Call []byte
 }
 
 // ApplyOrder returns the configuration after an accepted order, without checks against a History, as
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -4,10 +4,12 @@
 var (
 	Results   = []string{"served", "backend_failed", "refused", "failed", "no_route", "bad", "left", "unknown_key"}
 	Proposals = []string{"agreed", "refused", "unknown", "not_taken"}
-	Backends  = []string{"none", "unproven", "ready", "cold", "draining", "evacuated", "blind"}
-	Roles     = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
-	Stations  = []string{"open", "shut", "lost"}
-	DutyCalls = []string{"taken", "fenced", "unclear"}
+	// DroppedCalls are the values of the label reason of micaline_mesh_core_calls_dropped_total.
+	DroppedCalls = []string{"abandoned", "refused_since"}
+	Backends     = []string{"none", "unproven", "ready", "cold", "draining", "evacuated", "blind"}
+	Roles        = []string{"leader", "follower", "candidate", "learner", "recovering", "suspended"}
+	Stations     = []string{"open", "shut", "lost"}
+	DutyCalls    = []string{"taken", "fenced", "unclear"}
 )
 
 // Metrics is the table.
@@ -65,6 +67,7 @@
 	{"micaline_mesh_core_proposals_total", Counter, "calls", []string{"result"}, Core, "calls of operators that were to be agreed on"},
 	{"micaline_mesh_core_config_index", Gauge, "index", nil, Core, "of the configuration that holds"},
 	{"micaline_mesh_core_feeds", Gauge, "feeds", nil, Core, "agents that it hears itself"},
+	{"micaline_mesh_core_calls_dropped_total", Counter, "calls", []string{"reason"}, Core, "calls of operators without effect: read after their caller had gone, or refused elsewhere since they came"},
 	{"micaline_mesh_core_agents_lost_total", Counter, "agents", nil, Core, "agents whose feed broke and did not come back at once"},
 	{"micaline_mesh_core_stations", Gauge, "agents", []string{"state"}, Core, "agents that it knows"},
 	{"micaline_mesh_core_backends_draining", Gauge, "backends", nil, Core, "backends that leave"},
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -56,6 +56,7 @@
 		"an agent is killed within a drain":               agentKilledInDrain,
 		"a zone is evacuated and taken back":              evacuated,
 		"two operators send one version":                  twoOperators,
+		"a change is refused while a machine is stopped":  refusedWhileStopped,
 		"an agent ends in order while the leader is mute": endsInOrder,
 		"a core machine is cut off":                       cutOff,
 		leaving:                                           clientsLeave,
