--- a/internal/mesh/controlplane/caller.go
+++ b/internal/mesh/controlplane/caller.go
@@ -34,9 +34,10 @@
 	return ok && tcp.HungUp(conn)
 }
 
-// operatorCall is one attempt at an operator's call. The zero value stands for an order that no
-// operator has asked for.
+// operatorCall is one attempt at an operator's call. It is immutable. The zero value stands for an
+// order that no operator has asked for.
 type operatorCall struct {
+	body     []byte
 	identity []byte // equal for all attempts, which clients send unchanged
 	since    uint64 // index of the latest order that this node had applied when the attempt arrived
 }
@@ -79,10 +80,8 @@
 			c.counters.abandoned.Add(1)
 			panic(http.ErrAbortHandler)
 		}
-		call := operatorCall{identity: callIdentity(r, body), since: since}
-		r = r.WithContext(context.WithValue(r.Context(), operatorCallKey{}, call))
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		next.ServeHTTP(w, r)
+		call := operatorCall{body: body, identity: callIdentity(r, body), since: since}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorCallKey{}, call)))
 	})
 }
 
--- a/internal/mesh/controlplane/duty_orders.go
+++ b/internal/mesh/controlplane/duty_orders.go
@@ -35,7 +35,7 @@
 		return
 	}
 	var order dutyOrder
-	if !readJSON(w, r, maxDutyOrderBytes, &order) {
+	if !decodeBody(w, r, &order) {
 		return
 	}
 	if invalid := order.validate(h.kind); invalid != "" {
--- a/internal/mesh/controlplane/handlers.go
+++ b/internal/mesh/controlplane/handlers.go
@@ -49,13 +49,10 @@
 	return text, true
 }
 
-// readJSON decodes the request body into target. On failure it writes a response and returns false.
-func readJSON(w http.ResponseWriter, r *http.Request, maxBytes int64, target any) bool {
-	text, ok := readBody(w, r, maxBytes)
-	if !ok {
-		return false
-	}
-	if err := json.Unmarshal(text, target); err != nil {
+// decodeBody decodes the body of a call into target. On failure it writes a response and returns
+// false.
+func decodeBody(w http.ResponseWriter, r *http.Request, target any) bool {
+	if err := json.Unmarshal(callOf(r).body, target); err != nil {
 		writeProblem(w, http.StatusBadRequest, "body: "+err.Error())
 		return false
 	}
@@ -86,10 +83,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(h.core.table.published.Load().config.ItemsJSON())
 	case http.MethodPatch:
-		text, ok := readBody(w, r, maxPatchBytes)
-		if !ok {
-			return
-		}
+		text := callOf(r).body
 		patch, err := meshconfig.ParsePatch(text)
 		if err == nil {
 			err = patch.Contradiction()
--- a/internal/mesh/controlplane/refused_calls_test.go
+++ b/internal/mesh/controlplane/refused_calls_test.go
@@ -1,9 +1,15 @@
 package controlplane
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
+	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/plaingob"
 	"github.com/stretchr/testify/require"
@@ -70,3 +76,32 @@
 	earlierOrder.Call = nil
 	require.Empty(t, restored.Apply(5, encodeOrder(&earlierOrder)))
 }
+
+// A window that was refused, by the table or by the view of one node alone, is not planned or
+// cancelled by an earlier attempt at the same call.
+func TestRefusedWindowCallStaysRefused(t *testing.T) {
+	c := startSingleNode(t)
+	start := time.Now().Add(time.Hour)
+	plan := &maintenance.PlanDocument{Name: "power", Zones: []string{"unknown"}, Start: start, End: start.Add(time.Hour), Lead: "1m0s"}
+	body, err := json.Marshal(plan)
+	require.NoError(t, err)
+	window, err := plan.Window()
+	require.NoError(t, err)
+	for path, call := range map[string]struct {
+		body    string
+		command maintenance.Command
+	}{
+		"/api/windows":              {string(body), maintenance.Command{Plan: window}},
+		"/api/windows/power/cancel": {"", maintenance.Command{Cancel: "power"}},
+	} {
+		request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(call.body))
+		earlier := operatorCall{identity: callIdentity(request, []byte(call.body)), since: c.table.applied.Load()}
+		recorder := httptest.NewRecorder()
+		c.handler().ServeHTTP(recorder, request)
+		require.Equal(t, http.StatusConflict, recorder.Code, recorder.Body)
+		_, err = c.proposeWindow(t.Context(), earlier, &call.command)
+		require.ErrorIs(t, err, errRefusedSince, path)
+		require.Equal(t, http.StatusServiceUnavailable, statusFor(err))
+	}
+	require.Empty(t, c.table.publishedWindows.Load().Windows)
+}
--- a/internal/mesh/controlplane/window_api.go
+++ b/internal/mesh/controlplane/window_api.go
@@ -31,7 +31,7 @@
 
 func (h *windowListHandler) plan(w http.ResponseWriter, r *http.Request) {
 	var plan maintenance.PlanDocument
-	if !readJSON(w, r, maxWindowRequestBytes, &plan) {
+	if !decodeBody(w, r, &plan) {
 		return
 	}
 	window, err := plan.Window()
--- a/internal/mesh/meshtest/refused_test.go
+++ b/internal/mesh/meshtest/refused_test.go
@@ -18,6 +18,8 @@
 	refusedOperators = 3
 	refusedChanges   = 6 // of each operator of a day
 	refusedTroubles  = 8 // of the core machines in a day
+
+	maxRefusedPause = 4 * time.Second // for which a core machine is stopped
 )
 
 // TestRefusedDays has operators send routes to services that are not there, each begun at a machine
@@ -56,10 +58,10 @@
 			cutSome(g, machine, rng)
 		case rng.IntN(2) == 0:
 			machine.Stop()
-			pause(rng, 4*time.Second)
+			pause(rng, maxRefusedPause)
 			machine.Continue()
 		default:
-			if err := hit(machine, rng, 4*time.Second); err != nil {
+			if err := hit(machine, rng, maxRefusedPause); err != nil {
 				return err
 			}
 		}
