Reword internal/tcp, and remove its check that nothing used any more

Cause: its comments and messages were in the earlier house style, and tcp.Ended missed a close behind unread bytes; its only caller asks HungUp since. No behaviour.

--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,4 +1,4 @@
-// Package tcp opens connections as the agent needs them, and looks into those that are idle.
+// Package tcp opens TCP connections and examines the state of their sockets without blocking.
 package tcp
 
 import (
@@ -12,7 +12,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Dial opens a connection without keep-alive probes, which do not notice a machine that has vanished in time to matter.
+// Dial opens a connection without keep-alive probes, because they detect the loss of a machine too
+// late to be useful.
 func Dial(ctx context.Context, addr string) (*net.TCPConn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp", addr)
@@ -22,17 +23,18 @@
 	return c.(*net.TCPConn), nil
 }
 
-// Quiet says that the other side of an idle connection has neither closed it nor sent what nobody asked for, or nobody has
-// read. It looks into the socket, which is cheaper than a reset: a request written to a closed connection may have run.
+// Quiet reports whether an idle connection is open and has no unread bytes, so that a request may be
+// written to it. A request on a connection that the peer has closed could not be repeated, because it
+// may have run.
 func Quiet(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	return err == nil && RawQuiet(raw)
 }
 
-// RawQuiet is Quiet for a connection that is asked often.
+// RawQuiet is Quiet for a connection that is checked often.
 func RawQuiet(raw syscall.RawConn) bool {
 	quiet := false
-	// Control: a call that waits in Read keeps other readers out until something comes.
+	// Control, because a reader that waits in Read would block this call.
 	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -41,42 +43,26 @@
 	return err == nil && quiet
 }
 
-// Ended says that the other side of a connection has closed it, and that all it sent before has been
-// read.
-func Ended(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
-	})
-	return err != nil || ended
-}
-
-// HungUp says that the other side of a connection has closed it, also where there is something left
-// to read.
+// HungUp reports whether the peer has closed a connection, even if unread bytes precede the close.
 func HungUp(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	return err != nil || RawHungUp(raw)
 }
 
-// RawHungUp is HungUp for a connection that is asked often.
+// RawHungUp is HungUp for a connection that is checked often.
 func RawHungUp(raw syscall.RawConn) bool {
 	hungUp := false
 	err := raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) })
 	return err != nil || hungUp
 }
 
-// AwaitHangUp waits until the other side has closed a connection, without reading from it. It fails
-// once the connection's read deadline has passed. Nobody else can read meanwhile.
+// AwaitHangUp waits until the peer has closed a connection, and reads nothing from it. It returns an
+// error once the connection's read deadline has passed. Other readers of the connection are blocked
+// meanwhile.
 func AwaitHangUp(raw syscall.RawConn) error { return raw.Read(isHungUp) }
 
-// isHungUp looks at the next byte first, as most connections have none: to ask for the state of a
-// socket takes longer, and only that tells of a close behind bytes that nobody has read.
+// isHungUp reports whether the peer has closed a socket. It peeks at the next byte first, because most
+// sockets have none and a poll takes longer. Only the poll detects a close behind unread bytes.
 func isHungUp(fd uintptr) bool {
 	var b [1]byte
 	switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
@@ -90,40 +76,41 @@
 	return err == nil && n == 1 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// Waiting reads what a connection has received, without waiting, whatever its deadline. It returns how many bytes there
-// were, 0 also if the connection has ended.
+// Waiting reads the bytes that a connection has received, without blocking and regardless of its
+// deadline. It returns their number, which is 0 as well if the connection has ended.
 func Waiting(c syscall.Conn, b []byte) (n int) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
-	// Control, as Read would mind the deadline.
+	// Control, because Read fails once the deadline has passed.
 	raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
 	return max(n, 0)
 }
 
-// waiter is a connection that is no socket and gives what it has received, whatever its deadline.
+// waiter is implemented by connections that are not sockets but can do what Waiting does.
 type waiter interface{ Waiting(b []byte) int }
 
-// ReadWaiting reads, behind the deadline too what had come by then.
+// ReadWaiting reads like c.Read. If the deadline has passed, it returns the bytes that were received
+// before.
 func ReadWaiting(c net.Conn, b []byte) (n int, err error) {
 	if n, err = c.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	late := 0
+	received := 0
 	switch c := c.(type) {
 	case waiter:
-		late = c.Waiting(b)
+		received = c.Waiting(b)
 	case syscall.Conn:
-		late = Waiting(c, b)
+		received = Waiting(c, b)
 	}
-	if late > 0 {
-		return late, nil
+	if received > 0 {
+		return received, nil
 	}
 	return n, err
 }
 
-// Inherit returns a listener on a socket that other processes hold too.
+// Inherit returns a listener on a socket that this process shares with others.
 func Inherit(file *os.File) (net.Listener, error) {
 	l, err := net.FileListener(file)
 	if err != nil {
@@ -132,7 +119,7 @@
 	t, ok := l.(*net.TCPListener)
 	if !ok {
 		l.Close()
-		return nil, fmt.Errorf("a listener of %s, not of TCP", l.Addr().Network())
+		return nil, fmt.Errorf("the inherited listener is of network %s, not tcp", l.Addr().Network())
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
@@ -142,17 +129,20 @@
 	return &inherited{t, raw}, nil
 }
 
+// inherited is a listener whose socket is shared with other processes.
 type inherited struct {
 	*net.TCPListener
 	raw syscall.RawConn
 }
 
-// Accept returns the next connection. Danger: whether a call waits is a flag of the socket, not of the descriptor, and who
-// starts another process with it may clear it. Accept would then wait in the kernel, where Close can't end it.
+// Accept returns the next connection. It makes the socket non-blocking first: that is a flag of the
+// socket, not of the descriptor, and a process that passes the socket on may clear it. Accept would
+// then block in the kernel, where Close can't interrupt it.
 func (l *inherited) Accept() (net.Conn, error) {
-	var err error
-	if wrong := l.raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), true) }); wrong != nil || err != nil {
-		return nil, errors.Join(wrong, err)
+	var setErr error
+	controlErr := l.raw.Control(func(fd uintptr) { setErr = syscall.SetNonblock(int(fd), true) })
+	if err := errors.Join(controlErr, setErr); err != nil {
+		return nil, err
 	}
 	return l.TCPListener.Accept()
 }
