--- a/internal/mesh/controlplane/refused_calls_test.go
+++ b/internal/mesh/controlplane/refused_calls_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"example.org/micaline/internal/lease"
+	"example.org/micaline/internal/mesh/duties"
 	"example.org/micaline/internal/mesh/maintenance"
 	"example.org/micaline/internal/mesh/meshconfig"
 	"example.org/micaline/internal/mesh/plaingob"
@@ -105,3 +107,21 @@
 	}
 	require.Empty(t, c.table.publishedWindows.Load().Windows)
 }
+
+// A duty order that was refused has no effect through an earlier attempt at the same call, although
+// the duty has a holder by then.
+func TestRefusedDutyOrderStaysRefused(t *testing.T) {
+	c := startSingleNode(t)
+	order := operatorCall{identity: []byte("order"), since: c.table.applied.Load()}
+	handOver := &duties.Command{Lease: &lease.Op{Kind: lease.HandOver, Duty: duties.UsageReport, To: "b"}}
+	reply, err := c.proposeDuty(t.Context(), order, handOver)
+	require.NoError(t, err)
+	require.NotEmpty(t, reply.Lease.Refused)
+	acquire := &duties.Command{Lease: &lease.Op{Kind: lease.Acquire, Duty: duties.UsageReport, Holder: "a", Term: lease.MinTerm}}
+	reply, err = c.proposeDuty(t.Context(), operatorCall{}, acquire)
+	require.NoError(t, err)
+	require.Empty(t, reply.Lease.Refused)
+	_, err = c.proposeDuty(t.Context(), order, handOver)
+	require.ErrorIs(t, err, errRefusedSince)
+	require.Empty(t, c.table.publishedDuties.Load().Leases.Duties[duties.UsageReport].To)
+}
