Fix the count of dropped calls, which left out windows and duty orders

Cause: counted where orders of the configuration are counted, which the other two don't pass. Change: counted in proposeCall, which all calls pass. Result: TestRefusedWindowCallStaysRefused asks for a count of 2 and passes; go test ./internal/mesh/controlplane: ok.

--- a/internal/mesh/controlplane/caller.go
+++ b/internal/mesh/controlplane/caller.go
@@ -91,6 +91,7 @@
 	order.Call, order.Since = call.identity, call.since
 	result, err := c.node.Propose(ctx, encodeOrder(&order))
 	if err == nil && bytes.Equal(result.Reply, refusedSinceReply) {
+		c.counters.refusedSince.Add(1)
 		err = errRefusedSince
 	}
 	return result, err
--- a/internal/mesh/controlplane/refused_calls_test.go
+++ b/internal/mesh/controlplane/refused_calls_test.go
@@ -106,6 +106,7 @@
 		require.Equal(t, http.StatusServiceUnavailable, statusFor(err))
 	}
 	require.Empty(t, c.table.publishedWindows.Load().Windows)
+	require.Equal(t, uint64(2), c.counters.refusedSince.Load())
 }
 
 // A duty order that was refused has no effect through an earlier attempt at the same call, although
--- a/internal/mesh/controlplane/stats.go
+++ b/internal/mesh/controlplane/stats.go
@@ -24,8 +24,7 @@
 // countProposal counts the outcome of a proposal.
 func (c *counters) countProposal(result consensus.Result, err error) {
 	switch {
-	case errors.Is(err, errRefusedSince):
-		c.refusedSince.Add(1)
+	case errors.Is(err, errRefusedSince): // counted for calls of every kind
 	case errors.Is(err, consensus.ErrNoLeader), errors.Is(err, consensus.ErrBusy), errors.Is(err, consensus.ErrClosed), errors.Is(err, consensus.ErrAbandoned):
 		c.notAccepted.Add(1)
 	case err != nil:
