Tests of refused changes: no waits by the clock, and one scaffolding

Cause: TestAbandonedCallsHaveNoEffect and a story of TestCluster slept for as long as a call may take, and the simulations repeated the set-up of TestOrderHistories and TestZoneOrderThatWasHeldUp. Change: the first shuts its server down and then has a change agreed on behind what the handlers proposed; the story leaves the verdict to the read-back that ends every story. Set-up, seeds and operators of the simulations are shared (playFaults, holdForwarded, playSeeds, runOperators), as is refuseThenAllow between the story and TestRefusedDays.

--- a/internal/mesh/controlplane/abandoned_test.go
+++ b/internal/mesh/controlplane/abandoned_test.go
@@ -1,12 +1,14 @@
 package controlplane
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -71,14 +73,17 @@
 	defer waiting.Close()
 	server := &http.Server{Handler: c.handler(), ConnContext: withConnection}
 	go server.Serve(listener)
-	defer server.Close()
 	waiting.SetDeadline(time.Now().Add(5 * time.Second))
 	response, err := io.ReadAll(waiting)
 	require.NoError(t, err)
 	require.Contains(t, string(response), "200 OK")
-	time.Sleep(responseTimeout) // until no call is under way
+	require.NoError(t, server.Shutdown(t.Context())) // once no handler runs any more
+	// What the handlers have proposed is in the log before this change, and so is applied before it.
+	last := httptest.NewRecorder()
+	c.handler().ServeHTTP(last, httptest.NewRequest(http.MethodPatch, "/api/config", bytes.NewReader(addBody("services", "last", 1, "{}"))))
+	require.Equal(t, http.StatusOK, last.Code, last.Body)
 	config := c.table.published.Load().config
-	require.Equal(t, []string{"waiting"}, config.Services())
+	require.Equal(t, []string{"last", "waiting"}, config.Services())
 	require.Empty(t, config.EvacuatedZones())
 	require.Empty(t, c.table.publishedWindows.Load().Windows)
 }
--- a/internal/mesh/controlplane/orders_history_test.go
+++ b/internal/mesh/controlplane/orders_history_test.go
@@ -10,10 +10,8 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"example.org/micaline/internal/mesh/consensus"
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 )
@@ -213,24 +211,12 @@
 // replaced by snapshots. The results must fit a single order of all calls in which each version has
 // one content, and reads must show it.
 func TestOrderHistories(t *testing.T) {
-	var mu sync.Mutex
-	counts := map[int]int{}
-	t.Run("seeds", func(t *testing.T) {
-		for seed := *orderFirstSeed; seed < *orderFirstSeed+*orderSeedCount; seed++ {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) {
-				t.Parallel()
-				h := simulateOrders(t, seed, "")
-				require.Equal(t, porcupine.Ok, h.checkOrders(), "%v", h)
-				require.Equal(t, porcupine.Ok, h.checkZone(), "%v", h)
-				mu.Lock()
-				defer mu.Unlock()
-				for status, n := range h.countByStatus {
-					counts[status] += n
-				}
-			})
-		}
+	counts := playSeeds(t, *orderFirstSeed, *orderSeedCount, func(t *testing.T, seed uint64) map[int]int {
+		h := simulateOrders(t, seed, "")
+		require.Equal(t, porcupine.Ok, h.checkOrders(), "%v", h)
+		require.Equal(t, porcupine.Ok, h.checkZone(), "%v", h)
+		return h.countByStatus
 	})
-	t.Log(counts)
 	require.Greater(t, min(counts[http.StatusOK], counts[http.StatusConflict], counts[0]), 4*int(*orderSeedCount))
 }
 
@@ -255,29 +241,14 @@
 func TestZoneOrderThatWasHeldUp(t *testing.T) {
 	for planted, evacuated := range map[fault]bool{"": false, lateZoneOrderApplied: true} {
 		t.Run(string(planted), func(t *testing.T) {
-			s := newSim(t, 1, planted)
-			s.delayChance, s.lossChance = 0, 0
-			synctest.Test(t, func(t *testing.T) {
-				s.startAll(t)
-				defer s.stopAll()
-				time.Sleep(simMaxDelay) // until a leader is elected
-				follower := slices.IndexFunc(s.nodes, func(c *simNode) bool { return c.core.node.Status().Role == "follower" })
-				released := make(chan struct{})
-				s.setHold(func(m consensus.Message) <-chan struct{} {
-					if m.Kind == consensus.Forward && m.From == simName(follower) {
-						return released
-					}
-					return nil
-				})
+			holdForwarded(t, planted, func(s *sim, follower, other int, release func()) {
 				status, _ := s.call(s.faultRNG, follower, http.MethodPost, "/api/drain-zone/"+simZone, nil)
 				require.NotEqual(t, http.StatusOK, status)
-				other := (follower + 1) % simNodes
 				status, _ = s.call(s.faultRNG, other, http.MethodPost, "/api/drain-zone/"+simZone, nil)
 				require.Equal(t, http.StatusOK, status)
 				status, _ = s.call(s.faultRNG, other, http.MethodDelete, "/api/drain-zone/"+simZone, nil)
 				require.Equal(t, http.StatusOK, status)
-				close(released)
-				time.Sleep(simCallTimeout)
+				release()
 				_, body := s.readZone(other)
 				require.Equal(t, fmt.Sprint(evacuated), string(body))
 			})
--- a/internal/mesh/controlplane/orders_sim_test.go
+++ b/internal/mesh/controlplane/orders_sim_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -423,22 +424,79 @@
 	synctest.Wait()
 }
 
-// simulateOrders runs a simulation and returns the operators' attempts.
-func simulateOrders(t *testing.T, seed uint64, planted fault) *simHistory {
-	s := newSim(t, seed, planted)
+// playFaults starts all nodes and injects faults, in virtual time, until the operators return.
+func (s *sim) playFaults(t *testing.T, operators func()) {
 	synctest.Test(t, func(t *testing.T) {
 		s.startAll(t)
 		defer s.stopAll()
 		ctx, cancel := context.WithCancel(context.Background())
 		faultsEnded := make(chan struct{})
 		go func() { s.injectFaults(ctx); close(faultsEnded) }()
-		var operators sync.WaitGroup
-		for n := range simOperators {
-			operators.Go(func() { s.runOperator(rand.New(rand.NewPCG(seed, uint64(10+n)))) })
-		}
-		operators.Wait()
+		operators()
 		cancel()
 		<-faultsEnded
 	})
+}
+
+// runOperators runs all operators, each with random numbers of its own, until they return.
+func runOperators(seed uint64, run func(operator int, rng *rand.Rand)) {
+	var operators sync.WaitGroup
+	for n := range simOperators {
+		operators.Go(func() { run(n, rand.New(rand.NewPCG(seed, uint64(10+n)))) })
+	}
+	operators.Wait()
+}
+
+// simulateOrders runs a simulation and returns the operators' attempts.
+func simulateOrders(t *testing.T, seed uint64, planted fault) *simHistory {
+	s := newSim(t, seed, planted)
+	s.playFaults(t, func() {
+		runOperators(seed, func(_ int, rng *rand.Rand) { s.runOperator(rng) })
+	})
 	return &s.history
 }
+
+// holdForwarded runs a simulation, in virtual time, in which what a follower forwards to the leader
+// is held until release is called.
+func holdForwarded(t *testing.T, planted fault, test func(s *sim, follower, other int, release func())) {
+	s := newSim(t, 1, planted)
+	s.delayChance, s.lossChance = 0, 0
+	synctest.Test(t, func(t *testing.T) {
+		s.startAll(t)
+		defer s.stopAll()
+		time.Sleep(simMaxDelay) // until a leader is elected
+		follower := slices.IndexFunc(s.nodes, func(c *simNode) bool { return c.core.node.Status().Role == "follower" })
+		released := make(chan struct{})
+		s.setHold(func(m consensus.Message) <-chan struct{} {
+			if m.Kind == consensus.Forward && m.From == simName(follower) {
+				return released
+			}
+			return nil
+		})
+		test(s, follower, (follower+1)%simNodes, func() {
+			close(released)
+			time.Sleep(simCallTimeout) // until it is delivered and applied
+		})
+	})
+}
+
+// playSeeds plays each seed in a subtest, and returns the sum of the counts by status.
+func playSeeds(t *testing.T, first, count uint64, play func(t *testing.T, seed uint64) (countByStatus map[int]int)) map[int]int {
+	var mu sync.Mutex
+	total := map[int]int{}
+	t.Run("seeds", func(t *testing.T) {
+		for seed := first; seed < first+count; seed++ {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				counts := play(t, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				for status, n := range counts {
+					total[status] += n
+				}
+			})
+		}
+	})
+	t.Log(total)
+	return total
+}
--- a/internal/mesh/controlplane/refused_sim_test.go
+++ b/internal/mesh/controlplane/refused_sim_test.go
@@ -10,10 +10,8 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"example.org/micaline/internal/mesh/consensus"
 	"github.com/stretchr/testify/require"
 )
 
@@ -37,31 +35,16 @@
 func TestRefusedChangeThatWasHeldUp(t *testing.T) {
 	for planted, inForce := range map[fault]bool{"": false, refusedCallApplied: true} {
 		t.Run(string(planted), func(t *testing.T) {
-			s := newSim(t, 1, planted)
-			s.delayChance, s.lossChance = 0, 0
-			synctest.Test(t, func(t *testing.T) {
-				s.startAll(t)
-				defer s.stopAll()
-				time.Sleep(simMaxDelay) // until a leader is elected
-				follower := slices.IndexFunc(s.nodes, func(c *simNode) bool { return c.core.node.Status().Role == "follower" })
-				other := (follower + 1) % simNodes
+			holdForwarded(t, planted, func(s *sim, follower, other int, release func()) {
 				patch := func(node int, body []byte) int {
 					status, _ := s.call(s.faultRNG, node, http.MethodPatch, "/api/config", body)
 					return status
 				}
-				released := make(chan struct{})
-				s.setHold(func(m consensus.Message) <-chan struct{} {
-					if m.Kind == consensus.Forward && m.From == simName(follower) {
-						return released
-					}
-					return nil
-				})
 				change := routeBody("r", 9, "s")
 				require.NotEqual(t, http.StatusOK, patch(follower, change))
 				require.Equal(t, http.StatusBadRequest, patch(other, change))
 				require.Equal(t, http.StatusOK, patch(other, addBody("services", "s", 8, "{}")))
-				close(released)
-				time.Sleep(simCallTimeout)
+				release()
 				_, text := s.call(s.faultRNG, other, http.MethodGet, "/api/config", nil)
 				_, exists := itemsOf(text)["r"]
 				require.Equal(t, inForce, exists)
@@ -165,21 +148,14 @@
 	s := newSim(t, seed, planted)
 	s.delayChance, s.lossChance = 0.25, 0.1
 	h := &refusedHistory{refused: map[string]bool{}, statuses: map[int]int{}}
-	synctest.Test(t, func(t *testing.T) {
-		s.startAll(t)
-		defer s.stopAll()
+	s.playFaults(t, func() {
 		ctx, cancel := context.WithCancel(context.Background())
-		var background, operators sync.WaitGroup
-		background.Go(func() { s.injectFaults(ctx) })
-		background.Go(func() { s.runServiceOperator(ctx, rand.New(rand.NewPCG(seed, 9)), h) })
-		for n := range simOperators {
-			rng := rand.New(rand.NewPCG(seed, uint64(10+n)))
-			operators.Go(func() { s.runRouteOperator(rng, n, h) })
-		}
-		operators.Wait()
+		var services sync.WaitGroup
+		services.Go(func() { s.runServiceOperator(ctx, rand.New(rand.NewPCG(seed, 9)), h) })
+		runOperators(seed, func(operator int, rng *rand.Rand) { s.runRouteOperator(rng, operator, h) })
 		time.Sleep(simMaxDelay + simCallTimeout) // until no attempt is under way
 		cancel()
-		background.Wait()
+		services.Wait()
 		rng := rand.New(rand.NewPCG(seed, 8))
 		for range simMaxAttempts {
 			s.readBack(rng, h)
@@ -191,23 +167,11 @@
 // A change that was refused never comes into force by an earlier attempt at the same call, whatever
 // is late, lost, cut off or restarted, and although the service that it lacked is added at once.
 func TestRefusedChangesStayRefused(t *testing.T) {
-	var mu sync.Mutex
-	statuses := map[int]int{}
-	t.Run("seeds", func(t *testing.T) {
-		for seed := *refusedFirstSeed; seed < *refusedFirstSeed+*refusedSeedCount; seed++ {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) {
-				t.Parallel()
-				h := simulateRefusals(t, seed, "")
-				require.Empty(t, h.breaches)
-				mu.Lock()
-				defer mu.Unlock()
-				for status, n := range h.statuses {
-					statuses[status] += n
-				}
-			})
-		}
+	statuses := playSeeds(t, *refusedFirstSeed, *refusedSeedCount, func(t *testing.T, seed uint64) map[int]int {
+		h := simulateRefusals(t, seed, "")
+		require.Empty(t, h.breaches)
+		return h.statuses
 	})
-	t.Log(statuses)
 	require.Greater(t, statuses[http.StatusBadRequest], int(*refusedSeedCount))
 }
 
--- a/internal/mesh/meshtest/orders_test.go
+++ b/internal/mesh/meshtest/orders_test.go
@@ -94,39 +94,21 @@
 }
 
 func requireConflict(t *testing.T, err error) {
-	t.Helper()
-	requireStatus(t, http.StatusConflict, err)
-}
-
-// requireStatus requires that a call was refused with a status.
-func requireStatus(t *testing.T, status int, err error) {
 	t.Helper()
 	var refused *Refused
 	require.ErrorAs(t, err, &refused)
-	require.Equal(t, status, refused.Status, refused.Answer)
+	require.Equal(t, http.StatusConflict, refused.Status, refused.Answer)
 }
 
 // refusedWhileStopped has a call wait unread in a stopped core machine while another one refuses it,
 // as it names a service that is not there, and then a third acknowledges that service. The call must
-// not come into force when the first goes on. Each core machine is stopped once, the leader too.
+// not come into force when the first goes on, which is judged by what is read back in the end. Each
+// core machine is stopped once, the leader too.
 func refusedWhileStopped(t *testing.T, ctx context.Context, g *Cluster) {
 	for i, stopped := range g.Cores {
-		service := fmt.Sprintf("later-%d", i)
-		refused := g.Route(0, service, i+2)
 		stopped.Stop()
-		err := g.Operator.ChangeAt(ctx, stopped, refused)
-		requireStatus(t, http.StatusBadRequest, err)
-		later := Item{Kind: Services, Name: service, Version: version(1), Body: map[string]any{"health_path": healthPath, "protocol": "h1"}}
-		require.NoError(t, g.Operator.Change(ctx, later))
+		require.NoError(t, g.refuseThenAllow(ctx, g.Operator, stopped, fmt.Sprintf("later-%d", i)))
 		stopped.Continue()
 		require.NoError(t, g.Settle(ctx))
-		time.Sleep(orderFor) // longer than a core machine works on a call
-		for _, core := range g.Cores {
-			items, err := g.Operator.Read(ctx, core)
-			require.NoError(t, err)
-			for _, item := range items {
-				require.False(t, item.id() == refused.id() && item.Version == refused.Version, "%s has what was refused while %s was stopped", core.Name, stopped.Name)
-			}
-		}
 	}
 }
--- a/internal/mesh/meshtest/refused_test.go
+++ b/internal/mesh/meshtest/refused_test.go
@@ -75,18 +75,23 @@
 	for n := range refusedChanges {
 		pause(rng, 2*time.Second)
 		name := fmt.Sprintf("refused-%d-%d", operator, n)
-		route := g.Route(0, name, 1)
-		route.Name = name
-		route.Body["domain"] = name + ".example" // nobody's requests
-		var refused *Refused
-		err := o.ChangeAt(ctx, g.Cores[rng.IntN(len(g.Cores))], route)
-		if !errors.As(err, &refused) || refused.Status != http.StatusBadRequest {
-			return fmt.Errorf("%s should be refused: %w", name, err)
-		}
-		service := Item{Kind: Services, Name: name, Version: version(1), Body: map[string]any{"health_path": healthPath, "protocol": "h1"}}
-		if err := o.Change(ctx, service); err != nil {
+		if err := g.refuseThenAllow(ctx, o, g.Cores[rng.IntN(len(g.Cores))], name); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// refuseThenAllow sends a route of that name, at first to one core machine, that must be refused, as
+// its service of the same name is not there, and then adds the service. No client asks for the route.
+func (g *Cluster) refuseThenAllow(ctx context.Context, o *Operator, first *Machine, name string) error {
+	route := g.Route(0, name, 1)
+	route.Name, route.Body["domain"] = name, name+".example"
+	var refused *Refused
+	err := o.ChangeAt(ctx, first, route)
+	if !errors.As(err, &refused) || refused.Status != http.StatusBadRequest {
+		return fmt.Errorf("%s should be refused: %w", name, err)
+	}
+	service := Item{Kind: Services, Name: name, Version: version(1), Body: map[string]any{"health_path": healthPath, "protocol": "h1"}}
+	return o.Change(ctx, service)
+}
