Fix: messages for a lost disk change nothing at the disk that replaced it

What callers saw: in the explorer, a node with a new disk stays behind for good and answers no read and no change.

Change: what a message for another disk may do is decided in one place, for every kind of message: only who leads is taken from it. Replies and requests to campaign carry the disk that they are for, as messages of a leader did before.

Two tests (TestSyncOfWhatWasOverwritten, TestTwoMeshesSpeak) made messages of a leader that name no disk. Leaders write that to the first disk of a founder only, which the nodes of these tests are not; the messages now name the node's disk, and the tests require the same as before.

--- a/internal/mesh/consensus/api.go
+++ b/internal/mesh/consensus/api.go
@@ -90,6 +90,6 @@
 	Zones                map[string]string // by node address; set only by a leader
 	LeaderChanges, Syncs uint64            // LeaderChanges restarts at 0 after a disk failure
 	ForeignMessages      uint64            // dropped messages of other meshes
-	OtherDiskMessages    uint64            // messages of leaders for a disk that was at this address before
+	OtherDiskMessages    uint64            // messages for a disk that was at this address before
 	LongestSync          time.Duration
 }
--- a/internal/mesh/consensus/election.go
+++ b/internal/mesh/consensus/election.go
@@ -120,7 +120,7 @@
 	upToDate := msg.LogTerm > m.log.lastTerm() || msg.LogTerm == m.log.lastTerm() && msg.Index >= m.log.lastIndex()
 	if msg.Kind == PreVote {
 		grant := msg.Term > m.hardState.Term && upToDate && !m.hasActiveLeader()
-		reply := Message{Kind: PreVoteReply, To: msg.From, Reject: !grant}
+		reply := replyTo(msg, Message{Kind: PreVoteReply, Reject: !grant})
 		if grant {
 			reply.Term = msg.Term
 		}
@@ -132,7 +132,7 @@
 	}
 	sender := Member{msg.From, msg.Disk}
 	if msg.Term < m.hardState.Term || !upToDate || m.hardState.Vote != (Member{}) && m.hardState.Vote != sender {
-		m.send(Message{Kind: VoteReply, To: msg.From, Reject: true})
+		m.send(replyTo(msg, Message{Kind: VoteReply, Reject: true}))
 		return
 	}
 	if m.hardState.Vote != sender {
@@ -140,7 +140,7 @@
 	}
 	m.role, m.votes = follower, nil
 	m.resetElectionTimer()
-	m.sendAfterSync(Message{Kind: VoteReply, To: msg.From})
+	m.sendAfterSync(replyTo(msg, Message{Kind: VoteReply}))
 }
 
 // handleVoteReply counts a vote, and becomes a candidate or leader once a quorum has granted it.
@@ -234,6 +234,6 @@
 // sendTimeoutNow tells the transferee to campaign as soon as it holds the whole log.
 func (m *Machine) sendTimeoutNow() {
 	if m.transferee != nil && m.transferee.matchIndex == m.log.lastIndex() {
-		m.send(Message{Kind: TimeoutNow, To: m.transferee.member.Address})
+		m.send(Message{Kind: TimeoutNow, To: m.transferee.member.Address, ToDisk: m.transferee.member.Disk})
 	}
 }
--- a/internal/mesh/consensus/install.go
+++ b/internal/mesh/consensus/install.go
@@ -121,8 +121,8 @@
 		}
 		receiving.data = nil
 	}
-	m.send(Message{Kind: InstallSnapshotReply, To: msg.From, Index: s.Index, LogTerm: s.Term, Offset: uint64(len(receiving.data)),
-		Sequence: msg.Sequence})
+	m.send(replyTo(msg, Message{Kind: InstallSnapshotReply, Index: s.Index, LogTerm: s.Term, Offset: uint64(len(receiving.data)),
+		Sequence: msg.Sequence}))
 	return nil, false
 }
 
--- a/internal/mesh/consensus/leave.go
+++ b/internal/mesh/consensus/leave.go
@@ -108,7 +108,7 @@
 	}
 	_, isMember := current.members.findVoter(msg.From, msg.Disk, msg.Founder)
 	if !isMember && current.place.Index <= m.commitIndex {
-		m.send(Message{Kind: LeaveReply, To: msg.From})
+		m.send(replyTo(msg, Message{Kind: LeaveReply}))
 	}
 	p := m.peerFor(msg)
 	if p == nil {
@@ -116,7 +116,7 @@
 	}
 	p.leavingUntil = m.now + leavingExpiry
 	if !p.isLearner && !current.members.isJoint() && !m.hasSuccessor() && m.learnersHadTimeToJoin() {
-		m.send(Message{Kind: LeaveReply, To: msg.From, Reject: true})
+		m.send(replyTo(msg, Message{Kind: LeaveReply, Reject: true}))
 		return
 	}
 	m.reconcileMembers()
--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -218,7 +218,7 @@
 	initialTerm       uint64 // the term when this machine was created
 	leaderChanges     uint64 // number of times that the known leader changed
 	foreignMessages   uint64 // messages of another mesh that were dropped
-	otherDiskMessages uint64 // messages of leaders for a disk that was at this address before
+	otherDiskMessages uint64 // messages for a disk that was at this address before
 	provisionalMesh   uint64 // the mesh that was last heard while this node belongs to none
 
 	// Persistence. A message that makes a promise, such as a vote or an acknowledgement, stays in
@@ -365,6 +365,16 @@
 		return
 	}
 	m.recordZone(msg)
+	if m.isForOtherDisk(msg) {
+		m.handleForOtherDisk(msg)
+	} else {
+		m.dispatch(msg)
+	}
+	m.advanceDeparture()
+}
+
+// dispatch processes a message that is meant for this disk.
+func (m *Machine) dispatch(msg Message) {
 	switch msg.Kind {
 	case PreVote, Vote:
 		m.handleVote(msg)
@@ -399,7 +409,6 @@
 	case LeaveReply:
 		m.handleLeaveReply(msg)
 	}
-	m.advanceDeparture()
 }
 
 // switchMesh makes the node accept messages of another mesh. A node that knows no members has an
--- a/internal/mesh/consensus/propose.go
+++ b/internal/mesh/consensus/propose.go
@@ -133,7 +133,7 @@
 		return
 	}
 	if msg.Term > m.initialTerm && msg.ToDisk == m.diskID {
-		m.send(Message{Kind: ForwardReject, To: msg.From, Origin: msg.Origin, ID: msg.ID, About: msg.Term})
+		m.send(replyTo(msg, Message{Kind: ForwardReject, Origin: msg.Origin, ID: msg.ID, About: msg.Term}))
 	}
 }
 
--- a/internal/mesh/consensus/reopen.go
+++ b/internal/mesh/consensus/reopen.go
@@ -72,7 +72,7 @@
 	if target == nil {
 		return nil
 	}
-	return []Message{m.withSender(Message{Kind: TimeoutNow, To: target.member.Address})}
+	return []Message{m.withSender(Message{Kind: TimeoutNow, To: target.member.Address, ToDisk: target.member.Disk})}
 }
 
 // reopenStore closes a failed store and opens it again. It retries until that succeeds, fails with
--- a/internal/mesh/consensus/replicate.go
+++ b/internal/mesh/consensus/replicate.go
@@ -274,7 +274,7 @@
 	if msg.Term < m.hardState.Term {
 		// The reply leaves out the heartbeat round: the sender may be leading again in the current
 		// term, and would count the round as one of that term.
-		m.send(Message{Kind: AppendEntriesReply, To: msg.From, Reject: true})
+		m.send(replyTo(msg, Message{Kind: AppendEntriesReply, Reject: true}))
 		return false
 	}
 	if m.role == leader && msg.Term == m.hardState.Term {
@@ -283,11 +283,7 @@
 	m.followLeader(msg)
 	m.lastLeaderContact = m.now
 	m.resetElectionTimer()
-	switch {
-	case m.isForOtherDisk(msg):
-		m.otherDiskMessages++
-		m.askLeaderToJoin()
-	case !m.canCampaign():
+	if !m.canCampaign() && !m.isForOtherDisk(msg) {
 		m.nextJoin, m.joinBackoff = m.now+maxElectionTimeout, 0
 	}
 	m.resendPending(resendTimeout)
@@ -298,7 +294,7 @@
 // acknowledgement to the same leader that waits for the same sync, so that only one is kept however
 // long the sync takes.
 func (m *Machine) acknowledge(msg Message, index uint64) {
-	reply := Message{Kind: AppendEntriesReply, To: msg.From, Term: m.hardState.Term, Index: index, Sequence: msg.Sequence}
+	reply := replyTo(msg, Message{Kind: AppendEntriesReply, Term: m.hardState.Term, Index: index, Sequence: msg.Sequence})
 	if m.acknowledgesEarly() {
 		early := reply
 		early.Index = min(index, m.syncedIndex)
@@ -334,7 +330,7 @@
 			probeIndex--
 		}
 	}
-	m.send(Message{Kind: AppendEntriesReply, To: msg.From, Reject: true, Index: probeIndex, About: prevIndex, Sequence: msg.Sequence})
+	m.send(replyTo(msg, Message{Kind: AppendEntriesReply, Reject: true, Index: probeIndex, About: prevIndex, Sequence: msg.Sequence}))
 }
 
 // handleAppendReply advances a peer's progress, or goes back to probing if the logs did not match.
--- a/internal/mesh/consensus/snapshot_test.go
+++ b/internal/mesh/consensus/snapshot_test.go
@@ -69,6 +69,15 @@
 	require.Greater(t, suspended, *seedCount/2)
 }
 
+// Guards against a node that never completes a snapshot, as it also takes in one for its lost disk: at
+// these seeds random faults led to that.
+func TestExploreSnapshotsFoundSeeds(t *testing.T) {
+	for _, seed := range []uint64{5001790, 7033049, 7042080} {
+		_, failure := exploreSnapshots(seed, injectedBugs{})
+		require.Nil(t, failure, "seed %d", seed)
+	}
+}
+
 func TestExploreSnapshotsFindsPlanted(t *testing.T) {
 	for name, bugs := range map[string]injectedBugs{
 		"a snapshot without its term":           {dropsSnapshotTerm: true},
--- a/internal/mesh/consensus/story_test.go
+++ b/internal/mesh/consensus/story_test.go
@@ -107,9 +107,9 @@
 		}
 		return result
 	}
-	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "a", Disk: 2, Term: 4, Index: 1, LogTerm: 1, Entries: entries(2, 5, 4)})
+	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "a", Disk: 2, ToDisk: 1, Term: 4, Index: 1, LogTerm: 1, Entries: entries(2, 5, 4)})
 	require.NotNil(t, m.NextOutput().Save)
-	m.HandleMessage(Message{Kind: AppendEntries, From: "c", To: "a", Disk: 3, Term: 5, Index: 2, LogTerm: 4, Entries: entries(3, 6, 5)})
+	m.HandleMessage(Message{Kind: AppendEntries, From: "c", To: "a", Disk: 3, ToDisk: 1, Term: 5, Index: 2, LogTerm: 4, Entries: entries(3, 6, 5)})
 	m.SaveCompleted()
 	require.Equal(t, uint64(2), m.syncedIndex)
 	for _, msg := range m.NextOutput().Messages {
@@ -125,16 +125,16 @@
 // it. The terms of the two meshes may be equal but are unrelated.
 func TestTwoMeshesSpeak(t *testing.T) {
 	m := New(Config{Self: "c", Seeds: seedNames, Incarnation: 1, Rand: rand.New(rand.NewPCG(1, 1)), State: State{Disk: 9}})
-	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "c", Disk: 2, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
+	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "c", Disk: 2, ToDisk: 9, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
 	drainOutput(m)
 	m.Propose(1, []byte("x"))
-	m.HandleMessage(Message{Kind: AppendEntries, From: "a", To: "c", Disk: 5, Term: 3, Mesh: 77, Index: 9, LogTerm: 3})
+	m.HandleMessage(Message{Kind: AppendEntries, From: "a", To: "c", Disk: 5, ToDisk: 9, Term: 3, Mesh: 77, Index: 9, LogTerm: 3})
 	require.Equal(t, []Completion{{ID: 1, Err: ErrUnknown}}, m.NextOutput().Completions)
 	require.Equal(t, "a", m.leader.Address)
 	members := Members{Voters: []Member{{"a", 5}}, Target: 3, Mesh: 77}
-	m.HandleMessage(Message{Kind: InstallSnapshot, From: "a", To: "c", Disk: 5, Term: 3, Mesh: 77, Snapshot: &Snapshot{Index: 9, Term: 3, Members: members, MembersAt: Place{3, 9}}})
+	m.HandleMessage(Message{Kind: InstallSnapshot, From: "a", To: "c", Disk: 5, ToDisk: 9, Term: 3, Mesh: 77, Snapshot: &Snapshot{Index: 9, Term: 3, Members: members, MembersAt: Place{3, 9}}})
 	drainOutput(m)
-	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "c", Disk: 2, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
+	m.HandleMessage(Message{Kind: AppendEntries, From: "b", To: "c", Disk: 2, ToDisk: 9, Term: 3, Mesh: firstMesh, Index: 7, LogTerm: 3})
 	require.Equal(t, "a", m.leader.Address)
 	require.Equal(t, uint64(1), m.Status().ForeignMessages)
 }
--- a/internal/mesh/meshmetrics/metrics.go
+++ b/internal/mesh/meshmetrics/metrics.go
@@ -58,7 +58,7 @@
 	{"micaline_mesh_core_role", Gauge, "0 or 1", []string{"role"}, Core, "1 for its role in the agreement"},
 	{"micaline_mesh_core_leader_known", Gauge, "0 or 1", nil, Core, "it knows who leads"},
 	{"micaline_mesh_core_leader_changes_total", Counter, "changes", nil, Core, "changes of the leader that it saw"},
-	{"micaline_mesh_core_other_disk_messages_total", Counter, "messages", nil, Core, "messages of leaders for a disk that was at its address before; when they go on, the machine is not taken in again"},
+	{"micaline_mesh_core_other_disk_messages_total", Counter, "messages", nil, Core, "messages for a disk that was at its address before; while they go on, the machine is not taken in again"},
 	{"micaline_mesh_core_term", Gauge, "term", nil, Core, "term of the agreement"},
 	{"micaline_mesh_core_commit_index", Gauge, "index", nil, Core, "of the log, agreed on"},
 	{"micaline_mesh_core_applied_index", Gauge, "index", nil, Core, "of the log, carried out"},
