Move saving and the status out of consensus/machine.go

What a node hands to its disk, and the promises that wait for it, are in persistence.go now, the status is in status.go.

--- a/internal/mesh/consensus/machine.go
+++ b/internal/mesh/consensus/machine.go
@@ -55,9 +55,7 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -147,15 +145,6 @@
 	TableIndex uint64
 }
 
-// Save is a set of changes to the store, to be written in one transaction and synced.
-type Save struct {
-	Hard                Hard
-	Snapshot            *Snapshot // nil: unchanged
-	BaseIndex, BaseTerm uint64    // entries up to BaseIndex are deleted
-	FirstIndex          uint64    // entries from FirstIndex on are replaced by Entries
-	Entries             []Entry
-}
-
 // Completion is the result of a proposal or a read.
 type Completion struct {
 	ID    uint64
@@ -458,51 +447,6 @@
 	return o
 }
 
-// SaveCompleted reports that the Save in progress is synced.
-func (m *Machine) SaveCompleted() {
-	m.saveInProgress = false
-	m.syncedIndex, m.syncedTerm = max(m.syncedIndex, m.savingIndex), m.savingTerm
-	messages := m.awaitingSync
-	m.awaitingSync = nil
-	m.releaseMessages(messages)
-	if m.role == leader {
-		m.advanceCommit()
-	}
-}
-
-// releaseMessages sends messages whose promises are now on disk. Those that are addressed to this
-// node, such as its own vote, are processed directly.
-func (m *Machine) releaseMessages(messages []Message) {
-	for _, msg := range messages {
-		if msg.To == m.self {
-			m.HandleMessage(msg)
-		} else {
-			m.outbox = append(m.outbox, msg)
-		}
-	}
-}
-
-// buildSave returns the changes since the last Save, and marks them as handed off.
-func (m *Machine) buildSave() *Save {
-	changes := &Save{Hard: m.hardState, BaseIndex: m.log.baseIndex, BaseTerm: m.log.baseTerm, FirstIndex: m.handedOffIndex + 1,
-		Entries: m.log.entriesBetween(m.handedOffIndex, m.log.lastIndex(), math.MaxUint64)}
-	if m.snapshotDirty {
-		changes.Snapshot = m.snapshot
-	}
-	m.hardStateDirty, m.snapshotDirty = false, false
-	m.handedOffIndex, m.savingIndex = m.log.lastIndex(), m.log.lastIndex()
-	return changes
-}
-
-// truncateFrom removes the entries from an index on, because they conflict with the leader's.
-func (m *Machine) truncateFrom(from uint64) {
-	if from <= m.commitIndex {
-		panic(fmt.Sprintf("consensus: can't truncate the log from %d, as entries up to %d are committed", from, m.commitIndex))
-	}
-	m.log.truncateFrom(from)
-	m.handedOffIndex, m.savingIndex, m.syncedIndex = min(m.handedOffIndex, from-1), min(m.savingIndex, from-1), min(m.syncedIndex, from-1)
-}
-
 // commitTo advances the commit index.
 func (m *Machine) commitTo(index uint64) {
 	if index < m.commitIndex || index > m.log.lastIndex() {
@@ -531,40 +475,3 @@
 	}
 	return msg
 }
-
-// Status returns the current state of the node.
-func (m *Machine) Status() Status {
-	s := Status{Leader: m.leader.Address, Term: m.hardState.Term, Commit: m.commitIndex, Applied: m.appliedIndex, LeaderChanges: m.leaderChanges, ForeignMessages: m.foreignMessages,
-		OtherDiskMessages: m.otherDiskMessages}
-	members := m.log.latestConfiguration().members
-	for _, v := range members.Voters {
-		s.Members = append(s.Members, v.Address)
-	}
-	for _, v := range members.Old {
-		if !slices.Contains(members.Voters, v) {
-			s.Outgoing = append(s.Outgoing, v.Address)
-		}
-	}
-	for _, p := range m.peers {
-		switch {
-		case p.isLearner:
-			s.Learners = append(s.Learners, p.member.Address)
-		case m.role == leader && m.now-p.lastContact >= peerTimeout:
-			s.Unreachable = append(s.Unreachable, p.member.Address)
-		}
-	}
-	switch {
-	case m.role == leader:
-		s.Role, s.Zones = "leader", m.zones
-	case !m.canCampaign():
-		s.Role = "learner"
-		if m.hasLostDisk() {
-			s.Role = "recovering"
-		}
-	case m.role == follower:
-		s.Role = "follower"
-	default:
-		s.Role = "candidate"
-	}
-	return s
-}
