--- a/internal/mesh/consensus/sim_explore_test.go
+++ b/internal/mesh/consensus/sim_explore_test.go
@@ -14,7 +14,10 @@
 
 // runWithFaults runs proposals and reads while random faults happen, and checks the final state. It
 // returns the failure that a check found, or nil.
-func (w *world) runWithFaults() (failure any) {
+func (w *world) runWithFaults() (failure any) { return w.catchFailure(w.playWithFaults) }
+
+// catchFailure returns the failure that a check found in a play, or nil.
+func (w *world) catchFailure(play func()) (failure any) {
 	defer func() {
 		if r := recover(); r != nil {
 			failure = fmt.Sprint(r)
@@ -23,6 +26,11 @@
 			}
 		}
 	}()
+	play()
+	return nil
+}
+
+func (w *world) playWithFaults() {
 	w.messageFaultRate = pickOne(w, 0, 0.02, 0.1, 0.5)
 	w.crashRate = pickOne(w, 0, 0.005, 0.05, 0.3)
 	w.maxExtraDelay = pickOne(w, 60*time.Millisecond, 3*time.Second)
@@ -35,18 +43,7 @@
 		w.schedule(w.randomDuration(0, 2*time.Second), func() { w.start(h) })
 	}
 	end := 12 * time.Second
-	lastValue := uint64(0)
-	var sendRequests func()
-	sendRequests = func() {
-		h := w.hosts[w.rng.IntN(len(w.hosts))]
-		lastValue++
-		w.propose(h, lastValue)
-		w.read(w.hosts[w.rng.IntN(len(w.hosts))])
-		if w.now < end {
-			w.schedule(w.randomDuration(0, 80*time.Millisecond), sendRequests)
-		}
-	}
-	w.schedule(0, sendRequests)
+	w.sendRequestsUntil(end)
 	var injectFault func()
 	injectFault = func() {
 		if w.now >= end {
@@ -96,7 +93,18 @@
 	w.schedule(3*time.Second, injectFault)
 	w.runFor(end)
 	w.healAndCheck()
-	return nil
+}
+
+// sendRequestsUntil has random hosts propose and read until a point in time.
+func (w *world) sendRequestsUntil(end time.Duration) {
+	w.schedule(0, func() {
+		w.lastProposal++
+		w.propose(w.hosts[w.rng.IntN(len(w.hosts))], w.lastProposal)
+		w.read(w.hosts[w.rng.IntN(len(w.hosts))])
+		if w.now < end {
+			w.schedule(w.randomDuration(0, 80*time.Millisecond), func() { w.sendRequestsUntil(end) })
+		}
+	})
 }
 
 // restart starts a host again, unless it is absent for good.
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -25,6 +25,9 @@
 	keepsOldSnapshot    bool // the log on disk is compacted, but the snapshot is not written
 	ignoresSaveFailures bool // a node continues after a failed save as if it had succeeded
 	losesLatestEntries  bool // a restarted node has lost the entries after its snapshot
+
+	votersNeverJoin          bool // a node that counts itself a voter sends no Join messages while it hears a leader
+	takesMessagesForLostDisk bool // messages for the lost disk at an address are taken by the new one
 }
 
 // world simulates a few hosts in virtual time. The faults of their network and their disks follow
@@ -48,6 +51,7 @@
 	replaceAfter     time.Duration // silence after which a voter is replaced by a learner
 	bugs             injectedBugs
 	lastIncarnation  uint64
+	lastProposal     uint64 // the last value of sendRequestsUntil
 
 	committed          []Entry           // entry i+1 as it was first applied at any host
 	committedMembers   Members           // the last committed configuration
@@ -358,6 +362,11 @@
 
 // send delivers a message with a random delay, and with faults at messageFaultRate.
 func (w *world) send(msg Message) {
+	if w.bugs.votersNeverJoin && msg.Kind == Join {
+		if sender := w.host(msg.From).machine; sender != nil && sender.canCampaign() && sender.leader.Address != "" {
+			return
+		}
+	}
 	copies := 1
 	if w.rng.Float64() < w.messageFaultRate {
 		copies = w.rng.IntN(3)
--- a/internal/mesh/consensus/snapshot_test.go
+++ b/internal/mesh/consensus/snapshot_test.go
@@ -26,6 +26,9 @@
 
 // deliver passes a message to a machine, with the injected bugs.
 func (w *world) deliver(m *Machine, msg Message) {
+	if w.bugs.takesMessagesForLostDisk && m.isForOtherDisk(msg) {
+		msg.ToDisk = m.diskID
+	}
 	if msg.Kind != InstallSnapshot {
 		m.HandleMessage(msg)
 		return
--- a/internal/mesh/meshtest/core_links.go
+++ b/internal/mesh/meshtest/core_links.go
@@ -88,13 +88,28 @@
 	}
 }
 
-// Join ends all cuts of a core machine.
+// Refuse resets the connections between a core machine and others, and refuses new ones, until Join.
+func (m *Machine) Refuse(others ...*Machine) {
+	m.hit(false, func(*childprocess.Process) {
+		for _, other := range others {
+			for _, link := range []*relay.Link{m.g.coreLinks[ends{other, m}], m.g.coreLinks[ends{m, other}]} {
+				if link != nil {
+					link.Refuse(true)
+					link.Reset()
+				}
+			}
+		}
+	})
+}
+
+// Join ends all cuts and refusals of a core machine.
 func (m *Machine) Join() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for e, link := range m.g.coreLinks {
 		if e.from == m || e.to == m {
 			link.Heal()
+			link.Refuse(false)
 		}
 	}
 	m.mended()
--- a/internal/mesh/meshtest/days_test.go
+++ b/internal/mesh/meshtest/days_test.go
@@ -99,3 +99,8 @@
 	pause(rng, time.Second)
 	return m.Start()
 }
+
+// sizeFlags are the flags -NAME-cores and -NAME-agents.
+func sizeFlags(name string) (*int, *int) {
+	return flag.Int(name+"-cores", 0, "core machines of each day; 0: drawn by seed"), flag.Int(name+"-agents", 6, "agents of each day")
+}
--- a/internal/mesh/meshtest/machine.go
+++ b/internal/mesh/meshtest/machine.go
@@ -95,7 +95,7 @@
 	set("limits.memory_mb", 280)
 	set("limits.open_files", 4096)
 	set("beat_every", beatEvery)
-	set("tolerate.machines", 1)
+	set("tolerate.machines", m.g.tolerated())
 	set("tolerate.zones", 1)
 	if m.core() {
 		set("data_folder", m.disk())
--- a/internal/mesh/meshtest/meshtest.go
+++ b/internal/mesh/meshtest/meshtest.go
@@ -1,7 +1,7 @@
 // Package meshtest runs a small mesh of real processes on
 // loopback.
 //
-// There are three core machines and some agents, each a process of the built program at an address
+// There are three core machines or more and some agents, each a process of the built program at an address
 // of its own in 127/8, with the settings file, the ports and the data folder that a deployment
 // gives it. Beside each agent stand a backend and clients, and an operator stands beside the core;
 // these are stand-ins in the caller's process, which speak the protocol and keep what they saw in a
@@ -40,10 +40,10 @@
 )
 
 const (
-	cores     = 3
-	beatEvery = 400 * time.Millisecond
-	startFor  = 15 * time.Second // until a mesh must be ready
-	host      = "mesh.example"
+	fewestCores = 3 // of which one may be lost
+	beatEvery   = 400 * time.Millisecond
+	startFor    = 15 * time.Second // until a mesh must be ready
+	host        = "mesh.example"
 )
 
 // So many agents may be had: one for each zone, and what a machine bears.
@@ -59,6 +59,7 @@
 	Program    string // the built micaline-mesh
 	Dir        string // for settings, disks and logs, and empty; "": one that is taken away at the end
 	Agents     int    // 3 at least
+	Cores      int    // 3 at least; below it: 3
 	Rate       float64
 	Work       time.Duration // of a backend with a request, on the mean
 	AgentLinks bool          // clients, gates and backends are reached through links that can be broken
@@ -123,7 +124,7 @@
 	for i := range max(1, min(o.Agents/len(zones), 3)) {
 		g.services = append(g.services, [...]string{"finder", "ledger", "docbox"}[i])
 	}
-	for i := range cores {
+	for i := range max(o.Cores, fewestCores) {
 		g.Cores = append(g.Cores, g.machine(fmt.Sprintf("core-%d", i+1), fmt.Sprintf("%s.%d", net, i+1), zones[i%len(zones)], ""))
 	}
 	for i := range o.Agents {
@@ -202,6 +203,9 @@
 	return "", fmt.Errorf("no addresses to be had in 127/8: %w", err)
 }
 
+// tolerated is how many core machines may be lost at once, with their disks.
+func (g *Cluster) tolerated() int { return (len(g.Cores) - 1) / 2 }
+
 func (g *Cluster) all() []*Machine { return append(append([]*Machine{}, g.Cores...), g.Agents...) }
 
 // Await returns once something holds, or says that it did not in time, with what the processes said
--- a/internal/mesh/meshtest/meshtest_test.go
+++ b/internal/mesh/meshtest/meshtest_test.go
@@ -44,6 +44,9 @@
 // leaving is the story in which work lasts long enough to be left.
 const leaving = "clients leave while an agent is stopped and killed"
 
+// returning is the story that needs five core machines.
+const returning = "a core machine comes back as the core is cut in two"
+
 // TestCluster has each story under the race of real requests, and judges by what the stand-ins saw.
 func TestCluster(t *testing.T) {
 	t.Parallel() // with the days
@@ -59,6 +62,7 @@
 		"a change is refused while a machine is stopped":  refusedWhileStopped,
 		"an agent ends in order while the leader is mute": endsInOrder,
 		"a core machine is cut off":                       cutOff,
+		returning:                                         returnsInACut,
 		leaving:                                           clientsLeave,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -76,6 +80,9 @@
 				require.NoError(t, os.MkdirAll(at, 0o700))
 			}
 			options := Options{Program: filepath.Join(dir, "micaline-mesh"), Dir: at, Agents: 6, Rate: 10, Work: 20 * time.Millisecond, CoreLinks: cuts}
+			if name == returning {
+				options.Cores, options.CoreLinks = 5, true
+			}
 			if name == leaving {
 				options.Rate, options.Work, options.GiveUp = 4, 600*time.Millisecond, 0.6
 			}
