--- a/internal/mesh/consensus/sim_explore_test.go
+++ b/internal/mesh/consensus/sim_explore_test.go
@@ -30,6 +30,7 @@
 	return nil
 }
 
+// playWithFaults draws how faulty the network, the processes and the disks are, and plays.
 func (w *world) playWithFaults() {
 	w.messageFaultRate = pickOne(w, 0, 0.02, 0.1, 0.5)
 	w.crashRate = pickOne(w, 0, 0.005, 0.05, 0.3)
@@ -42,71 +43,88 @@
 	for _, h := range w.hosts {
 		w.schedule(w.randomDuration(0, 2*time.Second), func() { w.start(h) })
 	}
-	end := 12 * time.Second
-	w.sendRequestsUntil(end)
-	var injectFault func()
-	injectFault = func() {
-		if w.now >= end {
-			return
-		}
-		h := w.hosts[w.rng.IntN(len(w.hosts))]
-		restartAfter := func(d time.Duration) { w.schedule(d, func() { w.restart(h) }) }
-		switch w.rng.IntN(9) {
-		case 0, 1:
-			w.stop(h)
-			restartAfter(w.randomDuration(0, 3*time.Second))
-		case 2:
-			h.pausedUntil = w.now + w.randomDuration(0, 3*time.Second)
-		case 3, 4:
-			link := [2]string{h.address, w.hosts[w.rng.IntN(len(w.hosts))].address}
-			w.cutLinks[link] = true
-			bothDirections := w.rng.IntN(2) == 0
-			if bothDirections {
-				w.cutLinks[[2]string{link[1], link[0]}] = true
-			}
-			w.schedule(w.randomDuration(0, 3*time.Second), func() {
-				delete(w.cutLinks, link)
-				delete(w.cutLinks, [2]string{link[1], link[0]})
-			})
-		case 5, 6:
-			if w.canLoseDisk() {
-				w.wipe(h)
-				restartAfter(w.randomDuration(0, time.Second))
-			}
-		case 7:
-			for _, h := range w.hosts {
-				w.runOn(h, h.incarnation, func(m *Machine) { m.TransferLeadership() })
-			}
-		case 8:
-			if w.rng.IntN(4) == 0 && w.absentHost == nil && w.canLoseDisk() {
-				w.absentHost = h
-				w.wipe(h)
-				break
-			}
-			for _, h := range w.hosts {
-				w.stop(h)
-				w.schedule(w.randomDuration(0, time.Second), func() { w.restart(h) })
-			}
-		}
-		w.schedule(w.randomDuration(0, maxFaultInterval), injectFault)
-	}
-	w.schedule(3*time.Second, injectFault)
+	const end = 12 * time.Second
+	w.schedule(0, func() { w.sendRequests(end) })
+	w.schedule(3*time.Second, func() { w.injectFaults(end, maxFaultInterval) })
 	w.runFor(end)
 	w.healAndCheck()
 }
 
-// sendRequestsUntil has random hosts propose and read until a point in time.
-func (w *world) sendRequestsUntil(end time.Duration) {
-	w.schedule(0, func() {
-		w.lastProposal++
-		w.propose(w.hosts[w.rng.IntN(len(w.hosts))], w.lastProposal)
-		w.read(w.hosts[w.rng.IntN(len(w.hosts))])
-		if w.now < end {
-			w.schedule(w.randomDuration(0, 80*time.Millisecond), func() { w.sendRequestsUntil(end) })
+// sendRequests has random hosts propose and read, again and again until a point in time.
+func (w *world) sendRequests(end time.Duration) {
+	w.lastProposal++
+	w.propose(w.hosts[w.rng.IntN(len(w.hosts))], w.lastProposal)
+	w.read(w.hosts[w.rng.IntN(len(w.hosts))])
+	if w.now < end {
+		w.schedule(w.randomDuration(0, 80*time.Millisecond), func() { w.sendRequests(end) })
+	}
+}
+
+// injectFaults injects random faults until a point in time, each within an interval after the last.
+func (w *world) injectFaults(end, maxInterval time.Duration) {
+	if w.now >= end {
+		return
+	}
+	w.injectFault(w.hosts[w.rng.IntN(len(w.hosts))])
+	w.schedule(w.randomDuration(0, maxInterval), func() { w.injectFaults(end, maxInterval) })
+}
+
+// injectFault injects a random fault, most of which concern one host.
+func (w *world) injectFault(h *host) {
+	switch w.rng.IntN(9) {
+	case 0, 1:
+		w.stop(h)
+		w.restartAfter(h, 3*time.Second)
+	case 2:
+		h.pausedUntil = w.now + w.randomDuration(0, 3*time.Second)
+	case 3, 4:
+		w.cutRandomLink(h)
+	case 5, 6:
+		if w.canLoseDisk() {
+			w.wipe(h)
+			w.restartAfter(h, time.Second)
+		}
+	case 7:
+		for _, h := range w.hosts {
+			w.runOn(h, h.incarnation, func(m *Machine) { m.TransferLeadership() })
+		}
+	case 8:
+		if w.rng.IntN(4) == 0 && w.absentHost == nil && w.canLoseDisk() {
+			w.absentHost = h
+			w.wipe(h)
+			return
 		}
+		w.restartAll()
+	}
+}
+
+// cutRandomLink cuts the link from a host to another one, or both directions, for up to 3 s.
+func (w *world) cutRandomLink(h *host) {
+	link := [2]string{h.address, w.hosts[w.rng.IntN(len(w.hosts))].address}
+	reverse := [2]string{link[1], link[0]}
+	w.cutLinks[link] = true
+	if bothDirections := w.rng.IntN(2) == 0; bothDirections {
+		w.cutLinks[reverse] = true
+	}
+	w.schedule(w.randomDuration(0, 3*time.Second), func() {
+		delete(w.cutLinks, link)
+		delete(w.cutLinks, reverse)
 	})
 }
 
+// restartAll kills all hosts at once. Each is back within a second.
+func (w *world) restartAll() {
+	for _, h := range w.hosts {
+		w.stop(h)
+		w.restartAfter(h, time.Second)
+	}
+}
+
+// restartAfter restarts a host after a random delay.
+func (w *world) restartAfter(h *host, maxDelay time.Duration) {
+	w.schedule(w.randomDuration(0, maxDelay), func() { w.restart(h) })
+}
+
 // restart starts a host again, unless it is absent for good.
 func (w *world) restart(h *host) {
 	if h != w.absentHost {
--- a/internal/mesh/consensus/sim_return_test.go
+++ b/internal/mesh/consensus/sim_return_test.go
@@ -46,7 +46,7 @@
 	}
 	faultRate := w.messageFaultRate
 	w.messageFaultRate = 0
-	w.sendRequestsUntil(time.Hour)
+	w.schedule(0, func() { w.sendRequests(time.Hour) })
 	w.runFor(time.Second)
 	w.requireCaughtUp(voters, catchUpBound)
 	for range returnRounds {
--- a/internal/mesh/consensus/sim_test.go
+++ b/internal/mesh/consensus/sim_test.go
@@ -51,7 +51,7 @@
 	replaceAfter     time.Duration // silence after which a voter is replaced by a learner
 	bugs             injectedBugs
 	lastIncarnation  uint64
-	lastProposal     uint64 // the last value of sendRequestsUntil
+	lastProposal     uint64 // the last value that sendRequests proposed
 
 	committed          []Entry           // entry i+1 as it was first applied at any host
 	committedMembers   Members           // the last committed configuration
